--- /dev/null
+++ b/crates/fleet/src/grant.rs
@@ -0,0 +1,198 @@
+//! Grants: leave to take a VM out of service, charged to the budgets until the VM is back.
+
+use crate::{
+    CLOCK_SKEW, LONGEST_LEASE,
+    budget::holds,
+    fold::Context,
+    record::{Errand, GrantRequest, LeaseRequest, Outcome, Reason},
+    state::{Fleet, Grant, Health, SPARE, Vm},
+};
+use protocol::Offset;
+use settings::admits_hall;
+use std::time::SystemTime;
+
+impl Fleet {
+    /// Grants an errand when the VM is unchanged and every budget that its slots touch allows it.
+    pub(crate) fn grant(&mut self, context: &Context, request: &GrantRequest) -> Outcome {
+        if let Some(reason) = self.refuse_grant(context, request) {
+            return Outcome::Rejected(reason);
+        }
+        let offset = context.offset;
+        self.change_vm(&request.vm, offset, |vm| {
+            vm.grant = Some(Grant {
+                id: offset,
+                errand: request.errand.clone(),
+                holder: request.holder.clone(),
+                deadline: request.deadline,
+                token: offset,
+                begun: false,
+                boot: vm.boot,
+            });
+        });
+        Outcome::Applied
+    }
+
+    /// Renews the holder's own lease, or hands it over once it has ended for certain.
+    pub(crate) fn lease(&mut self, context: &Context, request: &LeaseRequest) -> Outcome {
+        let Some(grant) = self.grant_of(&request.vm, request.grant) else {
+            return no_grant(&request.vm, request.grant);
+        };
+        if !is_lease(context.at, request.deadline) {
+            return Outcome::Rejected(Reason::BadDeadline);
+        }
+        let renews = grant.holder == request.holder && context.at <= grant.deadline;
+        let takes_over = context.at > grant.deadline + CLOCK_SKEW;
+        if !renews && !takes_over {
+            let holder = grant.holder.clone();
+            return Outcome::Rejected(Reason::Held { holder });
+        }
+        self.change_grant(context, &request.vm, |grant| {
+            grant.deadline = request.deadline;
+            if takes_over {
+                grant.holder.clone_from(&request.holder);
+                grant.token = context.offset;
+            }
+        });
+        Outcome::Applied
+    }
+
+    /// Marks the errand as begun; from here on it cannot be undone.
+    pub(crate) fn begin(&mut self, context: &Context, vm: &str, id: Offset) -> Outcome {
+        let Some(grant) = self.grant_of(vm, id) else {
+            return no_grant(vm, id);
+        };
+        if grant.holder != context.by || context.at > grant.deadline {
+            let holder = grant.holder.clone();
+            return Outcome::Rejected(Reason::Held { holder });
+        }
+        if grant.begun || grant.errand == Errand::Drain {
+            return wrong_step(vm);
+        }
+        self.change_grant(context, vm, |grant| grant.begun = true);
+        Outcome::Applied
+    }
+
+    /// Ends an errand that has begun, on evidence that it took effect.
+    pub(crate) fn finish(&mut self, context: &Context, vm: &str, id: Offset, boot: u64) -> Outcome {
+        let Some(grant) = self.grant_of(vm, id) else {
+            return no_grant(vm, id);
+        };
+        if !grant.begun {
+            return wrong_step(vm);
+        }
+        match grant.errand.clone() {
+            Errand::Reboot if boot > grant.boot => self.finish_reboot(context, vm, boot),
+            Errand::Release => self.remove_vm(vm),
+            Errand::Move { to } => self.finish_move(context, vm, &to),
+            Errand::Reboot | Errand::Drain => return wrong_step(vm),
+        }
+        self.prune_gone();
+        Outcome::Applied
+    }
+
+    /// Takes back a grant that has not begun.
+    pub(crate) fn undo(&mut self, context: &Context, vm: &str, id: Offset) -> Outcome {
+        let Some(grant) = self.grant_of(vm, id) else {
+            return no_grant(vm, id);
+        };
+        if grant.begun {
+            return wrong_step(vm);
+        }
+        self.change_vm(vm, context.offset, |vm| vm.grant = None);
+        Outcome::Applied
+    }
+
+    /// Returns the first budget that would be overrun with `vm` out of service as well.
+    pub fn over_budget(&self, vm: &Vm) -> Option<Reason> {
+        let hold = holds(self, &vm.pool)?;
+        let added = if vm.is_available() { vm.slots } else { 0 };
+        let wanted = self.count(&vm.pool).unavailable + added;
+        (wanted > hold.budget).then_some(Reason::OverBudget {
+            service: hold.service,
+            budget: hold.budget,
+            wanted,
+        })
+    }
+
+    fn refuse_grant(&self, context: &Context, request: &GrantRequest) -> Option<Reason> {
+        let id = request.vm.clone();
+        let Some(vm) = self.vms.get(&id) else {
+            return Some(Reason::NoVm { vm: id });
+        };
+        if vm.version != request.base {
+            let version = vm.version;
+            return Some(Reason::VmMoved { vm: id, version });
+        }
+        if vm.grant.is_some() || vm.health == Health::Gone {
+            return Some(Reason::Busy { vm: id });
+        }
+        if !is_lease(context.at, request.deadline) {
+            return Some(Reason::BadDeadline);
+        }
+        if let Errand::Move { to } = &request.errand
+            && !self.admits(to, vm)
+        {
+            return Some(Reason::NoPool { pool: to.clone() });
+        }
+        self.over_budget(vm)
+    }
+
+    /// Tells whether `vm` could be moved to `pool`.
+    pub fn admits(&self, pool: &str, vm: &Vm) -> bool {
+        if pool == vm.pool {
+            return false;
+        }
+        pool == SPARE
+            || (self.tree.pools().any(|known| known == pool)
+                && admits_hall(&self.tree, pool, &vm.hall))
+    }
+
+    fn finish_reboot(&mut self, context: &Context, vm: &str, boot: u64) {
+        let at = context.at;
+        self.change_vm(vm, context.offset, |vm| {
+            vm.grant = None;
+            vm.health = Health::Up;
+            if boot > vm.boot {
+                vm.boot = boot;
+                vm.booted = at;
+            }
+        });
+    }
+
+    /// Moves the VM, unless its new pool was removed meanwhile: then it stays where it was.
+    fn finish_move(&mut self, context: &Context, vm: &str, to: &str) {
+        let admitted = self.vms.get(vm).is_some_and(|vm| self.admits(to, vm));
+        self.change_vm(vm, context.offset, |vm| {
+            vm.grant = None;
+            if admitted {
+                to.clone_into(&mut vm.pool);
+            }
+        });
+    }
+
+    fn grant_of(&self, vm: &str, id: Offset) -> Option<&Grant> {
+        let grant = self.vms.get(vm)?.grant.as_ref()?;
+        (grant.id == id).then_some(grant)
+    }
+
+    fn change_grant(&mut self, context: &Context, vm: &str, change: impl FnOnce(&mut Grant)) {
+        self.change_vm(vm, context.offset, |vm| {
+            if let Some(grant) = &mut vm.grant {
+                change(grant);
+            }
+        });
+    }
+}
+
+fn is_lease(at: SystemTime, deadline: SystemTime) -> bool {
+    deadline > at && deadline <= at + LONGEST_LEASE
+}
+
+fn no_grant(vm: &str, grant: Offset) -> Outcome {
+    let vm = vm.to_owned();
+    Outcome::Rejected(Reason::NoGrant { vm, grant })
+}
+
+fn wrong_step(vm: &str) -> Outcome {
+    Outcome::Rejected(Reason::WrongStep { vm: vm.to_owned() })
+}
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,39 @@
+//! What the fleet is and may do next, decided by folding the platform's log.
+//!
+//! Every entry folds the same records in offset order through [`Fleet::apply`] and so reaches the
+//! same verdicts without asking another. Nothing in here knows a socket or a clock: time is what
+//! the records carry, or an argument.
+
+mod budget;
+mod fold;
+mod grant;
+mod member;
+mod moves;
+mod plan;
+mod publish;
+mod record;
+mod snapshot;
+mod state;
+mod wave;
+
+pub use budget::{Count, Hold, holds};
+pub use moves::{Room, Wanted, least_moves, next_moves};
+pub use plan::{Action, Evidence, Sight, View, free_token, next_action, plan};
+pub use record::{
+    Change, Errand, GrantRequest, LeaseRequest, Observation, Outcome, PathChange, Reason, Record,
+    Seen, WaveChange,
+};
+pub use snapshot::{Chunk, SnapshotError, assemble, chunks, decode_snapshot, encode_snapshot};
+pub use state::{Fleet, Grant, Health, Mark, SPARE, Vm, Wave, WaveId, WaveState};
+pub use wave::{Progress, next_reboots, progress};
+
+use std::time::Duration;
+
+/// How far two clocks may differ; a lease is taken over only this long after its deadline.
+pub const CLOCK_SKEW: Duration = Duration::from_secs(2);
+
+/// The longest lease that a grant may have.
+pub const LONGEST_LEASE: Duration = Duration::from_secs(600);
+
+/// The longest time for which a record may ask to be taken.
+pub const LONGEST_EXPIRY: Duration = Duration::from_secs(120);
--- /dev/null
+++ b/crates/fleet/src/member.rs
@@ -0,0 +1,165 @@
+//! Membership: which VMs there are, whether they are up, and the pool that each is in.
+
+use crate::{
+    fold::Context,
+    record::{Observation, Outcome, Reason, Seen},
+    state::{Fleet, Health, SPARE, Vm},
+};
+use protocol::{PoolId, VmId};
+use settings::admits_hall;
+use std::cmp::Reverse;
+
+impl Fleet {
+    /// Takes in what an entry saw; an observation of a VM that has changed since is passed over.
+    pub(crate) fn observe(&mut self, context: &Context, seen: &[Observation]) -> Outcome {
+        let mut changed = false;
+        for observation in seen {
+            changed |= self.observe_one(context, observation);
+        }
+        if changed {
+            self.prune_gone();
+            Outcome::Applied
+        } else {
+            Outcome::Unchanged
+        }
+    }
+
+    /// Removes a VM that is gone.
+    pub(crate) fn forget(&mut self, vm: &str) -> Outcome {
+        match self.vms.get(vm).map(|vm| vm.health) {
+            Some(Health::Gone) => {
+                self.remove_vm(vm);
+                Outcome::Applied
+            }
+            Some(_) => Outcome::Rejected(Reason::Busy { vm: vm.to_owned() }),
+            None => Outcome::Rejected(Reason::NoVm { vm: vm.to_owned() }),
+        }
+    }
+
+    fn observe_one(&mut self, context: &Context, observation: &Observation) -> bool {
+        let Some(vm) = self.vms.get(&observation.vm) else {
+            return self.join(context, observation);
+        };
+        if vm.version != observation.base {
+            return false;
+        }
+        match &observation.seen {
+            Seen::Up {
+                hall,
+                rack,
+                addr,
+                slots,
+                boot,
+            } => {
+                let booted = if *boot == vm.boot {
+                    vm.booted
+                } else {
+                    context.at
+                };
+                let up = Vm {
+                    hall: hall.clone(),
+                    rack: rack.clone(),
+                    addr: addr.clone(),
+                    slots: *slots,
+                    boot: *boot,
+                    booted,
+                    health: Health::Up,
+                    ..vm.clone()
+                };
+                if up == *vm {
+                    return false;
+                }
+                self.change_vm(&observation.vm, context.offset, |vm| *vm = up);
+                true
+            }
+            Seen::Leaving => self.set_health(context, &observation.vm, Health::Leaving),
+            Seen::Down => self.set_health(context, &observation.vm, Health::Down),
+            Seen::Gone => self.set_health(context, &observation.vm, Health::Gone),
+        }
+    }
+
+    fn set_health(&mut self, context: &Context, id: &str, health: Health) -> bool {
+        if self.vms.get(id).is_none_or(|vm| vm.health == health) {
+            return false;
+        }
+        self.change_vm(id, context.offset, |vm| vm.health = health);
+        true
+    }
+
+    fn join(&mut self, context: &Context, observation: &Observation) -> bool {
+        let Seen::Up {
+            hall,
+            rack,
+            addr,
+            slots,
+            boot,
+        } = &observation.seen
+        else {
+            return false;
+        };
+        let vm = Vm {
+            hall: hall.clone(),
+            rack: rack.clone(),
+            addr: addr.clone(),
+            slots: *slots,
+            boot: *boot,
+            booted: context.at,
+            pool: self.pool_for(hall),
+            health: Health::Up,
+            grant: None,
+            version: context.offset,
+        };
+        self.insert_vm(observation.vm.clone(), vm);
+        true
+    }
+
+    /// Returns the pool that lacks most VMs among those that admit `hall`.
+    fn pool_for(&self, hall: &str) -> PoolId {
+        self.tree
+            .pools()
+            .filter(|pool| admits_hall(&self.tree, pool, hall))
+            .map(|pool| (self.asked(pool).saturating_sub(self.present(pool)), pool))
+            .filter(|(lack, _)| *lack > 0)
+            .max_by_key(|(lack, pool)| (*lack, Reverse(*pool)))
+            .map_or_else(|| SPARE.to_owned(), |(_, pool)| pool.clone())
+    }
+
+    /// Returns the number of VMs that a pool asks for.
+    pub fn asked(&self, pool: &str) -> u32 {
+        self.tree
+            .nodes
+            .get(pool)
+            .and_then(|node| node.vms)
+            .unwrap_or_default()
+    }
+
+    /// Returns the VMs that a pool has, without those that are gone.
+    pub fn present(&self, pool: &str) -> u32 {
+        let count = self.count(pool);
+        count.vms - count.gone
+    }
+
+    /// Drops gone VMs of pools that have as many others as they ask for: they were replaced.
+    pub(crate) fn prune_gone(&mut self) {
+        let replaced: Vec<PoolId> = self
+            .counts
+            .iter()
+            .filter(|(_, count)| count.gone > 0)
+            .map(|(pool, _)| pool.clone())
+            .filter(|pool| self.present(pool) >= self.asked(pool))
+            .collect();
+        for pool in replaced {
+            for vm in self.gone_vms(&pool) {
+                self.remove_vm(&vm);
+            }
+        }
+    }
+
+    fn gone_vms(&self, pool: &str) -> Vec<VmId> {
+        self.vms
+            .iter()
+            .filter(|(_, vm)| vm.health == Health::Gone && vm.pool == pool)
+            .map(|(id, _)| id.clone())
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/plan.rs
@@ -0,0 +1,262 @@
+//! What an entry should propose and do next, from the agreed state and what it sees itself.
+
+use crate::{
+    CLOCK_SKEW,
+    moves::{Room, Wanted, next_moves},
+    record::{Change, Errand, GrantRequest, LeaseRequest, WaveChange},
+    state::{Fleet, Grant, Health, Vm, WaveState},
+    wave::{next_reboots, progress},
+};
+use protocol::{EntryId, HallId, Offset, PoolId, ranked};
+use std::{
+    collections::BTreeMap,
+    time::{Duration, SystemTime},
+};
+
+/// Key by which the live entries find the one that plans; the others stand by.
+const PLANNER_KEY: &str = "planner";
+
+/// Grants that one record carries at the most.
+const MOST_GRANTS: usize = 64;
+
+/// What an entry knows beside the agreed state.
+pub struct View<'a> {
+    /// The entry itself.
+    pub entry: &'a str,
+    /// The entries that answer, with their halls; the entry itself is one.
+    pub live: &'a BTreeMap<EntryId, HallId>,
+    /// The time.
+    pub now: SystemTime,
+    /// How long a lease runs.
+    pub lease: Duration,
+}
+
+impl View<'_> {
+    fn is_planner(&self) -> bool {
+        let live = self.live.keys().map(String::as_str);
+        ranked(live, PLANNER_KEY).first() == Some(&self.entry)
+    }
+
+    /// The live entry of the VM's hall that should carry out its errands.
+    pub fn holder(&self, id: &str, vm: &Vm) -> Option<EntryId> {
+        let in_hall = self
+            .live
+            .iter()
+            .filter(|(_, hall)| **hall == vm.hall)
+            .map(|(entry, _)| entry.as_str());
+        ranked(in_hall, id).first().map(|entry| (*entry).to_owned())
+    }
+}
+
+/// Returns the proposals that this entry should append now.
+pub fn plan(fleet: &Fleet, view: &View<'_>) -> Vec<Change> {
+    let mut changes = take_overs(fleet, view);
+    if view.is_planner() {
+        changes.extend(withdrawals(fleet));
+        changes.extend(grants(fleet, view));
+        changes.extend(closings(fleet));
+    }
+    changes
+}
+
+/// Leases that have ended for certain and whose errands fall to this entry.
+fn take_overs(fleet: &Fleet, view: &View<'_>) -> Vec<Change> {
+    fleet
+        .vms
+        .iter()
+        .filter_map(|(id, vm)| Some((id, vm, vm.grant.as_ref()?)))
+        .filter(|(_, _, grant)| grant.errand != Errand::Drain)
+        .filter(|(_, _, grant)| view.now > grant.deadline + CLOCK_SKEW)
+        .filter(|(id, vm, _)| view.holder(id, vm).as_deref() == Some(view.entry))
+        .map(|(id, _, grant)| {
+            Change::Lease(LeaseRequest {
+                vm: id.clone(),
+                grant: grant.id,
+                holder: view.entry.to_owned(),
+                deadline: view.now + view.lease,
+            })
+        })
+        .collect()
+}
+
+/// Grants to take back: those of pools that failures have put over budget, and those of waves
+/// that no longer run.
+fn withdrawals(fleet: &Fleet) -> Vec<Change> {
+    let mut excess: BTreeMap<&PoolId, u32> = fleet
+        .counts
+        .keys()
+        .filter_map(|pool| Some((pool, fleet.room(pool).err()?)))
+        .collect();
+    if excess.is_empty() {
+        return Vec::new();
+    }
+    let mut changes = Vec::new();
+    for (id, vm) in &fleet.vms {
+        let Some(grant) = vm.grant.as_ref() else {
+            continue;
+        };
+        let Some(over) = excess.get_mut(&vm.pool) else {
+            continue;
+        };
+        let helps = vm.health == Health::Up && !grant.begun && grant.errand != Errand::Drain;
+        if *over > 0 && helps {
+            *over = over.saturating_sub(vm.slots);
+            changes.push(Change::Undo {
+                vm: id.clone(),
+                grant: grant.id,
+            });
+        }
+    }
+    changes
+}
+
+/// New grants for moves and waves, as the budgets allow.
+fn grants(fleet: &Fleet, view: &View<'_>) -> Vec<Change> {
+    let mut room = Room::new(fleet);
+    let moves = next_moves(fleet, &mut room);
+    let moving: Vec<_> = moves.iter().map(|wanted| wanted.vm.clone()).collect();
+    let mut wanted = moves;
+    let reboots = next_reboots(fleet, &mut room);
+    wanted.extend(
+        reboots
+            .into_iter()
+            .filter(|wanted| !moving.contains(&wanted.vm)),
+    );
+    wanted
+        .into_iter()
+        .filter_map(|wanted| request(fleet, view, wanted))
+        .take(MOST_GRANTS)
+        .map(Change::Grant)
+        .collect()
+}
+
+fn request(fleet: &Fleet, view: &View<'_>, wanted: Wanted) -> Option<GrantRequest> {
+    let holder = view.holder(&wanted.vm, &fleet.vms[&wanted.vm])?;
+    Some(GrantRequest {
+        vm: wanted.vm,
+        base: wanted.base,
+        errand: wanted.errand,
+        holder,
+        deadline: view.now + view.lease,
+    })
+}
+
+/// Waves whose last VM is done.
+fn closings(fleet: &Fleet) -> Vec<Change> {
+    fleet
+        .waves
+        .iter()
+        .filter(|(_, wave)| wave.state == WaveState::Running)
+        .filter(|(_, wave)| progress(fleet, wave).pending() == 0)
+        .map(|(id, _)| Change::Wave(WaveChange::Close(*id)))
+        .collect()
+}
+
+/// The platform's own view of a VM, read afresh.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Sight {
+    /// Its count of boots.
+    pub boot: u64,
+    /// Whether it is up.
+    pub up: bool,
+    /// Whether it refuses new tasks.
+    pub drained: bool,
+    /// Tasks that run on it.
+    pub running: u32,
+    /// The pool that its worker takes tasks for.
+    pub pool: PoolId,
+}
+
+/// What the holder of a grant sees right before it acts.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Evidence {
+    /// The VM; `None` when the platform lists it no longer.
+    pub sight: Option<Sight>,
+    /// Slots of the VM's pool that this entry sees down and the agreed state does not yet.
+    pub unseen: u32,
+}
+
+/// The next step of an errand.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Nothing can be done now.
+    Wait,
+    /// The lease has ended; whoever holds it must not act.
+    Lapsed,
+    /// The lease should be renewed first.
+    Renew,
+    /// Tell the platform to send the VM no more tasks.
+    Drain,
+    /// Announce the call that cannot be undone.
+    Begin,
+    /// Tell the platform to reboot the VM, if its count of boots is still this one.
+    Reboot(u64),
+    /// Tell the platform to take the VM back.
+    Release,
+    /// Tell the platform that the VM's worker serves another pool.
+    Assign(PoolId),
+    /// Record that the errand took effect; the count of boots goes with it.
+    Finish(u64),
+}
+
+/// Returns the next step of the errand that `grant` allows on `vm`.
+pub fn next_action(
+    fleet: &Fleet,
+    vm: &Vm,
+    grant: &Grant,
+    evidence: &Evidence,
+    view: &View<'_>,
+) -> Action {
+    if grant.errand != Errand::Drain {
+        if view.now >= grant.deadline {
+            return Action::Lapsed;
+        }
+        if view.now + view.lease / 2 > grant.deadline {
+            return Action::Renew;
+        }
+    }
+    let Some(sight) = &evidence.sight else {
+        return without_vm(grant);
+    };
+    if grant.begun {
+        return after_begin(grant, sight);
+    }
+    if !sight.drained {
+        return Action::Drain;
+    }
+    let idle = sight.running == 0;
+    if grant.errand == Errand::Drain || !idle || is_short(fleet, vm, evidence.unseen) {
+        return Action::Wait;
+    }
+    Action::Begin
+}
+
+fn without_vm(grant: &Grant) -> Action {
+    match grant.errand {
+        Errand::Release if grant.begun => Action::Finish(grant.boot),
+        _ => Action::Wait,
+    }
+}
+
+fn after_begin(grant: &Grant, sight: &Sight) -> Action {
+    match &grant.errand {
+        // A VM that is not up is on its way; a second call could only hit the boot after that.
+        Errand::Reboot if !sight.up => Action::Wait,
+        Errand::Reboot if sight.boot == grant.boot => Action::Reboot(grant.boot),
+        Errand::Reboot => Action::Finish(sight.boot),
+        Errand::Release => Action::Release,
+        Errand::Move { to } if sight.pool != *to => Action::Assign(to.clone()),
+        Errand::Move { .. } => Action::Finish(sight.boot),
+        Errand::Drain => Action::Wait,
+    }
+}
+
+/// Tells whether failures that are not in the log yet would put the pool over its budget.
+fn is_short(fleet: &Fleet, vm: &Vm, unseen: u32) -> bool {
+    fleet.room(&vm.pool).map_or(true, |room| room < unseen)
+}
+
+/// Returns the token for a call that needs no grant, such as the end of a drain.
+pub fn free_token(vm: &Vm) -> Offset {
+    vm.version
+}
--- /dev/null
+++ b/crates/fleet/src/publish.rs
@@ -0,0 +1,74 @@
+//! Settings in the fold: compare-and-set by path, all paths of a change or none.
+
+use crate::{
+    fold::Context,
+    record::{Outcome, PathChange, Reason},
+    state::{Fleet, Mark},
+};
+use settings::Tree;
+
+impl Fleet {
+    /// Publishes settings when every path still has the version the change was based on.
+    pub(crate) fn publish(&mut self, context: &Context, changes: &[PathChange]) -> Outcome {
+        if let Some(reason) = self.moved(changes) {
+            return Outcome::Rejected(reason);
+        }
+        let wanted = self.with_changes(changes);
+        if let Some(reason) = self.unfit(&wanted) {
+            return Outcome::Rejected(reason);
+        }
+        self.tree = wanted;
+        for change in changes {
+            let mark = Mark {
+                offset: context.offset,
+                by: context.by.clone(),
+                at: context.at,
+            };
+            self.versions.insert(change.path.clone(), mark);
+        }
+        self.prune_gone();
+        Outcome::Applied
+    }
+
+    /// Returns the version of a path: 0 if it was never set.
+    pub fn version(&self, path: &str) -> u64 {
+        self.versions.get(path).map_or(0, |mark| mark.offset + 1)
+    }
+
+    fn moved(&self, changes: &[PathChange]) -> Option<Reason> {
+        let change = changes
+            .iter()
+            .find(|change| self.version(&change.path) != change.base)?;
+        let mark = self.versions.get(&change.path)?;
+        Some(Reason::PathMoved {
+            path: change.path.clone(),
+            version: mark.offset,
+            by: mark.by.clone(),
+        })
+    }
+
+    fn with_changes(&self, changes: &[PathChange]) -> Tree {
+        let mut tree = self.tree.clone();
+        for change in changes {
+            match &change.node {
+                Some(node) => tree.nodes.insert(change.path.clone(), node.clone()),
+                None => tree.nodes.remove(&change.path),
+            };
+        }
+        tree
+    }
+
+    fn unfit(&self, tree: &Tree) -> Option<Reason> {
+        for path in tree.nodes.keys() {
+            let orphan = Tree::levels(path).any(|level| !tree.nodes.contains_key(level));
+            if orphan {
+                return Some(Reason::Orphan { path: path.clone() });
+            }
+        }
+        let pool = self
+            .counts
+            .keys()
+            .find(|pool| pool.as_str() != crate::SPARE && !tree.nodes.contains_key(*pool))?;
+        Some(Reason::PoolInUse { pool: pool.clone() })
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/state.rs
@@ -0,0 +1,159 @@
+//! The state that the fold keeps.
+
+use crate::{
+    budget::Count,
+    record::{Errand, Outcome},
+};
+use protocol::{EntryId, HallId, Offset, PoolId, RackId, RecordId, VmId};
+use serde::{Deserialize, Serialize};
+use settings::{Path, Tree};
+use std::{collections::BTreeMap, time::SystemTime};
+
+/// The pool of VMs that no other pool asks for; it has no services.
+pub const SPARE: &str = "spare";
+
+/// A wave's id: the offset of the record that started it.
+pub type WaveId = Offset;
+
+/// Everything that is agreed.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Fleet {
+    /// The next offset to be applied.
+    pub next: Offset,
+    /// The log's time of the last record.
+    pub at: SystemTime,
+    /// The settings.
+    pub tree: Tree,
+    /// Version of each path of the settings, also of removed ones.
+    pub versions: BTreeMap<Path, Mark>,
+    /// The VMs.
+    pub vms: BTreeMap<VmId, Vm>,
+    /// Slots by pool, kept in step with `vms`.
+    pub counts: BTreeMap<PoolId, Count>,
+    /// The waves, also those that have ended lately.
+    pub waves: BTreeMap<WaveId, Wave>,
+    /// Records that a second copy may still follow, with when that ends and what was decided.
+    pub recent: BTreeMap<RecordId, Mark>,
+    /// The same ids by the end of their time.
+    pub expiring: BTreeMap<(SystemTime, RecordId), ()>,
+    /// What was decided about each recent record.
+    pub outcomes: BTreeMap<RecordId, Vec<Outcome>>,
+}
+
+impl Default for Fleet {
+    fn default() -> Self {
+        Self {
+            next: 0,
+            at: SystemTime::UNIX_EPOCH,
+            tree: Tree::default(),
+            versions: BTreeMap::new(),
+            vms: BTreeMap::new(),
+            counts: BTreeMap::new(),
+            waves: BTreeMap::new(),
+            recent: BTreeMap::new(),
+            expiring: BTreeMap::new(),
+            outcomes: BTreeMap::new(),
+        }
+    }
+}
+
+/// Which record did something, and who appended it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Mark {
+    /// The record's offset.
+    pub offset: Offset,
+    /// Who appended it.
+    pub by: EntryId,
+    /// When the log took it.
+    pub at: SystemTime,
+}
+
+/// One VM. It belongs to exactly one pool because there is one field for it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Vm {
+    /// Its hall.
+    pub hall: HallId,
+    /// Its rack.
+    pub rack: RackId,
+    /// Where its worker listens.
+    pub addr: String,
+    /// Its slots.
+    pub slots: u32,
+    /// Its count of boots.
+    pub boot: u64,
+    /// When the log took the record that told of this boot.
+    pub booted: SystemTime,
+    /// Its pool.
+    pub pool: PoolId,
+    /// Whether it is up.
+    pub health: Health,
+    /// The grant that keeps it out of service, if one does.
+    pub grant: Option<Grant>,
+    /// The offset of the record that changed it last.
+    pub version: Offset,
+}
+
+impl Vm {
+    /// Tells whether the VM takes new work.
+    pub fn is_available(&self) -> bool {
+        self.health == Health::Up && self.grant.is_none()
+    }
+}
+
+/// Whether a VM is up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Health {
+    /// It answers.
+    Up,
+    /// The platform will take it away soon.
+    Leaving,
+    /// It does not answer, or is suspected not to.
+    Down,
+    /// The platform no longer lists it; it is charged until replaced or forgotten.
+    Gone,
+}
+
+/// Leave to take one VM out of service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Grant {
+    /// The offset of the grant: its id.
+    pub id: Offset,
+    /// What for.
+    pub errand: Errand,
+    /// The entry that carries it out.
+    pub holder: EntryId,
+    /// When the holder's lease ends.
+    pub deadline: SystemTime,
+    /// The fencing token: the offset at which the present holder got the lease.
+    pub token: Offset,
+    /// Whether the call that cannot be undone has been announced.
+    pub begun: bool,
+    /// The VM's count of boots when the grant was made.
+    pub boot: u64,
+}
+
+/// One maintenance wave.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Wave {
+    /// The place or pool that it covers.
+    pub scope: Path,
+    /// A VM that booted later than this is done.
+    pub from: SystemTime,
+    /// Whether it goes on.
+    pub state: WaveState,
+}
+
+/// Whether a wave goes on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum WaveState {
+    /// VMs are granted as the budgets allow.
+    Running,
+    /// Nothing new is granted.
+    Paused,
+    /// Ended by an operator.
+    Cancelled,
+    /// Every VM of the scope is done.
+    Done,
+}
--- /dev/null
+++ b/crates/havenladder/src/commands/burn.rs
@@ -0,0 +1,75 @@
+//! `burn`: the report on how fast services use up what their objectives leave.
+
+use super::{CommandError, Setup, table};
+use crate::operate::{BurnReport, BurnRow};
+use std::collections::BTreeMap;
+
+/// Characters of the bar that shows what is left.
+const BAR: usize = 20;
+
+/// Prints the report.
+pub fn burn(setup: &Setup<'_>) -> Result<(), CommandError> {
+    let report: BurnReport = setup.client()?.get("/burn")?;
+    setup.print(&report, show);
+    Ok(())
+}
+
+fn show(report: &BurnReport) {
+    let mut headings = vec!["SERVICE", "OBJECTIVE", "GOOD", "REQUESTS"];
+    headings.extend(report.windows.iter().map(String::as_str));
+    headings.extend(["LEFT", "", "LOST TO"]);
+    let mut table = table::table(&headings);
+    for (service, row) in &report.services {
+        table.add_row(line(service, row));
+    }
+    table::print(&table, "no services");
+    for (service, row) in &report.services {
+        if let Some(alert) = &row.alert {
+            println!("{service} burns {alert}");
+        }
+    }
+    let answered = report.answered.join(", ");
+    println!(
+        "counted by {answered}, since {}",
+        table::distance(report.since)
+    );
+    if !report.silent.is_empty() {
+        println!("did not answer, not counted: {}", report.silent.join(", "));
+    }
+}
+
+fn line(service: &str, row: &BurnRow) -> Vec<String> {
+    let longest = row.cells.last().cloned().unwrap_or_default();
+    let total = longest.total();
+    let good = if total == 0 {
+        "-".to_owned()
+    } else {
+        format!("{:.3} %", 100.0 * longest.good as f64 / total as f64)
+    };
+    let mut line = vec![
+        service.to_owned(),
+        format!("{:.2} %", 100.0 * row.objective),
+        good,
+        total.to_string(),
+    ];
+    line.extend(row.rates.iter().map(|rate| format!("{rate:.1}x")));
+    line.push(format!("{:.0} %", 100.0 * row.left));
+    line.push(bar(row.left));
+    line.push(causes(&longest.lost));
+    line
+}
+
+fn bar(left: f64) -> String {
+    let full = (left.clamp(0.0, 1.0) * BAR as f64).round() as usize;
+    format!("{}{}", "#".repeat(full), ".".repeat(BAR - full))
+}
+
+fn causes(lost: &BTreeMap<protocol::Loss, u64>) -> String {
+    if lost.is_empty() {
+        return "-".into();
+    }
+    lost.iter()
+        .map(|(loss, count)| format!("{loss:?} {count}"))
+        .collect::<Vec<_>>()
+        .join(", ")
+}
--- /dev/null
+++ b/crates/havenladder/src/commands/entries.rs
@@ -0,0 +1,28 @@
+//! `entries`: shows the entries and how far each has applied the log.
+
+use super::{CommandError, Setup, table};
+use crate::operate::MemberReply;
+
+/// Lists the entries.
+pub fn entries(setup: &Setup<'_>) -> Result<(), CommandError> {
+    let members: Vec<MemberReply> = setup.client()?.get("/members")?;
+    setup.print(&members, |members| {
+        let mut table = table::table(&["ENTRY", "HALL", "NEXT OFFSET", "LOG"]);
+        for member in members {
+            let next = member.next.map(|next| next.to_string());
+            let log = if member.platform {
+                "reached"
+            } else {
+                "not reached"
+            };
+            table.add_row([
+                member.entry.clone(),
+                member.hall.clone(),
+                next.unwrap_or_else(|| "does not answer".into()),
+                log.to_owned(),
+            ]);
+        }
+        table::print(&table, "no entries");
+    });
+    Ok(())
+}
--- /dev/null
+++ b/crates/havenladder/src/commands/explain.rs
@@ -0,0 +1,29 @@
+//! `explain`: tells why a VM, level or request is as it is.
+
+use super::{CommandError, Setup, table};
+use crate::operate::Explanation;
+
+/// Explains one subject.
+pub fn explain(setup: &Setup<'_>, subject: &str) -> Result<(), CommandError> {
+    let path = format!("/explain?subject={subject}");
+    let explanation: Explanation = setup.client()?.get(&path)?;
+    setup.print(&explanation, |explanation| {
+        println!("{}", explanation.subject);
+        for line in &explanation.lines {
+            println!("  {line}");
+        }
+        if explanation.sources.is_empty() {
+            return;
+        }
+        let mut table = table::table(&["KEY", "VALUE", "SET AT"]);
+        for source in &explanation.sources {
+            table.add_row([
+                source.key.name().to_owned(),
+                source.value.to_string(),
+                source.level.clone().unwrap_or_else(|| "default".into()),
+            ]);
+        }
+        println!("{table}");
+    });
+    Ok(())
+}
--- /dev/null
+++ b/crates/havenladder/src/commands/mod.rs
@@ -0,0 +1,156 @@
+//! The commands: one file each, one plain `match` that dispatches.
+
+mod bug_report;
+mod burn;
+mod entries;
+mod explain;
+mod pool;
+mod serve;
+mod settings;
+mod table;
+mod timings;
+mod vm;
+mod wave;
+
+use crate::{
+    cli::{Args, Command},
+    client::{OperatorClient, OperatorError},
+    configs::{self, ConfigError},
+    operate::{Order, Receipt},
+};
+use ::settings::Findings;
+use clap::CommandFactory;
+use fleet::{Outcome, Reason};
+use serde::Serialize;
+use std::{io, path::Path, process::ExitCode};
+
+/// Why a command failed.
+#[derive(Debug, thiserror::Error)]
+pub enum CommandError {
+    /// The process's own file cannot be used.
+    #[error("{0}")]
+    Config(#[from] ConfigError),
+    /// A file of settings has findings.
+    #[error("{0}")]
+    Findings(#[from] Findings),
+    /// A file cannot be read, or an address cannot be used.
+    #[error("{0}: {1}")]
+    Io(String, io::Error),
+    /// The entry does not answer or refuses.
+    #[error("{0}")]
+    Operator(#[from] OperatorError),
+    /// The change had no effect.
+    #[error("nothing was changed: {0}")]
+    Rejected(Reason),
+    /// The change is not in force everywhere in time.
+    #[error("accepted at offset {offset}, but not yet in force on: {behind}")]
+    NotInForce {
+        /// The offset.
+        offset: u64,
+        /// The entries.
+        behind: String,
+    },
+    /// A part of the program cannot be started.
+    #[error("{0}")]
+    Start(String),
+}
+
+impl CommandError {
+    fn code(&self) -> u8 {
+        match self {
+            Self::Rejected(_) | Self::Operator(OperatorError::Refused(_)) => 1,
+            Self::Config(ConfigError::Findings(_)) | Self::Findings(_) => 3,
+            Self::Operator(OperatorError::Unreachable { .. }) => 4,
+            Self::NotInForce { .. } => 5,
+            Self::Config(ConfigError::Io(..)) | Self::Io(..) | Self::Start(_) => 1,
+        }
+    }
+}
+
+/// What a command is run with.
+pub struct Setup<'a> {
+    /// The process's own file.
+    pub config: &'a Path,
+    /// Whether to print JSON.
+    pub json: bool,
+}
+
+impl Setup<'_> {
+    /// Makes a client for the entry that the file names.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the file has findings.
+    pub fn client(&self) -> Result<OperatorClient, CommandError> {
+        let config = configs::load(self.config)?;
+        let addr = config.operators.listen.to_string();
+        Ok(OperatorClient::new(addr, config.operators.key))
+    }
+
+    /// Prints a value as JSON, or hands it to `show`.
+    pub fn print<T: Serialize>(&self, value: &T, show: impl FnOnce(&T)) {
+        if !self.json {
+            return show(value);
+        }
+        if let Ok(text) = serde_json::to_string_pretty(value) {
+            println!("{text}");
+        }
+    }
+}
+
+/// Runs a command and returns its exit code.
+pub fn run(args: Args) -> ExitCode {
+    let setup = Setup {
+        config: &args.config,
+        json: args.json,
+    };
+    match dispatch(&setup, args.command) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::from(error.code())
+        }
+    }
+}
+
+fn dispatch(setup: &Setup<'_>, command: Command) -> Result<(), CommandError> {
+    match command {
+        Command::Serve => serve::serve(setup),
+        Command::Settings(command) => settings::settings(setup, command),
+        Command::Wave(command) => wave::wave(setup, command),
+        Command::Vm(command) => vm::vm(setup, command),
+        Command::Pool(_) => pool::pool(setup),
+        Command::Explain { subject } => explain::explain(setup, &subject),
+        Command::Burn => burn::burn(setup),
+        Command::Entries => entries::entries(setup),
+        Command::BugReport => bug_report::bug_report(setup),
+        Command::PrintConfig => print_config(setup),
+        Command::Timings => timings::timings(setup),
+        Command::Completions { shell } => {
+            clap_complete::generate(
+                shell,
+                &mut Args::command(),
+                "havenladder",
+                &mut io::stdout(),
+            );
+            Ok(())
+        }
+    }
+}
+
+fn print_config(setup: &Setup<'_>) -> Result<(), CommandError> {
+    let config = configs::load(setup.config)?;
+    if let Ok(text) = serde_json::to_string_pretty(&config) {
+        println!("{text}");
+    }
+    Ok(())
+}
+
+/// Gives an order and tells what became of it.
+fn order(setup: &Setup<'_>, order: &Order) -> Result<Receipt, CommandError> {
+    let receipt: Receipt = setup.client()?.post("/orders", order)?;
+    match receipt.outcome {
+        Outcome::Rejected(reason) => Err(CommandError::Rejected(reason)),
+        Outcome::Applied | Outcome::Unchanged => Ok(receipt),
+    }
+}
--- /dev/null
+++ b/crates/havenladder/src/commands/serve.rs
@@ -0,0 +1,157 @@
+//! `serve`: runs an entry until it is told to stop.
+
+use super::{CommandError, Setup};
+use crate::{
+    configs::{self, Config},
+    context::Context,
+    duties::{
+        self,
+        claims::{ClaimJob, ClaimsRing, claims},
+        editors::editors,
+        follow::follow,
+        operators::{self, operators},
+        peers::{self, answer_peers, ask_peers},
+        placement::{Message, PlacementRing, placement},
+        snapshots::snapshots,
+        steward::steward,
+        stop::stop,
+        watch::watch,
+        workers::workers,
+    },
+    fleet_cell::FleetCell,
+    logs,
+    metrics::Metrics,
+    peer_table::PeerTable,
+    recent::Recent,
+    sightings::Sightings,
+};
+use crossbeam_channel::Receiver;
+use platform::HttpPlatform;
+use std::{
+    io,
+    net::{SocketAddr, TcpListener},
+    panic,
+    process::exit,
+    sync::Arc,
+    time::SystemTime,
+};
+use tiny_http::Server;
+use tokio::sync::mpsc;
+
+/// Exit code of a process in which a duty panicked.
+const PANICKED: i32 = 70;
+
+/// The receiving ends of the rings.
+struct Rings {
+    placement: Receiver<Message>,
+    claims: Vec<Receiver<ClaimJob>>,
+}
+
+/// The listeners; all are open before anything is served.
+struct Listeners {
+    editors: TcpListener,
+    peers: Arc<Server>,
+    operators: Arc<Server>,
+}
+
+/// Runs an entry.
+pub fn serve(setup: &Setup<'_>) -> Result<(), CommandError> {
+    let config = configs::load(setup.config)?;
+    logs::start(&config.logs);
+    stop_on_panic();
+    let listeners = listen(&config)?;
+    let (ctx, rings) = context(config)?;
+    tracing::info!(
+        entry = ctx.config.entry.name,
+        hall = ctx.config.entry.hall,
+        editors = %ctx.config.editors.listen,
+        "serving"
+    );
+    start(&ctx, rings, listeners).map_err(|error| CommandError::Start(error.to_string()))?;
+    stop(&ctx).map_err(|error| CommandError::Start(error.to_string()))
+}
+
+/// Ends the process when a duty panics: one that is half there is worse than one that is
+/// replaced.
+fn stop_on_panic() {
+    let report = panic::take_hook();
+    panic::set_hook(Box::new(move |info| {
+        report(info);
+        exit(PANICKED);
+    }));
+}
+
+fn listen(config: &Config) -> Result<Listeners, CommandError> {
+    let failed = |addr: SocketAddr, error| CommandError::Io(addr.to_string(), error);
+    let editors = TcpListener::bind(config.editors.listen)
+        .and_then(|listener| listener.set_nonblocking(true).map(|()| listener))
+        .map_err(|error| failed(config.editors.listen, error))?;
+    let server = |addr: SocketAddr| {
+        Server::http(addr)
+            .map(Arc::new)
+            .map_err(|error| failed(addr, io::Error::other(error.to_string())))
+    };
+    Ok(Listeners {
+        editors,
+        peers: server(config.peers.listen)?,
+        operators: server(config.operators.listen)?,
+    })
+}
+
+fn context(config: Config) -> Result<(Arc<Context>, Rings), CommandError> {
+    let (placement, placement_end) = PlacementRing::new(config.placement.requests);
+    let (claims, claims_ends) = ClaimsRing::new(config.placement.requests);
+    let ctx = Context {
+        platform: HttpPlatform::new(&config.platform.address.to_string()),
+        fleet: FleetCell::default(),
+        services: Default::default(),
+        peers: PeerTable::default(),
+        sightings: Sightings::default(),
+        listed: Default::default(),
+        placement,
+        claims,
+        rooms: Default::default(),
+        recent: Recent::default(),
+        burn: Default::default(),
+        since: SystemTime::now(),
+        metrics: Metrics::new().map_err(CommandError::Start)?,
+        in_progress: Default::default(),
+        held_bytes: Default::default(),
+        unsettled: Default::default(),
+        reaches_log: Default::default(),
+        leaving: Default::default(),
+        config,
+    };
+    let rings = Rings {
+        placement: placement_end,
+        claims: claims_ends,
+    };
+    Ok((Arc::new(ctx), rings))
+}
+
+fn start(ctx: &Arc<Context>, rings: Rings, listeners: Listeners) -> io::Result<()> {
+    let (sender, dispatches) = mpsc::channel(ctx.config.placement.requests * 4 + 64);
+    let messages = rings.placement;
+    duties::spawn("placement", ctx, move |ctx| {
+        placement(ctx, &messages, sender);
+    })?;
+    duties::spawn("workers", ctx, move |ctx| workers(ctx, dispatches))?;
+    for (shard, jobs) in rings.claims.into_iter().enumerate() {
+        let name = format!("claims-{shard}");
+        duties::spawn(&name, ctx, move |ctx| claims(ctx, shard, &jobs))?;
+    }
+    duties::spawn("follow", ctx, follow)?;
+    duties::spawn("watch", ctx, watch)?;
+    duties::spawn("steward", ctx, steward)?;
+    duties::spawn("snapshots", ctx, snapshots)?;
+    duties::spawn("ask-peers", ctx, ask_peers)?;
+    for _ in 0..peers::ANSWERERS {
+        let server = Arc::clone(&listeners.peers);
+        duties::spawn("answer-peers", ctx, move |ctx| answer_peers(ctx, &server))?;
+    }
+    for _ in 0..operators::ANSWERERS {
+        let server = Arc::clone(&listeners.operators);
+        duties::spawn("operators", ctx, move |ctx| operators(ctx, &server))?;
+    }
+    duties::spawn("editors", ctx, move |ctx| editors(ctx, listeners.editors))
+}
--- /dev/null
+++ b/crates/havenladder/src/commands/timings.rs
@@ -0,0 +1,44 @@
+//! `timings`: how long the entry takes for each kind of question.
+
+use super::{CommandError, Setup, table};
+use serde::Serialize;
+use std::time::Instant;
+
+/// Questions that are timed.
+const QUESTIONS: [&str; 4] = ["/members", "/state", "/burn", "/config"];
+
+/// How often each is asked; the fastest counts, since the others met something else.
+const ROUNDS: usize = 5;
+
+/// One line of the table.
+#[derive(Serialize)]
+struct Row {
+    question: &'static str,
+    fastest_ms: f64,
+}
+
+/// Times the questions.
+pub fn timings(setup: &Setup<'_>) -> Result<(), CommandError> {
+    let client = setup.client()?;
+    let mut rows = Vec::new();
+    for question in QUESTIONS {
+        let mut fastest = f64::INFINITY;
+        for _ in 0..ROUNDS {
+            let began = Instant::now();
+            client.get::<serde_json::Value>(question)?;
+            fastest = fastest.min(began.elapsed().as_secs_f64() * 1e3);
+        }
+        rows.push(Row {
+            question,
+            fastest_ms: fastest,
+        });
+    }
+    setup.print(&rows, |rows| {
+        let mut table = table::table(&["QUESTION", "FASTEST OF 5"]);
+        for row in rows {
+            table.add_row([row.question.to_owned(), format!("{:.2} ms", row.fastest_ms)]);
+        }
+        table::print(&table, "nothing was timed");
+    });
+    Ok(())
+}
--- /dev/null
+++ b/crates/havenladder/src/commands/vm.rs
@@ -0,0 +1,64 @@
+//! `vm`: lists VMs and takes them out of service or puts them back.
+
+use super::{CommandError, Setup, order, table};
+use crate::{
+    cli::VmCommand,
+    operate::{Order, StateReply},
+};
+use fleet::{Errand, Vm};
+
+/// Runs one of the commands about VMs.
+pub fn vm(setup: &Setup<'_>, command: VmCommand) -> Result<(), CommandError> {
+    match command {
+        VmCommand::List => list(setup),
+        VmCommand::Drain { vm } => errand(setup, vm, Errand::Drain),
+        VmCommand::Release { vm } => errand(setup, vm, Errand::Release),
+        VmCommand::Move { vm, pool } => errand(setup, vm, Errand::Move { to: pool }),
+        VmCommand::Undrain { vm } => change(setup, &Order::Undo { vm }),
+        VmCommand::Forget { vm } => change(setup, &Order::Forget { vm }),
+    }
+}
+
+fn errand(setup: &Setup<'_>, vm: String, errand: Errand) -> Result<(), CommandError> {
+    change(setup, &Order::Errand { vm, errand })
+}
+
+fn change(setup: &Setup<'_>, wanted: &Order) -> Result<(), CommandError> {
+    let receipt = order(setup, wanted)?;
+    setup.print(&receipt, |receipt| {
+        println!(
+            "decided at offset {}; see `havenladder vm list`",
+            receipt.offset
+        );
+    });
+    Ok(())
+}
+
+fn list(setup: &Setup<'_>) -> Result<(), CommandError> {
+    let state: StateReply = setup.client()?.get("/state")?;
+    setup.print(&state.vms, |vms| {
+        let mut table = table::table(&["VM", "POOL", "HALL", "RACK", "SLOTS", "BOOT", "STATE"]);
+        for (id, vm) in vms {
+            table.add_row([
+                id.clone(),
+                vm.pool.clone(),
+                vm.hall.clone(),
+                vm.rack.clone(),
+                vm.slots.to_string(),
+                vm.boot.to_string(),
+                state_of(vm),
+            ]);
+        }
+        table::print(&table, "no VMs");
+    });
+    Ok(())
+}
+
+fn state_of(vm: &Vm) -> String {
+    let health = format!("{:?}", vm.health).to_lowercase();
+    match &vm.grant {
+        None => health,
+        Some(grant) if grant.begun => format!("{health}, {:?} begun", grant.errand),
+        Some(grant) => format!("{health}, draining for {:?}", grant.errand),
+    }
+}
--- /dev/null
+++ b/crates/havenladder/src/commands/wave.rs
@@ -0,0 +1,98 @@
+//! `wave`: starts and steers maintenance waves and shows how far they have come.
+
+use super::{CommandError, Setup, order, table};
+use crate::{
+    cli::WaveCommand,
+    operate::{Order, StateReply, WaveReply},
+};
+use fleet::{WaveChange, WaveId, WaveState};
+use std::{
+    io::{IsTerminal, stderr},
+    thread::sleep,
+    time::Duration,
+};
+
+/// Time between two looks at a wave that is waited for.
+const ROUND: Duration = Duration::from_millis(250);
+
+/// Runs one of the commands about waves.
+pub fn wave(setup: &Setup<'_>, command: WaveCommand) -> Result<(), CommandError> {
+    match command {
+        WaveCommand::Start { scope, wait } => start(setup, scope, wait),
+        WaveCommand::Status => status(setup),
+        WaveCommand::Pause { wave } => steer(setup, WaveChange::Pause(wave)),
+        WaveCommand::Resume { wave } => steer(setup, WaveChange::Resume(wave)),
+        WaveCommand::Cancel { wave } => steer(setup, WaveChange::Cancel(wave)),
+    }
+}
+
+fn start(setup: &Setup<'_>, scope: String, wait: bool) -> Result<(), CommandError> {
+    let receipt = order(setup, &Order::Wave(WaveChange::Start { scope }))?;
+    let wave = receipt.offset;
+    if wait {
+        follow(setup, wave)?;
+    }
+    setup.print(&receipt, |_| {
+        println!("wave {wave}; see `havenladder wave status`");
+    });
+    Ok(())
+}
+
+fn steer(setup: &Setup<'_>, change: WaveChange) -> Result<(), CommandError> {
+    let receipt = order(setup, &Order::Wave(change))?;
+    setup.print(&receipt, |receipt| {
+        println!("decided at offset {}", receipt.offset);
+    });
+    Ok(())
+}
+
+/// Shows progress until the wave has ended; quiet when nobody watches.
+fn follow(setup: &Setup<'_>, id: WaveId) -> Result<(), CommandError> {
+    let client = setup.client()?;
+    loop {
+        let state: StateReply = client.get("/state")?;
+        let Some(reply) = state.waves.get(&id) else {
+            return Ok(());
+        };
+        if stderr().is_terminal() {
+            eprint!("\r{}    ", line(reply));
+        }
+        if matches!(reply.wave.state, WaveState::Done | WaveState::Cancelled) {
+            return Ok(());
+        }
+        sleep(ROUND);
+    }
+}
+
+fn line(reply: &WaveReply) -> String {
+    let progress = &reply.progress;
+    let ends = reply.ends.map(table::distance).unwrap_or_default();
+    format!(
+        "{} of {} VMs done, {} active {ends}",
+        progress.done, progress.total, progress.active
+    )
+}
+
+fn status(setup: &Setup<'_>) -> Result<(), CommandError> {
+    let state: StateReply = setup.client()?.get("/state")?;
+    setup.print(&state.waves, |waves| {
+        let headings = [
+            "WAVE", "SCOPE", "STATE", "DONE", "ACTIVE", "DOWN", "TOTAL", "ENDS",
+        ];
+        let mut table = table::table(&headings);
+        for (id, reply) in waves {
+            table.add_row([
+                id.to_string(),
+                reply.wave.scope.clone(),
+                format!("{:?}", reply.wave.state).to_lowercase(),
+                reply.progress.done.to_string(),
+                reply.progress.active.to_string(),
+                reply.progress.down.to_string(),
+                reply.progress.total.to_string(),
+                reply.ends.map_or_else(|| "-".into(), table::distance),
+            ]);
+        }
+        table::print(&table, "no waves");
+    });
+    Ok(())
+}
--- /dev/null
+++ b/crates/havenladder/src/configs/placement.rs
@@ -0,0 +1,38 @@
+//! Limits of what an entry has in progress.
+
+use super::count;
+use serde::Serialize;
+use settings::Fields;
+
+/// Limits of what an entry has in progress.
+#[derive(Clone, Debug, Serialize)]
+pub struct PlacementConfig {
+    /// Requests that have no outcome yet; more are refused at once.
+    pub requests: usize,
+    /// Bytes of the bodies of these requests; more are refused at once.
+    pub bytes: usize,
+    /// Seed of the random choices; 0 takes one from the system.
+    pub seed: u64,
+}
+
+impl Default for PlacementConfig {
+    fn default() -> Self {
+        Self {
+            requests: 4_096,
+            bytes: 64 << 20,
+            seed: 0,
+        }
+    }
+}
+
+impl PlacementConfig {
+    /// Reads the section `placement`.
+    pub fn read(fields: &Fields<'_>) -> Self {
+        let default = Self::default();
+        Self {
+            requests: count(fields, "requests", 100_000, default.requests),
+            bytes: count(fields, "bytes", 1 << 34, default.bytes),
+            seed: fields.number("seed", 0..=u64::MAX).unwrap_or(default.seed),
+        }
+    }
+}
--- /dev/null
+++ b/crates/havenladder/src/configs/steward.rs
@@ -0,0 +1,40 @@
+//! Settings of drains, reboots and moves.
+
+use super::millis;
+use serde::Serialize;
+use settings::Fields;
+use std::time::Duration;
+
+/// Drains, reboots and moves.
+#[derive(Clone, Debug, Serialize)]
+pub struct StewardConfig {
+    /// Time between two looks at what is to be done.
+    pub interval: Duration,
+    /// How long a lease on a VM runs.
+    pub lease: Duration,
+}
+
+impl Default for StewardConfig {
+    fn default() -> Self {
+        Self {
+            interval: Duration::from_millis(100),
+            lease: Duration::from_secs(20),
+        }
+    }
+}
+
+impl StewardConfig {
+    /// Reads the section `steward`.
+    pub fn read(fields: &Fields<'_>) -> Self {
+        let default = Self::default();
+        let config = Self {
+            interval: millis(fields, "interval_ms", default.interval),
+            lease: millis(fields, "lease_ms", default.lease),
+        };
+        if config.lease > fleet::LONGEST_LEASE {
+            let most = fleet::LONGEST_LEASE.as_millis();
+            fields.report("lease_ms", format!("must be at most {most}"));
+        }
+        config
+    }
+}
--- /dev/null
+++ b/crates/havenladder/src/duties/editors/check.rs
@@ -0,0 +1,181 @@
+//! What a request is checked for before its body is read.
+
+use crate::{context::Context, problem::Problem};
+use bytes::Bytes;
+use hyper::{
+    HeaderMap, Method, Request, StatusCode,
+    body::Incoming,
+    header::{CONTENT_LENGTH, TRANSFER_ENCODING},
+};
+use protocol::{HEADER_FORWARDED, ServiceId};
+use serving::{AttemptId, Claim, Job, Key, KeyError, RequestId, read_key};
+use settings::{Service, nearest};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Path below which services live.
+const SERVICES: &str = "/v1/";
+
+/// Request header: the latest time for the answer, in milliseconds since 1970.
+const HEADER_DEADLINE: &str = "havenladder-deadline";
+
+/// Request header: the caller's key (the draft standard of that name).
+const HEADER_KEY: &str = "idempotency-key";
+
+/// The furthest that a deadline may lie ahead.
+const FURTHEST: Duration = Duration::from_secs(24 * 60 * 60);
+
+/// A request that is in order.
+pub struct Checked {
+    /// The service.
+    pub service: ServiceId,
+    /// What is in force for it.
+    pub settings: Service,
+    /// The announced length of the body.
+    pub length: usize,
+    /// When the answer is of no more use.
+    pub deadline: Instant,
+    /// The same by the wall clock.
+    expires: SystemTime,
+    /// The caller's key, if the service needs one.
+    pub key: Option<Key>,
+    /// Whether a peer has passed the request on.
+    pub forwarded: bool,
+}
+
+impl Checked {
+    /// Makes what the scheduler sees of the request.
+    pub fn job(&self, id: RequestId) -> Job {
+        Job {
+            id,
+            service: self.service.clone(),
+            class: self.settings.class,
+            deadline: self.deadline,
+            repeatable: self.settings.repeatable,
+            forwarded: self.forwarded,
+        }
+    }
+
+    /// Makes the claim on the request's key.
+    pub fn claim(&self, body: &Bytes) -> Option<Claim> {
+        Some(Claim {
+            service: self.service.clone(),
+            key: self.key?,
+            claim: AttemptId::new(),
+            digest: xxh3_64(body),
+            expires: self.expires,
+        })
+    }
+}
+
+/// Checks a request.
+///
+/// # Errors
+///
+/// Returns the first problem; nothing was run.
+pub fn check(ctx: &Context, request: &Request<Incoming>) -> Result<Checked, Problem> {
+    if !ctx.fleet.is_loaded() {
+        return Err(not_loaded());
+    }
+    let (service, settings) = service(ctx, request.uri().path())?;
+    if request.method() != Method::POST {
+        let status = StatusCode::METHOD_NOT_ALLOWED;
+        return Err(Problem::bad(status, "method", "services take POST"));
+    }
+    let headers = request.headers();
+    let length = length(headers, settings.body_limit)?;
+    let (deadline, expires) = deadline(headers, settings.timeout)?;
+    let key = if settings.repeatable {
+        None
+    } else {
+        Some(key(headers)?)
+    };
+    Ok(Checked {
+        service,
+        settings,
+        length,
+        deadline,
+        expires,
+        key,
+        forwarded: headers.contains_key(HEADER_FORWARDED),
+    })
+}
+
+fn not_loaded() -> Problem {
+    Problem {
+        status: StatusCode::SERVICE_UNAVAILABLE,
+        kind: "not-ready",
+        detail: "this entry has no settings yet; the request was not run".into(),
+        field: None,
+        outcome: "not-run",
+        back: Some(Duration::from_secs(1)),
+    }
+}
+
+fn service(ctx: &Context, path: &str) -> Result<(ServiceId, Service), Problem> {
+    let services = ctx.services.load();
+    let name = path.strip_prefix(SERVICES).unwrap_or(path);
+    if let Some(service) = services.get(name) {
+        return Ok((name.to_owned(), service.clone()));
+    }
+    let detail = match nearest(name, services.keys().map(String::as_str)) {
+        Some(known) => format!("no such service; did you mean {SERVICES}{known}?"),
+        None => format!("no such service; paths are {SERVICES}<place>/<pool>/<service>"),
+    };
+    Err(Problem::bad(StatusCode::NOT_FOUND, "path", detail))
+}
+
+/// A length must be announced once and be a number; chunks are not taken, since a length and
+/// chunks together can be read in two ways.
+fn length(headers: &HeaderMap, limit: usize) -> Result<usize, Problem> {
+    let bad = |status, detail: String| Problem::bad(status, "content-length", detail);
+    if headers.contains_key(TRANSFER_ENCODING) {
+        let detail = "announce the body's length; chunked bodies are not taken";
+        return Err(bad(StatusCode::LENGTH_REQUIRED, detail.into()));
+    }
+    let mut lengths = headers.get_all(CONTENT_LENGTH).iter();
+    let Some(length) = lengths.next() else {
+        return Ok(0);
+    };
+    let number = length.to_str().ok().and_then(|text| text.parse().ok());
+    let (Some(length), None) = (number, lengths.next()) else {
+        let detail = "must be one whole number";
+        return Err(bad(StatusCode::BAD_REQUEST, detail.into()));
+    };
+    if length > limit {
+        let detail = format!("the service takes at most {limit} bytes");
+        return Err(bad(StatusCode::PAYLOAD_TOO_LARGE, detail));
+    }
+    Ok(length)
+}
+
+fn deadline(headers: &HeaderMap, timeout: Duration) -> Result<(Instant, SystemTime), Problem> {
+    let (now, wall) = (Instant::now(), SystemTime::now());
+    let Some(given) = headers.get(HEADER_DEADLINE) else {
+        return Ok((now + timeout, wall + timeout));
+    };
+    let bad = |detail: &str| Problem::bad(StatusCode::BAD_REQUEST, HEADER_DEADLINE, detail);
+    let millis: Option<u64> = given.to_str().ok().and_then(|text| text.parse().ok());
+    let Some(millis) = millis else {
+        return Err(bad("must be a time in milliseconds since 1970"));
+    };
+    let at = UNIX_EPOCH + Duration::from_millis(millis.min(1 << 50));
+    let Ok(left) = at.duration_since(wall) else {
+        return Err(bad("the deadline is past"));
+    };
+    if left > FURTHEST {
+        return Err(bad("the deadline is more than a day ahead"));
+    }
+    Ok((now + left, at))
+}
+
+fn key(headers: &HeaderMap) -> Result<Key, Problem> {
+    let bad = |detail: String| Problem::bad(StatusCode::BAD_REQUEST, HEADER_KEY, detail);
+    let Some(given) = headers.get(HEADER_KEY) else {
+        let detail = "is missing: this service runs a request at most once, by its key, a ULID";
+        return Err(bad(detail.into()));
+    };
+    let text = given.to_str().unwrap_or_default();
+    read_key(text.trim_matches('"'), SystemTime::now())
+        .map_err(|error: KeyError| bad(error.to_string()))
+}
--- /dev/null
+++ b/crates/havenladder/src/duties/follow.rs
@@ -0,0 +1,213 @@
+//! The duty that follows the log: it loads a state, applies what comes, and never goes back.
+
+use crate::{
+    client::PeerClient,
+    configs::Neighbour,
+    context::Context,
+    duties::{placement::Message, snapshots},
+    propose::FLEET,
+};
+use fleet::{Fleet, Outcome};
+use platform::Log;
+use protocol::{LogRecord, Offset, Slice, rank};
+use serving::{Event, WorkerInfo};
+use settings::Service;
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, atomic::Ordering},
+    thread::sleep,
+    time::Duration,
+};
+
+/// Entries of a hall that read the platform's log; the others follow them.
+const READERS: usize = 2;
+
+/// Time between two tries when nobody can be reached.
+const RETRY: Duration = Duration::from_millis(200);
+
+/// What one round of reading came to.
+enum Round {
+    /// Records that come next, or none for now.
+    Read(Slice),
+    /// Nobody could be reached.
+    Nobody,
+}
+
+/// Follows the log until the process ends.
+pub fn follow(ctx: &Arc<Context>) {
+    let peers = PeerClient::new(&ctx.config.peers.key);
+    while !ctx.fleet.is_loaded() {
+        if !load(ctx, &peers) {
+            sleep(RETRY);
+        }
+    }
+    publish(ctx);
+    loop {
+        let next = ctx.fleet.get().next;
+        match read_round(ctx, &peers, next) {
+            Round::Read(slice) if slice.has_gap(next) => {
+                let (oldest, behind) = (slice.oldest, slice.oldest - next);
+                tracing::warn!(next, oldest, behind, "gap: the log has forgotten records");
+                if !load(ctx, &peers) {
+                    sleep(RETRY);
+                }
+            }
+            Round::Read(slice) => apply(ctx, slice.records),
+            Round::Nobody => sleep(RETRY),
+        }
+    }
+}
+
+/// Loads a state from the log, or from a peer while the log cannot be reached.
+fn load(ctx: &Context, peers: &PeerClient) -> bool {
+    let loaded = from_log(ctx).or_else(|| from_peer(ctx, peers));
+    let Some(fleet) = loaded else {
+        tracing::warn!("no state could be loaded yet; nothing is served");
+        return false;
+    };
+    tracing::info!(next = fleet.next, "loaded the agreed state");
+    ctx.fleet.load(fleet);
+    publish(ctx);
+    true
+}
+
+/// The newest snapshot of the log, or the empty state if the log still holds every record.
+fn from_log(ctx: &Context) -> Option<Fleet> {
+    let slice = ctx.platform.read(FLEET, 0, Duration::ZERO).ok()?;
+    ctx.reaches_log.store(true, Ordering::Relaxed);
+    if slice.oldest == 0 {
+        return Some(Fleet::default());
+    }
+    let fleet = snapshots::newest(&ctx.platform)?;
+    let is_joined = fleet.next >= slice.oldest;
+    if !is_joined {
+        tracing::warn!(
+            next = fleet.next,
+            oldest = slice.oldest,
+            "gap behind the newest snapshot"
+        );
+    }
+    is_joined.then_some(fleet)
+}
+
+/// The state of the peer that is furthest ahead.
+fn from_peer(ctx: &Context, peers: &PeerClient) -> Option<Fleet> {
+    ctx.config
+        .peers
+        .neighbours
+        .iter()
+        .filter_map(|peer| peers.snapshot(&peer.peers.to_string()))
+        .max_by_key(|fleet| fleet.next)
+}
+
+/// Reads from the log or, as one of the hall's other entries, from one that does.
+fn read_round(ctx: &Context, peers: &PeerClient, next: Offset) -> Round {
+    let is_reader = is_reader(ctx);
+    if !is_reader && let Some(slice) = relayed(ctx, peers, next) {
+        return Round::Read(slice);
+    }
+    match ctx.platform.read(FLEET, next, ctx.config.platform.wait) {
+        Ok(slice) => {
+            ctx.reaches_log.store(true, Ordering::Relaxed);
+            return Round::Read(slice);
+        }
+        Err(error) => {
+            if ctx.reaches_log.swap(false, Ordering::Relaxed) {
+                tracing::warn!(%error, "the log cannot be reached");
+            }
+        }
+    }
+    relayed(ctx, peers, next).map_or(Round::Nobody, Round::Read)
+}
+
+fn is_reader(ctx: &Context) -> bool {
+    let hall = &ctx.config.entry.hall;
+    let live = ctx.peers.live();
+    let in_hall = live
+        .iter()
+        .filter(|status| status.hall == *hall && status.platform && !status.leaving)
+        .map(|status| status.entry.as_str())
+        .chain([ctx.config.entry.name.as_str()]);
+    let rank = rank(in_hall, &ctx.config.entry.name, hall);
+    rank.is_none_or(|rank| rank < READERS)
+}
+
+/// Reads from the first peer that is ahead: those of the own hall before others.
+fn relayed(ctx: &Context, peers: &PeerClient, next: Offset) -> Option<Slice> {
+    let ahead: Vec<String> = ctx
+        .peers
+        .live()
+        .into_iter()
+        .filter(|status| status.platform || status.next > next)
+        .map(|status| status.entry)
+        .collect();
+    let hall = &ctx.config.entry.hall;
+    let mut neighbours: Vec<&Neighbour> = ctx
+        .config
+        .peers
+        .neighbours
+        .iter()
+        .filter(|peer| ahead.contains(&peer.entry))
+        .collect();
+    neighbours.sort_by_key(|peer| peer.hall != *hall);
+    neighbours
+        .into_iter()
+        .find_map(|peer| peers.relay(&peer.peers.to_string(), next))
+}
+
+fn apply(ctx: &Context, records: Vec<LogRecord>) {
+    if records.is_empty() {
+        return;
+    }
+    let applied = ctx.fleet.apply(records);
+    let mut changed = false;
+    for (record, outcomes) in &applied {
+        changed |= outcomes.contains(&Outcome::Applied);
+        tracing::debug!(offset = record.offset, ?outcomes, "applied");
+    }
+    ctx.metrics
+        .applied(applied.len() as u64, ctx.fleet.get().next);
+    if changed {
+        publish(ctx);
+    }
+}
+
+/// Tells the placing duty what the agreed state now says.
+pub fn publish(ctx: &Context) {
+    let services = services(&ctx.fleet.get());
+    if **ctx.services.load() != services {
+        ctx.services.store(Arc::new(services.clone()));
+        tell(ctx, Event::Services(services));
+    }
+    tell(ctx, Event::Workers(workers(ctx)));
+}
+
+fn services(fleet: &Fleet) -> BTreeMap<String, Service> {
+    fleet
+        .tree
+        .services()
+        .map(|path| (path.clone(), Service::resolve(&fleet.tree, path)))
+        .collect()
+}
+
+/// The hall's workers that take new work, by the agreed state and by what this entry sees.
+fn workers(ctx: &Context) -> Vec<WorkerInfo> {
+    let unfit = ctx.sightings.unfit();
+    let fleet = ctx.fleet.get();
+    fleet
+        .vms
+        .iter()
+        .filter(|(id, vm)| vm.hall == ctx.config.entry.hall && !unfit.contains(*id))
+        .filter(|(_, vm)| vm.is_available())
+        .map(|(id, vm)| WorkerInfo {
+            vm: id.clone(),
+            addr: vm.addr.clone(),
+            pool: vm.pool.clone(),
+            slots: vm.slots,
+        })
+        .collect()
+}
+
+fn tell(ctx: &Context, event: Event) {
+    ctx.placement.tell(Message::Happened(event));
+}
--- /dev/null
+++ b/crates/havenladder/src/duties/operators.rs
@@ -0,0 +1,253 @@
+//! The duty towards operators: JSON over HTTP, behind a key.
+
+mod burn;
+
+use crate::{
+    context::Context,
+    duties::peers::has_key,
+    explain::{explain, suggestion},
+    operate::{MemberReply, Order, Receipt, StateReply, WaveReply},
+    propose::propose,
+};
+use fleet::{Change, Fleet, GrantRequest, View, Wave, progress};
+use serde::Serialize;
+use std::{
+    io::Read,
+    sync::Arc,
+    time::{Duration, SystemTime},
+};
+use tiny_http::{Header, Method, Request, Response, Server};
+
+/// Threads that answer operators.
+pub const ANSWERERS: usize = 4;
+
+/// The largest order that is read, in bytes.
+const ORDER_LIMIT: u64 = 8 << 20;
+
+/// An answer: its status, content type and body.
+struct Answer {
+    status: u16,
+    kind: &'static str,
+    body: Vec<u8>,
+}
+
+impl Answer {
+    fn json(value: &impl Serialize) -> Self {
+        match serde_json::to_vec(value) {
+            Ok(body) => Self {
+                status: 200,
+                kind: "application/json",
+                body,
+            },
+            Err(error) => Self::problem(500, &error.to_string()),
+        }
+    }
+
+    fn problem(status: u16, detail: &str) -> Self {
+        let body = serde_json::json!({ "status": status, "detail": detail });
+        Self {
+            status,
+            kind: "application/problem+json",
+            body: body.to_string().into_bytes(),
+        }
+    }
+}
+
+/// Answers operators until the process ends.
+pub fn operators(ctx: &Arc<Context>, server: &Server) {
+    while let Ok(mut request) = server.recv() {
+        let answer = if has_key(&request, &ctx.config.operators.key) {
+            answer(ctx, &mut request)
+        } else {
+            Answer::problem(401, "the operators' key is missing or wrong")
+        };
+        respond(request, answer);
+    }
+}
+
+fn respond(request: Request, answer: Answer) {
+    let mut response = Response::from_data(answer.body).with_status_code(answer.status);
+    if let Ok(kind) = Header::from_bytes("content-type", answer.kind) {
+        response.add_header(kind);
+    }
+    // An operator that went away asks again.
+    let _ = request.respond(response);
+}
+
+fn answer(ctx: &Context, request: &mut Request) -> Answer {
+    let url = request.url().to_owned();
+    let (path, query) = url.split_once('?').unwrap_or((&url, ""));
+    match (request.method(), path) {
+        (Method::Get, "/metrics") => Answer {
+            status: 200,
+            kind: "text/plain; version=0.0.4",
+            body: ctx.metrics.text().into_bytes(),
+        },
+        (Method::Get, "/state") => Answer::json(&state(ctx)),
+        (Method::Get, "/members") => Answer::json(&members(ctx)),
+        (Method::Get, "/burn") => Answer::json(&burn::report(ctx)),
+        (Method::Get, "/config") => Answer::json(&ctx.config),
+        (Method::Get, "/explain") => explanation(ctx, query),
+        (Method::Post, "/orders") => order(ctx, request),
+        _ => Answer::problem(404, "no such path"),
+    }
+}
+
+fn state(ctx: &Context) -> StateReply {
+    let fleet = ctx.fleet.get();
+    let waves = fleet
+        .waves
+        .iter()
+        .map(|(id, wave)| (*id, wave_reply(&fleet, wave)))
+        .collect();
+    StateReply {
+        entry: ctx.config.entry.name.clone(),
+        next: fleet.next,
+        platform: ctx.reaches_log(),
+        tree: fleet.tree.clone(),
+        versions: fleet.versions.clone(),
+        vms: fleet.vms.clone(),
+        counts: fleet.counts.clone(),
+        waves,
+    }
+}
+
+fn wave_reply(fleet: &Fleet, wave: &Wave) -> WaveReply {
+    let progress = progress(fleet, wave);
+    WaveReply {
+        wave: wave.clone(),
+        ends: ends(wave, progress.done, progress.pending()),
+        progress,
+    }
+}
+
+/// When the wave ends if it goes on as so far.
+fn ends(wave: &Wave, done: usize, pending: usize) -> Option<SystemTime> {
+    if done == 0 || pending == 0 {
+        return None;
+    }
+    let now = SystemTime::now();
+    let each = now.duration_since(wave.from).ok()?.div_f64(done as f64);
+    Some(now + each.mul_f64(pending as f64))
+}
+
+fn members(ctx: &Context) -> Vec<MemberReply> {
+    let own = ctx.status();
+    let live = ctx.peers.live();
+    let mut members = vec![MemberReply {
+        entry: own.entry,
+        hall: own.hall,
+        next: Some(own.next),
+        platform: own.platform,
+    }];
+    for neighbour in &ctx.config.peers.neighbours {
+        let status = live.iter().find(|status| status.entry == neighbour.entry);
+        members.push(MemberReply {
+            entry: neighbour.entry.clone(),
+            hall: neighbour.hall.clone(),
+            next: status.map(|status| status.next),
+            platform: status.is_some_and(|status| status.platform),
+        });
+    }
+    members
+}
+
+fn explanation(ctx: &Context, query: &str) -> Answer {
+    let subject = query.strip_prefix("subject=").unwrap_or_default();
+    match explain(ctx, subject) {
+        Some(explanation) => Answer::json(&explanation),
+        None => {
+            let hint = suggestion(ctx, subject).map(|name| format!("; did you mean `{name}`?"));
+            let hint = hint.unwrap_or_default();
+            let detail = format!("no VM, level or recent request `{subject}`{hint}");
+            Answer::problem(404, &detail)
+        }
+    }
+}
+
+fn order(ctx: &Context, request: &mut Request) -> Answer {
+    let mut body = Vec::new();
+    let read = request.as_reader().take(ORDER_LIMIT).read_to_end(&mut body);
+    if let Err(error) = read {
+        return Answer::problem(400, &error.to_string());
+    }
+    let order: Order = match serde_json::from_slice(&body) {
+        Ok(order) => order,
+        Err(error) => return Answer::problem(400, &format!("not an order: {error}")),
+    };
+    tracing::info!(?order, "an operator's order");
+    match change(ctx, order) {
+        Ok(change) => decide(ctx, change),
+        Err(detail) => Answer::problem(404, &detail),
+    }
+}
+
+fn decide(ctx: &Context, change: Change) -> Answer {
+    match propose(ctx, vec![change]) {
+        Ok(decided) => match decided.outcomes.into_iter().next() {
+            Some(outcome) => Answer::json(&Receipt {
+                offset: decided.offset,
+                outcome,
+            }),
+            None => Answer::problem(500, "the record held no change"),
+        },
+        Err(error) => Answer::problem(503, &error.to_string()),
+    }
+}
+
+/// Makes the proposal that an order asks for, from the state as it is now.
+fn change(ctx: &Context, order: Order) -> Result<Change, String> {
+    let fleet = ctx.fleet.get();
+    match order {
+        Order::Settings(changes) => Ok(Change::Settings(changes)),
+        Order::Wave(change) => Ok(Change::Wave(change)),
+        Order::Forget { vm } => Ok(Change::Forget { vm }),
+        Order::Undo { vm } => {
+            let grant = fleet.vms.get(&vm).and_then(|vm| vm.grant.as_ref());
+            match grant {
+                Some(grant) => Ok(Change::Undo {
+                    grant: grant.id,
+                    vm,
+                }),
+                None => Err(format!("VM `{vm}` is not out of service")),
+            }
+        }
+        Order::Errand { vm, errand } => {
+            let Some(known) = fleet.vms.get(&vm) else {
+                return Err(unknown_vm(&fleet, &vm));
+            };
+            let members = ctx.peers.members(&ctx.config, true);
+            let view = View {
+                entry: &ctx.config.entry.name,
+                live: &members,
+                now: SystemTime::now(),
+                lease: lease(ctx),
+            };
+            let Some(holder) = view.holder(&vm, known) else {
+                return Err(format!(
+                    "no live entry in hall `{}` to carry it out",
+                    known.hall
+                ));
+            };
+            Ok(Change::Grant(GrantRequest {
+                base: known.version,
+                errand,
+                holder,
+                deadline: view.now + view.lease,
+                vm,
+            }))
+        }
+    }
+}
+
+fn lease(ctx: &Context) -> Duration {
+    ctx.config.steward.lease
+}
+
+fn unknown_vm(fleet: &Fleet, vm: &str) -> String {
+    let names = fleet.vms.keys().map(String::as_str);
+    match settings::nearest(vm, names) {
+        Some(known) => format!("no VM `{vm}`; did you mean `{known}`?"),
+        None => format!("no VM `{vm}`"),
+    }
+}
--- /dev/null
+++ b/crates/havenladder/src/duties/operators/burn.rs
@@ -0,0 +1,104 @@
+//! The burn report: the sum over all entries that answer.
+
+use crate::{
+    client::PeerClient,
+    context::Context,
+    duties::peers,
+    operate::{BurnReport, BurnRow},
+};
+use protocol::{BurnCell, BurnReply, BurnSum, ServiceId};
+use serving::{WINDOWS, burn_rate};
+use settings::Service;
+use std::collections::BTreeMap;
+
+/// Burn rate at which five minutes and an hour together call for somebody at once.
+const FAST_RATE: f64 = 14.4;
+
+/// Burn rate at which half an hour and six hours together call for somebody today.
+const SLOW_RATE: f64 = 6.0;
+
+/// Asks every entry and sums what they counted.
+pub fn report(ctx: &Context) -> BurnReport {
+    let client = PeerClient::new(&ctx.config.peers.key);
+    let mut replies = vec![peers::burn(ctx)];
+    let mut silent = Vec::new();
+    for neighbour in &ctx.config.peers.neighbours {
+        match client.burn(&neighbour.peers.to_string()) {
+            Some(reply) => replies.push(reply),
+            None => silent.push(neighbour.entry.clone()),
+        }
+    }
+    let services = ctx.services.load();
+    BurnReport {
+        windows: WINDOWS.iter().map(|window| window.name.into()).collect(),
+        since: replies
+            .iter()
+            .map(|reply| reply.since)
+            .max()
+            .unwrap_or(ctx.since),
+        services: rows(&sums(&replies), &services),
+        answered: replies.into_iter().map(|reply| reply.entry).collect(),
+        silent,
+    }
+}
+
+fn sums(replies: &[BurnReply]) -> BTreeMap<ServiceId, Vec<BurnCell>> {
+    let mut sums: BTreeMap<ServiceId, Vec<BurnCell>> = BTreeMap::new();
+    for (service, sum) in replies.iter().flat_map(|reply| &reply.services) {
+        let cells = sums
+            .entry(service.clone())
+            .or_insert_with(|| vec![BurnCell::default(); WINDOWS.len()]);
+        add(cells, sum);
+    }
+    sums
+}
+
+fn add(cells: &mut [BurnCell], sum: &BurnSum) {
+    for (cell, other) in cells.iter_mut().zip(&sum.windows) {
+        cell.add(other);
+    }
+}
+
+fn rows(
+    sums: &BTreeMap<ServiceId, Vec<BurnCell>>,
+    services: &BTreeMap<ServiceId, Service>,
+) -> BTreeMap<ServiceId, BurnRow> {
+    services
+        .iter()
+        .map(|(name, service)| {
+            let cells = sums.get(name).cloned();
+            let cells = cells.unwrap_or_else(|| vec![BurnCell::default(); WINDOWS.len()]);
+            (name.clone(), row(cells, service.objective))
+        })
+        .collect()
+}
+
+fn row(cells: Vec<BurnCell>, objective: f64) -> BurnRow {
+    let rates: Vec<f64> = cells
+        .iter()
+        .map(|cell| burn_rate(cell, objective))
+        .collect();
+    let longest = rates.last().copied().unwrap_or_default();
+    BurnRow {
+        objective,
+        left: 1.0 - longest,
+        alert: alert(&rates),
+        rates,
+        cells,
+    }
+}
+
+/// Both a short and a long window must burn: the short one alone is a blip, and the long one
+/// alone is over already.
+fn alert(rates: &[f64]) -> Option<String> {
+    let &[five, thirty, hour, six] = rates else {
+        return None;
+    };
+    if five >= FAST_RATE && hour >= FAST_RATE {
+        return Some("fast: the budget of a month would be gone in two days".into());
+    }
+    if thirty >= SLOW_RATE && six >= SLOW_RATE {
+        return Some("slow: the budget of a month would be gone in five days".into());
+    }
+    None
+}
--- /dev/null
+++ b/crates/havenladder/src/duties/snapshots.rs
@@ -0,0 +1,93 @@
+//! The duty that keeps a snapshot of the agreed state in the log.
+//!
+//! The fold is the same everywhere, so it does no harm when two entries write one; the first by
+//! rank does, and the next only when the newest one has grown old all the same.
+
+use crate::context::Context;
+use fleet::{Chunk, Fleet, assemble, chunks, encode_snapshot};
+use platform::{CallError, HttpPlatform, Log};
+use protocol::{Offset, RecordId, decode, encode, rank};
+use std::{
+    sync::Arc,
+    thread::sleep,
+    time::{Duration, Instant},
+};
+
+/// The stream of snapshots.
+const SNAPSHOTS: &str = "snapshots";
+
+/// Records of the stream that are looked through for the newest whole snapshot.
+const LOOK_BACK: Offset = 64;
+
+/// Time between two looks at whether a snapshot is due.
+const ROUND: Duration = Duration::from_millis(500);
+
+/// Keeps snapshots in the log until the process ends.
+pub fn snapshots(ctx: &Arc<Context>) {
+    let mut written: Offset = 0;
+    let mut due = Instant::now() + ctx.config.snapshots.interval;
+    loop {
+        sleep(ROUND);
+        if !ctx.fleet.is_loaded() || !ctx.reaches_log() {
+            continue;
+        }
+        let next = ctx.fleet.get().next;
+        let many = next.saturating_sub(written) >= ctx.config.snapshots.records as Offset;
+        let old = next > written && Instant::now() >= due;
+        if !(many || old) {
+            continue;
+        }
+        // Those that rank lower wait a little, and find it written.
+        sleep(ROUND * rank_of(ctx));
+        let newest = newest(&ctx.platform).map_or(0, |fleet| fleet.next);
+        written = if newest > written {
+            newest
+        } else {
+            write(ctx).unwrap_or(written)
+        };
+        due = Instant::now() + ctx.config.snapshots.interval;
+    }
+}
+
+/// Returns the newest whole snapshot of the log.
+pub fn newest(platform: &HttpPlatform) -> Option<Fleet> {
+    let bounds = platform.read(SNAPSHOTS, Offset::MAX, Duration::ZERO).ok()?;
+    let mut from = bounds.next.saturating_sub(LOOK_BACK).max(bounds.oldest);
+    let mut found: Vec<Chunk> = Vec::new();
+    while from < bounds.next {
+        let slice = platform.read(SNAPSHOTS, from, Duration::ZERO).ok()?;
+        let last = slice.records.last()?.offset;
+        found.extend(
+            slice
+                .records
+                .iter()
+                .filter_map(|record| decode(&record.data).ok()),
+        );
+        from = last + 1;
+    }
+    assemble(&found)
+}
+
+fn write(ctx: &Context) -> Result<Offset, CallError> {
+    let (next, bytes) = {
+        let fleet = ctx.fleet.get();
+        (fleet.next, encode_snapshot(&fleet))
+    };
+    let Ok(bytes) = bytes else {
+        return Ok(next);
+    };
+    for chunk in chunks(RecordId::new(), next, &bytes) {
+        if let Ok(data) = encode(&chunk) {
+            ctx.platform.append(SNAPSHOTS, &data)?;
+        }
+    }
+    tracing::info!(next, bytes = bytes.len(), "wrote a snapshot");
+    Ok(next)
+}
+
+fn rank_of(ctx: &Context) -> u32 {
+    let members = ctx.peers.members(&ctx.config, true);
+    let names = members.keys().map(String::as_str);
+    let rank = rank(names, &ctx.config.entry.name, SNAPSHOTS);
+    rank.and_then(|rank| u32::try_from(rank).ok()).unwrap_or(0)
+}
--- /dev/null
+++ b/crates/havenladder/src/duties/steward.rs
@@ -0,0 +1,236 @@
+//! The duty that plans errands and carries out those whose leases this entry holds.
+
+use crate::{
+    context::Context,
+    propose::{ProposeError, propose},
+};
+use fleet::{
+    Action, Change, Errand, Evidence, Fleet, Grant, LeaseRequest, Outcome, Sight, View, Vm,
+    free_token, next_action, plan,
+};
+use platform::{CallError, VmCall, VmInfo, Vms};
+use protocol::{EntryId, HallId, VmId};
+use std::{
+    collections::BTreeMap,
+    sync::Arc,
+    thread::sleep,
+    time::{Instant, SystemTime},
+};
+
+/// A VM with an errand that falls to this entry.
+struct Task {
+    id: VmId,
+    vm: Vm,
+    grant: Grant,
+}
+
+/// Plans and carries out until the process ends.
+pub fn steward(ctx: &Arc<Context>) {
+    loop {
+        let next = Instant::now() + ctx.config.steward.interval;
+        if ctx.fleet.is_loaded() && ctx.reaches_log() {
+            round(ctx);
+        }
+        let left = next.saturating_duration_since(Instant::now());
+        let seen = ctx.fleet.get().next;
+        // A new record may be a grant; it is not left waiting for the next round.
+        ctx.fleet.wait(Instant::now() + left, |next| next > seen);
+        sleep(std::time::Duration::from_millis(1));
+    }
+}
+
+fn round(ctx: &Context) {
+    let members = ctx.peers.members(&ctx.config, true);
+    let changes = plan(&ctx.fleet.get(), &view(ctx, &members));
+    if !changes.is_empty() {
+        submit(ctx, changes);
+    }
+    for task in tasks(ctx, &members) {
+        work(ctx, &members, &task);
+    }
+    for (id, vm) in strays(ctx, &members) {
+        settle_stray(ctx, &id, &vm);
+    }
+}
+
+fn view<'a>(ctx: &'a Context, members: &'a BTreeMap<EntryId, HallId>) -> View<'a> {
+    View {
+        entry: &ctx.config.entry.name,
+        live: members,
+        now: SystemTime::now(),
+        lease: ctx.config.steward.lease,
+    }
+}
+
+/// Proposes changes and logs what was decided; tells whether all of them took effect.
+fn submit(ctx: &Context, changes: Vec<Change>) -> bool {
+    match propose(ctx, changes.clone()) {
+        Ok(decided) => {
+            for (change, outcome) in changes.iter().zip(&decided.outcomes) {
+                tracing::info!(offset = decided.offset, ?change, ?outcome, "decided");
+            }
+            decided.outcomes.iter().all(|one| *one == Outcome::Applied)
+        }
+        Err(error @ (ProposeError::NotTaken(_) | ProposeError::Unknown)) => {
+            tracing::warn!(%error, "could not propose");
+            false
+        }
+    }
+}
+
+/// Errands whose leases this entry holds. An operator's drain has no lease that ends, so it falls
+/// to the first live entry of the hall.
+fn tasks(ctx: &Context, members: &BTreeMap<EntryId, HallId>) -> Vec<Task> {
+    let view = view(ctx, members);
+    let fleet = ctx.fleet.get();
+    fleet
+        .vms
+        .iter()
+        .filter_map(|(id, vm)| {
+            let grant = vm.grant.clone()?;
+            let is_ours = match grant.errand {
+                Errand::Drain => view.holder(id, vm).as_deref() == Some(view.entry),
+                _ => grant.holder == view.entry,
+            };
+            is_ours.then(|| Task {
+                id: id.clone(),
+                vm: vm.clone(),
+                grant,
+            })
+        })
+        .collect()
+}
+
+fn work(ctx: &Context, members: &BTreeMap<EntryId, HallId>, task: &Task) {
+    let info = match ctx.platform.look(&task.id) {
+        Ok(info) => info,
+        Err(error) => {
+            tracing::warn!(vm = %task.id, %error, "could not look at the VM");
+            return;
+        }
+    };
+    let action = {
+        let fleet = ctx.fleet.get();
+        let evidence = Evidence {
+            sight: info.as_ref().map(sight),
+            unseen: unseen(ctx, &fleet, &task.vm),
+        };
+        next_action(
+            &fleet,
+            &task.vm,
+            &task.grant,
+            &evidence,
+            &view(ctx, members),
+        )
+    };
+    carry_out(ctx, task, action);
+}
+
+fn carry_out(ctx: &Context, task: &Task, action: Action) {
+    let token = task.grant.token;
+    let (vm, grant) = (task.id.clone(), task.grant.id);
+    match action {
+        Action::Wait => {}
+        Action::Lapsed => tracing::warn!(%vm, grant, "the lease has ended; not acting"),
+        Action::Renew => {
+            submit(ctx, vec![renewal(ctx, task)]);
+        }
+        Action::Drain => call(ctx, task, &VmCall::Drain { token }),
+        Action::Begin => {
+            submit(ctx, vec![Change::Begin { vm, grant }]);
+        }
+        Action::Reboot(boot) => call(ctx, task, &VmCall::Reboot { token, boot }),
+        Action::Release => call(ctx, task, &VmCall::Release { token }),
+        Action::Assign(pool) => call(ctx, task, &VmCall::Assign { token, pool }),
+        Action::Finish(boot) => {
+            submit(ctx, vec![Change::Finish { vm, grant, boot }]);
+        }
+    }
+}
+
+fn renewal(ctx: &Context, task: &Task) -> Change {
+    Change::Lease(LeaseRequest {
+        vm: task.id.clone(),
+        grant: task.grant.id,
+        holder: ctx.config.entry.name.clone(),
+        deadline: SystemTime::now() + ctx.config.steward.lease,
+    })
+}
+
+/// Calls the platform; the last thing before the call is a look at the clock, so that a process
+/// that was frozen over its lease does nothing.
+fn call(ctx: &Context, task: &Task, call: &VmCall) {
+    let has_lease = task.grant.errand == Errand::Drain || SystemTime::now() < task.grant.deadline;
+    if !has_lease {
+        tracing::warn!(vm = %task.id, ?call, "the lease ended before the call; not calling");
+        return;
+    }
+    match ctx.platform.call(&task.id, call) {
+        Ok(()) => tracing::info!(vm = %task.id, ?call, "called"),
+        // The next round looks at what became of it.
+        Err(error) => tracing::warn!(vm = %task.id, ?call, %error, "call failed"),
+    }
+}
+
+fn sight(info: &VmInfo) -> Sight {
+    Sight {
+        boot: info.boot,
+        up: info.up,
+        drained: info.drained,
+        running: info.running,
+        pool: info.pool.clone(),
+    }
+}
+
+/// Slots of the VM's pool that this entry finds silent and the agreed state still counts as up.
+fn unseen(ctx: &Context, fleet: &Fleet, vm: &Vm) -> u32 {
+    let unfit = ctx.sightings.unfit();
+    fleet
+        .vms
+        .iter()
+        .filter(|(id, other)| other.pool == vm.pool && other.is_available() && unfit.contains(*id))
+        .map(|(_, other)| other.slots)
+        .sum()
+}
+
+/// VMs without an errand that fall to this entry and that the platform shows otherwise than the
+/// agreed state has them: drained, or serving another pool.
+fn strays(ctx: &Context, members: &BTreeMap<EntryId, HallId>) -> Vec<(VmId, Vm)> {
+    let view = view(ctx, members);
+    let fleet = ctx.fleet.get();
+    ctx.listed
+        .load()
+        .iter()
+        .filter(|info| info.hall == ctx.config.entry.hall)
+        .filter_map(|info| Some((info, fleet.vms.get(&info.id)?)))
+        .filter(|(info, vm)| vm.grant.is_none() && is_stray(info, vm))
+        .filter(|(info, vm)| view.holder(&info.id, vm).as_deref() == Some(view.entry))
+        .map(|(info, vm)| (info.id.clone(), vm.clone()))
+        .collect()
+}
+
+fn is_stray(info: &VmInfo, vm: &Vm) -> bool {
+    info.drained || info.pool != vm.pool
+}
+
+/// Ends a drain that nothing asks for any more, and tells a worker which pool it serves. The
+/// token is the VM's version, so that a newer grant's calls win over this one.
+fn settle_stray(ctx: &Context, id: &str, vm: &Vm) {
+    let Ok(Some(info)) = ctx.platform.look(id) else {
+        return;
+    };
+    if !is_stray(&info, vm) {
+        return;
+    }
+    let (token, pool) = (free_token(vm), vm.pool.clone());
+    match ctx.platform.call(id, &VmCall::Assign { token, pool }) {
+        Ok(()) => tracing::info!(
+            vm = id,
+            token,
+            pool = vm.pool,
+            "put the VM at its pool's service"
+        ),
+        Err(CallError::Refused(_)) => {}
+        Err(error) => tracing::warn!(vm = id, %error, "could not put the VM at service"),
+    }
+}
--- /dev/null
+++ b/crates/havenladder/src/duties/stop.rs
@@ -0,0 +1,68 @@
+//! The duty that stops the process: on the first signal when everything in progress is finished,
+//! on the second at once.
+
+use crate::{context::Context, duties::placement::Message};
+use serving::Event;
+use signal_hook::{
+    consts::{SIGINT, SIGTERM},
+    iterator::Signals,
+};
+use std::{
+    io,
+    process::exit,
+    sync::{Arc, atomic::Ordering},
+    thread::{sleep, spawn},
+    time::{Duration, Instant},
+};
+
+/// Time for which requests are still taken, so that the balancer sees that the entry is leaving.
+const GRACE: Duration = Duration::from_millis(1_500);
+
+/// Time between two looks at whether anything is in progress.
+const ROUND: Duration = Duration::from_millis(20);
+
+/// Time for which answers that have been given are still written out.
+const FLUSH: Duration = Duration::from_millis(100);
+
+/// The longest time that a planned stop waits for what is in progress.
+const LONGEST: Duration = Duration::from_secs(24 * 60 * 60);
+
+/// Exit code of a process that was told twice to stop.
+const STOPPED_AT_ONCE: i32 = 130;
+
+/// Waits for signals until the process ends.
+///
+/// # Errors
+///
+/// Fails when the signals cannot be taken.
+pub fn stop(ctx: &Arc<Context>) -> io::Result<()> {
+    let mut signals = Signals::new([SIGTERM, SIGINT])?;
+    for _ in signals.forever() {
+        if ctx.leaving.swap(true, Ordering::Relaxed) {
+            tracing::warn!("told to stop a second time; stopping at once");
+            exit(STOPPED_AT_ONCE);
+        }
+        tracing::info!("leaving: no longer ready, finishing what is in progress");
+        let ctx = Arc::clone(ctx);
+        spawn(move || leave(&ctx));
+    }
+    Ok(())
+}
+
+fn leave(ctx: &Context) {
+    sleep(GRACE);
+    ctx.placement.tell(Message::Happened(Event::Stop));
+    let latest = Instant::now() + LONGEST;
+    while Instant::now() < latest && is_busy(ctx) {
+        sleep(ROUND);
+    }
+    sleep(FLUSH);
+    tracing::info!("nothing is in progress; stopped");
+    exit(0);
+}
+
+fn is_busy(ctx: &Context) -> bool {
+    let requests = ctx.in_progress.load(Ordering::Relaxed);
+    let unsettled = ctx.unsettled.load(Ordering::Relaxed);
+    requests > 0 || unsettled > 0
+}
--- /dev/null
+++ b/crates/havenladder/src/duties/watch.rs
@@ -0,0 +1,261 @@
+//! The duty that watches the hall's workers and the platform's list of VMs.
+//!
+//! What it sees steers this entry's own placing at once; the agreed state is told of changes
+//! only, many in one record, by the first entry of the hall by rank for each VM.
+
+use crate::{
+    context::Context,
+    duties::{follow::publish, placement::Message, runtime},
+    propose::propose,
+    sightings::Sighting,
+};
+use bytes::Bytes;
+use fleet::{Change, Health, Observation, Seen, Vm};
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::TokioExecutor,
+};
+use platform::{
+    ListState, VmInfo, Vms,
+    task::{USAGE, Usage},
+};
+use protocol::{HallId, VmId, ranked};
+use serving::Event;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
+use tokio::{
+    task::JoinSet,
+    time::{Instant, sleep_until, timeout},
+};
+
+/// The largest report of a worker that is read, in bytes.
+const USAGE_LIMIT: usize = 4 << 10;
+
+type Probe = Client<HttpConnector, Empty<Bytes>>;
+
+/// What one probe brought.
+struct Probed {
+    vm: VmId,
+    usage: Option<Usage>,
+}
+
+/// Watches until the process ends.
+///
+/// # Panics
+///
+/// Panics when the system gives no event queue: without it the process is of no use.
+pub fn watch(ctx: &Arc<Context>) {
+    let runtime = runtime().expect("the system gives an event queue");
+    let mut connector = HttpConnector::new();
+    connector.set_connect_timeout(Some(ctx.config.watch.patience));
+    let probe: Probe = Client::builder(TokioExecutor::new())
+        .pool_max_idle_per_host(1)
+        .build(connector);
+    loop {
+        let next = Instant::now() + ctx.config.watch.interval;
+        if ctx.fleet.is_loaded() {
+            round(ctx, &runtime, &probe);
+        }
+        runtime.block_on(async { sleep_until(next).await });
+    }
+}
+
+fn round(ctx: &Context, runtime: &tokio::runtime::Runtime, probe: &Probe) {
+    let before = ctx.sightings.unfit();
+    let targets = targets(ctx);
+    let patience = ctx.config.watch.patience;
+    let probed = runtime.block_on(probe_all(probe, targets, patience));
+    let listed = ctx.platform.list().ok();
+    if let Some(listed) = &listed {
+        note_leaving(ctx, listed);
+    }
+    let sightings = note_probes(ctx, &probed);
+    if ctx.sightings.unfit() != before {
+        publish(ctx);
+    }
+    // Without the list it is not known whether a silent VM is down or cut off with the platform.
+    let Some(listed) = listed else {
+        return;
+    };
+    ctx.listed.store(Arc::new(listed.clone()));
+    let boots: BTreeMap<VmId, u64> = probed
+        .iter()
+        .filter_map(|probed| Some((probed.vm.clone(), probed.usage.as_ref()?.boot)))
+        .collect();
+    let seen = changes(ctx, &listed, &sightings, &boots);
+    if !seen.is_empty() {
+        tracing::info!(?seen, "observed");
+        if let Err(error) = propose(ctx, vec![Change::Observe(seen)]) {
+            tracing::warn!(%error, "could not record what was observed");
+        }
+    }
+}
+
+/// Addresses of the hall's VMs that are known.
+fn targets(ctx: &Context) -> Vec<(VmId, String)> {
+    let fleet = ctx.fleet.get();
+    fleet
+        .vms
+        .iter()
+        .filter(|(_, vm)| vm.hall == ctx.config.entry.hall)
+        .map(|(id, vm)| (id.clone(), vm.addr.clone()))
+        .collect()
+}
+
+async fn probe_all(probe: &Probe, targets: Vec<(VmId, String)>, patience: Duration) -> Vec<Probed> {
+    let mut probes = JoinSet::new();
+    for (vm, addr) in targets {
+        let probe = probe.clone();
+        probes.spawn(async move {
+            let usage = timeout(patience, probe_one(&probe, &addr)).await;
+            Probed {
+                vm,
+                usage: usage.ok().flatten(),
+            }
+        });
+    }
+    probes.join_all().await
+}
+
+async fn probe_one(probe: &Probe, addr: &str) -> Option<Usage> {
+    let uri = format!("http://{addr}{USAGE}").parse().ok()?;
+    let answer = probe.get(uri).await.ok()?;
+    let body = Limited::new(answer.into_body(), USAGE_LIMIT)
+        .collect()
+        .await;
+    serde_json::from_slice(&body.ok()?.to_bytes()).ok()
+}
+
+fn note_leaving(ctx: &Context, listed: &[VmInfo]) {
+    let leaving: BTreeSet<VmId> = listed
+        .iter()
+        .filter(|vm| vm.hall == ctx.config.entry.hall && vm.state == ListState::Leaving)
+        .map(|vm| vm.id.clone())
+        .collect();
+    ctx.sightings.set_leaving(&leaving);
+}
+
+fn note_probes(ctx: &Context, probed: &[Probed]) -> BTreeMap<VmId, Sighting> {
+    let known: BTreeSet<VmId> = probed.iter().map(|probed| probed.vm.clone()).collect();
+    ctx.sightings.retain(&known);
+    probed
+        .iter()
+        .map(|probed| {
+            if let Some(usage) = &probed.usage {
+                let event = Event::Usage(probed.vm.clone(), usage.running);
+                ctx.placement.tell(Message::Happened(event));
+            }
+            let sighting = ctx.sightings.probe(&probed.vm, probed.usage.is_some());
+            (probed.vm.clone(), sighting)
+        })
+        .collect()
+}
+
+/// What the agreed state should be told, of the VMs that fall to this entry.
+fn changes(
+    ctx: &Context,
+    listed: &[VmInfo],
+    sightings: &BTreeMap<VmId, Sighting>,
+    boots: &BTreeMap<VmId, u64>,
+) -> Vec<Observation> {
+    let members = ctx.peers.members(&ctx.config, true);
+    let falls_to_us =
+        |id: &str, hall: &str| watcher(&members, id, hall) == Some(&ctx.config.entry.name);
+    let fleet = ctx.fleet.get();
+    let mut changes = Vec::new();
+    for info in listed
+        .iter()
+        .filter(|info| falls_to_us(&info.id, &info.hall))
+    {
+        let vm = fleet.vms.get(&info.id);
+        let sighting = sightings.get(&info.id).copied();
+        let seen = seen_of(info, vm, sighting, boots.get(&info.id).copied());
+        let base = vm.map_or(0, |vm| vm.version);
+        if let Some(seen) = seen.filter(|seen| is_news(vm, seen)) {
+            changes.push(Observation {
+                vm: info.id.clone(),
+                base,
+                seen,
+            });
+        }
+    }
+    let is_listed = |id: &str| listed.iter().any(|info| info.id == id);
+    for (id, vm) in &fleet.vms {
+        let is_lost = !is_listed(id) && vm.health != Health::Gone && vm.grant.is_none();
+        let is_silent = sightings
+            .get(id)
+            .is_none_or(|sighting| sighting.is_suspect());
+        if is_lost && is_silent && falls_to_us(id, &vm.hall) {
+            changes.push(Observation {
+                vm: id.clone(),
+                base: vm.version,
+                seen: Seen::Gone,
+            });
+        }
+    }
+    changes
+}
+
+/// The live entry that records what becomes of a VM: one of its hall, or any if none is left.
+fn watcher<'m>(members: &'m BTreeMap<String, HallId>, id: &str, hall: &str) -> Option<&'m String> {
+    let in_hall: Vec<&str> = members
+        .iter()
+        .filter(|(_, other)| *other == hall)
+        .map(|(entry, _)| entry.as_str())
+        .collect();
+    let first = if in_hall.is_empty() {
+        ranked(members.keys().map(String::as_str), id)
+            .first()
+            .copied()
+    } else {
+        ranked(in_hall, id).first().copied()
+    }?;
+    members.get_key_value(first).map(|(entry, _)| entry)
+}
+
+/// Weighs the lagging list against the probes: the list alone never brings a VM up again that
+/// this entry itself finds silent, and an old list never takes a count of boots back.
+fn seen_of(
+    info: &VmInfo,
+    vm: Option<&Vm>,
+    sighting: Option<Sighting>,
+    boot: Option<u64>,
+) -> Option<Seen> {
+    if sighting.is_some_and(Sighting::is_suspect) {
+        return Some(Seen::Down);
+    }
+    if info.state == ListState::Leaving {
+        return Some(Seen::Leaving);
+    }
+    let known_boot = vm.map_or(0, |vm| vm.boot);
+    let boot = boot.unwrap_or(info.boot).max(info.boot);
+    let answered = sighting.is_some_and(|sighting| sighting.misses == 0);
+    if boot < known_boot || !(info.up || answered) {
+        return None;
+    }
+    Some(Seen::Up {
+        hall: info.hall.clone(),
+        rack: info.rack.clone(),
+        addr: info.addr.clone(),
+        slots: info.slots,
+        boot,
+    })
+}
+
+fn is_news(vm: Option<&Vm>, seen: &Seen) -> bool {
+    let Some(vm) = vm else {
+        return matches!(seen, Seen::Up { .. });
+    };
+    match seen {
+        Seen::Up {
+            addr, slots, boot, ..
+        } => vm.health != Health::Up || vm.boot != *boot || vm.addr != *addr || vm.slots != *slots,
+        Seen::Leaving => vm.health != Health::Leaving,
+        Seen::Down => vm.health != Health::Down && vm.health != Health::Gone,
+        Seen::Gone => vm.health != Health::Gone,
+    }
+}
--- /dev/null
+++ b/crates/havenladder/src/duties/workers.rs
@@ -0,0 +1,312 @@
+//! The duty that speaks to workers, and to peers that requests are passed on to.
+//!
+//! It decides nothing but how an attempt ended: certain refusals are told apart from broken
+//! connections, and an answer counts only when it is whole and bears its attempt's id.
+
+use crate::{
+    context::Context,
+    duties::{
+        placement::{Answer, Message},
+        runtime,
+    },
+    outcome,
+    problem::HEADER_OUTCOME,
+};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{
+    Method, Request, Response, StatusCode,
+    body::{Body, Incoming},
+    header::{CONTENT_TYPE, HeaderValue},
+};
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::TokioExecutor,
+};
+use platform::task::{
+    HEADER_ID, HEADER_LEASE, HEADER_POOL, HEADER_REFUSED, HEADER_REQUEST, HEADER_SERVICE, TASKS,
+};
+use protocol::{HEADER_FORWARDED, PoolId, ServiceId};
+use serving::{AttemptEnd, AttemptId};
+use std::{
+    collections::HashMap,
+    sync::Arc,
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+};
+use tokio::{sync::mpsc, task::JoinHandle, time::timeout_at};
+
+/// Time in which a connection must stand.
+const CONNECT_TIME: Duration = Duration::from_millis(500);
+
+/// Time that telling a worker to stop a task may take.
+const STOP_TIME: Duration = Duration::from_secs(1);
+
+/// Connections to one worker that are kept open while idle.
+const IDLE_CONNECTIONS: usize = 16;
+
+/// What this duty is told.
+#[derive(Debug)]
+pub enum Dispatch {
+    /// Send an attempt.
+    Send {
+        /// The attempt.
+        attempt: AttemptId,
+        /// Where it goes.
+        addr: String,
+        /// Whether that is a peer.
+        forwarded: bool,
+        /// The pool that it is placed in.
+        pool: PoolId,
+        /// The service.
+        service: ServiceId,
+        /// The request's id in all logs.
+        name: String,
+        /// The caller's key, for a peer.
+        key: Option<String>,
+        /// The body.
+        body: Bytes,
+        /// The largest answer that is taken.
+        limit: usize,
+        /// Whether a connection may be used that a worker may just have closed.
+        repeatable: bool,
+        /// When the answer is of no more use.
+        deadline: Instant,
+    },
+    /// Stop an attempt.
+    Stop(AttemptId),
+}
+
+type Http = Client<HttpConnector, Full<Bytes>>;
+
+/// An attempt on its way.
+struct Running {
+    task: JoinHandle<()>,
+    addr: String,
+}
+
+/// How an attempt ended, with its answer if that is whole.
+type Ended = (AttemptEnd, Option<Answer>);
+
+/// Sends attempts until the process ends.
+///
+/// # Panics
+///
+/// Panics when the system gives no event queue: without it the process is of no use.
+pub fn workers(ctx: &Arc<Context>, dispatches: mpsc::Receiver<Dispatch>) {
+    let runtime = runtime().expect("the system gives an event queue");
+    runtime.block_on(send_all(ctx, dispatches));
+}
+
+async fn send_all(ctx: &Arc<Context>, mut dispatches: mpsc::Receiver<Dispatch>) {
+    let pooled = client(IDLE_CONNECTIONS);
+    let fresh = client(0);
+    let mut running: HashMap<AttemptId, Running> = HashMap::new();
+    let (ended, mut ends) = mpsc::channel(ctx.config.placement.requests * 2 + 64);
+    loop {
+        tokio::select! {
+            dispatch = dispatches.recv() => match dispatch {
+                None => return,
+                Some(Dispatch::Stop(attempt)) => stop(&pooled, running.remove(&attempt), attempt),
+                Some(send) => {
+                    let http = if is_repeatable(&send) { &pooled } else { &fresh };
+                    start(ctx, http.clone(), send, &ended, &mut running);
+                }
+            },
+            Some(attempt) = ends.recv() => {
+                running.remove(&attempt);
+            }
+        }
+    }
+}
+
+fn client(idle: usize) -> Http {
+    let mut connector = HttpConnector::new();
+    connector.set_nodelay(true);
+    connector.set_connect_timeout(Some(CONNECT_TIME));
+    Client::builder(TokioExecutor::new())
+        .pool_max_idle_per_host(idle)
+        .retry_canceled_requests(idle > 0)
+        .build(connector)
+}
+
+fn is_repeatable(dispatch: &Dispatch) -> bool {
+    matches!(
+        dispatch,
+        Dispatch::Send {
+            repeatable: true,
+            ..
+        }
+    )
+}
+
+fn start(
+    ctx: &Arc<Context>,
+    http: Http,
+    dispatch: Dispatch,
+    ended: &mpsc::Sender<AttemptId>,
+    running: &mut HashMap<AttemptId, Running>,
+) {
+    let Dispatch::Send { attempt, addr, .. } = &dispatch else {
+        return;
+    };
+    let (attempt, addr) = (*attempt, addr.clone());
+    let (ctx, ended) = (Arc::clone(ctx), ended.clone());
+    let task = tokio::spawn(async move {
+        let (end, answer) = attempt_once(&http, dispatch).await;
+        ctx.metrics.attempt(outcome::end_name(end));
+        ctx.placement.tell(Message::Ended(attempt, end, answer));
+        // The list of running attempts goes with the process.
+        let _ = ended.send(attempt).await;
+    });
+    running.insert(attempt, Running { task, addr });
+}
+
+/// Drops an attempt's connection and tells the worker to stop the task.
+fn stop(http: &Http, running: Option<Running>, attempt: AttemptId) {
+    let Some(running) = running else {
+        return;
+    };
+    running.task.abort();
+    let Ok(request) = Request::builder()
+        .method(Method::DELETE)
+        .uri(task_uri(&running.addr, attempt))
+        .body(Full::default())
+    else {
+        return;
+    };
+    let call = http.request(request);
+    tokio::spawn(async move {
+        // The lease ends the task if this does not reach the worker.
+        let _ = tokio::time::timeout(STOP_TIME, call).await;
+    });
+}
+
+async fn attempt_once(http: &Http, dispatch: Dispatch) -> Ended {
+    let Dispatch::Send {
+        attempt,
+        deadline,
+        forwarded,
+        limit,
+        ..
+    } = &dispatch
+    else {
+        return (AttemptEnd::NotSent, None);
+    };
+    let (attempt, deadline, forwarded, limit) = (*attempt, *deadline, *forwarded, *limit);
+    // The last look at the clock before the request leaves: a process that was frozen since it
+    // placed the request must not send it now.
+    if Instant::now() >= deadline {
+        return (AttemptEnd::NotSent, None);
+    }
+    let Ok(request) = request(dispatch) else {
+        return (AttemptEnd::NotSent, None);
+    };
+    let exchange = async {
+        match http.request(request).await {
+            Ok(response) if forwarded => peer_answer(response, limit).await,
+            Ok(response) => worker_answer(response, attempt, limit).await,
+            Err(error) if error.is_connect() => (AttemptEnd::NotSent, None),
+            Err(_) => (AttemptEnd::Broken, None),
+        }
+    };
+    timeout_at(deadline.into(), exchange)
+        .await
+        .unwrap_or((AttemptEnd::Broken, None))
+}
+
+fn request(dispatch: Dispatch) -> Result<Request<Full<Bytes>>, hyper::http::Error> {
+    let Dispatch::Send {
+        attempt,
+        addr,
+        forwarded,
+        pool,
+        service,
+        name,
+        key,
+        body,
+        deadline,
+        ..
+    } = dispatch
+    else {
+        return Request::builder().body(Full::default());
+    };
+    let lease = unix_ms(deadline).to_string();
+    let mut builder = Request::builder().method(Method::POST);
+    if forwarded {
+        builder = builder
+            .uri(format!("http://{addr}/v1/{service}"))
+            .header(HEADER_FORWARDED, "1")
+            .header("havenladder-request", name)
+            .header("havenladder-deadline", lease);
+        if let Some(key) = key {
+            builder = builder.header("idempotency-key", key);
+        }
+    } else {
+        builder = builder
+            .uri(task_uri(&addr, attempt))
+            .header(HEADER_SERVICE, service)
+            .header(HEADER_POOL, pool)
+            .header(HEADER_REQUEST, name)
+            .header(HEADER_LEASE, lease);
+    }
+    builder.body(Full::new(body))
+}
+
+fn task_uri(addr: &str, attempt: AttemptId) -> String {
+    format!("http://{addr}{TASKS}{attempt}")
+}
+
+/// Returns a deadline by the wall clock, in milliseconds since 1970.
+fn unix_ms(deadline: Instant) -> u128 {
+    let left = deadline.saturating_duration_since(Instant::now());
+    let at = SystemTime::now() + left;
+    at.duration_since(UNIX_EPOCH)
+        .unwrap_or_default()
+        .as_millis()
+}
+
+async fn worker_answer(response: Response<Incoming>, attempt: AttemptId, limit: usize) -> Ended {
+    if response.headers().contains_key(HEADER_REFUSED) {
+        return (AttemptEnd::Refused, None);
+    }
+    let id = response.headers().get(HEADER_ID);
+    let is_ours = id.is_some_and(|id| id.as_bytes() == attempt.to_string().as_bytes());
+    if !is_ours {
+        return (AttemptEnd::Broken, None);
+    }
+    if response.status() != StatusCode::OK {
+        return (AttemptEnd::Failed, None);
+    }
+    match whole(response, limit).await {
+        Some(answer) => (AttemptEnd::Done, Some(answer)),
+        None => (AttemptEnd::Failed, None),
+    }
+}
+
+async fn peer_answer(response: Response<Incoming>, limit: usize) -> Ended {
+    let outcome = response.headers().get(HEADER_OUTCOME);
+    let outcome = outcome.map_or(&b""[..], HeaderValue::as_bytes);
+    let status = response.status();
+    match outcome {
+        b"not-run" if status.is_server_error() => (AttemptEnd::Refused, None),
+        b"done" | b"not-run" | b"in-progress" => match whole(response, limit).await {
+            Some(answer) => (AttemptEnd::Done, Some(answer)),
+            None => (AttemptEnd::Broken, None),
+        },
+        _ => (AttemptEnd::Broken, None),
+    }
+}
+
+/// Reads a body to its announced end; `None` when it is cut short, too large, or when nothing
+/// says where it ends.
+async fn whole(response: Response<Incoming>, limit: usize) -> Option<Answer> {
+    let status = response.status().as_u16();
+    let kind = response.headers().get(CONTENT_TYPE).cloned();
+    let chunked = response.headers().contains_key("transfer-encoding");
+    let body = response.into_body();
+    if body.size_hint().exact().is_none() && !chunked {
+        return None;
+    }
+    let body = Limited::new(body, limit).collect().await.ok()?.to_bytes();
+    Some(Answer { status, kind, body })
+}
--- /dev/null
+++ b/crates/havenladder/src/main.rs
@@ -0,0 +1,28 @@
+//! The program `havenladder`: entries, and the commands by which operators drive them.
+
+mod cli;
+mod client;
+mod commands;
+mod configs;
+mod context;
+mod duties;
+mod explain;
+mod fleet_cell;
+mod key;
+mod logs;
+mod metrics;
+mod operate;
+mod outcome;
+mod peer_table;
+mod problem;
+mod propose;
+mod recent;
+mod sightings;
+mod sync;
+
+use clap::Parser;
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    commands::run(cli::Args::parse())
+}
--- /dev/null
+++ b/crates/havenladder/src/metrics.rs
@@ -0,0 +1,92 @@
+//! Metrics by `opentelemetry`, in the form that usual scrapers read.
+
+use opentelemetry::{
+    KeyValue,
+    metrics::{Counter, Gauge, Histogram, MeterProvider},
+};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+use std::time::Duration;
+
+/// All metrics of an entry; docs/OPERATING.md names them.
+pub struct Metrics {
+    registry: Registry,
+    requests: Counter<u64>,
+    latency: Histogram<f64>,
+    attempts: Counter<u64>,
+    proposals: Counter<u64>,
+    applied: Counter<u64>,
+    offset: Gauge<u64>,
+    in_progress: Gauge<u64>,
+    _provider: SdkMeterProvider,
+}
+
+impl Metrics {
+    /// Makes the metrics of this process.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the exporter cannot be registered.
+    pub fn new() -> Result<Self, String> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .map_err(|error| error.to_string())?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("havenladder");
+        Ok(Self {
+            requests: meter.u64_counter("havenladder_requests").build(),
+            latency: meter
+                .f64_histogram("havenladder_request_seconds")
+                .with_unit("s")
+                .build(),
+            attempts: meter.u64_counter("havenladder_attempts").build(),
+            proposals: meter.u64_counter("havenladder_proposals").build(),
+            applied: meter.u64_counter("havenladder_records_applied").build(),
+            offset: meter.u64_gauge("havenladder_fleet_offset").build(),
+            in_progress: meter.u64_gauge("havenladder_requests_in_progress").build(),
+            registry,
+            _provider: provider,
+        })
+    }
+
+    /// Counts a request that got its outcome.
+    pub fn request(&self, service: &str, outcome: &'static str, took: Duration) {
+        let service = KeyValue::new("service", service.to_owned());
+        let labels = [service, KeyValue::new("outcome", outcome)];
+        self.requests.add(1, &labels);
+        self.latency.record(took.as_secs_f64(), &labels);
+    }
+
+    /// Counts an attempt that ended.
+    pub fn attempt(&self, end: &'static str) {
+        self.attempts.add(1, &[KeyValue::new("end", end)]);
+    }
+
+    /// Counts a proposal.
+    pub fn proposal(&self, outcome: &'static str) {
+        self.proposals.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Notes how far the log has been applied.
+    pub fn applied(&self, records: u64, next: u64) {
+        self.applied.add(records, &[]);
+        self.offset.record(next, &[]);
+    }
+
+    /// Notes how many requests have no outcome yet.
+    pub fn in_progress(&self, requests: usize) {
+        self.in_progress.record(requests as u64, &[]);
+    }
+
+    /// Writes all metrics in the text form of Prometheus.
+    pub fn text(&self) -> String {
+        let mut text = Vec::new();
+        let written = TextEncoder::new().encode(&self.registry.gather(), &mut text);
+        if written.is_err() {
+            return String::new();
+        }
+        String::from_utf8(text).unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/havenladder/src/outcome.rs
@@ -0,0 +1,137 @@
+//! Outcomes of requests as callers, metrics and the burn report see them.
+
+use crate::problem::Problem;
+use hyper::StatusCode;
+use protocol::Loss;
+use serving::{AttemptEnd, ClaimState, NotRun, Outcome, Settled, Why};
+use std::time::{Duration, Instant};
+
+/// Time after which a caller may ask again about a request that is in progress.
+const IN_PROGRESS_BACK: Duration = Duration::from_secs(1);
+
+/// Returns the outcome's name in metrics and logs.
+pub fn name(outcome: &Outcome) -> &'static str {
+    match outcome {
+        Outcome::Done(_) => "done",
+        Outcome::NotRun(_) => "not-run",
+        Outcome::Unknown(_) => "unknown",
+        Outcome::Claimed(_) => "claimed",
+    }
+}
+
+/// Returns what the burn report counts a request as: `None` if it does not count at all.
+pub fn loss(outcome: &Outcome, in_time: bool) -> Option<Option<Loss>> {
+    match outcome {
+        Outcome::Done(_) if in_time => Some(None),
+        Outcome::Done(_) => Some(Some(Loss::Late)),
+        Outcome::NotRun(refusal) => match refusal.why {
+            Why::Overload | Why::Refused => Some(Some(Loss::Overload)),
+            Why::NoWorker | Why::Stopping => Some(Some(Loss::NoWorker)),
+            Why::LogDown => Some(Some(Loss::LogDown)),
+            Why::DeadlinePast | Why::Cancelled => None,
+        },
+        Outcome::Unknown(AttemptEnd::Failed) => Some(Some(Loss::WorkerFailed)),
+        Outcome::Unknown(_) => Some(Some(Loss::Unknown)),
+        Outcome::Claimed(_) => None,
+    }
+}
+
+/// Makes the answer for every outcome that has no worker's answer.
+pub fn problem(outcome: &Outcome) -> Problem {
+    match outcome {
+        Outcome::NotRun(refusal) => not_run(refusal),
+        Outcome::Claimed(settled) => claimed(*settled),
+        Outcome::Done(_) | Outcome::Unknown(_) => unknown(outcome),
+    }
+}
+
+fn not_run(refusal: &NotRun) -> Problem {
+    let (status, kind, detail) = match refusal.why {
+        Why::Overload => (503, "overload", "it could not be done in time"),
+        Why::DeadlinePast => (504, "deadline-past", "its deadline is past"),
+        Why::NoWorker => (503, "no-worker", "no worker of its pool takes work"),
+        Why::Refused => (503, "refused", "every worker that was tried refused it"),
+        Why::LogDown => (503, "log-down", "the log for claims cannot be reached"),
+        Why::Cancelled => (499, "cancelled", "its caller went away"),
+        Why::Stopping => (503, "stopping", "this entry is about to stop"),
+    };
+    Problem {
+        status: StatusCode::from_u16(status).unwrap_or(StatusCode::SERVICE_UNAVAILABLE),
+        kind,
+        detail: format!("the request was not run: {detail}"),
+        field: None,
+        outcome: "not-run",
+        back: Some(refusal.back.saturating_duration_since(Instant::now())),
+    }
+}
+
+fn claimed(settled: Settled) -> Problem {
+    let conflict = |kind, detail: &str, outcome, back| Problem {
+        status: StatusCode::CONFLICT,
+        kind,
+        detail: detail.to_owned(),
+        field: Some("idempotency-key"),
+        outcome,
+        back,
+    };
+    match settled {
+        Settled::Done => conflict(
+            "already-done",
+            "a request with this key ran to its end and its caller was answered",
+            "done",
+            None,
+        ),
+        Settled::Held(ClaimState::Open) => conflict(
+            "in-progress",
+            "a request with this key is in progress, or its entry was lost with it",
+            "in-progress",
+            Some(IN_PROGRESS_BACK),
+        ),
+        Settled::Held(_) => conflict(
+            "claimed",
+            "a request with this key was sent and nobody can tell whether it ran",
+            "unknown",
+            None,
+        ),
+        Settled::Mismatch => Problem {
+            status: StatusCode::UNPROCESSABLE_ENTITY,
+            ..conflict(
+                "key-reused",
+                "the key belongs to a request with another body",
+                "not-run",
+                None,
+            )
+        },
+        Settled::TooOld => Problem {
+            status: StatusCode::BAD_REQUEST,
+            ..conflict("key-too-old", "the key is too old", "not-run", None)
+        },
+        Settled::Won | Settled::LogDown => conflict("claimed", "claimed", "unknown", None),
+    }
+}
+
+fn unknown(outcome: &Outcome) -> Problem {
+    let detail = match outcome {
+        Outcome::Unknown(AttemptEnd::Failed) => "a worker began it and failed",
+        _ => "it was sent and its whole answer did not come back",
+    };
+    Problem {
+        status: StatusCode::BAD_GATEWAY,
+        kind: "unknown",
+        detail: format!("nobody can tell whether the request ran to its end: {detail}"),
+        field: None,
+        outcome: "unknown",
+        back: None,
+    }
+}
+
+/// Returns the name of an attempt's end in metrics.
+pub fn end_name(end: AttemptEnd) -> &'static str {
+    match end {
+        AttemptEnd::Done => "done",
+        AttemptEnd::Refused => "refused",
+        AttemptEnd::NotSent => "not-sent",
+        AttemptEnd::Broken => "broken",
+        AttemptEnd::Failed => "failed",
+    }
+}
--- /dev/null
+++ b/crates/havenladder/src/peer_table.rs
@@ -0,0 +1,52 @@
+//! What the peers last said of themselves.
+
+use crate::{configs::Config, sync::lock};
+use protocol::{EntryId, HallId, Status};
+use std::{
+    collections::BTreeMap,
+    sync::Mutex,
+    time::{Duration, Instant},
+};
+
+/// The newest status of each peer that answers.
+#[derive(Default)]
+pub struct PeerTable {
+    heard: Mutex<BTreeMap<EntryId, (Status, Instant)>>,
+}
+
+impl PeerTable {
+    /// Notes a peer's status, which holds until `until`.
+    pub fn hear(&self, status: Status, until: Instant) {
+        lock(&self.heard).insert(status.entry.clone(), (status, until));
+    }
+
+    /// Returns the status of each peer that has answered lately.
+    pub fn live(&self) -> Vec<Status> {
+        let now = Instant::now();
+        lock(&self.heard)
+            .values()
+            .filter(|(_, until)| now < *until)
+            .map(|(status, _)| status.clone())
+            .collect()
+    }
+
+    /// Returns the live entries that can carry out errands, this one included, with their halls.
+    pub fn members(&self, config: &Config, reaches_log: bool) -> BTreeMap<EntryId, HallId> {
+        let mut members: BTreeMap<EntryId, HallId> = self
+            .live()
+            .into_iter()
+            .filter(|status| status.platform && !status.leaving)
+            .map(|status| (status.entry, status.hall))
+            .collect();
+        if reaches_log {
+            members.insert(config.entry.name.clone(), config.entry.hall.clone());
+        }
+        members
+    }
+}
+
+/// Time for which a status holds: several rounds, so that one lost answer means nothing.
+pub fn holds_until(config: &Config) -> Instant {
+    let rounds: Duration = config.peers.interval * 2;
+    Instant::now() + config.peers.patience.max(rounds)
+}
--- /dev/null
+++ b/crates/havenladder/src/problem.rs
@@ -0,0 +1,72 @@
+//! Errors in the usual form of problem details (RFC 9457), with the outcome beside them.
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{
+    Response, StatusCode,
+    header::{CONTENT_TYPE, HeaderName, HeaderValue, RETRY_AFTER},
+};
+use serde_json::json;
+use std::time::Duration;
+
+/// Response header with the outcome: `done`, `not-run`, `in-progress` or `unknown`.
+pub const HEADER_OUTCOME: HeaderName = HeaderName::from_static("havenladder-outcome");
+
+/// Response header with the request's id, the same in all logs.
+pub const HEADER_REQUEST: HeaderName = HeaderName::from_static("havenladder-request");
+
+/// An answer that is not the worker's.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Problem {
+    /// The HTTP status.
+    pub status: StatusCode,
+    /// A short name that programs can tell apart.
+    pub kind: &'static str,
+    /// What happened and what to do next.
+    pub detail: String,
+    /// The header or part of the request that is wrong.
+    pub field: Option<&'static str>,
+    /// The outcome.
+    pub outcome: &'static str,
+    /// When to come back.
+    pub back: Option<Duration>,
+}
+
+impl Problem {
+    /// A request that is wrong in itself; it was not run.
+    pub fn bad(status: StatusCode, field: &'static str, detail: impl Into<String>) -> Self {
+        Self {
+            status,
+            kind: "bad-request",
+            detail: detail.into(),
+            field: Some(field),
+            outcome: "not-run",
+            back: None,
+        }
+    }
+
+    /// Makes the response.
+    pub fn response(&self) -> Response<Full<Bytes>> {
+        let body = json!({
+            "type": format!("urn:havenladder:{}", self.kind),
+            "title": self.status.canonical_reason(),
+            "status": self.status.as_u16(),
+            "detail": self.detail,
+            "field": self.field,
+            "outcome": self.outcome,
+            "retry_after_ms": self.back.map(|back| back.as_millis()),
+        });
+        let mut response = Response::new(Full::new(Bytes::from(body.to_string())));
+        *response.status_mut() = self.status;
+        let headers = response.headers_mut();
+        let kind = HeaderValue::from_static("application/problem+json");
+        headers.insert(CONTENT_TYPE, kind);
+        headers.insert(HEADER_OUTCOME, HeaderValue::from_static(self.outcome));
+        if let Some(back) = self.back {
+            // Whole seconds, rounded up: the header knows no smaller unit.
+            let seconds = back.as_millis().div_ceil(1_000);
+            headers.insert(RETRY_AFTER, HeaderValue::from(seconds as u64));
+        }
+        response
+    }
+}
--- /dev/null
+++ b/crates/platform/src/log.rs
@@ -0,0 +1,37 @@
+//! The platform's append-only log service.
+
+use crate::error::CallError;
+use protocol::{Offset, Slice};
+use serde::{Deserialize, Serialize};
+use std::time::{Duration, SystemTime};
+
+/// What the log answers to an append.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Appended {
+    /// The record's place in the stream.
+    pub offset: Offset,
+}
+
+/// The platform's log: streams of records with offsets, kept for a limited time.
+pub trait Log: Send + Sync {
+    /// Appends one record.
+    ///
+    /// # Errors
+    ///
+    /// After [`CallError::AnswerLost`] the record may be in the log, or get there later.
+    fn append(&self, stream: &str, data: &[u8]) -> Result<Appended, CallError>;
+
+    /// Reads records from `from` on; waits up to `wait` for the first one.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the log cannot be reached.
+    fn read(&self, stream: &str, from: Offset, wait: Duration) -> Result<Slice, CallError>;
+
+    /// Returns the offset of the first record that the log took at `at` or later.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the log cannot be reached.
+    fn offset_at(&self, stream: &str, at: SystemTime) -> Result<Offset, CallError>;
+}
--- /dev/null
+++ b/crates/protocol/src/rendezvous.rs
@@ -0,0 +1,32 @@
+//! Rendezvous hashing: who of the live entries does a piece of work, without asking anybody.
+
+use std::cmp::Reverse;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Weight of `node` for `key`; the highest weight wins.
+fn weight(node: &str, key: &str) -> u64 {
+    let mut bytes = Vec::with_capacity(node.len() + key.len() + 1);
+    bytes.extend_from_slice(node.as_bytes());
+    bytes.push(0);
+    bytes.extend_from_slice(key.as_bytes());
+    xxh3_64(&bytes)
+}
+
+/// Returns `nodes` in order of preference for `key`.
+///
+/// # Examples
+///
+/// ```
+/// let order = havenladder_protocol::ranked(["a", "b"], "vm-1");
+/// assert_eq!(order.len(), 2);
+/// ```
+pub fn ranked<'a>(nodes: impl IntoIterator<Item = &'a str>, key: &str) -> Vec<&'a str> {
+    let mut order: Vec<&str> = nodes.into_iter().collect();
+    order.sort_by_key(|node| (Reverse(weight(node, key)), *node));
+    order
+}
+
+/// Returns the rank of `node` among `nodes` for `key`, 0 being first, or `None` if it is not one.
+pub fn rank<'a>(nodes: impl IntoIterator<Item = &'a str>, node: &str, key: &str) -> Option<usize> {
+    ranked(nodes, key).iter().position(|other| *other == node)
+}
--- /dev/null
+++ b/crates/serving/src/admit.rs
@@ -0,0 +1,78 @@
+//! Admission: whether a request can be done in time, by what has been measured.
+
+use crate::{
+    estimate::Estimate,
+    job::{Job, NotRun, Why},
+    pool::Pool,
+};
+use settings::Service;
+use std::time::{Duration, Instant};
+
+/// The shortest time after which a refused caller is asked to come back.
+const SHORTEST_BACK: Duration = Duration::from_millis(100);
+
+/// The longest time after which a refused caller is asked to come back.
+const LONGEST_BACK: Duration = Duration::from_secs(60);
+
+/// What to do with a request that came.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Admission {
+    /// Take it.
+    Take,
+    /// Refuse it at once.
+    Refuse(NotRun),
+}
+
+/// Decides about one request.
+pub(crate) fn admit(
+    job: &Job,
+    service: &Service,
+    pool: &Pool,
+    estimate: &Estimate,
+    now: Instant,
+) -> Admission {
+    if job.deadline <= now {
+        return refuse(Why::DeadlinePast, Duration::ZERO, now);
+    }
+    if pool.queue.len() >= service.queue_limit {
+        return refuse(Why::Overload, full_wait(job, pool, now), now);
+    }
+    let wait = wait(job, pool, estimate, now);
+    let run = if wait.is_zero() {
+        estimate.least(now)
+    } else {
+        estimate.careful(now)
+    };
+    if now + wait + run > job.deadline {
+        return refuse(Why::Overload, wait, now);
+    }
+    Admission::Take
+}
+
+/// Tells whether a request that waits can no longer be done in time.
+pub(crate) fn is_hopeless(deadline: Instant, estimate: &Estimate, now: Instant) -> bool {
+    now + estimate.least(now) > deadline
+}
+
+/// Makes a refusal that asks the caller to come back about at `back`.
+pub(crate) fn not_run(why: Why, back: Instant, now: Instant) -> NotRun {
+    let back = back.clamp(now + SHORTEST_BACK, now + LONGEST_BACK);
+    NotRun { why, back }
+}
+
+fn refuse(why: Why, wait: Duration, now: Instant) -> Admission {
+    Admission::Refuse(not_run(why, now + wait, now))
+}
+
+fn wait(job: &Job, pool: &Pool, estimate: &Estimate, now: Instant) -> Duration {
+    if pool.queue.len() == 0 && pool.has_free(now) {
+        return Duration::ZERO;
+    }
+    let slots = pool.in_flight().max(1);
+    pool.queue.wait(job.class, job.deadline, slots) + estimate.mean() / slots
+}
+
+fn full_wait(job: &Job, pool: &Pool, now: Instant) -> Duration {
+    let last = now + LONGEST_BACK;
+    pool.queue.wait(job.class, last, pool.in_flight())
+}
--- /dev/null
+++ b/crates/serving/src/burn.rs
@@ -0,0 +1,115 @@
+//! Counts for the burn report, and the burn rate by the published multi-window practice.
+
+use protocol::{BurnCell, BurnSum, Loss, ServiceId};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+/// One window of the report.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Window {
+    /// Its name in the report.
+    pub name: &'static str,
+    /// How far back it reaches.
+    pub span: Duration,
+}
+
+/// The windows: a short and a long one for a fast burn, the same for a slow one, as the Site
+/// Reliability Workbook pairs them, cut to what an entry can remember.
+pub const WINDOWS: [Window; 4] = [
+    Window {
+        name: "5m",
+        span: Duration::from_secs(5 * 60),
+    },
+    Window {
+        name: "30m",
+        span: Duration::from_secs(30 * 60),
+    },
+    Window {
+        name: "1h",
+        span: Duration::from_secs(60 * 60),
+    },
+    Window {
+        name: "6h",
+        span: Duration::from_secs(6 * 60 * 60),
+    },
+];
+
+/// Span of one cell.
+const CELL: Duration = Duration::from_secs(30);
+
+/// Cells that the longest window needs.
+const MOST_CELLS: usize = 6 * 60 * 2 + 1;
+
+/// Cells of one service, the newest last, with the number of their span since 1970.
+type Cells = VecDeque<(u64, BurnCell)>;
+
+/// What one entry has counted.
+#[derive(Clone, Debug, Default)]
+pub struct Burn {
+    services: BTreeMap<ServiceId, Cells>,
+}
+
+impl Burn {
+    /// Counts one request: good, or lost to a cause.
+    pub fn count(&mut self, service: &str, loss: Option<Loss>, now: SystemTime) {
+        if !self.services.contains_key(service) {
+            self.services.insert(service.to_owned(), Cells::new());
+        }
+        let Some(cells) = self.services.get_mut(service) else {
+            return;
+        };
+        let number = number_of(now);
+        if cells.back().is_none_or(|(newest, _)| *newest < number) {
+            cells.push_back((number, BurnCell::default()));
+        }
+        if cells.len() > MOST_CELLS {
+            cells.pop_front();
+        }
+        let Some((_, cell)) = cells.back_mut() else {
+            return;
+        };
+        match loss {
+            None => cell.good += 1,
+            Some(loss) => *cell.lost.entry(loss).or_default() += 1,
+        }
+    }
+
+    /// Sums the cells of each service over the windows that end at `now`.
+    pub fn sums(&self, now: SystemTime) -> BTreeMap<ServiceId, BurnSum> {
+        self.services
+            .iter()
+            .map(|(service, cells)| (service.clone(), sum(cells, now)))
+            .collect()
+    }
+}
+
+/// Returns how fast a service uses up what its objective leaves: at 1.0 it lasts just the period.
+pub fn burn_rate(cell: &BurnCell, objective: f64) -> f64 {
+    let total = cell.total();
+    if total == 0 {
+        return 0.0;
+    }
+    let bad = cell.bad() as f64 / total as f64;
+    bad / (1.0 - objective)
+}
+
+fn sum(cells: &Cells, now: SystemTime) -> BurnSum {
+    let windows = WINDOWS.iter().map(|window| {
+        let oldest = number_of(now.checked_sub(window.span).unwrap_or(UNIX_EPOCH));
+        let mut total = BurnCell::default();
+        for (_, cell) in cells.iter().filter(|(number, _)| *number > oldest) {
+            total.add(cell);
+        }
+        total
+    });
+    BurnSum {
+        windows: windows.collect(),
+    }
+}
+
+fn number_of(time: SystemTime) -> u64 {
+    let since = time.duration_since(UNIX_EPOCH).unwrap_or_default();
+    since.as_secs() / CELL.as_secs()
+}
--- /dev/null
+++ b/crates/serving/src/lib.rs
@@ -0,0 +1,27 @@
+//! Decisions about requests: admission, placement, retries, claims and worker health.
+//!
+//! Nothing in here knows a socket or a clock; events come in with the time, commands go out.
+
+mod admit;
+mod burn;
+mod claim;
+mod estimate;
+mod health;
+mod job;
+mod pool;
+mod queue;
+mod retry;
+mod scheduler;
+mod worker;
+
+pub use burn::{Burn, WINDOWS, Window, burn_rate};
+pub use claim::{
+    Claim, ClaimBook, ClaimRecord, ClaimState, ClaimVerdict, Entry, KEY_AGE, KEY_AHEAD, Key,
+    KeyError, Settled, read_key,
+};
+pub use estimate::Estimate;
+pub use job::{
+    AttemptEnd, AttemptId, Command, Event, Job, NotRun, Outcome, RequestId, Target, Why,
+};
+pub use scheduler::Scheduler;
+pub use worker::{Peer, WorkerInfo};
--- /dev/null
+++ b/crates/serving/src/pool.rs
@@ -0,0 +1,94 @@
+//! One pool in this hall: its workers, its queue and its retry budget.
+
+use crate::{
+    queue::Queue,
+    retry::RetryBudget,
+    worker::{Worker, WorkerInfo},
+};
+use protocol::{Room, VmId};
+use rand::{Rng, rngs::SmallRng};
+use std::{collections::BTreeMap, time::Instant};
+
+/// Workers that may be set aside at once: one of this many, but always one.
+const ASIDE_SHARE: usize = 3;
+
+/// One pool as this entry sees it.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Pool {
+    pub(crate) workers: BTreeMap<VmId, Worker>,
+    pub(crate) queue: Queue,
+    pub(crate) retries: RetryBudget,
+}
+
+impl Pool {
+    /// Takes in which workers there are; what is known of those that stay is kept.
+    pub(crate) fn set_workers(&mut self, infos: Vec<WorkerInfo>) {
+        let mut old = std::mem::take(&mut self.workers);
+        for info in infos {
+            let worker = match old.remove(&info.vm) {
+                Some(mut worker) if worker.info.addr == info.addr => {
+                    worker.info = info;
+                    worker
+                }
+                _ => Worker::new(info),
+            };
+            self.workers.insert(worker.info.vm.clone(), worker);
+        }
+    }
+
+    /// Chooses a worker: the less loaded of two that are free, drawn at random.
+    pub(crate) fn choose(
+        &self,
+        now: Instant,
+        tried: &[VmId],
+        rng: &mut SmallRng,
+    ) -> Option<&Worker> {
+        let free: Vec<&Worker> = self
+            .workers
+            .values()
+            .filter(|worker| worker.free(now) > 0 && !tried.contains(&worker.info.vm))
+            .collect();
+        let first = *free.get(draw(rng, free.len())?)?;
+        let second = *free.get(draw(rng, free.len())?)?;
+        Some(if second.load() < first.load() {
+            second
+        } else {
+            first
+        })
+    }
+
+    /// Tells whether any worker is free.
+    pub(crate) fn has_free(&self, now: Instant) -> bool {
+        self.workers.values().any(|worker| worker.free(now) > 0)
+    }
+
+    /// Attempts that this entry has in flight.
+    pub(crate) fn in_flight(&self) -> u32 {
+        self.workers.values().map(|worker| worker.own).sum()
+    }
+
+    /// Tells whether one more worker may be set aside.
+    pub(crate) fn may_set_aside(&self, now: Instant) -> bool {
+        let aside = self
+            .workers
+            .values()
+            .filter(|worker| worker.health.is_aside(now))
+            .count();
+        aside < (self.workers.len() / ASIDE_SHARE).max(1) && self.workers.len() > 1
+    }
+
+    /// Room as other halls are told of it.
+    pub(crate) fn room(&self, now: Instant) -> Room {
+        let slots: u32 = self.workers.values().map(|worker| worker.info.slots).sum();
+        let free: u32 = self.workers.values().map(|worker| worker.free(now)).sum();
+        let waiting = u32::try_from(self.queue.len()).unwrap_or(u32::MAX);
+        Room {
+            slots,
+            taken: slots.saturating_sub(free).saturating_add(waiting),
+        }
+    }
+}
+
+fn draw(rng: &mut SmallRng, len: usize) -> Option<usize> {
+    (len > 0).then(|| rng.random_range(0..len))
+}
--- /dev/null
+++ b/crates/serving/src/scheduler.rs
@@ -0,0 +1,498 @@
+//! The scheduler: events in, commands out, one plain `match`.
+
+use crate::{
+    admit::{Admission, admit, is_hopeless, not_run},
+    claim::Settled,
+    estimate::Estimate,
+    job::{AttemptEnd, AttemptId, Command, Event, Job, NotRun, Outcome, RequestId, Target, Why},
+    pool::Pool,
+    worker::{Peer, WorkerInfo},
+};
+use protocol::{PoolId, Room, ServiceId, VmId};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use settings::{Service, pool_of};
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::Instant,
+};
+
+/// Attempts that may fail or break before a request is given up.
+const MOST_FAILURES: u32 = 3;
+
+/// Refusals that a request may meet before it is given up.
+const MOST_REFUSALS: usize = 16;
+
+/// Where a request stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    /// Its claim has not been decided.
+    Claiming,
+    /// It waits for a worker.
+    Queued,
+    /// This attempt is on its way.
+    Running(AttemptId),
+}
+
+/// A request that has no outcome yet.
+#[derive(Clone, Debug)]
+struct Request {
+    job: Job,
+    phase: Phase,
+    tried: Vec<VmId>,
+    refusals: usize,
+    failures: u32,
+}
+
+/// An attempt that is on its way.
+#[derive(Clone, Debug)]
+struct Attempt {
+    request: RequestId,
+    target: Target,
+    pool: PoolId,
+    sent: Instant,
+}
+
+/// All requests of one entry that have no outcome yet, and what they wait for.
+#[derive(Debug)]
+pub struct Scheduler {
+    services: BTreeMap<ServiceId, Service>,
+    estimates: HashMap<ServiceId, Estimate>,
+    pools: BTreeMap<PoolId, Pool>,
+    requests: HashMap<RequestId, Request>,
+    attempts: HashMap<AttemptId, Attempt>,
+    peers: Vec<Peer>,
+    stopping: bool,
+    rng: SmallRng,
+    commands: Vec<Command>,
+}
+
+impl Scheduler {
+    /// Makes an empty scheduler; `seed` fixes its random choices.
+    pub fn new(seed: u64) -> Self {
+        Self {
+            services: BTreeMap::new(),
+            estimates: HashMap::new(),
+            pools: BTreeMap::new(),
+            requests: HashMap::new(),
+            attempts: HashMap::new(),
+            peers: Vec::new(),
+            stopping: false,
+            rng: SmallRng::seed_from_u64(seed),
+            commands: Vec::new(),
+        }
+    }
+
+    /// Takes in one event and returns what is to be done.
+    pub fn handle(&mut self, event: Event, now: Instant) -> Vec<Command> {
+        match event {
+            Event::Arrived(job) => self.arrive(job, now),
+            Event::Cancelled(request) => self.cancel(request, now),
+            Event::Claimed(request, settled) => self.claimed(request, settled, now),
+            Event::Ended(attempt, end) => self.ended(attempt, end, now),
+            Event::Services(services) => self.services = services,
+            Event::Workers(workers) => self.set_workers(workers, now),
+            Event::Usage(vm, running) => self.report(&vm, running, now),
+            Event::Peers(peers) => self.peers = peers,
+            Event::Stop => self.stopping = true,
+            Event::Tick => self.tick(now),
+        }
+        std::mem::take(&mut self.commands)
+    }
+
+    /// Room for each service, as other halls are told of it.
+    pub fn rooms(&self, now: Instant) -> BTreeMap<ServiceId, Room> {
+        self.services
+            .keys()
+            .map(|service| {
+                let pool = self.pools.get(pool_of(service));
+                let room = pool.map(|pool| pool.room(now)).unwrap_or_default();
+                (service.clone(), room)
+            })
+            .collect()
+    }
+
+    /// Requests that have no outcome yet.
+    pub fn len(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Tells whether every request has its outcome.
+    pub fn is_empty(&self) -> bool {
+        self.requests.is_empty()
+    }
+
+    fn arrive(&mut self, job: Job, now: Instant) {
+        let id = job.id;
+        if self.stopping {
+            return self.refuse(id, Why::Stopping, now);
+        }
+        match self.admission(&job, now) {
+            Admission::Take => self.take(job, now),
+            Admission::Refuse(refusal) if refusal.why == Why::DeadlinePast => {
+                self.answer(id, Outcome::NotRun(refusal));
+            }
+            Admission::Refuse(refusal) => self.pass_on(job, refusal, now),
+        }
+    }
+
+    fn admission(&mut self, job: &Job, now: Instant) -> Admission {
+        let no_worker = Admission::Refuse(not_run(Why::NoWorker, now, now));
+        let Some(service) = self.services.get(&job.service) else {
+            return no_worker;
+        };
+        let Some(pool) = self.pools.get_mut(pool_of(&job.service)) else {
+            return no_worker;
+        };
+        if pool.workers.is_empty() {
+            return no_worker;
+        }
+        pool.retries.earn();
+        let estimate = self.estimates.entry(job.service.clone()).or_default();
+        admit(job, service, pool, estimate, now)
+    }
+
+    fn take(&mut self, job: Job, now: Instant) {
+        let id = job.id;
+        let repeatable = job.repeatable;
+        self.insert(job, Phase::Claiming);
+        if repeatable {
+            self.enqueue(id, now);
+        } else {
+            self.commands.push(Command::Claim(id));
+        }
+    }
+
+    /// Passes a request on to another hall, or refuses it when none has room.
+    fn pass_on(&mut self, job: Job, refusal: NotRun, now: Instant) {
+        let id = job.id;
+        let Some(peer) = self.choose_peer(&job) else {
+            return self.answer(id, Outcome::NotRun(refusal));
+        };
+        let (target, addr) = (Target::Peer(peer.entry.clone()), peer.addr.clone());
+        self.insert(job, Phase::Queued);
+        self.send(id, target, addr, now);
+    }
+
+    /// Chooses the roomier of two peers of other halls, drawn at random.
+    fn choose_peer(&mut self, job: &Job) -> Option<&Peer> {
+        if job.forwarded {
+            return None;
+        }
+        let free = |peer: &Peer| peer.room.get(&job.service).map_or(0, |room| room.free());
+        let roomy: Vec<&Peer> = self.peers.iter().filter(|peer| free(peer) > 0).collect();
+        if roomy.is_empty() {
+            return None;
+        }
+        let first = roomy[self.rng.random_range(0..roomy.len())];
+        let second = roomy[self.rng.random_range(0..roomy.len())];
+        Some(if free(second) > free(first) {
+            second
+        } else {
+            first
+        })
+    }
+
+    fn insert(&mut self, job: Job, phase: Phase) {
+        let request = Request {
+            phase,
+            tried: Vec::new(),
+            refusals: 0,
+            failures: 0,
+            job,
+        };
+        self.requests.insert(request.job.id, request);
+    }
+
+    fn enqueue(&mut self, id: RequestId, now: Instant) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        request.phase = Phase::Queued;
+        let job = &request.job;
+        let pool_id = pool_of(&job.service).to_owned();
+        let work = self
+            .estimates
+            .get(&job.service)
+            .map(Estimate::mean)
+            .unwrap_or_default();
+        let pool = self.pools.entry(pool_id.clone()).or_default();
+        pool.queue.push(id, job.class, job.deadline, work);
+        self.dispatch(&pool_id, now);
+    }
+
+    fn claimed(&mut self, id: RequestId, settled: Settled, now: Instant) {
+        if !self.requests.contains_key(&id) {
+            // The caller went away meanwhile; the outcome frees the key again.
+            return self.refuse(id, Why::Cancelled, now);
+        }
+        match settled {
+            Settled::Won => self.enqueue(id, now),
+            Settled::LogDown => self.refuse(id, Why::LogDown, now),
+            other => self.answer(id, Outcome::Claimed(other)),
+        }
+    }
+
+    fn dispatch(&mut self, pool_id: &str, now: Instant) {
+        loop {
+            let Some(pool) = self.pools.get_mut(pool_id) else {
+                return;
+            };
+            if !pool.has_free(now) {
+                return;
+            }
+            let Some(id) = pool.queue.pop() else {
+                return;
+            };
+            self.start(id, pool_id, now);
+        }
+    }
+
+    fn start(&mut self, id: RequestId, pool_id: &str, now: Instant) {
+        let (Some(request), Some(pool)) = (self.requests.get_mut(&id), self.pools.get(pool_id))
+        else {
+            return;
+        };
+        let estimate = self
+            .estimates
+            .entry(request.job.service.clone())
+            .or_default();
+        if is_hopeless(request.job.deadline, estimate, now) {
+            return self.refuse(id, Why::Overload, now);
+        }
+        let mut chosen = pool.choose(now, &request.tried, &mut self.rng);
+        if chosen.is_none() {
+            request.tried.clear();
+            chosen = pool.choose(now, &[], &mut self.rng);
+        }
+        let Some(worker) = chosen else {
+            return;
+        };
+        let (vm, addr) = (worker.info.vm.clone(), worker.info.addr.clone());
+        self.send(id, Target::Worker(vm), addr, now);
+    }
+
+    fn send(&mut self, id: RequestId, target: Target, addr: String, now: Instant) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        let attempt = AttemptId::new();
+        let pool = pool_of(&request.job.service).to_owned();
+        request.phase = Phase::Running(attempt);
+        if let Target::Worker(vm) = &target {
+            request.tried.push(vm.clone());
+            if let Some(worker) = worker_of(&mut self.pools, &pool, vm) {
+                worker.own += 1;
+            }
+        }
+        self.attempts.insert(
+            attempt,
+            Attempt {
+                request: id,
+                target: target.clone(),
+                pool: pool.clone(),
+                sent: now,
+            },
+        );
+        self.commands.push(Command::Send {
+            request: id,
+            attempt,
+            target,
+            addr,
+            pool,
+            deadline: request.job.deadline,
+        });
+    }
+
+    fn ended(&mut self, id: AttemptId, end: AttemptEnd, now: Instant) {
+        let Some(attempt) = self.attempts.remove(&id) else {
+            // A late answer of an attempt that was given up: nobody waits for it.
+            return;
+        };
+        self.note(&attempt, end, now);
+        match end {
+            AttemptEnd::Done => self.answer(attempt.request, Outcome::Done(id)),
+            AttemptEnd::Refused | AttemptEnd::NotSent => self.retry_refused(&attempt, now),
+            AttemptEnd::Broken | AttemptEnd::Failed => self.retry_failed(&attempt, end, now),
+        }
+        self.dispatch(&attempt.pool, now);
+    }
+
+    /// Learns from how an attempt at a worker ended.
+    fn note(&mut self, attempt: &Attempt, end: AttemptEnd, now: Instant) {
+        let Target::Worker(vm) = &attempt.target else {
+            return;
+        };
+        let Some(request) = self.requests.get(&attempt.request) else {
+            return;
+        };
+        let estimate = self
+            .estimates
+            .entry(request.job.service.clone())
+            .or_default();
+        let may_pause = self
+            .pools
+            .get(&attempt.pool)
+            .is_some_and(|pool| pool.may_set_aside(now));
+        let Some(worker) = worker_of(&mut self.pools, &attempt.pool, vm) else {
+            return;
+        };
+        worker.own = worker.own.saturating_sub(1);
+        let run = now - attempt.sent;
+        match end {
+            AttemptEnd::Done => {
+                worker.health.succeed();
+                estimate.record(run, now);
+            }
+            AttemptEnd::Refused => worker.refuse(now, estimate.mean()),
+            AttemptEnd::NotSent | AttemptEnd::Failed => worker.health.fail(now, may_pause),
+            // A run that used up its deadline says how long the service takes, not that the
+            // worker is at fault.
+            AttemptEnd::Broken if now >= request.job.deadline => estimate.record(run, now),
+            AttemptEnd::Broken => worker.health.fail(now, may_pause),
+        }
+    }
+
+    fn retry_refused(&mut self, attempt: &Attempt, now: Instant) {
+        let id = attempt.request;
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        request.refusals += 1;
+        let gave_up = matches!(attempt.target, Target::Peer(_))
+            || request.refusals > MOST_REFUSALS
+            || request.job.deadline <= now;
+        if gave_up {
+            return self.refuse(id, Why::Refused, now);
+        }
+        self.enqueue(id, now);
+    }
+
+    fn retry_failed(&mut self, attempt: &Attempt, end: AttemptEnd, now: Instant) {
+        let id = attempt.request;
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        request.failures += 1;
+        let may_retry = request.job.repeatable
+            && request.failures < MOST_FAILURES
+            && request.job.deadline > now
+            && matches!(attempt.target, Target::Worker(_));
+        let pool = self.pools.get_mut(&attempt.pool);
+        if may_retry && pool.is_some_and(|pool| pool.retries.spend()) {
+            return self.enqueue(id, now);
+        }
+        self.answer(id, Outcome::Unknown(end));
+    }
+
+    fn cancel(&mut self, id: RequestId, now: Instant) {
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
+        let pool_id = pool_of(&request.job.service).to_owned();
+        match request.phase {
+            Phase::Claiming => {
+                self.requests.remove(&id);
+            }
+            Phase::Queued => {
+                if let Some(pool) = self.pools.get_mut(&pool_id) {
+                    pool.queue.remove(id);
+                }
+                self.refuse(id, Why::Cancelled, now);
+            }
+            Phase::Running(attempt) => {
+                self.release(attempt);
+                self.commands.push(Command::Stop(attempt));
+                self.answer(id, Outcome::Unknown(AttemptEnd::Broken));
+            }
+        }
+        self.dispatch(&pool_id, now);
+    }
+
+    /// Gives back the slot of an attempt that is given up.
+    fn release(&mut self, attempt: AttemptId) {
+        let Some(attempt) = self.attempts.remove(&attempt) else {
+            return;
+        };
+        if let Target::Worker(vm) = &attempt.target
+            && let Some(worker) = worker_of(&mut self.pools, &attempt.pool, vm)
+        {
+            worker.own = worker.own.saturating_sub(1);
+        }
+    }
+
+    fn set_workers(&mut self, infos: Vec<WorkerInfo>, now: Instant) {
+        let mut by_pool: BTreeMap<PoolId, Vec<WorkerInfo>> = BTreeMap::new();
+        for info in infos {
+            by_pool.entry(info.pool.clone()).or_default().push(info);
+        }
+        for (id, pool) in &mut self.pools {
+            pool.set_workers(by_pool.remove(id).unwrap_or_default());
+        }
+        for (id, infos) in by_pool {
+            self.pools.entry(id).or_default().set_workers(infos);
+        }
+        self.dispatch_all(now);
+    }
+
+    fn report(&mut self, vm: &str, running: u32, now: Instant) {
+        let mut freed = None;
+        for (id, pool) in &mut self.pools {
+            if let Some(worker) = pool.workers.get_mut(vm) {
+                worker.report(running);
+                freed = Some(id.clone());
+            }
+        }
+        if let Some(pool) = freed {
+            self.dispatch(&pool, now);
+        }
+    }
+
+    /// Refuses what can no longer be done in time, at once, and sends what has become possible.
+    fn tick(&mut self, now: Instant) {
+        let mut hopeless = Vec::new();
+        for pool in self.pools.values_mut() {
+            let late: Vec<RequestId> = pool
+                .queue
+                .waiting()
+                .filter(|(id, deadline)| {
+                    let service = self.requests.get(id).map(|request| &request.job.service);
+                    let estimate = service.and_then(|service| self.estimates.get(service));
+                    estimate.is_some_and(|estimate| is_hopeless(*deadline, estimate, now))
+                })
+                .map(|(id, _)| id)
+                .collect();
+            for id in &late {
+                pool.queue.remove(*id);
+            }
+            hopeless.extend(late);
+        }
+        for id in hopeless {
+            self.refuse(id, Why::Overload, now);
+        }
+        self.dispatch_all(now);
+    }
+
+    fn dispatch_all(&mut self, now: Instant) {
+        let pools: Vec<PoolId> = self.pools.keys().cloned().collect();
+        for pool in pools {
+            self.dispatch(&pool, now);
+        }
+    }
+
+    fn refuse(&mut self, id: RequestId, why: Why, now: Instant) {
+        self.answer(id, Outcome::NotRun(not_run(why, now, now)));
+    }
+
+    fn answer(&mut self, id: RequestId, outcome: Outcome) {
+        self.requests.remove(&id);
+        self.commands.push(Command::Answer(id, outcome));
+    }
+}
+
+fn worker_of<'p>(
+    pools: &'p mut BTreeMap<PoolId, Pool>,
+    pool: &str,
+    vm: &str,
+) -> Option<&'p mut crate::worker::Worker> {
+    pools.get_mut(pool)?.workers.get_mut(vm)
+}
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,19 @@
+//! The tree of settings that operators publish: place, pool, service.
+//!
+//! A service inherits from its pool and a pool from its place; the lowest level that sets a value
+//! wins. Files are JSON with comments; everything that is wrong in one is reported together, each
+//! finding with its place.
+
+mod document;
+mod finding;
+mod node;
+mod read;
+mod resolve;
+mod tree;
+
+pub use document::{Document, Fields};
+pub use finding::{Finding, Findings, nearest};
+pub use node::{Budget, Class, Node};
+pub use read::read_tree;
+pub use resolve::{Key, Service, Source, admits_hall, sources};
+pub use tree::{Change, Path, Tree, diff, pool_of};
--- /dev/null
+++ b/crates/standin/src/load.rs
@@ -0,0 +1,1 @@
+//! An open-loop load generator.
--- /dev/null
+++ b/crates/standin/src/platform.rs
@@ -0,0 +1,305 @@
+//! The stand-in's platform: log, list of VMs, calls, faults and the ledger, over HTTP.
+
+use crate::{
+    http::{Answer, Call, answer, json, serve},
+    ledger::{Ledger, RunEnd, What, now_ms},
+    log::Streams,
+    vm::{Effect, Machine},
+    worker,
+};
+use platform::{Appended, ListState, VmCall, VmInfo};
+use protocol::encode;
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard},
+    time::{Duration, Instant, UNIX_EPOCH},
+};
+use tokio::{
+    net::TcpListener,
+    sync::Notify,
+    time::{sleep, sleep_until},
+};
+
+/// What the platform is made of.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Halls by name, with the number of VMs in each.
+    pub halls: Vec<(String, u32)>,
+    /// VMs to a rack.
+    pub rack: u32,
+    /// Slots of each worker.
+    pub slots: u32,
+    /// Time of a reboot.
+    pub reboot: Duration,
+    /// How far the list of VMs lags.
+    pub lag: Duration,
+    /// Time for which the log keeps records.
+    pub keep: Duration,
+    /// Appends that the log takes in a second.
+    pub rate: u32,
+}
+
+/// Everything the platform knows.
+pub struct State {
+    /// The VMs.
+    pub machines: BTreeMap<String, Machine>,
+    /// What really happened.
+    pub ledger: Ledger,
+    streams: Streams,
+    list: Vec<VmInfo>,
+    down: Option<Instant>,
+    lose: u64,
+    plan: Plan,
+}
+
+/// The state, shared between connections.
+#[derive(Clone)]
+pub struct Shared {
+    state: Arc<Mutex<State>>,
+    appended: Arc<Notify>,
+}
+
+impl Shared {
+    /// Locks the state.
+    pub fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no holder of the lock panics")
+    }
+
+    /// Ends a task, if it still runs.
+    pub fn end(&self, vm: &str, attempt: &str, end: RunEnd) {
+        let mut state = self.lock();
+        let state = &mut *state;
+        let Some(machine) = state.machines.get_mut(vm) else {
+            return;
+        };
+        if let Some(place) = machine.running.remove(attempt) {
+            machine.info.running -= 1;
+            state.ledger.runs[place].end = Some(end);
+            state.ledger.runs[place].ended = Some(now_ms());
+        }
+    }
+}
+
+/// Starts the platform and its workers; serves until the process ends.
+pub async fn run(plan: Plan, listener: TcpListener) {
+    let shared = Shared {
+        state: Arc::new(Mutex::new(State {
+            machines: BTreeMap::new(),
+            ledger: Ledger::default(),
+            streams: Streams::new(plan.keep, plan.rate),
+            list: Vec::new(),
+            down: None,
+            lose: 0,
+            plan: plan.clone(),
+        })),
+        appended: Arc::default(),
+    };
+    let mut number = 0;
+    for (hall, count) in &plan.halls {
+        for index in 0..*count {
+            number += 1;
+            let rack = format!("{hall}-rack-{}", index / plan.rack.max(1) + 1);
+            add(&shared, format!("vm-{number}"), hall, rack).await;
+        }
+    }
+    tokio::spawn(refresh(shared.clone(), plan.lag));
+    while let Ok((stream, _)) = listener.accept().await {
+        let shared = shared.clone();
+        tokio::spawn(serve(stream, move |call| handle(shared.clone(), call)));
+    }
+}
+
+async fn add(shared: &Shared, id: String, hall: &str, rack: String) {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let listener = TcpListener::bind(any).await.expect("a free port");
+    let addr = listener
+        .local_addr()
+        .expect("a bound listener has an address");
+    let machine = Machine::new(VmInfo {
+        id: id.clone(),
+        hall: hall.to_owned(),
+        rack,
+        addr: addr.to_string(),
+        slots: shared.lock().plan.slots,
+        boot: 1,
+        state: ListState::Live,
+        up: true,
+        drained: false,
+        running: 0,
+        pool: String::new(),
+    });
+    let power = machine.power.subscribe();
+    shared.lock().machines.insert(id.clone(), machine);
+    tokio::spawn(worker::run(shared.clone(), id, listener, power));
+}
+
+/// Renews the list of VMs, which lags by `lag`.
+async fn refresh(shared: Shared, lag: Duration) {
+    loop {
+        {
+            let mut state = shared.lock();
+            state.list = state
+                .machines
+                .values()
+                .map(|machine| machine.info.clone())
+                .collect();
+        }
+        sleep(lag.max(Duration::from_millis(1))).await;
+    }
+}
+
+async fn handle(shared: Shared, call: Call) -> Answer {
+    let parts: Vec<&str> = call.path.trim_matches('/').split('/').collect();
+    if parts[0] != "fault" && parts[0] != "ledger" {
+        let down = shared.lock().down;
+        if down.is_some_and(|until| Instant::now() < until) {
+            return None;
+        }
+    }
+    match (call.method.as_str(), parts.as_slice()) {
+        ("POST", ["log", stream]) => append(&shared, stream, &call).await,
+        ("GET", ["log", stream]) => read(&shared, stream, &call).await,
+        ("GET", ["log", stream, "at"]) => {
+            let at = UNIX_EPOCH + Duration::from_millis(call.number("ms")?);
+            let offset = shared.lock().streams.offset_at(stream, at);
+            Some(json(&Appended { offset }))
+        }
+        ("GET", ["vms"]) => Some(json(&shared.lock().list)),
+        ("GET", ["vms", vm]) => match shared.lock().machines.get(*vm) {
+            Some(machine) => Some(json(&machine.info)),
+            None => Some(answer(404, "text/plain", "no such VM")),
+        },
+        ("POST", ["vms", vm]) => vm_call(&shared, vm, &call),
+        ("GET", ["ledger"]) => Some(json(&shared.lock().ledger)),
+        ("POST", ["fault", rest @ ..]) => fault(&shared, rest, &call).await,
+        _ => Some(answer(404, "text/plain", "no such path")),
+    }
+}
+
+async fn append(shared: &Shared, stream: &str, call: &Call) -> Answer {
+    let turn = shared.lock().streams.turn();
+    sleep_until(turn.into()).await;
+    let offset = shared.lock().streams.append(stream, call.body.to_vec());
+    shared.appended.notify_waiters();
+    or_lost(shared, json(&Appended { offset }))
+}
+
+async fn read(shared: &Shared, stream: &str, call: &Call) -> Answer {
+    let from = call.number("from").unwrap_or_default();
+    let wait = Duration::from_millis(call.number("wait_ms").unwrap_or_default());
+    let until = Instant::now() + wait;
+    loop {
+        let appended = shared.appended.notified();
+        let slice = shared.lock().streams.read(stream, from);
+        let left = until.saturating_duration_since(Instant::now());
+        if !slice.records.is_empty() || left.is_zero() || slice.has_gap(from) {
+            let body = encode(&slice).expect("a slice has a form in the codec");
+            return Some(answer(200, "application/msgpack", body));
+        }
+        tokio::select! {
+            () = appended => {}
+            () = sleep(left) => {}
+        }
+    }
+}
+
+/// Gives the answer, or loses it although the call has taken effect.
+fn or_lost(
+    shared: &Shared,
+    response: hyper::Response<http_body_util::Full<bytes::Bytes>>,
+) -> Answer {
+    let mut state = shared.lock();
+    if state.lose > 0 {
+        state.lose -= 1;
+        return None;
+    }
+    Some(response)
+}
+
+fn vm_call(shared: &Shared, vm: &str, call: &Call) -> Answer {
+    let Ok(wanted) = serde_json::from_slice::<VmCall>(&call.body) else {
+        return Some(answer(400, "text/plain", "not a call"));
+    };
+    let effect = {
+        let mut state = shared.lock();
+        let state = &mut *state;
+        let Some(machine) = state.machines.get_mut(vm) else {
+            return Some(answer(404, "text/plain", "no such VM"));
+        };
+        let effect = machine.call(&wanted, &mut state.ledger, state.plan.reboot);
+        if matches!(effect, Effect::Removed) {
+            state.machines.remove(vm);
+        }
+        effect
+    };
+    match effect {
+        Effect::Done | Effect::Removed => {}
+        Effect::Stale => return Some(answer(409, "text/plain", "stale")),
+        Effect::BackAfter(time) => back_after(shared, vm, time, What::Back),
+    }
+    or_lost(shared, answer(200, "application/json", "{}"))
+}
+
+fn back_after(shared: &Shared, vm: &str, time: Duration, what: What) {
+    let (shared, vm) = (shared.clone(), vm.to_owned());
+    tokio::spawn(async move {
+        sleep(time).await;
+        let mut state = shared.lock();
+        let state = &mut *state;
+        if let Some(machine) = state.machines.get_mut(&vm) {
+            machine.restore(&mut state.ledger, what);
+        }
+    });
+}
+
+/// Injects a fault: `log?down_ms=`, `lose?n=`, `vm/<id>?down_ms=|slow=|failing=|leaving=`,
+/// `rack/<id>?down_ms=`, `add/<hall>/<rack>/<id>`.
+async fn fault(shared: &Shared, path: &[&str], call: &Call) -> Answer {
+    match path {
+        ["log"] => {
+            let time = Duration::from_millis(call.number("down_ms")?);
+            shared.lock().down = Some(Instant::now() + time);
+        }
+        ["lose"] => shared.lock().lose = call.number("n")?,
+        ["rack", rack] => {
+            let vms: Vec<String> = shared
+                .lock()
+                .machines
+                .values()
+                .filter(|machine| machine.info.rack == *rack)
+                .map(|machine| machine.info.id.clone())
+                .collect();
+            for vm in vms {
+                fault_vm(shared, &vm, call);
+            }
+        }
+        ["vm", vm] => fault_vm(shared, vm, call),
+        ["add", hall, rack, vm] => {
+            add(shared, (*vm).to_owned(), hall, (*rack).to_owned()).await;
+        }
+        _ => return Some(answer(404, "text/plain", "no such fault")),
+    }
+    Some(answer(200, "application/json", "{}"))
+}
+
+fn fault_vm(shared: &Shared, vm: &str, call: &Call) {
+    let mut state = shared.lock();
+    let state = &mut *state;
+    let Some(machine) = state.machines.get_mut(vm) else {
+        return;
+    };
+    if let Some(slow) = call.number("slow") {
+        machine.slowness = u32::try_from(slow).unwrap_or(u32::MAX);
+    }
+    if let Some(failing) = call.number("failing") {
+        machine.failing = failing > 0;
+    }
+    if call.query.contains_key("leaving") {
+        machine.info.state = ListState::Leaving;
+    }
+    if let Some(time) = call.number("down_ms") {
+        machine.fail(&mut state.ledger);
+        back_after(shared, vm, Duration::from_millis(time), What::Restore);
+    }
+}
--- /dev/null
+++ b/crates/standin/src/proxy.rs
@@ -0,0 +1,1 @@
+//! A TCP proxy that injects faults between two processes.
--- /dev/null
+++ b/crates/standin/src/vm.rs
@@ -0,0 +1,136 @@
+//! The stand-in's VMs: what a call or a fault makes of one.
+
+use crate::ledger::{Ledger, RunEnd, VmEvent, What, now_ms};
+use platform::{ListState, VmCall, VmInfo};
+use protocol::Offset;
+use std::{
+    collections::{HashMap, HashSet},
+    time::Duration,
+};
+use tokio::sync::watch;
+
+/// One VM.
+pub struct Machine {
+    /// What the platform shows of it.
+    pub info: VmInfo,
+    /// The highest token that a call has carried.
+    token: Offset,
+    /// Attempts that its worker has begun since it was made.
+    pub seen: HashSet<String>,
+    /// Places of its running tasks in the ledger.
+    pub running: HashMap<String, usize>,
+    /// How many times longer than others it takes to come back.
+    pub slowness: u32,
+    /// Whether its worker fails every task.
+    pub failing: bool,
+    /// Tells its worker whether it is up.
+    pub power: watch::Sender<bool>,
+}
+
+/// What a call leads to.
+pub enum Effect {
+    /// Nothing more.
+    Done,
+    /// The VM is back after this time.
+    BackAfter(Duration),
+    /// The VM is no longer there.
+    Removed,
+    /// The call was stale.
+    Stale,
+}
+
+impl Machine {
+    /// Makes a VM that is up.
+    pub fn new(info: VmInfo) -> Self {
+        Self {
+            info,
+            token: 0,
+            seen: HashSet::new(),
+            running: HashMap::new(),
+            slowness: 1,
+            failing: false,
+            power: watch::Sender::new(true),
+        }
+    }
+
+    /// Carries out a call.
+    pub fn call(&mut self, call: &VmCall, ledger: &mut Ledger, reboot: Duration) -> Effect {
+        let token = match call {
+            VmCall::Drain { token }
+            | VmCall::Undrain { token }
+            | VmCall::Reboot { token, .. }
+            | VmCall::Release { token }
+            | VmCall::Assign { token, .. } => *token,
+        };
+        let stale_boot = matches!(call, VmCall::Reboot { boot, .. } if *boot != self.info.boot);
+        if token < self.token || stale_boot {
+            self.note(ledger, What::Stale);
+            return Effect::Stale;
+        }
+        self.token = token;
+        match call {
+            VmCall::Drain { .. } => self.set_drained(ledger, true),
+            VmCall::Undrain { .. } => self.set_drained(ledger, false),
+            VmCall::Assign { pool, .. } => {
+                self.info.pool.clone_from(pool);
+                self.info.drained = false;
+                self.note(ledger, What::Assign);
+                Effect::Done
+            }
+            VmCall::Release { .. } => {
+                self.power_off(ledger, RunEnd::CutByCall);
+                self.note(ledger, What::Release);
+                Effect::Removed
+            }
+            VmCall::Reboot { .. } if !self.info.up => Effect::Done,
+            VmCall::Reboot { .. } => {
+                self.power_off(ledger, RunEnd::CutByCall);
+                self.note(ledger, What::Reboot);
+                Effect::BackAfter(reboot * self.slowness)
+            }
+        }
+    }
+
+    /// Makes the VM fail.
+    pub fn fail(&mut self, ledger: &mut Ledger) {
+        self.power_off(ledger, RunEnd::CutByFault);
+        self.note(ledger, What::Fail);
+    }
+
+    /// Brings the VM back, booted once more.
+    pub fn restore(&mut self, ledger: &mut Ledger, what: What) {
+        self.info.up = true;
+        self.info.boot += 1;
+        self.info.drained = false;
+        self.info.state = ListState::Live;
+        self.note(ledger, what);
+        self.power.send_replace(true);
+    }
+
+    fn set_drained(&mut self, ledger: &mut Ledger, drained: bool) -> Effect {
+        if self.info.drained != drained {
+            self.info.drained = drained;
+            let what = if drained { What::Drain } else { What::Undrain };
+            self.note(ledger, what);
+        }
+        Effect::Done
+    }
+
+    fn power_off(&mut self, ledger: &mut Ledger, end: RunEnd) {
+        self.info.up = false;
+        self.info.running = 0;
+        for (_, place) in self.running.drain() {
+            ledger.runs[place].end = Some(end);
+            ledger.runs[place].ended = Some(now_ms());
+        }
+        self.power.send_replace(false);
+    }
+
+    fn note(&self, ledger: &mut Ledger, what: What) {
+        ledger.events.push(VmEvent {
+            at: now_ms(),
+            vm: self.info.id.clone(),
+            what,
+        });
+    }
+}
