fix(serving): a worker that has met an attempt before does not prove it was not run

Cause: a connection that was duplicated on the way to a worker made the worker refuse the second copy as seen; the entry read any refusal as a certain "not run" and sent the order to the next worker.

Ruled out: a second claim (the ledger showed one claim and one entry), and the HTTP client's own retry (fresh connections are not retried).

Conclusion: only refusals that exclude an earlier copy are certain.

--- a/crates/havenladder/src/duties/workers.rs
+++ b/crates/havenladder/src/duties/workers.rs
@@ -24,7 +24,8 @@
     rt::TokioExecutor,
 };
 use platform::task::{
-    HEADER_ID, HEADER_LEASE, HEADER_POOL, HEADER_REFUSED, HEADER_REQUEST, HEADER_SERVICE, TASKS,
+    HEADER_ID, HEADER_LEASE, HEADER_POOL, HEADER_REFUSED, HEADER_REQUEST, HEADER_SERVICE,
+    REFUSED_SEEN, TASKS,
 };
 use protocol::{HEADER_FORWARDED, PoolId, ServiceId};
 use serving::{AttemptEnd, AttemptId};
@@ -266,8 +267,11 @@
 }
 
 async fn worker_answer(response: Response<Incoming>, attempt: AttemptId, limit: usize) -> Ended {
-    if response.headers().contains_key(HEADER_REFUSED) {
-        return (AttemptEnd::Refused, None);
+    match response.headers().get(HEADER_REFUSED) {
+        // Some copy of this very attempt was begun: the opposite of a certain "not run".
+        Some(why) if why == REFUSED_SEEN => return (AttemptEnd::Broken, None),
+        Some(_) => return (AttemptEnd::Refused, None),
+        None => {}
     }
     let id = response.headers().get(HEADER_ID);
     let is_ours = id.is_some_and(|id| id.as_bytes() == attempt.to_string().as_bytes());
--- /dev/null
+++ b/crates/havenladder/tests/site/mod.rs
@@ -0,0 +1,433 @@
+//! A site for tests: real entry processes, the stand-in platform in this process, and a proxy
+//! that injects faults on every link.
+
+#![expect(clippy::unwrap_used, reason = "a test stops when its site is broken")]
+#![allow(
+    dead_code,
+    clippy::allow_attributes,
+    reason = "each test file uses another part"
+)]
+
+use havenladder_standin::{
+    ledger::{Ledger, Run},
+    platform::{self, Plan},
+    proxy::{Faults, Proxy},
+};
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::Value;
+use std::{
+    collections::BTreeMap,
+    fs,
+    net::SocketAddr,
+    path::PathBuf,
+    process::{Child, Command, Output, Stdio},
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+use tokio::runtime::Handle;
+
+/// Limit of every wait; generous, so that a busy machine changes no verdict.
+pub const LIMIT: Duration = Duration::from_secs(60);
+
+const PEER_KEY: &str = "test-peer-key-0123456789";
+pub const OPERATOR_KEY: &str = "test-operator-key-0123456789";
+
+/// One entry: its process and the links that lead to it.
+pub struct Entry {
+    pub name: String,
+    pub editors: SocketAddr,
+    peers: SocketAddr,
+    pub operators: SocketAddr,
+    config: PathBuf,
+    child: Option<Child>,
+}
+
+/// The whole site; what it started ends with it.
+pub struct Site {
+    pub entries: Vec<Entry>,
+    platform: SocketAddr,
+    /// The link from each entry to the platform.
+    pub log_links: Vec<Arc<Faults>>,
+    /// The links from one entry to another: editors' and peers' listeners.
+    pub peer_links: BTreeMap<(usize, usize), [Arc<Faults>; 2]>,
+    handle: Handle,
+    folder: PathBuf,
+}
+
+/// A plan with `vms` VMs in each of `halls` halls and quick reboots.
+pub fn plan(halls: u32, vms: u32) -> Plan {
+    Plan {
+        halls: (1..=halls)
+            .map(|hall| (format!("hall-{hall}"), vms))
+            .collect(),
+        rack: 4,
+        slots: 8,
+        reboot: Duration::from_millis(300),
+        lag: Duration::from_millis(100),
+        keep: Duration::from_secs(3_600),
+        rate: 300,
+    }
+}
+
+impl Site {
+    /// Starts a site with one entry for each name in `halls`; settings are published and every
+    /// VM has a pool when it returns.
+    pub fn start(plan: Plan, halls: &[&str], settings: &str) -> Self {
+        let mut site = Self::prepare(plan, halls);
+        for index in 0..halls.len() {
+            site.spawn(index);
+        }
+        site.wait_ready();
+        site.publish(settings);
+        site
+    }
+
+    /// Makes everything but the entries' processes.
+    pub fn prepare(plan: Plan, halls: &[&str]) -> Self {
+        let (handle, platform) = start_platform(plan);
+        let folder = std::env::temp_dir().join(format!("havenladder-{}", ulid::Ulid::new()));
+        fs::create_dir_all(&folder).unwrap();
+        let ports = own_addresses(u16::try_from(halls.len() * 3).unwrap());
+        let entries: Vec<Entry> = halls
+            .iter()
+            .enumerate()
+            .map(|(index, _)| Entry {
+                name: format!("entry-{index}"),
+                editors: ports[index * 3],
+                peers: ports[index * 3 + 1],
+                operators: ports[index * 3 + 2],
+                config: folder.join(format!("entry-{index}.jsonc")),
+                child: None,
+            })
+            .collect();
+        let mut site = Self {
+            entries,
+            platform,
+            log_links: Vec::new(),
+            peer_links: BTreeMap::new(),
+            handle,
+            folder,
+        };
+        for (index, hall) in halls.iter().enumerate() {
+            site.configure(index, hall, halls);
+        }
+        site
+    }
+
+    fn configure(&mut self, index: usize, hall: &str, halls: &[&str]) {
+        let log = self.proxy(self.platform);
+        self.log_links.push(log.faults);
+        let mut neighbours = Vec::new();
+        for (other, other_hall) in halls
+            .iter()
+            .enumerate()
+            .filter(|(other, _)| *other != index)
+        {
+            let editors = self.proxy(self.entries[other].editors);
+            let peers = self.proxy(self.entries[other].peers);
+            neighbours.push(serde_json::json!({
+                "entry": self.entries[other].name,
+                "hall": other_hall,
+                "editors": editors.addr.to_string(),
+                "peers": peers.addr.to_string(),
+            }));
+            self.peer_links
+                .insert((index, other), [editors.faults, peers.faults]);
+        }
+        let entry = &self.entries[index];
+        let config = serde_json::json!({
+            "entry": entry.name,
+            "hall": hall,
+            "editors": { "listen": entry.editors.to_string(), "header_ms": 2000, "body_ms": 2000 },
+            "peers": {
+                "listen": entry.peers.to_string(),
+                "key": PEER_KEY,
+                "interval_ms": 100,
+                "patience_ms": 1000,
+                "neighbours": neighbours,
+            },
+            "operators": { "listen": entry.operators.to_string(), "key": OPERATOR_KEY },
+            "platform": { "address": log.addr.to_string(), "wait_ms": 300, "propose_ms": 8000 },
+            "steward": { "lease_ms": 3000 },
+            "watch": { "interval_ms": 100 },
+            "claims": { "patience_ms": 2000 },
+            "snapshots": { "records": 20, "interval_ms": 2000 },
+            "logs": { "filter": std::env::var("HAVENLADDER_TEST_LOG").unwrap_or("error".into()) },
+        });
+        fs::write(&entry.config, config.to_string()).unwrap();
+    }
+
+    /// Starts a proxy in front of an address.
+    pub fn proxy(&self, target: SocketAddr) -> Proxy {
+        let (sender, receiver) = std::sync::mpsc::channel();
+        self.handle.spawn(async move {
+            sender.send(Proxy::start(target).await.unwrap()).unwrap();
+        });
+        receiver.recv().unwrap()
+    }
+
+    /// Puts a proxy between the entries and one VM's worker.
+    pub fn worker_link(&self, vm: &str) -> Arc<Faults> {
+        let known = self.state(0)["vms"][vm]["addr"].clone();
+        let proxy = self.proxy(known.as_str().unwrap().parse().unwrap());
+        self.fault(&format!("via/{vm}/{}", proxy.addr));
+        let addr = proxy.addr.to_string();
+        for index in 0..self.entries.len() {
+            self.wait("the worker's link", || {
+                self.state(index)["vms"][vm]["addr"] == addr.as_str()
+            });
+        }
+        proxy.faults
+    }
+
+    /// Starts an entry's process, with an empty memory.
+    pub fn spawn(&mut self, index: usize) {
+        let entry = &mut self.entries[index];
+        let child = Command::new(env!("CARGO_BIN_EXE_havenladder"))
+            .args(["serve", "--config"])
+            .arg(&entry.config)
+            .stdout(Stdio::null())
+            .spawn()
+            .unwrap();
+        entry.child = Some(child);
+    }
+
+    /// Kills an entry's process without a chance to clean up.
+    pub fn kill(&mut self, index: usize) {
+        let mut child = self.entries[index].child.take().unwrap();
+        child.kill().unwrap();
+        child.wait().unwrap();
+    }
+
+    /// Sends a signal to an entry's process.
+    pub fn signal(&self, index: usize, signal: Signal) {
+        let child = self.entries[index].child.as_ref().unwrap();
+        kill_process(Pid::from_child(child), signal).unwrap();
+    }
+
+    /// Waits until an entry's process has ended by itself and returns its exit code.
+    pub fn wait_exit(&mut self, index: usize) -> Option<i32> {
+        let mut child = self.entries[index].child.take().unwrap();
+        let mut code = None;
+        self.wait("the process to end", || match child.try_wait().unwrap() {
+            Some(status) => {
+                code = status.code();
+                true
+            }
+            None => false,
+        });
+        code
+    }
+
+    /// Cuts or mends the links between two entries, both ways.
+    pub fn cut_peers(&self, one: usize, other: usize, cut: bool) {
+        for pair in [(one, other), (other, one)] {
+            for link in &self.peer_links[&pair] {
+                link.cut(cut);
+            }
+        }
+    }
+
+    /// Waits until every running entry takes requests.
+    pub fn wait_ready(&self) {
+        for entry in self.entries.iter().filter(|entry| entry.child.is_some()) {
+            self.wait("ready", || {
+                get(&format!("http://{}/ready", entry.editors)).is_some_and(|(code, _)| code == 200)
+            });
+        }
+    }
+
+    /// Publishes settings and waits until they are in force and every VM has been placed.
+    pub fn publish(&self, settings: &str) {
+        let file = self.folder.join("settings.jsonc");
+        fs::write(&file, settings).unwrap();
+        let applied = self.run(0, &["settings", "apply", "--wait", file.to_str().unwrap()]);
+        assert!(applied.status.success(), "{applied:?}");
+        for index in 0..self.entries.len() {
+            self.wait("all VMs to be placed", || self.is_placed(index));
+        }
+    }
+
+    fn is_placed(&self, index: usize) -> bool {
+        let state = self.state(index);
+        let listed = self.platform_json("vms");
+        let vms = state["vms"].as_object().unwrap();
+        let all = listed
+            .as_array()
+            .is_some_and(|listed| listed.len() == vms.len());
+        let asked = state["tree"]["nodes"].as_object().unwrap();
+        let sizes = asked.iter().all(|(path, node)| {
+            let count = state["counts"][path]["vms"].as_u64().unwrap_or(0);
+            node["vms"].as_u64().is_none_or(|wanted| count == wanted)
+        });
+        let labelled = listed.as_array().unwrap().iter().all(|vm| {
+            let known = &state["vms"][vm["id"].as_str().unwrap()];
+            vm["pool"] == known["pool"]
+        });
+        all && sizes && labelled
+    }
+
+    /// Runs a command against an entry.
+    pub fn run(&self, index: usize, args: &[&str]) -> Output {
+        Command::new(env!("CARGO_BIN_EXE_havenladder"))
+            .args(args)
+            .arg("--config")
+            .arg(&self.entries[index].config)
+            .output()
+            .unwrap()
+    }
+
+    /// The agreed state as an entry knows it.
+    pub fn state(&self, index: usize) -> Value {
+        self.ask(index, "/state").unwrap_or(Value::Null)
+    }
+
+    /// Asks an entry's listener for operators.
+    pub fn ask(&self, index: usize, path: &str) -> Option<Value> {
+        let url = format!("http://{}{path}", self.entries[index].operators);
+        let mut answer = agent()
+            .get(url)
+            .header("havenladder-key", OPERATOR_KEY)
+            .call()
+            .ok()?;
+        answer.body_mut().read_json().ok()
+    }
+
+    /// What really happened, by the platform's own record.
+    pub fn ledger(&self) -> Ledger {
+        serde_json::from_value(self.platform_json("ledger")).unwrap()
+    }
+
+    /// The runs whose body bore a mark.
+    pub fn runs(&self, tag: &str) -> Vec<Run> {
+        let runs = self.ledger().runs.into_iter();
+        runs.filter(|run| run.tag == tag).collect()
+    }
+
+    fn platform_json(&self, path: &str) -> Value {
+        let (_, text) = get(&format!("http://{}/{path}", self.platform)).unwrap();
+        serde_json::from_str(&text).unwrap()
+    }
+
+    /// Injects a fault into the platform.
+    pub fn fault(&self, fault: &str) {
+        let url = format!("http://{}/fault/{fault}", self.platform);
+        agent().post(url).send_empty().unwrap();
+    }
+
+    /// The id of some VM of a pool that `fits` holds for.
+    pub fn vm_of(&self, pool: &str, fits: impl Fn(&Value) -> bool) -> String {
+        let state = self.state(0);
+        let vms = state["vms"].as_object().unwrap();
+        let found = vms.iter().find(|(_, vm)| vm["pool"] == pool && fits(vm));
+        found.unwrap().0.clone()
+    }
+
+    /// Sends a request to an entry.
+    pub fn post(&self, index: usize, service: &str, body: &str, headers: &[(&str, &str)]) -> Reply {
+        let url = format!("http://{}/v1/{service}", self.entries[index].editors);
+        let mut request = agent().post(url);
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        match request.send(body) {
+            Ok(mut answer) => {
+                let header = |name| {
+                    let value = answer.headers().get(name)?;
+                    Some(value.to_str().ok()?.to_owned())
+                };
+                Reply {
+                    status: answer.status().as_u16(),
+                    outcome: header("havenladder-outcome").unwrap_or_default(),
+                    back: header("retry-after"),
+                    body: answer.body_mut().read_to_string().unwrap_or_default(),
+                }
+            }
+            Err(_) => Reply::default(),
+        }
+    }
+
+    /// Waits until a condition holds.
+    pub fn wait(&self, what: &str, mut is_met: impl FnMut() -> bool) {
+        let limit = Instant::now() + LIMIT;
+        while !is_met() {
+            assert!(Instant::now() < limit, "waited too long for {what}");
+            thread::sleep(Duration::from_millis(10));
+        }
+    }
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        for entry in &mut self.entries {
+            if let Some(child) = &mut entry.child {
+                let _ = child.kill();
+                let _ = child.wait();
+            }
+        }
+        let _ = fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// What a caller got; all empty when the connection broke.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Reply {
+    pub status: u16,
+    pub outcome: String,
+    pub back: Option<String>,
+    pub body: String,
+}
+
+/// A fresh key.
+pub fn key() -> String {
+    ulid::Ulid::new().to_string()
+}
+
+fn agent() -> ureq::Agent {
+    ureq::Agent::config_builder()
+        .http_status_as_error(false)
+        .timeout_global(Some(LIMIT))
+        .build()
+        .into()
+}
+
+fn get(url: &str) -> Option<(u16, String)> {
+    let mut answer = agent().get(url).call().ok()?;
+    let status = answer.status().as_u16();
+    Some((status, answer.body_mut().read_to_string().ok()?))
+}
+
+/// Starts the platform in a thread that ends with the test's process.
+fn start_platform(plan: Plan) -> (Handle, SocketAddr) {
+    let (sender, receiver) = std::sync::mpsc::channel();
+    thread::spawn(move || {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .unwrap();
+        let handle = runtime.handle().clone();
+        runtime.block_on(async {
+            let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+            sender
+                .send((handle, listener.local_addr().unwrap()))
+                .unwrap();
+            platform::run(plan, listener).await;
+        });
+    });
+    receiver.recv().unwrap()
+}
+
+/// Addresses that nothing else on the machine uses: each site has a loopback address of its own,
+/// so that no other site's listener and no outgoing connection can be in the way.
+fn own_addresses(count: u16) -> Vec<SocketAddr> {
+    static SITES: AtomicU32 = AtomicU32::new(1);
+    let site = (std::process::id() % (1 << 18)) * 64 + SITES.fetch_add(1, Ordering::Relaxed) % 64;
+    let [_, a, b, c] = site.to_be_bytes();
+    (0..count)
+        .map(|index| SocketAddr::from(([127, a, b, c], 7_100 + index)))
+        .collect()
+}
--- a/crates/platform/src/task.rs
+++ b/crates/platform/src/task.rs
@@ -1,7 +1,7 @@
 //! Names of the task interface that the platform's workers offer over HTTP.
 //!
 //! A task is posted to `/tasks/<attempt>`; its answer is the response. A worker runs an attempt
-//! at most once. A refusal is certain: the task was not begun.
+//! at most once. A refusal is certain, the task was not begun, but for [`REFUSED_SEEN`].
 
 /// Path below which tasks live.
 pub const TASKS: &str = "/tasks/";
@@ -27,6 +27,9 @@
 /// Response header of a refusal: why the task was not begun.
 pub const HEADER_REFUSED: &str = "task-refused";
 
+/// Value of [`HEADER_REFUSED`] when the worker has met the attempt before: a copy of it may run.
+pub const REFUSED_SEEN: &str = "seen";
+
 /// What a worker reports of itself.
 #[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Usage {
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -254,7 +254,7 @@
 }
 
 /// Injects a fault: `log?down_ms=`, `lose?n=`, `vm/<id>?down_ms=|slow=|failing=|leaving=`,
-/// `rack/<id>?down_ms=`, `add/<hall>/<rack>/<id>`.
+/// `rack/<id>?down_ms=`, `add/<hall>/<rack>/<id>`, `via/<vm>/<address>`.
 async fn fault(shared: &Shared, path: &[&str], call: &Call) -> Answer {
     match path {
         ["log"] => {
@@ -275,6 +275,11 @@
             }
         }
         ["vm", vm] => fault_vm(shared, vm, call),
+        ["via", vm, addr] => {
+            if let Some(machine) = shared.lock().machines.get_mut(*vm) {
+                (*addr).clone_into(&mut machine.info.addr);
+            }
+        }
         ["add", hall, rack, vm] => {
             add(shared, (*vm).to_owned(), hall, (*rack).to_owned()).await;
         }
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -9,7 +9,8 @@
     platform::Shared,
 };
 use platform::task::{
-    HEADER_ID, HEADER_LEASE, HEADER_POOL, HEADER_REFUSED, HEADER_SERVICE, TASKS, USAGE, Usage,
+    HEADER_ID, HEADER_LEASE, HEADER_POOL, HEADER_REFUSED, HEADER_SERVICE, REFUSED_SEEN, TASKS,
+    USAGE, Usage,
 };
 use std::time::Duration;
 use tokio::{
@@ -207,7 +208,7 @@
         return Err("lease-past");
     }
     if !machine.seen.insert(attempt.to_owned()) {
-        return Err("seen");
+        return Err(REFUSED_SEEN);
     }
     machine.info.running += 1;
     machine
