fix(serving): never tell "not run" of a request that an earlier attempt may have run

Cause: a repeatable request whose first attempt broke was queued again; when the second was refused or its time ran out it was answered NotRun, although the first may have run. Requests in a pool whose last worker went waited until their deadline instead of being passed on or refused at once.

Ruled out: the worker's refusals (certain, by the ledger) and the claims (only requests that may be repeated are concerned).

Before: a_request_that_may_have_run_is_never_told_not_run got NotRun(Refused); requests_that_wait_are_told_when_their_last_worker_goes got no answer. After: Unknown(Broken) and NotRun(NoWorker); 17 of 17 tests pass.

Conclusion: every refusal now passes through one place that knows whether an attempt may have run. What happens when an attempt ends got a file of its own.

--- a/crates/serving/src/scheduler.rs
+++ b/crates/serving/src/scheduler.rs
@@ -1,5 +1,7 @@
 //! The scheduler: events in, commands out, one plain `match`.
 
+mod ended;
+
 use crate::{
     admit::{Admission, admit, is_hopeless, not_run},
     claim::Settled,
@@ -16,12 +18,6 @@
     time::Instant,
 };
 
-/// Attempts that may fail or break before a request is given up.
-const MOST_FAILURES: u32 = 3;
-
-/// Refusals that a request may meet before it is given up.
-const MOST_REFUSALS: usize = 16;
-
 /// Where a request stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Phase {
@@ -41,6 +37,8 @@
     tried: Vec<VmId>,
     refusals: usize,
     failures: u32,
+    /// How an earlier attempt ended that may have run.
+    uncertain: Option<AttemptEnd>,
 }
 
 /// An attempt that is on its way.
@@ -198,6 +196,7 @@
             tried: Vec::new(),
             refusals: 0,
             failures: 0,
+            uncertain: None,
             job,
         };
         self.requests.insert(request.job.id, request);
@@ -303,87 +302,6 @@
         });
     }
 
-    fn ended(&mut self, id: AttemptId, end: AttemptEnd, now: Instant) {
-        let Some(attempt) = self.attempts.remove(&id) else {
-            // A late answer of an attempt that was given up: nobody waits for it.
-            return;
-        };
-        self.note(&attempt, end, now);
-        match end {
-            AttemptEnd::Done => self.answer(attempt.request, Outcome::Done(id)),
-            AttemptEnd::Refused | AttemptEnd::NotSent => self.retry_refused(&attempt, now),
-            AttemptEnd::Broken | AttemptEnd::Failed => self.retry_failed(&attempt, end, now),
-        }
-        self.dispatch(&attempt.pool, now);
-    }
-
-    /// Learns from how an attempt at a worker ended.
-    fn note(&mut self, attempt: &Attempt, end: AttemptEnd, now: Instant) {
-        let Target::Worker(vm) = &attempt.target else {
-            return;
-        };
-        let Some(request) = self.requests.get(&attempt.request) else {
-            return;
-        };
-        let estimate = self
-            .estimates
-            .entry(request.job.service.clone())
-            .or_default();
-        let may_pause = self
-            .pools
-            .get(&attempt.pool)
-            .is_some_and(|pool| pool.may_set_aside(now));
-        let Some(worker) = worker_of(&mut self.pools, &attempt.pool, vm) else {
-            return;
-        };
-        worker.own = worker.own.saturating_sub(1);
-        let run = now - attempt.sent;
-        match end {
-            AttemptEnd::Done => {
-                worker.health.succeed();
-                estimate.record(run, now);
-            }
-            AttemptEnd::Refused => worker.refuse(now, estimate.mean()),
-            AttemptEnd::NotSent | AttemptEnd::Failed => worker.health.fail(now, may_pause),
-            // A run that used up its deadline says how long the service takes, not that the
-            // worker is at fault.
-            AttemptEnd::Broken if now >= request.job.deadline => estimate.record(run, now),
-            AttemptEnd::Broken => worker.health.fail(now, may_pause),
-        }
-    }
-
-    fn retry_refused(&mut self, attempt: &Attempt, now: Instant) {
-        let id = attempt.request;
-        let Some(request) = self.requests.get_mut(&id) else {
-            return;
-        };
-        request.refusals += 1;
-        let gave_up = matches!(attempt.target, Target::Peer(_))
-            || request.refusals > MOST_REFUSALS
-            || request.job.deadline <= now;
-        if gave_up {
-            return self.refuse(id, Why::Refused, now);
-        }
-        self.enqueue(id, now);
-    }
-
-    fn retry_failed(&mut self, attempt: &Attempt, end: AttemptEnd, now: Instant) {
-        let id = attempt.request;
-        let Some(request) = self.requests.get_mut(&id) else {
-            return;
-        };
-        request.failures += 1;
-        let may_retry = request.job.repeatable
-            && request.failures < MOST_FAILURES
-            && request.job.deadline > now
-            && matches!(attempt.target, Target::Worker(_));
-        let pool = self.pools.get_mut(&attempt.pool);
-        if may_retry && pool.is_some_and(|pool| pool.retries.spend()) {
-            return self.enqueue(id, now);
-        }
-        self.answer(id, Outcome::Unknown(end));
-    }
-
     fn cancel(&mut self, id: RequestId, now: Instant) {
         let Some(request) = self.requests.get(&id) else {
             return;
@@ -469,9 +387,40 @@
         for id in hopeless {
             self.refuse(id, Why::Overload, now);
         }
+        for id in self.stranded() {
+            self.move_on(id, now);
+        }
         self.dispatch_all(now);
     }
 
+    /// Takes out requests that wait in pools whose last worker has gone.
+    fn stranded(&mut self) -> Vec<RequestId> {
+        let mut stranded = Vec::new();
+        for pool in self
+            .pools
+            .values_mut()
+            .filter(|pool| pool.workers.is_empty())
+        {
+            while let Some(id) = pool.queue.pop() {
+                stranded.push(id);
+            }
+        }
+        stranded
+    }
+
+    /// Passes a stranded request on, unless its key is claimed here: another hall's entry would
+    /// find the key held.
+    fn move_on(&mut self, id: RequestId, now: Instant) {
+        let job = self.requests.get(&id).map(|request| request.job.clone());
+        let peer = job
+            .filter(|job| job.repeatable)
+            .and_then(|job| self.choose_peer(&job));
+        match peer.map(|peer| (Target::Peer(peer.entry.clone()), peer.addr.clone())) {
+            Some((target, addr)) => self.send(id, target, addr, now),
+            None => self.refuse(id, Why::NoWorker, now),
+        }
+    }
+
     fn dispatch_all(&mut self, now: Instant) {
         let pools: Vec<PoolId> = self.pools.keys().cloned().collect();
         for pool in pools {
@@ -479,8 +428,14 @@
         }
     }
 
+    /// Refuses a request; one that an earlier attempt may have run is not told "not run".
     fn refuse(&mut self, id: RequestId, why: Why, now: Instant) {
-        self.answer(id, Outcome::NotRun(not_run(why, now, now)));
+        let uncertain = self.requests.get(&id).and_then(|request| request.uncertain);
+        let outcome = match uncertain {
+            Some(end) => Outcome::Unknown(end),
+            None => Outcome::NotRun(not_run(why, now, now)),
+        };
+        self.answer(id, outcome);
     }
 
     fn answer(&mut self, id: RequestId, outcome: Outcome) {
--- /dev/null
+++ b/crates/serving/src/scheduler/ended.rs
@@ -0,0 +1,95 @@
+//! What the scheduler makes of an attempt that ended: it learns, tries again or answers.
+
+use super::{Attempt, Scheduler, worker_of};
+use crate::job::{AttemptEnd, AttemptId, Outcome, Target, Why};
+use std::time::Instant;
+
+/// Attempts that may fail or break before a request is given up.
+const MOST_FAILURES: u32 = 3;
+
+/// Refusals that a request may meet before it is given up.
+const MOST_REFUSALS: usize = 16;
+
+impl Scheduler {
+    pub(super) fn ended(&mut self, id: AttemptId, end: AttemptEnd, now: Instant) {
+        let Some(attempt) = self.attempts.remove(&id) else {
+            // A late answer of an attempt that was given up: nobody waits for it.
+            return;
+        };
+        self.note(&attempt, end, now);
+        match end {
+            AttemptEnd::Done => self.answer(attempt.request, Outcome::Done(id)),
+            AttemptEnd::Refused | AttemptEnd::NotSent => self.retry_refused(&attempt, now),
+            AttemptEnd::Broken | AttemptEnd::Failed => self.retry_failed(&attempt, end, now),
+        }
+        self.dispatch(&attempt.pool, now);
+    }
+
+    /// Learns from how an attempt at a worker ended.
+    fn note(&mut self, attempt: &Attempt, end: AttemptEnd, now: Instant) {
+        let Target::Worker(vm) = &attempt.target else {
+            return;
+        };
+        let Some(request) = self.requests.get(&attempt.request) else {
+            return;
+        };
+        let estimate = self
+            .estimates
+            .entry(request.job.service.clone())
+            .or_default();
+        let may_pause = self
+            .pools
+            .get(&attempt.pool)
+            .is_some_and(|pool| pool.may_set_aside(now));
+        let Some(worker) = worker_of(&mut self.pools, &attempt.pool, vm) else {
+            return;
+        };
+        worker.own = worker.own.saturating_sub(1);
+        let run = now - attempt.sent;
+        match end {
+            AttemptEnd::Done => {
+                worker.health.succeed();
+                estimate.record(run, now);
+            }
+            AttemptEnd::Refused => worker.refuse(now, estimate.mean()),
+            AttemptEnd::NotSent | AttemptEnd::Failed => worker.health.fail(now, may_pause),
+            // A run that used up its deadline says how long the service takes, not that the
+            // worker is at fault.
+            AttemptEnd::Broken if now >= request.job.deadline => estimate.record(run, now),
+            AttemptEnd::Broken => worker.health.fail(now, may_pause),
+        }
+    }
+
+    fn retry_refused(&mut self, attempt: &Attempt, now: Instant) {
+        let id = attempt.request;
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        request.refusals += 1;
+        let gave_up = matches!(attempt.target, Target::Peer(_))
+            || request.refusals > MOST_REFUSALS
+            || request.job.deadline <= now;
+        if gave_up {
+            return self.refuse(id, Why::Refused, now);
+        }
+        self.enqueue(id, now);
+    }
+
+    fn retry_failed(&mut self, attempt: &Attempt, end: AttemptEnd, now: Instant) {
+        let id = attempt.request;
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        request.failures += 1;
+        request.uncertain = Some(end);
+        let may_retry = request.job.repeatable
+            && request.failures < MOST_FAILURES
+            && request.job.deadline > now
+            && matches!(attempt.target, Target::Worker(_));
+        let pool = self.pools.get_mut(&attempt.pool);
+        if may_retry && pool.is_some_and(|pool| pool.retries.spend()) {
+            return self.enqueue(id, now);
+        }
+        self.answer(id, Outcome::Unknown(end));
+    }
+}
