fix(fleet): charge a grant that was taken back until its drain has ended

Cause: taking back a grant freed its slots at once, while the VM was still drained, or about to be by a call on its way; the next grant then put more out of service than the budget allows.

Conclusion: a grant has steps; Returning lasts until a call with a newer token has shut out late drains. Begin takes a new token for the same reason.

--- a/crates/fleet/src/grant.rs
+++ b/crates/fleet/src/grant.rs
@@ -5,7 +5,7 @@
     budget::holds,
     fold::Context,
     record::{Errand, GrantRequest, LeaseRequest, Outcome, Reason},
-    state::{Fleet, Grant, Health, SPARE, Vm},
+    state::{Fleet, Grant, Health, SPARE, Step, Vm},
 };
 use protocol::Offset;
 use settings::admits_hall;
@@ -25,7 +25,7 @@
                 holder: request.holder.clone(),
                 deadline: request.deadline,
                 token: offset,
-                begun: false,
+                step: Step::Draining,
                 boot: vm.boot,
             });
         });
@@ -65,10 +65,14 @@
             let holder = grant.holder.clone();
             return Outcome::Rejected(Reason::Held { holder });
         }
-        if grant.begun || grant.errand == Errand::Drain {
+        if grant.step != Step::Draining || grant.errand == Errand::Drain {
             return wrong_step(vm);
         }
-        self.change_grant(context, vm, |grant| grant.begun = true);
+        // The new token shuts out copies of the drain call that are still on their way.
+        self.change_grant(context, vm, |grant| {
+            grant.step = Step::Begun;
+            grant.token = context.offset;
+        });
         Outcome::Applied
     }
 
@@ -77,8 +81,13 @@
         let Some(grant) = self.grant_of(vm, id) else {
             return no_grant(vm, id);
         };
-        if !grant.begun {
-            return wrong_step(vm);
+        match grant.step {
+            Step::Draining => return wrong_step(vm),
+            Step::Returning => {
+                self.change_vm(vm, context.offset, |vm| vm.grant = None);
+                return Outcome::Applied;
+            }
+            Step::Begun => {}
         }
         match grant.errand.clone() {
             Errand::Reboot if boot > grant.boot => self.finish_reboot(context, vm, boot),
@@ -90,15 +99,21 @@
         Outcome::Applied
     }
 
-    /// Takes back a grant that has not begun.
+    /// Takes back a grant that has not begun. The VM may have been drained by now, or may yet be
+    /// by a call that is on its way, so it stays charged until the drain is known to have ended.
     pub(crate) fn undo(&mut self, context: &Context, vm: &str, id: Offset) -> Outcome {
         let Some(grant) = self.grant_of(vm, id) else {
             return no_grant(vm, id);
         };
-        if grant.begun {
-            return wrong_step(vm);
+        match grant.step {
+            Step::Begun => return wrong_step(vm),
+            Step::Returning => return Outcome::Unchanged,
+            Step::Draining => {}
         }
-        self.change_vm(vm, context.offset, |vm| vm.grant = None);
+        self.change_grant(context, vm, |grant| {
+            grant.step = Step::Returning;
+            grant.token = context.offset;
+        });
         Outcome::Applied
     }
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -24,7 +24,7 @@
     Seen, WaveChange,
 };
 pub use snapshot::{Chunk, SnapshotError, assemble, chunks, decode_snapshot, encode_snapshot};
-pub use state::{Fleet, Grant, Health, Mark, SPARE, Vm, Wave, WaveId, WaveState};
+pub use state::{Fleet, Grant, Health, Mark, SPARE, Step, Vm, Wave, WaveId, WaveState};
 pub use wave::{Progress, next_reboots, progress};
 
 use std::time::Duration;
--- a/crates/fleet/src/moves.rs
+++ b/crates/fleet/src/moves.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     record::Errand,
-    state::{Fleet, SPARE, Vm},
+    state::{Fleet, SPARE, Step, Vm},
 };
 use protocol::{Offset, PoolId, VmId};
 use settings::admits_hall;
@@ -65,7 +65,11 @@
             .map(|pool| (pool.clone(), fleet.present(pool)))
             .collect();
         for vm in fleet.vms.values() {
-            match vm.grant.as_ref().map(|grant| &grant.errand) {
+            let grant = vm
+                .grant
+                .as_ref()
+                .filter(|grant| grant.step != Step::Returning);
+            match grant.map(|grant| &grant.errand) {
                 Some(Errand::Move { to }) => {
                     shift(&mut will, &vm.pool, to);
                 }
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -4,7 +4,7 @@
     CLOCK_SKEW,
     moves::{Room, Wanted, next_moves},
     record::{Change, Errand, GrantRequest, LeaseRequest, WaveChange},
-    state::{Fleet, Grant, Health, Vm, WaveState},
+    state::{Fleet, Grant, Health, Step, Vm, WaveState},
     wave::{next_reboots, progress},
 };
 use protocol::{EntryId, HallId, Offset, PoolId, ranked};
@@ -65,7 +65,7 @@
         .vms
         .iter()
         .filter_map(|(id, vm)| Some((id, vm, vm.grant.as_ref()?)))
-        .filter(|(_, _, grant)| grant.errand != Errand::Drain)
+        .filter(|(_, _, grant)| grant.has_lease())
         .filter(|(_, _, grant)| view.now > grant.deadline + CLOCK_SKEW)
         .filter(|(id, vm, _)| view.holder(id, vm).as_deref() == Some(view.entry))
         .map(|(id, _, grant)| {
@@ -79,8 +79,7 @@
         .collect()
 }
 
-/// Grants to take back: those of pools that failures have put over budget, and those of waves
-/// that no longer run.
+/// Grants to take back: those of pools that failures have put over budget.
 fn withdrawals(fleet: &Fleet) -> Vec<Change> {
     let mut excess: BTreeMap<&PoolId, u32> = fleet
         .counts
@@ -98,8 +97,12 @@
         let Some(over) = excess.get_mut(&vm.pool) else {
             continue;
         };
-        let helps = vm.health == Health::Up && !grant.begun && grant.errand != Errand::Drain;
-        if *over > 0 && helps {
+        if *over == 0 || vm.health != Health::Up {
+            continue;
+        }
+        if grant.step == Step::Returning {
+            *over = over.saturating_sub(vm.slots);
+        } else if grant.step == Step::Draining && grant.errand != Errand::Drain {
             *over = over.saturating_sub(vm.slots);
             changes.push(Change::Undo {
                 vm: id.clone(),
@@ -165,6 +168,8 @@
     pub running: u32,
     /// The pool that its worker takes tasks for.
     pub pool: PoolId,
+    /// The highest fencing token that it has met.
+    pub token: Offset,
 }
 
 /// What the holder of a grant sees right before it acts.
@@ -187,6 +192,8 @@
     Renew,
     /// Tell the platform to send the VM no more tasks.
     Drain,
+    /// Tell the platform to send the VM tasks again.
+    Undrain,
     /// Announce the call that cannot be undone.
     Begin,
     /// Tell the platform to reboot the VM, if its count of boots is still this one.
@@ -207,7 +214,7 @@
     evidence: &Evidence,
     view: &View<'_>,
 ) -> Action {
-    if grant.errand != Errand::Drain {
+    if grant.has_lease() {
         if view.now >= grant.deadline {
             return Action::Lapsed;
         }
@@ -218,23 +225,31 @@
     let Some(sight) = &evidence.sight else {
         return without_vm(grant);
     };
-    if grant.begun {
-        return after_begin(grant, sight);
+    match grant.step {
+        Step::Draining => drain(fleet, vm, grant, sight, evidence.unseen),
+        Step::Begun => after_begin(grant, sight),
+        // Only a token that has arrived shuts out a drain call that is still on its way.
+        Step::Returning if sight.drained || sight.token < grant.token => Action::Undrain,
+        Step::Returning => Action::Finish(sight.boot),
     }
+}
+
+fn drain(fleet: &Fleet, vm: &Vm, grant: &Grant, sight: &Sight, unseen: u32) -> Action {
     if !sight.drained {
         return Action::Drain;
     }
     let idle = sight.running == 0;
-    if grant.errand == Errand::Drain || !idle || is_short(fleet, vm, evidence.unseen) {
+    if grant.errand == Errand::Drain || !idle || is_short(fleet, vm, unseen) {
         return Action::Wait;
     }
     Action::Begin
 }
 
 fn without_vm(grant: &Grant) -> Action {
-    match grant.errand {
-        Errand::Release if grant.begun => Action::Finish(grant.boot),
-        _ => Action::Wait,
+    match grant.step {
+        Step::Begun if grant.errand == Errand::Release => Action::Finish(grant.boot),
+        Step::Returning => Action::Finish(grant.boot),
+        Step::Begun | Step::Draining => Action::Wait,
     }
 }
 
@@ -256,6 +271,14 @@
     fleet.room(&vm.pool).map_or(true, |room| room < unseen)
 }
 
+impl Grant {
+    /// Tells whether only the holder may act, and only until its deadline. Ending a drain does no
+    /// harm whoever does it, and an operator's drain lasts until an operator says otherwise.
+    pub fn has_lease(&self) -> bool {
+        self.errand != Errand::Drain && self.step != Step::Returning
+    }
+}
+
 /// Returns the token for a call that needs no grant, such as the end of a drain.
 pub fn free_token(vm: &Vm) -> Offset {
     vm.version
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -125,14 +125,27 @@
     pub holder: EntryId,
     /// When the holder's lease ends.
     pub deadline: SystemTime,
-    /// The fencing token: the offset at which the present holder got the lease.
+    /// The fencing token: the offset of the grant's last change that calls to the platform must
+    /// be told apart by.
     pub token: Offset,
-    /// Whether the call that cannot be undone has been announced.
-    pub begun: bool,
+    /// How far the errand has come.
+    pub step: Step,
     /// The VM's count of boots when the grant was made.
     pub boot: u64,
 }
 
+/// How far an errand has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Step {
+    /// The VM is to be drained; this can be taken back.
+    Draining,
+    /// The call that cannot be undone has been announced.
+    Begun,
+    /// The grant was taken back; the VM is charged until its drain is known to have ended.
+    Returning,
+}
+
 /// One maintenance wave.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Wave {
--- /dev/null
+++ b/crates/fleet/tests/world/mod.rs
@@ -0,0 +1,565 @@
+//! A small world for the fold and the planner: a log, a platform that counts for itself, and
+//! entries that lag, freeze, lose answers and disagree about who is live.
+
+use havenladder_fleet::{
+    Action, Change, Errand, Evidence, Fleet, Grant, GrantRequest, Health, LeaseRequest,
+    Observation, Outcome, PathChange, Record, Seen, Sight, View, Vm, WaveChange, free_token,
+    next_action, plan,
+};
+use protocol::{EntryId, HallId, LogRecord, RecordId, encode};
+use rand::{Rng, SeedableRng, rngs::SmallRng, seq::IndexedRandom};
+use settings::read_tree;
+use std::{
+    collections::BTreeMap,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+pub const LEASE: Duration = Duration::from_secs(10);
+
+/// One VM as the platform has it.
+#[derive(Clone, Debug)]
+pub struct Machine {
+    pub hall: String,
+    pub rack: String,
+    pub slots: u32,
+    pub boot: u64,
+    pub up: bool,
+    pub drained: bool,
+    pub running: u32,
+    pub pool: String,
+    pub token: u64,
+    /// When it comes back, and whether the system or a fault took it down.
+    pub back: Option<(SystemTime, bool)>,
+}
+
+/// A call that an entry has decided on and not yet made: it may be frozen in between.
+struct Call {
+    entry: usize,
+    vm: String,
+    grant: Grant,
+    action: Action,
+}
+
+/// One entry.
+struct Entry {
+    name: String,
+    hall: String,
+    fleet: Fleet,
+    alive: bool,
+}
+
+pub struct World {
+    pub rng: SmallRng,
+    pub now: SystemTime,
+    pub log: Vec<LogRecord>,
+    /// The fold without lag.
+    pub truth: Fleet,
+    pub machines: BTreeMap<String, Machine>,
+    entries: Vec<Entry>,
+    calls: Vec<Call>,
+    /// Reboots that took effect, by VM and count of boots before.
+    pub reboots: BTreeMap<(String, u64), u32>,
+    pub violations: Vec<String>,
+    /// Whether faults still happen.
+    pub faulty: bool,
+}
+
+impl World {
+    pub fn new(seed: u64, settings: &str, vms: usize) -> Self {
+        let mut world = Self {
+            rng: SmallRng::seed_from_u64(seed),
+            now: UNIX_EPOCH + Duration::from_secs(1_000_000),
+            log: Vec::new(),
+            truth: Fleet::default(),
+            machines: BTreeMap::new(),
+            entries: Vec::new(),
+            calls: Vec::new(),
+            reboots: BTreeMap::new(),
+            violations: Vec::new(),
+            faulty: true,
+        };
+        for number in 0..4 {
+            world.entries.push(Entry {
+                name: format!("entry-{number}"),
+                hall: format!("hall-{}", number % 2),
+                fleet: Fleet::default(),
+                alive: true,
+            });
+        }
+        for number in 0..vms {
+            let slots = world.rng.random_range(4..=8);
+            let machine = Machine {
+                hall: format!("hall-{}", number % 2),
+                rack: format!("hall-{}-rack-{}", number % 2, number / 8),
+                slots,
+                boot: 1,
+                up: true,
+                drained: false,
+                running: 0,
+                pool: String::new(),
+                token: 0,
+                back: None,
+            };
+            world.machines.insert(format!("vm-{number:02}"), machine);
+        }
+        world.publish("operator", settings, 0);
+        world.observe_all(0);
+        world
+    }
+
+    /// Publishes settings, based on what an entry knows.
+    pub fn publish(&mut self, by: &str, settings: &str, entry: usize) -> Outcome {
+        let tree = read_tree("test", settings).expect("good settings");
+        let fleet = &self.entries[entry].fleet;
+        let changes = settings::diff(&fleet.tree, &tree)
+            .into_iter()
+            .map(|change| PathChange {
+                base: fleet.version(&change.path),
+                path: change.path,
+                node: change.node,
+            })
+            .collect();
+        self.append(by, vec![Change::Settings(changes)]).remove(0)
+    }
+
+    /// Appends one record, now and then twice as after a lost answer.
+    pub fn append(&mut self, by: &str, changes: Vec<Change>) -> Vec<Outcome> {
+        let record = Record {
+            id: RecordId::from_parts(0, self.rng.random()),
+            by: by.to_owned(),
+            expires: self.now + Duration::from_secs(15),
+            changes,
+        };
+        let outcomes = self.take(&record);
+        if self.faulty && self.rng.random_bool(0.1) {
+            let again = self.take(&record);
+            let had_effect = again.contains(&Outcome::Applied);
+            self.expect(!had_effect, "a second copy had an effect");
+        }
+        outcomes
+    }
+
+    fn take(&mut self, record: &Record) -> Vec<Outcome> {
+        let record = LogRecord {
+            offset: self.log.len() as u64,
+            at: self.now,
+            data: encode(record).expect("a record has a form"),
+        };
+        let outcomes = self.truth.apply(&record);
+        self.log.push(record);
+        self.check_grants(&outcomes);
+        outcomes
+    }
+
+    /// The independent count of what a grant leaves unavailable.
+    fn check_grants(&mut self, outcomes: &[Outcome]) {
+        if !outcomes.contains(&Outcome::Applied) {
+            return;
+        }
+        let newest = self.log.len() as u64 - 1;
+        let granted: Vec<String> = self
+            .truth
+            .vms
+            .values()
+            .filter(|vm| vm.grant.as_ref().is_some_and(|grant| grant.id == newest))
+            .map(|vm| vm.pool.clone())
+            .collect();
+        for pool in granted {
+            let members = || self.truth.vms.values().filter(|vm| vm.pool == pool);
+            let capacity: u32 = members().map(|vm| vm.slots).sum();
+            let out = |vm: &&Vm| vm.grant.is_some() || vm.health != Health::Up;
+            let unavailable: u32 = members().filter(out).map(|vm| vm.slots).sum();
+            let over = unavailable > self.budget(&pool, capacity);
+            self.expect(!over, "a grant overran a budget");
+        }
+    }
+
+    pub fn budget(&self, pool: &str, capacity: u32) -> u32 {
+        self.truth
+            .tree
+            .services_of(pool)
+            .map(|path| settings::Service::resolve(&self.truth.tree, path))
+            .map(|service| service.unavailable.slots(capacity))
+            .min()
+            .unwrap_or(u32::MAX)
+    }
+
+    /// The platform's own count: what the system's calls keep out of service.
+    fn check_platform(&mut self) {
+        let mut pools: BTreeMap<String, (u32, u32)> = BTreeMap::new();
+        for (id, machine) in &self.machines {
+            let Some(vm) = self.truth.vms.get(id) else {
+                continue;
+            };
+            let by_system = machine.drained || machine.back.is_some_and(|(_, system)| system);
+            let count = pools.entry(vm.pool.clone()).or_default();
+            count.0 += machine.slots;
+            count.1 += if by_system { machine.slots } else { 0 };
+        }
+        for (pool, (capacity, out)) in pools {
+            let over = out > self.budget(&pool, capacity);
+            self.expect(
+                !over,
+                "the platform counts more out of service than a budget allows",
+            );
+        }
+    }
+
+    pub fn expect(&mut self, holds: bool, what: &str) {
+        if !holds && self.violations.is_empty() {
+            self.violations
+                .push(format!("{what}, at {} records", self.log.len()));
+        }
+    }
+
+    /// One random step.
+    pub fn step(&mut self) {
+        let entry = self.rng.random_range(0..self.entries.len());
+        match self.rng.random_range(0..100) {
+            0..30 => self.follow(entry),
+            30..45 => self.plan(entry),
+            45..65 => self.decide(entry),
+            65..80 => self.make_call(),
+            80..86 => self.observe_all(entry),
+            86..92 => self.pass(),
+            92..94 if self.faulty => self.fault(),
+            94..96 if self.faulty => self.operate(entry),
+            96..97 if self.faulty => self.restart(entry),
+            _ => self.work(),
+        }
+        self.check_platform();
+    }
+
+    fn follow(&mut self, entry: usize) {
+        let behind = self.log.len() - self.entries[entry].fleet.next as usize;
+        let count = if self.faulty {
+            self.rng.random_range(0..=behind)
+        } else {
+            behind
+        };
+        for _ in 0..count {
+            let record = self.log[self.entries[entry].fleet.next as usize].clone();
+            self.entries[entry].fleet.apply(&record);
+        }
+    }
+
+    /// Who an entry holds for live: itself and, when faults happen, any others.
+    fn members(&mut self, entry: usize) -> BTreeMap<EntryId, HallId> {
+        let mut members = BTreeMap::new();
+        for (index, other) in self.entries.iter().enumerate() {
+            let seen = if self.faulty {
+                self.rng.random_bool(0.8)
+            } else {
+                other.alive
+            };
+            if index == entry || seen {
+                members.insert(other.name.clone(), other.hall.clone());
+            }
+        }
+        members
+    }
+
+    fn plan(&mut self, entry: usize) {
+        let members = self.members(entry);
+        let name = self.entries[entry].name.clone();
+        let view = View {
+            entry: &name,
+            live: &members,
+            now: self.now,
+            lease: LEASE,
+        };
+        let changes = plan(&self.entries[entry].fleet, &view);
+        if !changes.is_empty() {
+            self.append(&name, changes);
+        }
+    }
+
+    fn tasks(&self, entry: usize) -> Vec<(String, Vm, Grant)> {
+        let entry = &self.entries[entry];
+        let vms = entry.fleet.vms.iter();
+        vms.filter_map(|(id, vm)| Some((id.clone(), vm.clone(), vm.grant.clone()?)))
+            .filter(|(_, _, grant)| grant.holder == entry.name || !grant.has_lease())
+            .collect()
+    }
+
+    /// An entry looks at the platform and decides; what it decided waits to be carried out.
+    fn decide(&mut self, entry: usize) {
+        let members = self.members(entry);
+        let tasks = self.tasks(entry);
+        let Some((id, vm, grant)) = tasks.choose(&mut self.rng).cloned() else {
+            return self.settle_stray(entry);
+        };
+        let name = self.entries[entry].name.clone();
+        let view = View {
+            entry: &name,
+            live: &members,
+            now: self.now,
+            lease: LEASE,
+        };
+        let sight = self.machines.get(&id).map(|machine| Sight {
+            boot: machine.boot,
+            up: machine.up,
+            drained: machine.drained,
+            running: machine.running,
+            pool: machine.pool.clone(),
+            token: machine.token,
+        });
+        let evidence = Evidence { sight, unseen: 0 };
+        let action = next_action(&self.entries[entry].fleet, &vm, &grant, &evidence, &view);
+        self.calls.push(Call {
+            entry,
+            vm: id,
+            grant,
+            action,
+        });
+    }
+
+    fn settle_stray(&mut self, entry: usize) {
+        let strays: Vec<(String, u64, String)> = self.entries[entry]
+            .fleet
+            .vms
+            .iter()
+            .filter(|(_, vm)| vm.grant.is_none())
+            .map(|(id, vm)| (id.clone(), free_token(vm), vm.pool.clone()))
+            .collect();
+        let Some((id, token, pool)) = strays.choose(&mut self.rng) else {
+            return;
+        };
+        if let Some(machine) = self.machines.get_mut(id)
+            && *token >= machine.token
+        {
+            machine.token = *token;
+            machine.drained = false;
+            machine.pool.clone_from(pool);
+        }
+    }
+
+    /// Carries out some decision, perhaps long after it was made.
+    fn make_call(&mut self) {
+        if self.calls.is_empty() {
+            return;
+        }
+        let place = if self.faulty {
+            self.rng.random_range(0..self.calls.len())
+        } else {
+            0
+        };
+        let call = self.calls.remove(place);
+        let name = self.entries[call.entry].name.clone();
+        let (vm, grant) = (call.vm.clone(), call.grant.id);
+        match call.action {
+            Action::Wait | Action::Lapsed => {}
+            Action::Renew => {
+                let deadline = self.now + LEASE;
+                let request = LeaseRequest {
+                    vm,
+                    grant,
+                    holder: name.clone(),
+                    deadline,
+                };
+                self.append(&name, vec![Change::Lease(request)]);
+            }
+            Action::Begin => {
+                self.append(&name, vec![Change::Begin { vm, grant }]);
+            }
+            Action::Finish(boot) => {
+                self.append(&name, vec![Change::Finish { vm, grant, boot }]);
+            }
+            // The last look at the clock. In a freeze after it, the token is what holds.
+            _ if call.grant.has_lease()
+                && self.now >= call.grant.deadline
+                && self.rng.random_bool(0.9) => {}
+            action => self.platform_call(&call.vm, &call.grant, action),
+        }
+    }
+
+    fn platform_call(&mut self, id: &str, grant: &Grant, action: Action) {
+        let (now, slow) = (self.now, self.rng.random_range(5..40));
+        let Some(machine) = self.machines.get_mut(id) else {
+            return;
+        };
+        if grant.token < machine.token {
+            return;
+        }
+        machine.token = grant.token;
+        match action {
+            Action::Drain => machine.drained = true,
+            Action::Undrain => machine.drained = false,
+            Action::Assign(pool) => {
+                machine.pool = pool;
+                machine.drained = false;
+            }
+            Action::Release => {
+                self.machines.remove(id);
+            }
+            Action::Reboot(boot) if boot == machine.boot && machine.up => {
+                let cut_off = machine.running > 0;
+                machine.up = false;
+                machine.running = 0;
+                machine.back = Some((now + Duration::from_secs(slow), true));
+                *self.reboots.entry((id.to_owned(), boot)).or_default() += 1;
+                self.expect(!cut_off, "a reboot cut off a request");
+            }
+            _ => {}
+        }
+    }
+
+    fn observe_all(&mut self, entry: usize) {
+        let name = self.entries[entry].name.clone();
+        let fleet = &self.entries[entry].fleet;
+        let mut seen: Vec<Observation> = Vec::new();
+        for (id, machine) in &self.machines {
+            let known = fleet.vms.get(id);
+            let what = if machine.up {
+                Seen::Up {
+                    hall: machine.hall.clone(),
+                    rack: machine.rack.clone(),
+                    addr: "addr".into(),
+                    slots: machine.slots,
+                    boot: machine.boot,
+                }
+            } else {
+                Seen::Down
+            };
+            let base = known.map_or(0, |vm| vm.version);
+            seen.push(Observation {
+                vm: id.clone(),
+                base,
+                seen: what,
+            });
+        }
+        for (id, vm) in &fleet.vms {
+            if !self.machines.contains_key(id) && vm.grant.is_none() {
+                let base = vm.version;
+                seen.push(Observation {
+                    vm: id.clone(),
+                    base,
+                    seen: Seen::Gone,
+                });
+            }
+        }
+        self.append(&name, vec![Change::Observe(seen)]);
+    }
+
+    fn pass(&mut self) {
+        self.now += Duration::from_millis(self.rng.random_range(100..4_000));
+        for machine in self.machines.values_mut() {
+            if machine.back.is_some_and(|(at, _)| at <= self.now) {
+                machine.back = None;
+                machine.up = true;
+                machine.boot += 1;
+                machine.drained = false;
+            }
+        }
+    }
+
+    fn fault(&mut self) {
+        let ids: Vec<String> = self.machines.keys().cloned().collect();
+        let Some(id) = ids.choose(&mut self.rng) else {
+            return;
+        };
+        let rack = self.machines[id].rack.clone();
+        let whole_rack = self.rng.random_bool(0.2);
+        let back = self.now + Duration::from_secs(self.rng.random_range(5..60));
+        for (other, machine) in &mut self.machines {
+            let hit = other == id || (whole_rack && machine.rack == rack);
+            if hit && machine.up {
+                machine.up = false;
+                machine.running = 0;
+                machine.drained = false;
+                machine.back = Some((back, false));
+            }
+        }
+    }
+
+    /// Operators race: each bases its order on what some entry knows.
+    fn operate(&mut self, entry: usize) {
+        let fleet = &self.entries[entry].fleet;
+        let ids: Vec<(&String, &Vm)> = fleet.vms.iter().collect();
+        let Some((id, vm)) = ids.choose(&mut self.rng) else {
+            return;
+        };
+        let id = (*id).clone();
+        let waves: Vec<u64> = fleet.waves.keys().copied().collect();
+        let change = match self.rng.random_range(0..6) {
+            0 => Change::Wave(WaveChange::Start {
+                scope: "place".into(),
+            }),
+            1 if !waves.is_empty() => Change::Wave(WaveChange::Pause(waves[waves.len() - 1])),
+            2 if !waves.is_empty() => Change::Wave(WaveChange::Resume(waves[waves.len() - 1])),
+            3 if vm.grant.is_some() => {
+                let grant = vm.grant.as_ref().map_or(0, |grant| grant.id);
+                Change::Undo { vm: id, grant }
+            }
+            4 => Change::Grant(GrantRequest {
+                base: vm.version,
+                errand: Errand::Move {
+                    to: "place/two".into(),
+                },
+                holder: format!("entry-{}", self.rng.random_range(0..4)),
+                deadline: self.now + LEASE,
+                vm: id,
+            }),
+            _ => Change::Grant(GrantRequest {
+                base: vm.version,
+                errand: Errand::Drain,
+                holder: "entry-0".into(),
+                deadline: self.now + LEASE,
+                vm: id,
+            }),
+        };
+        self.append("operator", vec![change]);
+    }
+
+    /// An entry is replaced by one with an empty memory; what it had decided may still happen.
+    fn restart(&mut self, entry: usize) {
+        self.entries[entry].fleet = Fleet::default();
+    }
+
+    fn work(&mut self) {
+        for machine in self.machines.values_mut() {
+            if machine.up && !machine.drained && self.rng.random_bool(0.3) {
+                machine.running = 1;
+            } else if self.rng.random_bool(0.7) {
+                machine.running = 0;
+            }
+        }
+    }
+
+    /// Ends the faults and lets everything that was begun come to its end.
+    pub fn calm(&mut self) {
+        self.faulty = false;
+        let drains: Vec<Change> = self
+            .truth
+            .vms
+            .iter()
+            .filter_map(|(id, vm)| Some((id, vm.grant.as_ref()?)))
+            .filter(|(_, grant)| grant.errand == Errand::Drain)
+            .map(|(id, grant)| Change::Undo {
+                vm: id.clone(),
+                grant: grant.id,
+            })
+            .collect();
+        self.append("operator", drains);
+        self.append(
+            "operator",
+            vec![Change::Wave(WaveChange::Start {
+                scope: "place".into(),
+            })],
+        );
+    }
+
+    /// Every entry's fold, brought up to date.
+    pub fn folds(&mut self) -> Vec<Fleet> {
+        for entry in 0..self.entries.len() {
+            while (self.entries[entry].fleet.next as usize) < self.log.len() {
+                let record = self.log[self.entries[entry].fleet.next as usize].clone();
+                self.entries[entry].fleet.apply(&record);
+            }
+        }
+        self.entries
+            .iter()
+            .map(|entry| entry.fleet.clone())
+            .collect()
+    }
+}
--- a/crates/havenladder/src/commands/vm.rs
+++ b/crates/havenladder/src/commands/vm.rs
@@ -58,7 +58,9 @@
     let health = format!("{:?}", vm.health).to_lowercase();
     match &vm.grant {
         None => health,
-        Some(grant) if grant.begun => format!("{health}, {:?} begun", grant.errand),
-        Some(grant) => format!("{health}, draining for {:?}", grant.errand),
+        Some(grant) => {
+            let step = format!("{:?}", grant.step).to_lowercase();
+            format!("{health}, {step} for {:?}", grant.errand)
+        }
     }
 }
--- a/crates/havenladder/src/duties/steward.rs
+++ b/crates/havenladder/src/duties/steward.rs
@@ -5,8 +5,8 @@
     propose::{ProposeError, propose},
 };
 use fleet::{
-    Action, Change, Errand, Evidence, Fleet, Grant, LeaseRequest, Outcome, Sight, View, Vm,
-    free_token, next_action, plan,
+    Action, Change, Evidence, Fleet, Grant, LeaseRequest, Outcome, Sight, View, Vm, free_token,
+    next_action, plan,
 };
 use platform::{CallError, VmCall, VmInfo, Vms};
 use protocol::{EntryId, HallId, VmId};
@@ -78,8 +78,8 @@
     }
 }
 
-/// Errands whose leases this entry holds. An operator's drain has no lease that ends, so it falls
-/// to the first live entry of the hall.
+/// Errands whose leases this entry holds. What needs no lease falls to the first live entry of the
+/// hall.
 fn tasks(ctx: &Context, members: &BTreeMap<EntryId, HallId>) -> Vec<Task> {
     let view = view(ctx, members);
     let fleet = ctx.fleet.get();
@@ -88,9 +88,10 @@
         .iter()
         .filter_map(|(id, vm)| {
             let grant = vm.grant.clone()?;
-            let is_ours = match grant.errand {
-                Errand::Drain => view.holder(id, vm).as_deref() == Some(view.entry),
-                _ => grant.holder == view.entry,
+            let is_ours = if grant.has_lease() {
+                grant.holder == view.entry
+            } else {
+                view.holder(id, vm).as_deref() == Some(view.entry)
             };
             is_ours.then(|| Task {
                 id: id.clone(),
@@ -136,6 +137,7 @@
             submit(ctx, vec![renewal(ctx, task)]);
         }
         Action::Drain => call(ctx, task, &VmCall::Drain { token }),
+        Action::Undrain => call(ctx, task, &VmCall::Undrain { token }),
         Action::Begin => {
             submit(ctx, vec![Change::Begin { vm, grant }]);
         }
@@ -160,8 +162,7 @@
 /// Calls the platform; the last thing before the call is a look at the clock, so that a process
 /// that was frozen over its lease does nothing.
 fn call(ctx: &Context, task: &Task, call: &VmCall) {
-    let has_lease = task.grant.errand == Errand::Drain || SystemTime::now() < task.grant.deadline;
-    if !has_lease {
+    if task.grant.has_lease() && SystemTime::now() >= task.grant.deadline {
         tracing::warn!(vm = %task.id, ?call, "the lease ended before the call; not calling");
         return;
     }
@@ -179,6 +180,7 @@
         drained: info.drained,
         running: info.running,
         pool: info.pool.clone(),
+        token: info.token,
     }
 }
 
--- a/crates/platform/src/vms.rs
+++ b/crates/platform/src/vms.rs
@@ -39,6 +39,8 @@
     pub running: u32,
     /// The pool that its worker takes tasks for; empty for any.
     pub pool: PoolId,
+    /// The highest fencing token that a call has carried.
+    pub token: Offset,
 }
 
 /// A call that changes a VM. Each carries a fencing token: the platform refuses one that is lower
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -128,6 +128,7 @@
         drained: false,
         running: 0,
         pool: String::new(),
+        token: 0,
     });
     let power = machine.power.subscribe();
     shared.lock().machines.insert(id.clone(), machine);
--- a/crates/standin/src/vm.rs
+++ b/crates/standin/src/vm.rs
@@ -2,7 +2,6 @@
 
 use crate::ledger::{Ledger, RunEnd, VmEvent, What, now_ms};
 use platform::{ListState, VmCall, VmInfo};
-use protocol::Offset;
 use std::{
     collections::{HashMap, HashSet},
     time::Duration,
@@ -13,8 +12,6 @@
 pub struct Machine {
     /// What the platform shows of it.
     pub info: VmInfo,
-    /// The highest token that a call has carried.
-    token: Offset,
     /// Attempts that its worker has begun since it was made.
     pub seen: HashSet<String>,
     /// Places of its running tasks in the ledger.
@@ -44,7 +41,6 @@
     pub fn new(info: VmInfo) -> Self {
         Self {
             info,
-            token: 0,
             seen: HashSet::new(),
             running: HashMap::new(),
             slowness: 1,
@@ -63,11 +59,11 @@
             | VmCall::Assign { token, .. } => *token,
         };
         let stale_boot = matches!(call, VmCall::Reboot { boot, .. } if *boot != self.info.boot);
-        if token < self.token || stale_boot {
+        if token < self.info.token || stale_boot {
             self.note(ledger, What::Stale);
             return Effect::Stale;
         }
-        self.token = token;
+        self.info.token = token;
         match call {
             VmCall::Drain { .. } => self.set_drained(ledger, true),
             VmCall::Undrain { .. } => self.set_drained(ledger, false),
