--- /dev/null
+++ b/crates/havenladder/tests/bad_input.rs
@@ -0,0 +1,252 @@
+//! Callers that are broken, slow or hostile: a clear error, nothing run, nobody else disturbed.
+
+#![expect(clippy::unwrap_used, reason = "a test stops where it fails")]
+
+mod site;
+
+use site::{Site, plan};
+use std::{
+    io::{Read, Write},
+    net::{SocketAddr, TcpStream},
+    thread,
+    time::{Duration, Instant},
+};
+
+const SERVICE: &str = "place/pool/service";
+
+const SETTINGS: &str = r#"{ "place": { "unavailable": "50%", "pools": { "pool": { "vms": 2,
+  "services": { "service": { "body_limit": 1000, "timeout_ms": 3000 } } } } } }"#;
+
+fn site() -> Site {
+    Site::start(plan(1, 2), &["hall-1"], SETTINGS)
+}
+
+/// Sends bytes as they are and returns what came back until the connection ended.
+fn raw(addr: SocketAddr, bytes: &[u8]) -> String {
+    let mut stream = TcpStream::connect(addr).unwrap();
+    stream
+        .set_read_timeout(Some(Duration::from_secs(30)))
+        .unwrap();
+    stream.write_all(bytes).unwrap();
+    let mut answer = Vec::new();
+    let mut buffer = [0; 4096];
+    while let Ok(read @ 1..) = stream.read(&mut buffer) {
+        answer.extend_from_slice(&buffer[..read]);
+        let text = String::from_utf8_lossy(&answer);
+        let complete = text.split_once("\r\n\r\n").is_some_and(|(head, body)| {
+            let head = head.to_lowercase();
+            let length = head
+                .lines()
+                .find_map(|line| line.strip_prefix("content-length: "));
+            length.and_then(|length| length.parse().ok()) == Some(body.len())
+        });
+        if complete {
+            break;
+        }
+    }
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+fn request(headers: &str, body: &str) -> Vec<u8> {
+    format!("POST /v1/{SERVICE} HTTP/1.1\r\nhost: x\r\n{headers}\r\n\r\n{body}").into_bytes()
+}
+
+#[test]
+fn lengths_that_lie_are_refused_by_name() {
+    let site = site();
+    let addr = site.entries[0].editors;
+    let body = "run=1 tag=lie";
+    let length = body.len();
+    for (headers, status, named) in [
+        ("content-length: -5".to_owned(), "400", false),
+        ("content-length: x".to_owned(), "400", false),
+        (
+            format!("content-length: {length}\r\ncontent-length: 4"),
+            "400",
+            false,
+        ),
+        (
+            format!("content-length: {length}\r\ntransfer-encoding: chunked"),
+            "411",
+            true,
+        ),
+        (
+            format!("transfer-encoding: chunked\r\ncontent-length: {length}"),
+            "411",
+            true,
+        ),
+        ("content-length: 5000".to_owned(), "413", true),
+    ] {
+        let answer = raw(addr, &request(&headers, body));
+        assert!(
+            answer.starts_with(&format!("HTTP/1.1 {status}")),
+            "{headers}: {answer}"
+        );
+        assert!(
+            !named || answer.contains("\"field\":\"content-length\""),
+            "{answer}"
+        );
+    }
+    let answer = raw(addr, &request("content-length: 500", "run=1 tag=lie"));
+    assert!(
+        answer.starts_with("HTTP/1.1 408"),
+        "a body that never ends: {answer}"
+    );
+    assert!(site.runs("lie").is_empty());
+    assert_eq!(site.post(0, SERVICE, "run=1", &[]).status, 200);
+}
+
+#[test]
+fn each_error_names_its_field_and_the_nearest_right_one() {
+    let site = site();
+    let past = ("havenladder-deadline", "1000");
+    let word = ("havenladder-deadline", "soon");
+    for (service, header, status, text) in [
+        (
+            "place/pool/servize",
+            None,
+            404,
+            "did you mean /v1/place/pool/service?",
+        ),
+        ("nothing/like/it/at/all/anywhere", None, 404, "paths are"),
+        (SERVICE, Some(past), 400, "the deadline is past"),
+        (SERVICE, Some(word), 400, "milliseconds since 1970"),
+    ] {
+        let headers: Vec<_> = header.into_iter().collect();
+        let reply = site.post(0, service, "run=1 tag=bad", &headers);
+        assert_eq!((reply.status, reply.outcome.as_str()), (status, "not-run"));
+        assert!(reply.body.contains(text), "{reply:?}");
+    }
+    assert!(site.runs("bad").is_empty());
+}
+
+#[test]
+fn half_open_and_stalled_callers_hold_no_thread_and_disturb_nobody() {
+    let site = site();
+    let addr = site.entries[0].editors;
+    let before = site.threads(0);
+    let mut held: Vec<TcpStream> = Vec::new();
+    for _ in 0..300 {
+        let mut stream = TcpStream::connect(addr).unwrap();
+        stream
+            .write_all(b"POST /v1/place/pool/service HTTP/1.1\r\nhost")
+            .unwrap();
+        held.push(stream);
+    }
+    for _ in 0..300 {
+        let mut stream = TcpStream::connect(addr).unwrap();
+        stream
+            .write_all(&request("content-length: 100", "run=1 tag=stalled"))
+            .unwrap();
+        held.push(stream);
+    }
+    let began = Instant::now();
+    for _ in 0..50 {
+        assert_eq!(site.post(0, SERVICE, "run=1", &[]).status, 200);
+    }
+    assert!(
+        began.elapsed() < Duration::from_secs(10),
+        "{:?}",
+        began.elapsed()
+    );
+    assert_eq!(site.threads(0), before, "threads grew with connections");
+    // Each is closed by the limits of the listener, 2 s here.
+    for mut stream in held {
+        stream
+            .set_read_timeout(Some(Duration::from_secs(30)))
+            .unwrap();
+        let mut rest = Vec::new();
+        let _ = stream.read_to_end(&mut rest);
+    }
+    assert!(site.runs("stalled").is_empty());
+}
+
+#[test]
+fn random_bytes_do_not_harm_the_listener() {
+    let site = site();
+    let mut seed: u64 = 0x9e37_79b9_7f4a_7c15;
+    for _ in 0..200 {
+        let bytes: Vec<u8> = (0..64)
+            .map(|_| {
+                seed = seed.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+                seed.to_be_bytes()[0]
+            })
+            .collect();
+        let mut stream = TcpStream::connect(site.entries[0].editors).unwrap();
+        let _ = stream.write_all(&bytes);
+    }
+    assert_eq!(site.post(0, SERVICE, "run=1", &[]).status, 200);
+}
+
+#[test]
+fn without_the_key_operators_and_peers_are_shown_and_may_change_nothing() {
+    let site = site();
+    for (addr, path) in [
+        (site.entries[0].operators, "state"),
+        (site.entries[0].operators, "metrics"),
+        (site.entries[0].peers, "status"),
+        (site.entries[0].peers, "snapshot"),
+    ] {
+        for key in [
+            "",
+            "havenladder-key: wrong\r\n",
+            "authorization: Bearer wrong\r\n",
+        ] {
+            let answer = raw(
+                addr,
+                format!("GET /{path} HTTP/1.1\r\nhost: x\r\n{key}\r\n").as_bytes(),
+            );
+            assert!(answer.starts_with("HTTP/1.1 401"), "{path} {key}: {answer}");
+        }
+    }
+    let order = "{\"Wave\":{\"Start\":{\"scope\":\"place\"}}}";
+    let head = format!(
+        "POST /orders HTTP/1.1\r\nhost: x\r\ncontent-length: {}\r\n\r\n",
+        order.len()
+    );
+    let answer = raw(
+        site.entries[0].operators,
+        format!("{head}{order}").as_bytes(),
+    );
+    assert!(answer.starts_with("HTTP/1.1 401"), "{answer}");
+    assert!(site.state(0)["waves"].as_object().unwrap().is_empty());
+}
+
+/// Why the callers' listener is not `tiny_http`: the measurement that docs/DESIGN.md cites.
+#[test]
+fn tiny_http_takes_bad_lengths_and_holds_a_thread_for_each_half_open_caller() {
+    let server = tiny_http::Server::http("127.0.0.1:0").unwrap();
+    let addr = server.server_addr().to_ip().unwrap();
+    thread::spawn(move || {
+        while let Ok(request) = server.recv() {
+            let _ = request.respond(tiny_http::Response::from_string("taken"));
+        }
+    });
+    let answer = raw(
+        addr,
+        b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: -5\r\n\r\n",
+    );
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    let answer = raw(
+        addr,
+        b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 2\r\ncontent-length: 4\r\n\r\nab",
+    );
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    let before = site::threads_of(std::process::id());
+    let held: Vec<TcpStream> = (0..300)
+        .map(|_| {
+            let mut stream = TcpStream::connect(addr).unwrap();
+            stream.write_all(b"POST / HTTP/1.1\r\nhost").unwrap();
+            stream
+        })
+        .collect();
+    let limit = Instant::now() + site::LIMIT;
+    while site::threads_of(std::process::id()) < before + 200 {
+        assert!(
+            Instant::now() < limit,
+            "tiny_http no longer needs a thread a caller"
+        );
+        thread::sleep(Duration::from_millis(10));
+    }
+    drop(held);
+}
--- /dev/null
+++ b/crates/havenladder/tests/cut_off.rs
@@ -0,0 +1,103 @@
+//! Halls that are cut off from the platform, from each other, or from both.
+
+mod site;
+
+use site::{Site, key, plan};
+use std::time::{Duration, Instant};
+
+const PREVIEW: &str = "place/previews/preview";
+const ORDER: &str = "place/orders/order";
+
+fn settings(timeout: u32) -> String {
+    format!(
+        r#"{{ "place": {{ "unavailable": "50%", "pools": {{
+          "previews": {{ "vms": 4, "services": {{ "preview": {{ "timeout_ms": {timeout} }} }} }},
+          "orders": {{ "vms": 4, "services": {{
+            "order": {{ "repeatable": false, "timeout_ms": 6000 }} }} }}
+        }} }} }}"#
+    )
+}
+
+fn two_halls() -> Site {
+    Site::start(plan(2, 4), &["hall-1", "hall-2"], &settings(5_000))
+}
+
+fn timeout(site: &Site, index: usize) -> u64 {
+    let state = site.state(index);
+    state["tree"]["nodes"][PREVIEW]["timeout_ms"]
+        .as_u64()
+        .unwrap_or(0)
+}
+
+#[test]
+fn a_hall_cut_off_from_the_platform_follows_its_peers_and_refuses_orders() {
+    let site = two_halls();
+    site.log_links[1].cut(true);
+    let began = Instant::now();
+    site.publish(&settings(4_321));
+    site.wait("the relay", || timeout(&site, 1) == 4_321);
+    assert!(
+        began.elapsed() < Duration::from_secs(4),
+        "{:?}",
+        began.elapsed()
+    );
+    assert_eq!(site.post(1, PREVIEW, "run=1", &[]).status, 200);
+    let reply = site.post(1, ORDER, "run=1 tag=cut", &[("idempotency-key", &key())]);
+    assert_eq!(
+        (reply.status, reply.outcome.as_str()),
+        (503, "not-run"),
+        "{reply:?}"
+    );
+    assert!(site.runs("cut").is_empty());
+}
+
+#[test]
+fn a_hall_cut_off_from_everybody_serves_with_what_it_knows() {
+    let site = two_halls();
+    site.log_links[1].cut(true);
+    site.cut_peers(0, 1, true);
+    for _ in 0..20 {
+        assert_eq!(site.post(1, PREVIEW, "run=1", &[]).status, 200);
+    }
+    let reply = site.post(1, ORDER, "run=1 tag=alone", &[("idempotency-key", &key())]);
+    assert_eq!(reply.outcome, "not-run", "{reply:?}");
+    // The others go on without it, and it catches up once the links are mended.
+    assert_eq!(site.post(0, PREVIEW, "run=1", &[]).status, 200);
+    site.log_links[1].cut(false);
+    site.cut_peers(0, 1, false);
+    site.publish(&settings(4_444));
+    site.wait("the hall to catch up", || timeout(&site, 1) == 4_444);
+    site.wait("orders", || {
+        site.post(1, ORDER, "run=1", &[("idempotency-key", &key())])
+            .status
+            == 200
+    });
+}
+
+#[test]
+fn a_hall_without_workers_spills_to_a_peer_and_says_so_when_cut_off() {
+    let site = two_halls();
+    for rack in ["hall-1-rack-1", "hall-1-rack-2"] {
+        site.fault(&format!("rack/{rack}?down_ms=600000"));
+    }
+    site.wait("spilling", || {
+        site.post(0, PREVIEW, "run=1", &[]).status == 200
+    });
+    for round in 0..10 {
+        let tag = format!("spill-{round}");
+        let reply = site.post(
+            0,
+            ORDER,
+            &format!("run=1 tag={tag}"),
+            &[("idempotency-key", &key())],
+        );
+        assert_eq!(reply.status, 200, "{reply:?}");
+        assert_eq!(site.runs(&tag).len(), 1);
+    }
+    site.cut_peers(0, 1, true);
+    site.wait("the peer to be missed", || {
+        let began = Instant::now();
+        let reply = site.post(0, PREVIEW, "run=1", &[]);
+        reply.outcome == "not-run" && began.elapsed() < Duration::from_millis(500)
+    });
+}
