fix(fleet): a move that its pool no longer lacks is rejected by the fold

Cause: two planners that do not see each other yet, as at the start of a site, each filled a pool from the spares of its own hall; the pool got 12 VMs where 10 were asked for, and nothing ever took the two back.

Ruled out: a stuck errand (no grant was left), a VM that was never observed (all 12 were known), and taken addresses (every entry was ready).

After: PoolFull, and an operator is told to raise vms first.

Conclusion: what must hold for all planners together belongs in the fold. The counts now keep the VMs that are on their way to a pool. Benches come along.

--- a/crates/fleet/src/budget.rs
+++ b/crates/fleet/src/budget.rs
@@ -1,6 +1,9 @@
 //! Budgets: how many slots of a pool are unavailable, and whether more may be.
 
-use crate::state::{Fleet, Health, Vm};
+use crate::{
+    record::Errand,
+    state::{Fleet, Grant, Health, Step, Vm},
+};
 use protocol::{Offset, PoolId, VmId};
 use serde::{Deserialize, Serialize};
 use settings::{Path, Service};
@@ -16,8 +19,13 @@
     pub unavailable: u32,
     /// VMs that the platform no longer lists.
     pub gone: u32,
+    /// VMs of other pools that are on their way here.
+    pub incoming: u32,
 }
 
+/// What one VM adds to one pool.
+type Part = (PoolId, Count);
+
 /// The budget that leaves least room in a pool.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Hold {
@@ -68,54 +76,71 @@
         let Some(vm) = self.vms.get_mut(id) else {
             return;
         };
-        let before = contribution(vm);
+        let before = parts(vm);
         change(vm);
         vm.version = version;
-        let after = contribution(vm);
-        self.discount(&before);
-        self.charge(&after);
+        let after = parts(vm);
+        before.iter().for_each(|part| self.discount(part));
+        after.iter().for_each(|part| self.charge(part));
     }
 
     /// Adds a VM.
     pub(crate) fn insert_vm(&mut self, id: VmId, vm: Vm) {
-        self.charge(&contribution(&vm));
+        parts(&vm).iter().for_each(|part| self.charge(part));
         self.vms.insert(id, vm);
     }
 
     /// Removes a VM.
     pub(crate) fn remove_vm(&mut self, id: &str) {
         if let Some(vm) = self.vms.remove(id) {
-            self.discount(&contribution(&vm));
+            parts(&vm).iter().for_each(|part| self.discount(part));
         }
     }
 
-    fn charge(&mut self, (pool, part): &(PoolId, Count)) {
+    fn charge(&mut self, (pool, part): &Part) {
         let count = self.counts.entry(pool.clone()).or_default();
         count.vms += part.vms;
         count.slots += part.slots;
         count.unavailable += part.unavailable;
         count.gone += part.gone;
+        count.incoming += part.incoming;
     }
 
-    fn discount(&mut self, (pool, part): &(PoolId, Count)) {
+    fn discount(&mut self, (pool, part): &Part) {
         let count = self.counts.entry(pool.clone()).or_default();
         count.vms -= part.vms;
         count.slots -= part.slots;
         count.unavailable -= part.unavailable;
         count.gone -= part.gone;
-        if count.vms == 0 {
+        count.incoming -= part.incoming;
+        if *count == Count::default() {
             self.counts.remove(pool);
         }
     }
 }
 
-fn contribution(vm: &Vm) -> (PoolId, Count) {
-    let unavailable = if vm.is_available() { 0 } else { vm.slots };
-    let count = Count {
+/// What a VM adds to its own pool and, while it moves, to the one it is on its way to.
+fn parts(vm: &Vm) -> Vec<Part> {
+    let own = Count {
         vms: 1,
         slots: vm.slots,
-        unavailable,
+        unavailable: if vm.is_available() { 0 } else { vm.slots },
         gone: u32::from(vm.health == Health::Gone),
+        incoming: 0,
     };
-    (vm.pool.clone(), count)
+    let mut parts = vec![(vm.pool.clone(), own)];
+    if let Some(Grant {
+        errand: Errand::Move { to },
+        step,
+        ..
+    }) = &vm.grant
+        && *step != Step::Returning
+    {
+        let coming = Count {
+            incoming: 1,
+            ..Count::default()
+        };
+        parts.push((to.clone(), coming));
+    }
+    parts
 }
--- a/crates/fleet/src/grant.rs
+++ b/crates/fleet/src/grant.rs
@@ -145,13 +145,24 @@
             return Some(Reason::BadDeadline);
         }
         if let Errand::Move { to } = &request.errand
-            && !self.admits(to, vm)
+            && let Some(reason) = self.refuse_move(vm, to)
         {
-            return Some(Reason::NoPool { pool: to.clone() });
+            return Some(reason);
         }
         self.over_budget(vm)
     }
 
+    /// Planners that do not know of each other each fill a pool; what is too much ends here.
+    fn refuse_move(&self, vm: &Vm, to: &str) -> Option<Reason> {
+        let pool = to.to_owned();
+        if !self.admits(to, vm) {
+            return Some(Reason::NoPool { pool });
+        }
+        let asked = self.tree.nodes.get(to).and_then(|node| node.vms)?;
+        let will = self.present(to) + self.count(to).incoming;
+        (will >= asked).then_some(Reason::PoolFull { pool, asked })
+    }
+
     /// Tells whether `vm` could be moved to `pool`.
     pub fn admits(&self, pool: &str, vm: &Vm) -> bool {
         if pool == vm.pool {
--- a/crates/fleet/src/publish.rs
+++ b/crates/fleet/src/publish.rs
@@ -67,7 +67,9 @@
         }
         let pool = self
             .counts
-            .keys()
+            .iter()
+            .filter(|(_, count)| count.vms > 0)
+            .map(|(pool, _)| pool)
             .find(|pool| pool.as_str() != crate::SPARE && !tree.nodes.contains_key(*pool))?;
         Some(Reason::PoolInUse { pool: pool.clone() })
     }
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -230,6 +230,14 @@
         /// The pool.
         pool: PoolId,
     },
+    /// The pool has, or is about to have, as many VMs as it asks for.
+    #[error("pool `{pool}` has the {asked} VMs that it asks for; raise its `vms` first")]
+    PoolFull {
+        /// The pool.
+        pool: PoolId,
+        /// The VMs that it asks for.
+        asked: u32,
+    },
     /// There is no such place or pool.
     #[error("no place or pool `{scope}`")]
     NoScope {
--- a/crates/fleet/tests/fold.rs
+++ b/crates/fleet/tests/fold.rs
@@ -380,6 +380,28 @@
     );
 }
 
+#[test]
+fn planners_that_do_not_know_of_each_other_move_no_more_than_is_lacking() {
+    let mut bench = Bench::new(10);
+    bench.publish(&SETTINGS.replacen("\"vms\": 4", "\"vms\": 5", 1));
+    let to = Errand::Move {
+        to: "place/one".into(),
+    };
+    let spares: Vec<String> = bench
+        .fleet
+        .vms
+        .iter()
+        .filter(|(_, vm)| vm.pool == "spare")
+        .map(|(id, _)| id.clone())
+        .collect();
+    assert_eq!(bench.grant(&spares[0], to.clone()), Outcome::Applied);
+    let outcome = bench.grant(&spares[1], to);
+    assert!(
+        matches!(rejected(&outcome), Reason::PoolFull { .. }),
+        "{outcome:?}"
+    );
+}
+
 #[test]
 fn a_snapshot_is_the_state_and_a_broken_one_is_not_taken() {
     let bench = Bench::new(8);
--- /dev/null
+++ b/crates/fleet/tests/rollout.rs
@@ -0,0 +1,338 @@
+//! Roll-out time, moves and buffer at the users' sizes, in the fold's own time: ratios to their
+//! bounds, beside two baselines. `cargo test -p havenladder-fleet --test rollout -- --nocapture`
+//! prints the figures.
+
+#![expect(clippy::unwrap_used, reason = "a test stops where it fails")]
+
+use havenladder_fleet::{
+    Change, Errand, Fleet, Health, Observation, PathChange, Record, Room, Seen, Step, View,
+    WaveChange, WaveState, holds, least_moves, plan,
+};
+use protocol::{EntryId, HallId, LogRecord, RecordId, encode};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use settings::{diff, read_tree};
+use std::{
+    collections::BTreeMap,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+const KOWHAI: &str = include_str!("../../../examples/kowhai/settings.jsonc");
+const SAN_CARLOS: &str = include_str!("../../../examples/san-carlos/settings.jsonc");
+
+/// Time between two steps: an append with its read-back.
+const TICK: Duration = Duration::from_millis(100);
+
+/// Time that a VM takes to drain and reboot.
+const ONE_VM: Duration = Duration::from_secs(90);
+
+/// How a wave chooses.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Way {
+    /// The planner's own.
+    Planner,
+    /// One VM at a time in the whole fleet.
+    OneByOne,
+    /// As many as each budget allows, and no more before all of them are back.
+    Batches,
+}
+
+/// What happens to a run.
+#[derive(Clone, Copy, Default)]
+struct Faults {
+    /// Whether a rack is lost in the middle for as long as ten VMs take.
+    rack: bool,
+    /// Share of VMs that take three times as long to come back.
+    slow: f64,
+}
+
+struct Run {
+    fleet: Fleet,
+    now: SystemTime,
+    live: BTreeMap<EntryId, HallId>,
+    /// When each VM that is out comes back, with what it was granted for.
+    back: BTreeMap<String, SystemTime>,
+    rng: SmallRng,
+    most_out: u32,
+}
+
+impl Run {
+    fn new(settings: &str, vms: u32, seed: u64) -> Self {
+        let mut run = Self {
+            fleet: Fleet::default(),
+            now: UNIX_EPOCH + Duration::from_secs(1_000_000),
+            live: (1..=4)
+                .map(|hall| (format!("entry-{hall}"), format!("hall-{hall}")))
+                .collect(),
+            back: BTreeMap::new(),
+            rng: SmallRng::seed_from_u64(seed),
+            most_out: 0,
+        };
+        run.publish(settings);
+        let seen = (0..vms).map(|vm| run.up(vm, 1)).collect();
+        run.tell(vec![Change::Observe(seen)]);
+        run
+    }
+
+    fn publish(&mut self, settings: &str) {
+        let wanted = read_tree("settings", settings).unwrap();
+        let changes = diff(&self.fleet.tree, &wanted)
+            .into_iter()
+            .map(|change| PathChange {
+                base: self.fleet.version(&change.path),
+                path: change.path,
+                node: change.node,
+            });
+        let changes = changes.collect();
+        self.tell(vec![Change::Settings(changes)]);
+    }
+
+    fn up(&self, vm: u32, boot: u64) -> Observation {
+        let hall = vm % 4 + 1;
+        let id = format!("vm-{vm:05}");
+        let base = self.fleet.vms.get(&id).map_or(0, |vm| vm.version);
+        let seen = Seen::Up {
+            hall: format!("hall-{hall}"),
+            rack: format!("hall-{hall}-rack-{}", vm / 16),
+            addr: "addr".into(),
+            slots: 8,
+            boot,
+        };
+        Observation { vm: id, base, seen }
+    }
+
+    fn tell(&mut self, changes: Vec<Change>) {
+        let record = Record {
+            id: RecordId::from_parts(0, self.rng.random()),
+            by: "entry-1".into(),
+            expires: self.now + Duration::from_secs(30),
+            changes,
+        };
+        let data = encode(&record).unwrap();
+        let record = LogRecord {
+            offset: self.fleet.next,
+            at: self.now,
+            data,
+        };
+        self.fleet.apply(&record);
+    }
+
+    /// The proposals of every entry, as far as the way allows them.
+    fn plan(&mut self, way: Way) {
+        for entry in self.live.clone().into_keys() {
+            let view = View {
+                entry: &entry,
+                live: &self.live,
+                now: self.now,
+                lease: Duration::from_secs(600),
+            };
+            let mut changes = plan(&self.fleet, &view);
+            changes.retain(|change| !matches!(change, Change::Grant(_)) || self.admits(way));
+            if way == Way::OneByOne {
+                let grants = changes
+                    .iter()
+                    .filter(|change| matches!(change, Change::Grant(_)));
+                let surplus = grants.count().saturating_sub(1);
+                let keep = changes.len() - surplus;
+                changes.truncate(keep);
+            }
+            if !changes.is_empty() {
+                self.tell(changes);
+            }
+        }
+    }
+
+    fn admits(&self, way: Way) -> bool {
+        match way {
+            Way::Planner => true,
+            Way::OneByOne | Way::Batches => self.fleet.vms.values().all(|vm| vm.grant.is_none()),
+        }
+    }
+
+    /// Lets time pass and carries out what was granted.
+    fn pass(&mut self, faults: Faults) {
+        self.now += TICK;
+        let granted: Vec<(String, u64, Step, u64, Errand)> = self
+            .fleet
+            .vms
+            .iter()
+            .filter_map(|(id, vm)| Some((id.clone(), vm.boot, vm.grant.clone()?)))
+            .map(|(id, boot, grant)| (id, grant.id, grant.step, boot, grant.errand))
+            .collect();
+        let mut changes = Vec::new();
+        for (vm, grant, step, boot, errand) in granted {
+            match (step, self.back.get(&vm)) {
+                (Step::Returning, _) => changes.push(Change::Finish { vm, grant, boot }),
+                (_, None) => {
+                    let holder = self.fleet.vms[&vm].grant.as_ref().unwrap().holder.clone();
+                    let slow = if self.rng.random_bool(faults.slow) {
+                        3
+                    } else {
+                        1
+                    };
+                    self.back.insert(vm.clone(), self.now + ONE_VM * slow);
+                    self.tell_as(&holder, Change::Begin { vm, grant });
+                }
+                (_, Some(back)) if *back <= self.now => {
+                    self.back.remove(&vm);
+                    let boot = if errand == Errand::Reboot {
+                        boot + 1
+                    } else {
+                        boot
+                    };
+                    changes.push(Change::Finish { vm, grant, boot });
+                }
+                _ => {}
+            }
+        }
+        if !changes.is_empty() {
+            self.tell(changes);
+        }
+        self.most_out = self
+            .most_out
+            .max(self.fleet.counts.values().map(|c| c.unavailable).sum());
+    }
+
+    fn tell_as(&mut self, by: &str, change: Change) {
+        let record = Record {
+            id: RecordId::from_parts(0, self.rng.random()),
+            by: by.into(),
+            expires: self.now + Duration::from_secs(30),
+            changes: vec![change],
+        };
+        let data = encode(&record).unwrap();
+        let record = LogRecord {
+            offset: self.fleet.next,
+            at: self.now,
+            data,
+        };
+        self.fleet.apply(&record);
+    }
+
+    /// Runs a wave over everything and returns how long it took.
+    fn wave(&mut self, way: Way, faults: Faults) -> Duration {
+        self.now += Duration::from_secs(1);
+        let place = self.fleet.tree.nodes.keys().next().unwrap().clone();
+        self.tell(vec![Change::Wave(WaveChange::Start { scope: place })]);
+        let began = self.now;
+        let wave = *self.fleet.waves.keys().next_back().unwrap();
+        let mut rack_back = None;
+        while self.fleet.waves[&wave].state == WaveState::Running {
+            if faults.rack && rack_back.is_none() && self.now > began + ONE_VM {
+                self.set_rack(false);
+                rack_back = Some(self.now + ONE_VM);
+            }
+            if rack_back.is_some_and(|back| self.now >= back) && self.any_down() {
+                self.set_rack(true);
+            }
+            self.plan(way);
+            self.pass(faults);
+        }
+        self.now.duration_since(began).unwrap()
+    }
+
+    fn any_down(&self) -> bool {
+        self.fleet.vms.values().any(|vm| vm.health == Health::Down)
+    }
+
+    /// Takes a rack down, or brings it back booted once more.
+    fn set_rack(&mut self, up: bool) {
+        let seen = self
+            .fleet
+            .vms
+            .iter()
+            .filter(|(_, vm)| vm.rack == "hall-1-rack-1" && vm.grant.is_none())
+            .map(|(id, vm)| Observation {
+                vm: id.clone(),
+                base: vm.version,
+                seen: if up {
+                    let number = id["vm-".len()..].parse().unwrap();
+                    self.up(number, vm.boot + 1).seen
+                } else {
+                    Seen::Down
+                },
+            })
+            .collect();
+        self.tell(vec![Change::Observe(seen)]);
+    }
+
+    /// The largest, over pools, of the rounds that the budget demands, times the time of one VM.
+    fn bound(&self) -> Duration {
+        let rounds = self.fleet.counts.iter().filter_map(|(pool, count)| {
+            let at_once = holds(&self.fleet, pool)?.budget / 8;
+            Some(count.vms.div_ceil(at_once.max(1)))
+        });
+        ONE_VM * rounds.max().unwrap()
+    }
+}
+
+fn ratio(settings: &str, way: Way, faults: Faults) -> (f64, u32) {
+    let mut run = Run::new(settings, 50, 1);
+    let bound = run.bound();
+    let took = run.wave(way, faults);
+    (took.as_secs_f64() / bound.as_secs_f64(), run.most_out)
+}
+
+#[yare::parameterized(
+    kowhai = { "Kowhai Press", KOWHAI },
+    san_carlos = { "San Carlos", SAN_CARLOS },
+)]
+fn a_wave_takes_hardly_longer_than_its_bound(user: &str, settings: &str) {
+    let calm = Faults::default();
+    let (planner, out) = ratio(settings, Way::Planner, calm);
+    let (batches, _) = ratio(settings, Way::Batches, calm);
+    let (one, _) = ratio(settings, Way::OneByOne, calm);
+    println!(
+        "{user}: time over bound {planner:.3}, batches {batches:.3}, one by one {one:.3}; most out {out} slots"
+    );
+    assert!(planner <= 1.10, "{planner}");
+    assert!(planner <= batches && planner < one);
+}
+
+#[yare::parameterized(
+    kowhai = { "Kowhai Press", KOWHAI },
+    san_carlos = { "San Carlos", SAN_CARLOS },
+)]
+fn a_lost_rack_and_slow_vms_cost_less_than_in_batches(user: &str, settings: &str) {
+    let faults = Faults {
+        rack: true,
+        slow: 0.1,
+    };
+    let (planner, _) = ratio(settings, Way::Planner, faults);
+    let (batches, _) = ratio(settings, Way::Batches, faults);
+    let (one, _) = ratio(settings, Way::OneByOne, faults);
+    println!(
+        "{user}, a rack lost, 10 % slow: time over bound {planner:.3}, batches {batches:.3}, one by one {one:.3}"
+    );
+    assert!(planner < batches && planner < one);
+}
+
+#[test]
+fn sizes_are_reached_with_the_fewest_moves() {
+    let mut run = Run::new(KOWHAI, 50, 1);
+    let wanted = KOWHAI
+        .replace("\"vms\": 12", "\"vms\": 9")
+        .replace("\"vms\": 8,", "\"vms\": 11,");
+    run.publish(&wanted);
+    let least = least_moves(&run.fleet);
+    let before: BTreeMap<String, String> = pools(&run.fleet);
+    for _ in 0..20_000 {
+        run.plan(Way::Planner);
+        run.pass(Faults::default());
+    }
+    let moved = pools(&run.fleet)
+        .into_iter()
+        .filter(|(vm, pool)| before[vm] != *pool)
+        .count();
+    println!("moves {moved}, the least possible {least}");
+    assert_eq!(moved as u32, least);
+    assert_eq!(run.fleet.count("aotearoa/orders").vms, 11);
+    assert!(Room::new(&run.fleet).take(run.fleet.vms.values().next().unwrap()));
+}
+
+fn pools(fleet: &Fleet) -> BTreeMap<String, String> {
+    fleet
+        .vms
+        .iter()
+        .map(|(id, vm)| (id.clone(), vm.pool.clone()))
+        .collect()
+}
--- /dev/null
+++ b/crates/havenladder/benches/path.rs
@@ -0,0 +1,169 @@
+//! The cost of the path: requests through an entry against requests straight to the same worker,
+//! in one run; requests a second on a core; memory at rest and with many requests in flight.
+
+#[path = "../tests/site/mod.rs"]
+mod site;
+
+use bytes::Bytes;
+use havenladder_standin::load::{Kind, straight};
+use hdrhistogram::Histogram;
+use http_body_util::{BodyExt, Full};
+use hyper::Request;
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::TokioExecutor,
+};
+use site::{Site, plan};
+use std::time::{Duration, Instant};
+
+const SETTINGS: &str = r#"{ "place": { "unavailable": "50%", "pools": { "pool": { "vms": 16,
+  "services": { "service": { "timeout_ms": 60000, "queue_limit": 4000 } } } } } }"#;
+
+/// Requests of each latency run; the two ways take turns.
+const ROUNDS: usize = 4_000;
+
+/// Time of the throughput run.
+const TIME: Duration = Duration::from_secs(4);
+
+/// Requests in flight in the throughput run.
+const CALLERS: usize = 48;
+
+/// Requests in flight in the memory run.
+const IN_FLIGHT: usize = 1_000;
+
+type Http = Client<HttpConnector, Full<Bytes>>;
+
+fn main() {
+    let site = Site::start(plan(1, 16), &["hall-1"], SETTINGS);
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    println!(
+        "memory at rest: {:.1} MB, {} threads",
+        megabytes(&site),
+        site.threads(0)
+    );
+    runtime.block_on(latency(&site));
+    runtime.block_on(throughput(&site));
+    runtime.block_on(memory(&site));
+}
+
+fn megabytes(site: &Site) -> f64 {
+    site.memory(0) as f64 / 1e6
+}
+
+fn client() -> Http {
+    let mut connector = HttpConnector::new();
+    connector.set_nodelay(true);
+    Client::builder(TokioExecutor::new()).build(connector)
+}
+
+async fn through(http: &Http, site: &Site, run: u64) -> bool {
+    let entry = site.entries[0].editors;
+    let request = Request::post(format!("http://{entry}/v1/place/pool/service"))
+        .body(Full::from(format!("run={run}")))
+        .expect("a well-formed request");
+    let Ok(answer) = http.request(request).await else {
+        return false;
+    };
+    let is_done = answer.status().is_success();
+    answer.into_body().collect().await.is_ok() && is_done
+}
+
+async fn latency(site: &Site) {
+    let http = client();
+    let workers = site.workers();
+    let kind = Kind {
+        service: "place/pool/service".into(),
+        pool: "place/pool".into(),
+        rate: 0.0,
+        run_ms: (0.0, 0.0),
+        patience: Duration::from_secs(1),
+    };
+    let histogram = || Histogram::<u64>::new(3).expect("three digits are allowed");
+    let (mut entry, mut direct) = (histogram(), histogram());
+    for round in 0..ROUNDS {
+        let began = Instant::now();
+        assert!(through(&http, site, 0).await, "an entry refused");
+        let took = began.elapsed();
+        let began = Instant::now();
+        let worker = workers[round % workers.len()];
+        assert_eq!(straight(&http, worker, &kind, 0).await, Some(true));
+        if round >= ROUNDS / 10 {
+            direct.saturating_record(began.elapsed().as_micros() as u64);
+            entry.saturating_record(took.as_micros() as u64);
+        }
+    }
+    for quantile in [0.5, 0.99] {
+        let (with, without) = (
+            entry.value_at_quantile(quantile),
+            direct.value_at_quantile(quantile),
+        );
+        println!(
+            "p{:<3} through an entry {with} us, straight {without} us, added {} us",
+            quantile * 100.0,
+            with as i64 - without as i64
+        );
+    }
+}
+
+async fn throughput(site: &Site) {
+    let http = client();
+    let before = site.processor_time(0);
+    let began = Instant::now();
+    let mut calls = tokio::task::LocalSet::new();
+    let total = std::rc::Rc::new(std::cell::Cell::new(0_u64));
+    for _ in 0..CALLERS {
+        let (http, total) = (http.clone(), std::rc::Rc::clone(&total));
+        let entry = site.entries[0].editors;
+        calls.spawn_local(async move {
+            while began.elapsed() < TIME {
+                let request = Request::post(format!("http://{entry}/v1/place/pool/service"))
+                    .body(Full::from("run=0"))
+                    .expect("a well-formed request");
+                if let Ok(answer) = http.request(request).await
+                    && answer.status().is_success()
+                    && answer.into_body().collect().await.is_ok()
+                {
+                    total.set(total.get() + 1);
+                }
+            }
+        });
+    }
+    (&mut calls).await;
+    let done = total.get();
+    let used = site.processor_time(0) - before;
+    println!(
+        "throughput: {:.0} requests/s with {CALLERS} callers; {:.0} requests a second of processor time",
+        done as f64 / TIME.as_secs_f64(),
+        done as f64 / used.as_secs_f64()
+    );
+}
+
+async fn memory(site: &Site) {
+    let http = client();
+    let calls = tokio::task::LocalSet::new();
+    for _ in 0..IN_FLIGHT {
+        let http = http.clone();
+        let entry = site.entries[0].editors;
+        calls.spawn_local(async move {
+            let request = Request::post(format!("http://{entry}/v1/place/pool/service"))
+                .body(Full::from("run=300 tag=in-flight"))
+                .expect("a well-formed request");
+            let _ = http.request(request).await;
+        });
+    }
+    let mut most = 0.0_f64;
+    let watch = async {
+        for _ in 0..100 {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            most = most.max(megabytes(site));
+        }
+    };
+    calls.run_until(watch).await;
+    println!(
+        "memory with {IN_FLIGHT} requests in flight: {most:.1} MB, {} threads",
+        site.threads(0)
+    );
+}
--- a/crates/havenladder/tests/site/mod.rs
+++ b/crates/havenladder/tests/site/mod.rs
@@ -323,6 +323,11 @@
         runs.filter(|run| run.tag == tag).collect()
     }
 
+    /// Appends that the log has taken, in all streams.
+    pub fn appends(&self) -> u64 {
+        self.platform_json("ledger/appends").as_u64().unwrap()
+    }
+
     fn platform_json(&self, path: &str) -> Value {
         let (_, text) = get(&format!("http://{}/{path}", self.platform)).unwrap();
         serde_json::from_str(&text).unwrap()
@@ -340,6 +345,49 @@
         agent().post(url).send(body).unwrap();
     }
 
+    /// Addresses of all workers.
+    pub fn workers(&self) -> Vec<SocketAddr> {
+        let listed = self.platform_json("vms");
+        let addrs = listed
+            .as_array()
+            .unwrap()
+            .iter()
+            .map(|vm| vm["addr"].as_str());
+        addrs.map(|addr| addr.unwrap().parse().unwrap()).collect()
+    }
+
+    /// Processor time that an entry has used.
+    pub fn processor_time(&self, index: usize) -> Duration {
+        /// Ticks of the system's clock in a second, as Linux has them.
+        const TICKS: f64 = 100.0;
+        let id = self.entries[index].child.as_ref().unwrap().id();
+        let stat = fs::read_to_string(format!("/proc/{id}/stat")).unwrap();
+        let fields: Vec<&str> = stat
+            .rsplit(')')
+            .next()
+            .unwrap()
+            .split_whitespace()
+            .collect();
+        let ticks: f64 = fields[11].parse::<f64>().unwrap() + fields[12].parse::<f64>().unwrap();
+        Duration::from_secs_f64(ticks / TICKS)
+    }
+
+    /// Memory that an entry holds, in bytes.
+    pub fn memory(&self, index: usize) -> u64 {
+        let id = self.entries[index].child.as_ref().unwrap().id();
+        let status = fs::read_to_string(format!("/proc/{id}/status")).unwrap();
+        let line = status
+            .lines()
+            .find_map(|line| line.strip_prefix("VmRSS:"))
+            .unwrap();
+        line.split_whitespace()
+            .next()
+            .unwrap()
+            .parse::<u64>()
+            .unwrap()
+            * 1024
+    }
+
     /// Threads of an entry's process.
     pub fn threads(&self, index: usize) -> usize {
         threads_of(self.entries[index].child.as_ref().unwrap().id())
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -172,6 +172,7 @@
             None => Some(answer(404, "text/plain", "no such VM")),
         },
         ("POST", ["vms", vm]) => vm_call(&shared, vm, &call),
+        ("GET", ["ledger", "appends"]) => Some(json(&shared.lock().streams.appends)),
         ("GET", ["ledger"]) => Some(json(&shared.lock().ledger)),
         ("POST", ["fault", rest @ ..]) => fault(&shared, rest, &call).await,
         _ => Some(answer(404, "text/plain", "no such path")),
--- a/crates/standin/src/proxy.rs
+++ b/crates/standin/src/proxy.rs
@@ -32,6 +32,7 @@
     short: AtomicU64,
     duplicate: AtomicBool,
     connections: AtomicU64,
+    bytes: AtomicU64,
 }
 
 impl Faults {
@@ -66,6 +67,11 @@
         self.connections.load(Relaxed)
     }
 
+    /// Bytes that went through, both ways.
+    pub fn bytes(&self) -> u64 {
+        self.bytes.load(Relaxed)
+    }
+
     /// Takes one of the counted faults, if one is left.
     fn take(counter: &AtomicU64) -> bool {
         let taken = counter.fetch_update(Relaxed, Relaxed, |left| left.checked_sub(1));
@@ -140,6 +146,7 @@
 ) {
     let mut buffer = vec![0; BUFFER];
     while let Ok(read @ 1..) = from.read(&mut buffer).await {
+        faults.bytes.fetch_add(read as u64, Relaxed);
         hold(faults).await;
         if let Some(second) = &mut second {
             let _ = second.write_all(&buffer[..read]).await;
@@ -153,6 +160,7 @@
 async fn answers(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, faults: &Faults) {
     let mut buffer = vec![0; BUFFER];
     while let Ok(read @ 1..) = from.read(&mut buffer).await {
+        faults.bytes.fetch_add(read as u64, Relaxed);
         hold(faults).await;
         if Faults::take(&faults.lose) {
             return;
