fix(standin): a run of 0 ms takes no timer, and histograms hold their values

Cause: the cost of the path was measured against workers whose timer rounds 0 ms up to 1 ms, and a histogram that cannot grow kept 0 for every quantile.

Ruled out: the entry itself as the cause of 1.2 ms straight to a worker.

--- a/crates/havenladder/benches/path.rs
+++ b/crates/havenladder/benches/path.rs
@@ -81,7 +81,8 @@
         run_ms: (0.0, 0.0),
         patience: Duration::from_secs(1),
     };
-    let histogram = || Histogram::<u64>::new(3).expect("three digits are allowed");
+    let histogram =
+        || Histogram::<u64>::new_with_bounds(1, 60_000_000, 3).expect("bounds in order");
     let (mut entry, mut direct) = (histogram(), histogram());
     for round in 0..ROUNDS {
         let began = Instant::now();
--- a/crates/standin/src/load.rs
+++ b/crates/standin/src/load.rs
@@ -22,6 +22,9 @@
     time::{sleep, sleep_until},
 };
 
+/// The longest time that is told apart, in microseconds.
+const LONGEST_US: u64 = 600_000_000;
+
 /// One kind of request.
 #[derive(Clone, Debug)]
 pub struct Kind {
@@ -73,7 +76,7 @@
 
 impl Default for Tally {
     fn default() -> Self {
-        let histogram = || Histogram::new(3).expect("three digits are allowed");
+        let histogram = || Histogram::new_with_bounds(1, LONGEST_US, 3).expect("bounds in order");
         Self {
             offered: 0,
             good: 0,
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -142,7 +142,9 @@
     };
     let lease: u64 = call.headers.get(HEADER_LEASE)?.parse().ok()?;
     let left = lease.saturating_sub(now_ms());
-    sleep(Duration::from_millis(ask.run.min(left))).await;
+    if ask.run > 0 {
+        sleep(Duration::from_millis(ask.run.min(left))).await;
+    }
     let end = end_of(&shared, &vm, &ask, left);
     shared.end(&vm, &attempt, end);
     drop(guard);
