perf(serving): under overload a slot goes to a request that will be done in time

Cause: a request was started as long as the shortest run would still fit; with runs that differ tenfold most of those that started late ran into their deadlines and held their slots for nothing.

Ruled out: the workers (their leases ended the tasks at the deadline) and the queue's order (it is by deadline within a class).

--- a/crates/serving/src/admit.rs
+++ b/crates/serving/src/admit.rs
@@ -49,9 +49,20 @@
     Admission::Take
 }
 
-/// Tells whether a request that waits can no longer be done in time.
-pub(crate) fn is_hopeless(deadline: Instant, estimate: &Estimate, now: Instant) -> bool {
-    now + estimate.least(now) > deadline
+/// Tells whether a request that waits should be given up. While others wait as well, its slot
+/// goes to one that will most likely be done in time; alone it is tried as long as it can be.
+pub(crate) fn is_hopeless(
+    deadline: Instant,
+    estimate: &Estimate,
+    others_wait: bool,
+    now: Instant,
+) -> bool {
+    let run = if others_wait {
+        estimate.careful(now)
+    } else {
+        estimate.least(now)
+    };
+    now + run > deadline
 }
 
 /// Makes a refusal that asks the caller to come back about at `back`.
--- a/crates/serving/src/scheduler.rs
+++ b/crates/serving/src/scheduler.rs
@@ -255,7 +255,7 @@
             .estimates
             .entry(request.job.service.clone())
             .or_default();
-        if is_hopeless(request.job.deadline, estimate, now) {
+        if is_hopeless(request.job.deadline, estimate, pool.queue.len() > 0, now) {
             return self.refuse(id, Why::Overload, now);
         }
         let mut chosen = pool.choose(now, &request.tried, &mut self.rng);
@@ -369,13 +369,15 @@
     fn tick(&mut self, now: Instant) {
         let mut hopeless = Vec::new();
         for pool in self.pools.values_mut() {
+            let others_wait = pool.queue.len() > 1;
             let late: Vec<RequestId> = pool
                 .queue
                 .waiting()
                 .filter(|(id, deadline)| {
                     let service = self.requests.get(id).map(|request| &request.job.service);
                     let estimate = service.and_then(|service| self.estimates.get(service));
-                    estimate.is_some_and(|estimate| is_hopeless(*deadline, estimate, now))
+                    estimate
+                        .is_some_and(|estimate| is_hopeless(*deadline, estimate, others_wait, now))
                 })
                 .map(|(id, _)| id)
                 .collect();
