perf(control): an entry at rest looks only at what may have changed

Cause: every entry planned anew ten times a second over all VMs, read the whole list of VMs three times a second, probed every worker of its hall, and looked for unlisted VMs by a scan for each one.

Conclusion: the list is read by hall and only when its tag has changed, plans are made on change or once a second, grants have an index, and probes have a limit with suspects first.

--- a/crates/fleet/src/budget.rs
+++ b/crates/fleet/src/budget.rs
@@ -80,8 +80,14 @@
         change(vm);
         vm.version = version;
         let after = parts(vm);
+        let is_granted = vm.grant.is_some();
         before.iter().for_each(|part| self.discount(part));
         after.iter().for_each(|part| self.charge(part));
+        if is_granted {
+            self.granted.insert(id.to_owned());
+        } else {
+            self.granted.remove(id);
+        }
     }
 
     /// Adds a VM.
@@ -94,6 +100,7 @@
     pub(crate) fn remove_vm(&mut self, id: &str) {
         if let Some(vm) = self.vms.remove(id) {
             parts(&vm).iter().for_each(|part| self.discount(part));
+            self.granted.remove(id);
         }
     }
 
--- a/crates/fleet/src/moves.rs
+++ b/crates/fleet/src/moves.rs
@@ -64,19 +64,14 @@
             .chain(fleet.counts.keys())
             .map(|pool| (pool.clone(), fleet.present(pool)))
             .collect();
-        for vm in fleet.vms.values() {
-            let grant = vm
-                .grant
-                .as_ref()
-                .filter(|grant| grant.step != Step::Returning);
-            match grant.map(|grant| &grant.errand) {
-                Some(Errand::Move { to }) => {
-                    shift(&mut will, &vm.pool, to);
-                }
-                Some(Errand::Release) => {
-                    lower(&mut will, &vm.pool);
-                }
-                Some(Errand::Reboot | Errand::Drain) | None => {}
+        for (_, vm, grant) in fleet
+            .grants()
+            .filter(|(_, _, grant)| grant.step != Step::Returning)
+        {
+            match &grant.errand {
+                Errand::Move { to } => shift(&mut will, &vm.pool, to),
+                Errand::Release => lower(&mut will, &vm.pool),
+                Errand::Reboot | Errand::Drain => {}
             }
         }
         Self { will }
@@ -86,6 +81,11 @@
         fleet.asked(pool).saturating_sub(self.will[pool])
     }
 
+    fn has_surplus(&self, fleet: &Fleet) -> bool {
+        let mut pools = self.will.keys();
+        pools.any(|pool| self.surplus(fleet, pool) > 0)
+    }
+
     /// VMs that a pool has over what it asks for; a pool that asks for nothing keeps its VMs.
     fn surplus(&self, fleet: &Fleet, pool: &str) -> u32 {
         let will = self.will.get(pool).copied().unwrap_or_default();
@@ -115,6 +115,9 @@
 /// the fewest VMs goes before one where it has many.
 pub fn next_moves<'f>(fleet: &'f Fleet, room: &mut Room<'f>) -> Vec<Wanted> {
     let mut sizes = Sizes::new(fleet);
+    if !sizes.has_surplus(fleet) {
+        return Vec::new();
+    }
     let mut wanted = Vec::new();
     let mut taken: Vec<&VmId> = Vec::new();
     for pool in choosing_order(fleet, &sizes) {
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -62,9 +62,7 @@
 /// Leases that have ended for certain and whose errands fall to this entry.
 fn take_overs(fleet: &Fleet, view: &View<'_>) -> Vec<Change> {
     fleet
-        .vms
-        .iter()
-        .filter_map(|(id, vm)| Some((id, vm, vm.grant.as_ref()?)))
+        .grants()
         .filter(|(_, _, grant)| grant.has_lease())
         .filter(|(_, _, grant)| view.now > grant.deadline + CLOCK_SKEW)
         .filter(|(id, vm, _)| view.holder(id, vm).as_deref() == Some(view.entry))
@@ -90,10 +88,7 @@
         return Vec::new();
     }
     let mut changes = Vec::new();
-    for (id, vm) in &fleet.vms {
-        let Some(grant) = vm.grant.as_ref() else {
-            continue;
-        };
+    for (id, vm, grant) in fleet.grants() {
         let Some(over) = excess.get_mut(&vm.pool) else {
             continue;
         };
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -7,7 +7,10 @@
 use protocol::{EntryId, HallId, Offset, PoolId, RackId, RecordId, VmId};
 use serde::{Deserialize, Serialize};
 use settings::{Path, Tree};
-use std::{collections::BTreeMap, time::SystemTime};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::SystemTime,
+};
 
 /// The pool of VMs that no other pool asks for; it has no services.
 pub const SPARE: &str = "spare";
@@ -30,6 +33,8 @@
     pub vms: BTreeMap<VmId, Vm>,
     /// Slots by pool, kept in step with `vms`.
     pub counts: BTreeMap<PoolId, Count>,
+    /// VMs that have a grant, kept in step with `vms`: a few of many.
+    pub granted: BTreeSet<VmId>,
     /// The waves, also those that have ended lately.
     pub waves: BTreeMap<WaveId, Wave>,
     /// Records that a second copy may still follow, with when that ends and what was decided.
@@ -49,6 +54,7 @@
             versions: BTreeMap::new(),
             vms: BTreeMap::new(),
             counts: BTreeMap::new(),
+            granted: BTreeSet::new(),
             waves: BTreeMap::new(),
             recent: BTreeMap::new(),
             expiring: BTreeMap::new(),
@@ -57,6 +63,16 @@
     }
 }
 
+impl Fleet {
+    /// Returns the VMs that have a grant, with it.
+    pub fn grants(&self) -> impl Iterator<Item = (&VmId, &Vm, &Grant)> {
+        self.granted.iter().filter_map(|id| {
+            let vm = self.vms.get(id)?;
+            Some((id, vm, vm.grant.as_ref()?))
+        })
+    }
+}
+
 /// Which record did something, and who appended it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Mark {
--- a/crates/havenladder/benches/control.rs
+++ b/crates/havenladder/benches/control.rs
@@ -3,7 +3,7 @@
 #[path = "../tests/site/mod.rs"]
 mod site;
 
-use site::{Site, plan};
+use site::{Pace, Site, plan};
 use std::{thread, time::Duration};
 
 /// Time of each measurement.
@@ -16,7 +16,7 @@
             r#"{{ "place": {{ "unavailable": "20%", "pools": {{ "pool": {{ "vms": {vms},
                "services": {{ "service": {{}} }} }} }} }} }}"#
         );
-        let site = Site::start(plan(1, vms), &["hall-1"], &settings);
+        let site = Site::start_at(Pace::Default, plan(1, vms), &["hall-1"], &settings);
         thread::sleep(Duration::from_secs(1));
         let (used, bytes) = (site.processor_time(0), site.log_links[0].bytes());
         thread::sleep(TIME);
--- a/crates/havenladder/src/configs/watch.rs
+++ b/crates/havenladder/src/configs/watch.rs
@@ -1,6 +1,6 @@
 //! Settings of the probes of the hall's workers.
 
-use super::millis;
+use super::{count, millis};
 use serde::Serialize;
 use settings::Fields;
 use std::time::Duration;
@@ -12,6 +12,8 @@
     pub interval: Duration,
     /// Time in which a worker must answer a probe.
     pub patience: Duration,
+    /// Probes in a second at the most: a larger hall is probed in turn, suspects first.
+    pub probes: usize,
 }
 
 impl Default for WatchConfig {
@@ -19,6 +21,7 @@
         Self {
             interval: Duration::from_millis(300),
             patience: Duration::from_millis(500),
+            probes: 50,
         }
     }
 }
@@ -30,6 +33,7 @@
         Self {
             interval: millis(fields, "interval_ms", default.interval),
             patience: millis(fields, "patience_ms", default.patience),
+            probes: count(fields, "probes", 100_000, default.probes),
         }
     }
 }
--- a/crates/havenladder/src/duties/placement.rs
+++ b/crates/havenladder/src/duties/placement.rs
@@ -25,6 +25,9 @@
 /// Time between two ticks of the scheduler.
 const TICK: Duration = Duration::from_millis(20);
 
+/// Time between two ticks while no request is in progress.
+const IDLE_TICK: Duration = Duration::from_millis(200);
+
 /// Time between two looks at the rooms that peers are told of.
 const ROOMS: Duration = Duration::from_millis(100);
 
@@ -157,14 +160,17 @@
     let mut rooms = Instant::now();
     loop {
         match messages.recv_deadline(tick) {
-            Ok(message) => placement.take(message),
+            Ok(message) => {
+                placement.take(message);
+                tick = tick.min(Instant::now() + placement.until_tick());
+            }
             Err(RecvTimeoutError::Timeout) => {}
             Err(RecvTimeoutError::Disconnected) => return,
         }
         let now = Instant::now();
         if now >= tick {
             placement.happen(Event::Tick);
-            tick = now + TICK;
+            tick = now + placement.until_tick();
         }
         if now >= rooms {
             *lock(&ctx.rooms) = placement.scheduler.rooms(now);
@@ -190,6 +196,15 @@
         }
     }
 
+    /// Only requests that wait can become hopeless; an idle entry need not look often.
+    fn until_tick(&self) -> Duration {
+        if self.scheduler.is_empty() {
+            IDLE_TICK
+        } else {
+            TICK
+        }
+    }
+
     fn arrive(&mut self, arrival: Arrival) {
         let id = arrival.job.id;
         let pending = Pending {
--- a/crates/havenladder/src/duties/steward.rs
+++ b/crates/havenladder/src/duties/steward.rs
@@ -9,14 +9,17 @@
     next_action, plan,
 };
 use platform::{CallError, VmCall, VmInfo, Vms};
-use protocol::{EntryId, HallId, VmId};
+use protocol::{EntryId, HallId, Offset, VmId};
 use std::{
     collections::BTreeMap,
     sync::Arc,
     thread::sleep,
-    time::{Instant, SystemTime},
+    time::{Duration, Instant, SystemTime},
 };
 
+/// Time after which a plan is made anew although nothing has changed: leases end by time alone.
+const REPLAN: Duration = Duration::from_secs(1);
+
 /// A VM with an errand that falls to this entry.
 struct Task {
     id: VmId,
@@ -26,24 +29,53 @@
 
 /// Plans and carries out until the process ends.
 pub fn steward(ctx: &Arc<Context>) {
+    let mut planned = Planned::default();
     loop {
         let next = Instant::now() + ctx.config.steward.interval;
         if ctx.fleet.is_loaded() && ctx.reaches_log() {
-            round(ctx);
+            round(ctx, &mut planned);
         }
         let left = next.saturating_duration_since(Instant::now());
         let seen = ctx.fleet.get().next;
         // A new record may be a grant; it is not left waiting for the next round.
         ctx.fleet.wait(Instant::now() + left, |next| next > seen);
-        sleep(std::time::Duration::from_millis(1));
+        sleep(Duration::from_millis(1));
     }
 }
 
-fn round(ctx: &Context) {
+/// What the last plan was made from.
+#[derive(Default)]
+struct Planned {
+    next: Offset,
+    members: BTreeMap<EntryId, HallId>,
+    stale: Option<Instant>,
+}
+
+impl Planned {
+    /// Tells whether a new plan could come to anything else, and notes that it is made now.
+    fn is_due(&mut self, next: Offset, members: &BTreeMap<EntryId, HallId>) -> bool {
+        let now = Instant::now();
+        let is_fresh = self.stale.is_some_and(|stale| now < stale);
+        if is_fresh && self.next == next && self.members == *members {
+            return false;
+        }
+        *self = Self {
+            next,
+            members: members.clone(),
+            stale: Some(now + REPLAN),
+        };
+        true
+    }
+}
+
+fn round(ctx: &Context, planned: &mut Planned) {
     let members = ctx.peers.members(&ctx.config, true);
-    let changes = plan(&ctx.fleet.get(), &view(ctx, &members));
-    if !changes.is_empty() {
-        submit(ctx, changes);
+    let next = ctx.fleet.get().next;
+    if planned.is_due(next, &members) {
+        let changes = plan(&ctx.fleet.get(), &view(ctx, &members));
+        if !changes.is_empty() {
+            submit(ctx, changes);
+        }
     }
     for task in tasks(ctx, &members) {
         work(ctx, &members, &task);
@@ -84,20 +116,18 @@
     let view = view(ctx, members);
     let fleet = ctx.fleet.get();
     fleet
-        .vms
-        .iter()
-        .filter_map(|(id, vm)| {
-            let grant = vm.grant.clone()?;
-            let is_ours = if grant.has_lease() {
+        .grants()
+        .filter(|(id, vm, grant)| {
+            if grant.has_lease() {
                 grant.holder == view.entry
             } else {
                 view.holder(id, vm).as_deref() == Some(view.entry)
-            };
-            is_ours.then(|| Task {
-                id: id.clone(),
-                vm: vm.clone(),
-                grant,
-            })
+            }
+        })
+        .map(|(id, vm, grant)| Task {
+            id: id.clone(),
+            vm: vm.clone(),
+            grant: grant.clone(),
         })
         .collect()
 }
@@ -187,11 +217,11 @@
 /// Slots of the VM's pool that this entry finds silent and the agreed state still counts as up.
 fn unseen(ctx: &Context, fleet: &Fleet, vm: &Vm) -> u32 {
     let unfit = ctx.sightings.unfit();
-    fleet
-        .vms
+    unfit
         .iter()
-        .filter(|(id, other)| other.pool == vm.pool && other.is_available() && unfit.contains(*id))
-        .map(|(_, other)| other.slots)
+        .filter_map(|id| fleet.vms.get(id))
+        .filter(|other| other.pool == vm.pool && other.is_available())
+        .map(|other| other.slots)
         .sum()
 }
 
--- a/crates/havenladder/src/duties/watch.rs
+++ b/crates/havenladder/src/duties/watch.rs
@@ -28,6 +28,7 @@
     time::Duration,
 };
 use tokio::{
+    runtime::Runtime,
     task::JoinSet,
     time::{Instant, sleep_until, timeout},
 };
@@ -37,6 +38,9 @@
 
 type Probe = Client<HttpConnector, Empty<Bytes>>;
 
+/// A VM that is to be probed, with its worker's address.
+type Target = (VmId, String);
+
 /// What one probe brought.
 struct Probed {
     vm: VmId,
@@ -55,25 +59,26 @@
     let probe: Probe = Client::builder(TokioExecutor::new())
         .pool_max_idle_per_host(1)
         .build(connector);
+    let mut turn = 0;
     loop {
         let next = Instant::now() + ctx.config.watch.interval;
         if ctx.fleet.is_loaded() {
-            round(ctx, &runtime, &probe);
+            let targets = targets(ctx, &mut turn);
+            round(ctx, &runtime, &probe, targets);
         }
         runtime.block_on(async { sleep_until(next).await });
     }
 }
 
-fn round(ctx: &Context, runtime: &tokio::runtime::Runtime, probe: &Probe) {
+fn round(ctx: &Context, runtime: &Runtime, probe: &Probe, targets: Vec<Target>) {
     let before = ctx.sightings.unfit();
-    let targets = targets(ctx);
     let patience = ctx.config.watch.patience;
     let probed = runtime.block_on(probe_all(probe, targets, patience));
-    let listed = ctx.platform.list().ok();
+    let listed = list(ctx);
     if let Some(listed) = &listed {
         note_leaving(ctx, listed);
     }
-    let sightings = note_probes(ctx, &probed);
+    note_probes(ctx, &probed);
     if ctx.sightings.unfit() != before {
         publish(ctx);
     }
@@ -86,7 +91,7 @@
         .iter()
         .filter_map(|probed| Some((probed.vm.clone(), probed.usage.as_ref()?.boot)))
         .collect();
-    let seen = changes(ctx, &listed, &sightings, &boots);
+    let seen = changes(ctx, &listed, &ctx.sightings.all(), &boots);
     if !seen.is_empty() {
         tracing::info!(?seen, "observed");
         if let Err(error) = propose(ctx, vec![Change::Observe(seen)]) {
@@ -95,18 +100,63 @@
     }
 }
 
-/// Addresses of the hall's VMs that are known.
-fn targets(ctx: &Context) -> Vec<(VmId, String)> {
+/// The platform's list for this entry's hall, and for halls that have no live entry left and fall
+/// to this one.
+fn list(ctx: &Context) -> Option<Vec<VmInfo>> {
+    let mut listed = ctx.platform.list(&ctx.config.entry.hall).ok()?;
+    for hall in orphans(ctx) {
+        listed.extend(ctx.platform.list(&hall).ok()?);
+    }
+    Some(listed)
+}
+
+fn orphans(ctx: &Context) -> BTreeSet<HallId> {
+    let members = ctx.peers.members(&ctx.config, true);
+    let live: BTreeSet<&HallId> = members.values().collect();
+    let falls_to_us = |hall: &HallId| {
+        let names = members.keys().map(String::as_str);
+        ranked(names, hall).first() == Some(&ctx.config.entry.name.as_str())
+    };
     let fleet = ctx.fleet.get();
-    fleet
-        .vms
-        .iter()
-        .filter(|(_, vm)| vm.hall == ctx.config.entry.hall)
-        .map(|(id, vm)| (id.clone(), vm.addr.clone()))
+    let halls: BTreeSet<&HallId> = fleet.vms.values().map(|vm| &vm.hall).collect();
+    halls
+        .into_iter()
+        .filter(|hall| !live.contains(hall) && falls_to_us(hall))
+        .cloned()
         .collect()
 }
 
-async fn probe_all(probe: &Probe, targets: Vec<(VmId, String)>, patience: Duration) -> Vec<Probed> {
+/// The hall's VMs whose turn it is to be probed: suspects always, others one after the other, as
+/// many as the limit allows.
+fn targets(ctx: &Context, turn: &mut usize) -> Vec<Target> {
+    let suspects = ctx.sightings.suspects();
+    let known: Vec<Target> = {
+        let fleet = ctx.fleet.get();
+        let in_hall = |vm: &Vm| vm.hall == ctx.config.entry.hall;
+        let vms = fleet.vms.iter().filter(|(_, vm)| in_hall(vm));
+        vms.map(|(id, vm)| (id.clone(), vm.addr.clone())).collect()
+    };
+    ctx.sightings
+        .retain(&known.iter().map(|(id, _)| id.clone()).collect());
+    let rounds_a_second = 1.0 / ctx.config.watch.interval.as_secs_f64();
+    let most = (ctx.config.watch.probes as f64 / rounds_a_second).ceil() as usize;
+    let (urgent, calm): (Vec<Target>, Vec<Target>) =
+        known.into_iter().partition(|(id, _)| suspects.contains(id));
+    let count = most
+        .saturating_sub(urgent.len())
+        .clamp(1, calm.len().max(1));
+    let start = *turn;
+    *turn = start.wrapping_add(count);
+    let in_turn = calm
+        .iter()
+        .cycle()
+        .skip(start % calm.len().max(1))
+        .take(count.min(calm.len()));
+    let in_turn: Vec<Target> = in_turn.cloned().collect();
+    urgent.into_iter().chain(in_turn).collect()
+}
+
+async fn probe_all(probe: &Probe, targets: Vec<Target>, patience: Duration) -> Vec<Probed> {
     let mut probes = JoinSet::new();
     for (vm, addr) in targets {
         let probe = probe.clone();
@@ -139,20 +189,14 @@
     ctx.sightings.set_leaving(&leaving);
 }
 
-fn note_probes(ctx: &Context, probed: &[Probed]) -> BTreeMap<VmId, Sighting> {
-    let known: BTreeSet<VmId> = probed.iter().map(|probed| probed.vm.clone()).collect();
-    ctx.sightings.retain(&known);
-    probed
-        .iter()
-        .map(|probed| {
-            if let Some(usage) = &probed.usage {
-                let event = Event::Usage(probed.vm.clone(), usage.running);
-                ctx.placement.tell(Message::Happened(event));
-            }
-            let sighting = ctx.sightings.probe(&probed.vm, probed.usage.is_some());
-            (probed.vm.clone(), sighting)
-        })
-        .collect()
+fn note_probes(ctx: &Context, probed: &[Probed]) {
+    for probed in probed {
+        if let Some(usage) = &probed.usage {
+            let event = Event::Usage(probed.vm.clone(), usage.running);
+            ctx.placement.tell(Message::Happened(event));
+        }
+        ctx.sightings.probe(&probed.vm, probed.usage.is_some());
+    }
 }
 
 /// What the agreed state should be told, of the VMs that fall to this entry.
@@ -183,9 +227,10 @@
             });
         }
     }
-    let is_listed = |id: &str| listed.iter().any(|info| info.id == id);
-    for (id, vm) in &fleet.vms {
-        let is_lost = !is_listed(id) && vm.health != Health::Gone && vm.grant.is_none();
+    let ids: BTreeSet<&VmId> = listed.iter().map(|info| &info.id).collect();
+    let halls: BTreeSet<&HallId> = listed.iter().map(|info| &info.hall).collect();
+    for (id, vm) in fleet.vms.iter().filter(|(_, vm)| halls.contains(&vm.hall)) {
+        let is_lost = !ids.contains(id) && vm.health != Health::Gone && vm.grant.is_none();
         let is_silent = sightings
             .get(id)
             .is_none_or(|sighting| sighting.is_suspect());
@@ -200,7 +245,8 @@
     changes
 }
 
-/// The live entry that records what becomes of a VM: one of its hall, or any if none is left.
+/// The live entry that records what becomes of a VM: one of its hall, or the one that the hall
+/// has fallen to if it has none left.
 fn watcher<'m>(members: &'m BTreeMap<String, HallId>, id: &str, hall: &str) -> Option<&'m String> {
     let in_hall: Vec<&str> = members
         .iter()
@@ -208,12 +254,10 @@
         .map(|(entry, _)| entry.as_str())
         .collect();
     let first = if in_hall.is_empty() {
-        ranked(members.keys().map(String::as_str), id)
-            .first()
-            .copied()
+        *ranked(members.keys().map(String::as_str), hall).first()?
     } else {
-        ranked(in_hall, id).first().copied()
-    }?;
+        *ranked(in_hall, id).first()?
+    };
     members.get_key_value(first).map(|(entry, _)| entry)
 }
 
--- a/crates/havenladder/src/sightings.rs
+++ b/crates/havenladder/src/sightings.rs
@@ -33,12 +33,23 @@
 }
 
 impl Sightings {
-    /// Notes one probe and returns what is known now.
-    pub fn probe(&self, vm: &str, answered: bool) -> Sighting {
+    /// Notes one probe.
+    pub fn probe(&self, vm: &str, answered: bool) {
         let mut seen = lock(&self.seen);
         let sighting = seen.entry(vm.to_owned()).or_default();
         sighting.misses = if answered { 0 } else { sighting.misses + 1 };
-        *sighting
+    }
+
+    /// Returns the VMs whose last probe failed.
+    pub fn suspects(&self) -> BTreeSet<VmId> {
+        let seen = lock(&self.seen);
+        let missed = seen.iter().filter(|(_, sighting)| sighting.misses > 0);
+        missed.map(|(vm, _)| vm.clone()).collect()
+    }
+
+    /// Returns what is known of each VM.
+    pub fn all(&self) -> BTreeMap<VmId, Sighting> {
+        lock(&self.seen).clone()
     }
 
     /// Notes which VMs the platform lists as leaving.
--- a/crates/havenladder/tests/site/mod.rs
+++ b/crates/havenladder/tests/site/mod.rs
@@ -60,6 +60,28 @@
     setup_events: usize,
 }
 
+/// How fast an entry looks, waits and gives up.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Pace {
+    /// As documented.
+    Default,
+    /// Faster, so that tests need not wait.
+    Quick,
+}
+
+fn hasten(config: &mut Value) {
+    config["editors"]["header_ms"] = 2000.into();
+    config["editors"]["body_ms"] = 2000.into();
+    config["peers"]["interval_ms"] = 100.into();
+    config["peers"]["patience_ms"] = 1000.into();
+    config["platform"]["wait_ms"] = 300.into();
+    config["platform"]["propose_ms"] = 8000.into();
+    config["steward"] = serde_json::json!({ "lease_ms": 3000 });
+    config["watch"] = serde_json::json!({ "interval_ms": 100 });
+    config["claims"] = serde_json::json!({ "patience_ms": 2000 });
+    config["snapshots"] = serde_json::json!({ "records": 20, "interval_ms": 2000 });
+}
+
 /// A plan with `vms` VMs in each of `halls` halls and quick reboots.
 pub fn plan(halls: u32, vms: u32) -> Plan {
     Plan {
@@ -79,7 +101,12 @@
     /// Starts a site with one entry for each name in `halls`; settings are published and every
     /// VM has a pool when it returns.
     pub fn start(plan: Plan, halls: &[&str], settings: &str) -> Self {
-        let mut site = Self::prepare(plan, halls);
+        Self::start_at(Pace::Quick, plan, halls, settings)
+    }
+
+    /// Starts a site whose entries have this pace.
+    pub fn start_at(pace: Pace, plan: Plan, halls: &[&str], settings: &str) -> Self {
+        let mut site = Self::prepare(pace, plan, halls);
         for index in 0..halls.len() {
             site.spawn(index);
         }
@@ -90,7 +117,7 @@
     }
 
     /// Makes everything but the entries' processes.
-    pub fn prepare(plan: Plan, halls: &[&str]) -> Self {
+    fn prepare(pace: Pace, plan: Plan, halls: &[&str]) -> Self {
         let (handle, platform) = start_platform(plan);
         let folder = std::env::temp_dir().join(format!("havenladder-{}", ulid::Ulid::new()));
         fs::create_dir_all(&folder).unwrap();
@@ -117,12 +144,12 @@
             setup_events: 0,
         };
         for (index, hall) in halls.iter().enumerate() {
-            site.configure(index, hall, halls);
+            site.configure(pace, index, hall, halls);
         }
         site
     }
 
-    fn configure(&mut self, index: usize, hall: &str, halls: &[&str]) {
+    fn configure(&mut self, pace: Pace, index: usize, hall: &str, halls: &[&str]) {
         let log = self.proxy(self.platform);
         self.log_links.push(log.faults);
         let mut neighbours = Vec::new();
@@ -143,25 +170,22 @@
                 .insert((index, other), [editors.faults, peers.faults]);
         }
         let entry = &self.entries[index];
-        let config = serde_json::json!({
+        let mut config = serde_json::json!({
             "entry": entry.name,
             "hall": hall,
-            "editors": { "listen": entry.editors.to_string(), "header_ms": 2000, "body_ms": 2000 },
+            "editors": { "listen": entry.editors.to_string() },
             "peers": {
                 "listen": entry.peers.to_string(),
                 "key": PEER_KEY,
-                "interval_ms": 100,
-                "patience_ms": 1000,
                 "neighbours": neighbours,
             },
             "operators": { "listen": entry.operators.to_string(), "key": OPERATOR_KEY },
-            "platform": { "address": log.addr.to_string(), "wait_ms": 300, "propose_ms": 8000 },
-            "steward": { "lease_ms": 3000 },
-            "watch": { "interval_ms": 100 },
-            "claims": { "patience_ms": 2000 },
-            "snapshots": { "records": 20, "interval_ms": 2000 },
+            "platform": { "address": log.addr.to_string() },
             "logs": { "filter": std::env::var("HAVENLADDER_TEST_LOG").unwrap_or("error".into()) },
         });
+        if pace == Pace::Quick {
+            hasten(&mut config);
+        }
         fs::write(&entry.config, config.to_string()).unwrap();
     }
 
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -5,12 +5,19 @@
     log::{Appended, Log},
     vms::{VmCall, VmInfo, Vms},
 };
-use protocol::{Offset, Slice, decode};
+use protocol::{HallId, Offset, Slice, decode};
 use serde::de::DeserializeOwned;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::{
+    collections::BTreeMap,
+    sync::{Mutex, PoisonError},
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
 use ureq::{
     Agent, Body, Error,
-    http::{Response, StatusCode},
+    http::{
+        Response, StatusCode,
+        header::{ETAG, IF_NONE_MATCH},
+    },
 };
 
 /// Time that any call may take, beside what it asks the platform to wait.
@@ -22,11 +29,19 @@
 /// The largest answer that is read.
 const ANSWER_LIMIT: u64 = 64 << 20;
 
+/// A list of VMs with the tag by which the platform knows whether it has changed.
+#[derive(Debug)]
+struct Listed {
+    tag: String,
+    vms: Vec<VmInfo>,
+}
+
 /// The platform, met over HTTP at one address.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct HttpPlatform {
     base: String,
     agent: Agent,
+    listed: Mutex<BTreeMap<HallId, Listed>>,
 }
 
 impl HttpPlatform {
@@ -40,6 +55,7 @@
         Self {
             base: format!("http://{addr}"),
             agent: config.into(),
+            listed: Mutex::default(),
         }
     }
 
@@ -53,6 +69,17 @@
             .map_err(call_error)
     }
 
+    fn get_if_changed(&self, path: &str, tag: &str) -> Result<Response<Body>, CallError> {
+        self.agent
+            .get(format!("{}{path}", self.base))
+            .header(IF_NONE_MATCH, tag)
+            .config()
+            .timeout_global(Some(CALL_TIMEOUT))
+            .build()
+            .call()
+            .map_err(call_error)
+    }
+
     fn post(&self, path: &str, body: &[u8]) -> Result<Response<Body>, CallError> {
         self.agent
             .post(format!("{}{path}", self.base))
@@ -88,8 +115,25 @@
 }
 
 impl Vms for HttpPlatform {
-    fn list(&self) -> Result<Vec<VmInfo>, CallError> {
-        json(accepted(self.get("/vms", Duration::ZERO)?)?)
+    fn list(&self, hall: &str) -> Result<Vec<VmInfo>, CallError> {
+        let mut listed = self.listed.lock().unwrap_or_else(PoisonError::into_inner);
+        let known = listed.get(hall);
+        let answer = self.get_if_changed(
+            &format!("/vms?hall={hall}"),
+            known.map_or("", |known| known.tag.as_str()),
+        )?;
+        if let Some(known) = known
+            && answer.status() == StatusCode::NOT_MODIFIED
+        {
+            return Ok(known.vms.clone());
+        }
+        let answer = accepted(answer)?;
+        let tag = answer.headers().get(ETAG).and_then(|tag| tag.to_str().ok());
+        let tag = tag.unwrap_or_default().to_owned();
+        let vms: Vec<VmInfo> = json(answer)?;
+        let vms_now = vms.clone();
+        listed.insert(hall.to_owned(), Listed { tag, vms });
+        Ok(vms_now)
     }
 
     fn look(&self, vm: &str) -> Result<Option<VmInfo>, CallError> {
--- a/crates/platform/src/vms.rs
+++ b/crates/platform/src/vms.rs
@@ -81,12 +81,12 @@
 
 /// The platform's VMs.
 pub trait Vms: Send + Sync {
-    /// Lists all VMs; the list lags.
+    /// Lists the VMs of a hall; the list lags, and counts of running tasks in it are rough.
     ///
     /// # Errors
     ///
     /// Fails when the platform cannot be reached.
-    fn list(&self) -> Result<Vec<VmInfo>, CallError>;
+    fn list(&self, hall: &str) -> Result<Vec<VmInfo>, CallError>;
 
     /// Reads one VM afresh; `None` when the platform has none of that name.
     ///
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -11,6 +11,7 @@
 use protocol::encode;
 use std::{
     collections::BTreeMap,
+    hash::{DefaultHasher, Hash, Hasher},
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard},
     time::{Duration, Instant, UNIX_EPOCH},
@@ -166,7 +167,7 @@
             let offset = shared.lock().streams.offset_at(stream, at);
             Some(json(&Appended { offset }))
         }
-        ("GET", ["vms"]) => Some(json(&shared.lock().list)),
+        ("GET", ["vms"]) => list(&shared, &call),
         ("GET", ["vms", vm]) => match shared.lock().machines.get(*vm) {
             Some(machine) => Some(json(&machine.info)),
             None => Some(answer(404, "text/plain", "no such VM")),
@@ -179,6 +180,33 @@
     }
 }
 
+/// The list of VMs, of one hall or all, unless the caller's copy is still right. Counts of
+/// running tasks alone do not make a new list.
+fn list(shared: &Shared, call: &Call) -> Answer {
+    let hall = call.query.get("hall");
+    let state = shared.lock();
+    let in_hall = |vm: &&VmInfo| hall.is_none_or(|hall| vm.hall == *hall);
+    let vms: Vec<VmInfo> = state.list.iter().filter(in_hall).cloned().collect();
+    let mut hasher = DefaultHasher::new();
+    for vm in &vms {
+        format!(
+            "{:?}",
+            VmInfo {
+                running: 0,
+                ..vm.clone()
+            }
+        )
+        .hash(&mut hasher);
+    }
+    let tag = format!("\"{:x}\"", hasher.finish());
+    if call.headers.get("if-none-match") == Some(&tag) {
+        return Some(answer(304, "application/json", ""));
+    }
+    let mut response = json(&vms);
+    response.headers_mut().insert("etag", tag.parse().ok()?);
+    Some(response)
+}
+
 async fn append(shared: &Shared, stream: &str, call: &Call) -> Answer {
     let turn = shared.lock().streams.turn();
     sleep_until(turn.into()).await;
