refactor: scheduler and test site in smaller files; peers are asked once a second

Status of peers twice a second cost more bytes than the rest of control together (1.4 KB/s a peer).

New: a reboot waits for what an entry that is cut off still sends; taking out the drain had left the tests of waves and moves green.

Conclusion: what the drain is for now has a test of its own.

--- a/crates/fleet/tests/fold.rs
+++ b/crates/fleet/tests/fold.rs
@@ -328,7 +328,10 @@
         Outcome::Applied
     );
     let token = bench.fleet.vms["vm-0"].grant.as_ref().unwrap().token;
-    assert!(token > grant, "a late copy of the drain call must be refused");
+    assert!(
+        token > grant,
+        "a late copy of the drain call must be refused"
+    );
     let undo = Change::Undo {
         vm: "vm-0".into(),
         grant,
--- a/crates/fleet/tests/rollout.rs
+++ b/crates/fleet/tests/rollout.rs
@@ -101,9 +101,13 @@
     }
 
     fn tell(&mut self, changes: Vec<Change>) {
+        self.tell_as("entry-1", changes);
+    }
+
+    fn tell_as(&mut self, by: &str, changes: Vec<Change>) {
         let record = Record {
             id: RecordId::from_parts(0, self.rng.random()),
-            by: "entry-1".into(),
+            by: by.into(),
             expires: self.now + Duration::from_secs(30),
             changes,
         };
@@ -170,7 +174,7 @@
                         1
                     };
                     self.back.insert(vm.clone(), self.now + ONE_VM * slow);
-                    self.tell_as(&holder, Change::Begin { vm, grant });
+                    self.tell_as(&holder, vec![Change::Begin { vm, grant }]);
                 }
                 (_, Some(back)) if *back <= self.now => {
                     self.back.remove(&vm);
@@ -192,22 +196,6 @@
             .max(self.fleet.counts.values().map(|c| c.unavailable).sum());
     }
 
-    fn tell_as(&mut self, by: &str, change: Change) {
-        let record = Record {
-            id: RecordId::from_parts(0, self.rng.random()),
-            by: by.into(),
-            expires: self.now + Duration::from_secs(30),
-            changes: vec![change],
-        };
-        let data = encode(&record).unwrap();
-        let record = LogRecord {
-            offset: self.fleet.next,
-            at: self.now,
-            data,
-        };
-        self.fleet.apply(&record);
-    }
-
     /// Runs a wave over everything and returns how long it took.
     fn wave(&mut self, way: Way, faults: Faults) -> Duration {
         self.now += Duration::from_secs(1);
--- a/crates/havenladder/src/configs/peers.rs
+++ b/crates/havenladder/src/configs/peers.rs
@@ -43,8 +43,8 @@
         Self {
             listen: SocketAddr::from(([127, 0, 0, 1], 7200)),
             key: String::new(),
-            interval: Duration::from_millis(500),
-            patience: Duration::from_secs(2),
+            interval: Duration::from_secs(1),
+            patience: Duration::from_secs(3),
             neighbours: Vec::new(),
         }
     }
--- a/crates/havenladder/tests/at_most_once.rs
+++ b/crates/havenladder/tests/at_most_once.rs
@@ -200,14 +200,8 @@
 #[test]
 fn a_duplicated_connection_to_a_worker_runs_a_task_once() {
     let site = two_entries();
-    let vms: Vec<String> = site.state(0)["vms"]
-        .as_object()
-        .unwrap()
-        .keys()
-        .cloned()
-        .collect();
-    for vm in &vms {
-        site.worker_link(vm).duplicate(true);
+    for link in site.worker_links() {
+        link.duplicate(true);
     }
     for round in 0..10 {
         let tag = format!("twice-{round}");
--- a/crates/havenladder/tests/fleet.rs
+++ b/crates/havenladder/tests/fleet.rs
@@ -308,6 +308,20 @@
     assert_eq!(late.count(), 0);
 }
 
+#[test]
+fn a_reboot_waits_for_what_an_entry_that_is_cut_off_still_sends() {
+    let site = Site::start(plan(1, 12), &["hall-1", "hall-1"], SETTINGS);
+    let vms = members(&site, POOL);
+    // This entry knows nothing of the wave; only the workers' refusals keep it off drained VMs.
+    site.log_links[1].cut(true);
+    site.cut_peers(0, 1, true);
+    under_load(&site, || {
+        let wave = start_wave(&site);
+        wait_wave(&site, 0, wave);
+    });
+    check(&site, &vms);
+}
+
 #[test]
 fn a_vm_moves_with_no_moment_in_two_pools() {
     let site = two_halls();
--- a/crates/havenladder/tests/outcomes.rs
+++ b/crates/havenladder/tests/outcomes.rs
@@ -53,13 +53,7 @@
 #[test]
 fn a_cut_in_the_middle_of_an_answer_is_repeated_only_where_allowed() {
     let site = one_hall();
-    let vms: Vec<String> = site.state(0)["vms"]
-        .as_object()
-        .unwrap()
-        .keys()
-        .cloned()
-        .collect();
-    let links: Vec<_> = vms.iter().map(|vm| site.worker_link(vm)).collect();
+    let links = site.worker_links();
     links.iter().for_each(|link| link.cut_answers_short(1));
     let reply = site.post(0, PREVIEW, "run=5 size=9000 tag=again", &[]);
     assert_eq!((reply.status, reply.body.len()), (200, 9_000));
@@ -72,9 +66,7 @@
 #[test]
 fn an_answer_lost_before_its_first_byte_is_unknown_and_runs_an_order_once() {
     let site = one_hall();
-    let state = site.state(0);
-    let vms = state["vms"].as_object().unwrap().keys();
-    let links: Vec<_> = vms.map(|vm| site.worker_link(vm)).collect();
+    let links = site.worker_links();
     // A probe may take a lost answer before the order does, so several are lost.
     links.iter().for_each(|link| link.lose_answers(1_000));
     let reply = site.post(0, ORDER, "run=5 tag=lost", &[("idempotency-key", &key())]);
--- a/crates/havenladder/tests/site/mod.rs
+++ b/crates/havenladder/tests/site/mod.rs
@@ -4,10 +4,16 @@
 #![expect(clippy::unwrap_used, reason = "a test stops when its site is broken")]
 #![allow(
     dead_code,
+    unused_imports,
     clippy::allow_attributes,
     reason = "each test file uses another part"
 )]
 
+mod client;
+
+pub use client::{Reply, key, threads_of};
+
+use client::{agent, get};
 use havenladder_standin::{
     ledger::{Ledger, Run},
     platform::{self, Plan},
@@ -212,6 +218,13 @@
         proxy.faults
     }
 
+    /// Puts a proxy between the entries and each VM's worker.
+    pub fn worker_links(&self) -> Vec<Arc<Faults>> {
+        let state = self.state(0);
+        let vms = state["vms"].as_object().unwrap().keys();
+        vms.map(|vm| self.worker_link(vm)).collect()
+    }
+
     /// Starts an entry's process, with an empty memory.
     pub fn spawn(&mut self, index: usize) {
         let entry = &mut self.entries[index];
@@ -471,41 +484,6 @@
     }
 }
 
-/// What a caller got; all empty when the connection broke.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Reply {
-    pub status: u16,
-    pub outcome: String,
-    pub back: Option<String>,
-    pub body: String,
-}
-
-/// Threads of a process.
-pub fn threads_of(process: u32) -> usize {
-    fs::read_dir(format!("/proc/{process}/task"))
-        .unwrap()
-        .count()
-}
-
-/// A fresh key.
-pub fn key() -> String {
-    ulid::Ulid::new().to_string()
-}
-
-fn agent() -> ureq::Agent {
-    ureq::Agent::config_builder()
-        .http_status_as_error(false)
-        .timeout_global(Some(LIMIT))
-        .build()
-        .into()
-}
-
-fn get(url: &str) -> Option<(u16, String)> {
-    let mut answer = agent().get(url).call().ok()?;
-    let status = answer.status().as_u16();
-    Some((status, answer.body_mut().read_to_string().ok()?))
-}
-
 /// Starts the platform in a thread that ends with the test's process.
 fn start_platform(plan: Plan) -> (Handle, SocketAddr) {
     let (sender, receiver) = std::sync::mpsc::channel();
--- a/crates/serving/src/scheduler.rs
+++ b/crates/serving/src/scheduler.rs
@@ -1,6 +1,7 @@
 //! The scheduler: events in, commands out, one plain `match`.
 
 mod ended;
+mod waiting;
 
 use crate::{
     admit::{Admission, admit, is_hopeless, not_run},
@@ -302,42 +303,6 @@
         });
     }
 
-    fn cancel(&mut self, id: RequestId, now: Instant) {
-        let Some(request) = self.requests.get(&id) else {
-            return;
-        };
-        let pool_id = pool_of(&request.job.service).to_owned();
-        match request.phase {
-            Phase::Claiming => {
-                self.requests.remove(&id);
-            }
-            Phase::Queued => {
-                if let Some(pool) = self.pools.get_mut(&pool_id) {
-                    pool.queue.remove(id);
-                }
-                self.refuse(id, Why::Cancelled, now);
-            }
-            Phase::Running(attempt) => {
-                self.release(attempt);
-                self.commands.push(Command::Stop(attempt));
-                self.answer(id, Outcome::Unknown(AttemptEnd::Broken));
-            }
-        }
-        self.dispatch(&pool_id, now);
-    }
-
-    /// Gives back the slot of an attempt that is given up.
-    fn release(&mut self, attempt: AttemptId) {
-        let Some(attempt) = self.attempts.remove(&attempt) else {
-            return;
-        };
-        if let Target::Worker(vm) = &attempt.target
-            && let Some(worker) = worker_of(&mut self.pools, &attempt.pool, vm)
-        {
-            worker.own = worker.own.saturating_sub(1);
-        }
-    }
-
     fn set_workers(&mut self, infos: Vec<WorkerInfo>, now: Instant) {
         let mut by_pool: BTreeMap<PoolId, Vec<WorkerInfo>> = BTreeMap::new();
         for info in infos {
@@ -365,64 +330,6 @@
         }
     }
 
-    /// Refuses what can no longer be done in time, at once, and sends what has become possible.
-    fn tick(&mut self, now: Instant) {
-        let mut hopeless = Vec::new();
-        for pool in self.pools.values_mut() {
-            let others_wait = pool.queue.len() > 1;
-            let late: Vec<RequestId> = pool
-                .queue
-                .waiting()
-                .filter(|(id, deadline)| {
-                    let service = self.requests.get(id).map(|request| &request.job.service);
-                    let estimate = service.and_then(|service| self.estimates.get(service));
-                    estimate
-                        .is_some_and(|estimate| is_hopeless(*deadline, estimate, others_wait, now))
-                })
-                .map(|(id, _)| id)
-                .collect();
-            for id in &late {
-                pool.queue.remove(*id);
-            }
-            hopeless.extend(late);
-        }
-        for id in hopeless {
-            self.refuse(id, Why::Overload, now);
-        }
-        for id in self.stranded() {
-            self.move_on(id, now);
-        }
-        self.dispatch_all(now);
-    }
-
-    /// Takes out requests that wait in pools whose last worker has gone.
-    fn stranded(&mut self) -> Vec<RequestId> {
-        let mut stranded = Vec::new();
-        for pool in self
-            .pools
-            .values_mut()
-            .filter(|pool| pool.workers.is_empty())
-        {
-            while let Some(id) = pool.queue.pop() {
-                stranded.push(id);
-            }
-        }
-        stranded
-    }
-
-    /// Passes a stranded request on, unless its key is claimed here: another hall's entry would
-    /// find the key held.
-    fn move_on(&mut self, id: RequestId, now: Instant) {
-        let job = self.requests.get(&id).map(|request| request.job.clone());
-        let peer = job
-            .filter(|job| job.repeatable)
-            .and_then(|job| self.choose_peer(&job));
-        match peer.map(|peer| (Target::Peer(peer.entry.clone()), peer.addr.clone())) {
-            Some((target, addr)) => self.send(id, target, addr, now),
-            None => self.refuse(id, Why::NoWorker, now),
-        }
-    }
-
     fn dispatch_all(&mut self, now: Instant) {
         let pools: Vec<PoolId> = self.pools.keys().cloned().collect();
         for pool in pools {
--- /dev/null
+++ b/crates/serving/src/scheduler/waiting.rs
@@ -0,0 +1,105 @@
+//! What the scheduler makes of requests that wait: cancelled, hopeless, or left without workers.
+
+use super::{Phase, Scheduler, worker_of};
+use crate::{
+    admit::is_hopeless,
+    job::{AttemptEnd, AttemptId, Command, Outcome, RequestId, Target, Why},
+};
+use settings::pool_of;
+use std::time::Instant;
+
+impl Scheduler {
+    pub(super) fn cancel(&mut self, id: RequestId, now: Instant) {
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
+        let pool_id = pool_of(&request.job.service).to_owned();
+        match request.phase {
+            Phase::Claiming => {
+                self.requests.remove(&id);
+            }
+            Phase::Queued => {
+                if let Some(pool) = self.pools.get_mut(&pool_id) {
+                    pool.queue.remove(id);
+                }
+                self.refuse(id, Why::Cancelled, now);
+            }
+            Phase::Running(attempt) => {
+                self.release(attempt);
+                self.commands.push(Command::Stop(attempt));
+                self.answer(id, Outcome::Unknown(AttemptEnd::Broken));
+            }
+        }
+        self.dispatch(&pool_id, now);
+    }
+
+    /// Gives back the slot of an attempt that is given up.
+    fn release(&mut self, attempt: AttemptId) {
+        let Some(attempt) = self.attempts.remove(&attempt) else {
+            return;
+        };
+        if let Target::Worker(vm) = &attempt.target
+            && let Some(worker) = worker_of(&mut self.pools, &attempt.pool, vm)
+        {
+            worker.own = worker.own.saturating_sub(1);
+        }
+    }
+
+    /// Refuses what can no longer be done in time, at once, and sends what has become possible.
+    pub(super) fn tick(&mut self, now: Instant) {
+        let mut hopeless = Vec::new();
+        for pool in self.pools.values_mut() {
+            let others_wait = pool.queue.len() > 1;
+            let late: Vec<RequestId> = pool
+                .queue
+                .waiting()
+                .filter(|(id, deadline)| {
+                    let service = self.requests.get(id).map(|request| &request.job.service);
+                    let estimate = service.and_then(|service| self.estimates.get(service));
+                    estimate
+                        .is_some_and(|estimate| is_hopeless(*deadline, estimate, others_wait, now))
+                })
+                .map(|(id, _)| id)
+                .collect();
+            for id in &late {
+                pool.queue.remove(*id);
+            }
+            hopeless.extend(late);
+        }
+        for id in hopeless {
+            self.refuse(id, Why::Overload, now);
+        }
+        for id in self.stranded() {
+            self.move_on(id, now);
+        }
+        self.dispatch_all(now);
+    }
+
+    /// Takes out requests that wait in pools whose last worker has gone.
+    fn stranded(&mut self) -> Vec<RequestId> {
+        let mut stranded = Vec::new();
+        for pool in self
+            .pools
+            .values_mut()
+            .filter(|pool| pool.workers.is_empty())
+        {
+            while let Some(id) = pool.queue.pop() {
+                stranded.push(id);
+            }
+        }
+        stranded
+    }
+
+    /// Passes a stranded request on, unless its key is claimed here: another hall's entry would
+    /// find the key held.
+    fn move_on(&mut self, id: RequestId, now: Instant) {
+        let job = self.requests.get(&id).map(|request| request.job.clone());
+        let peer = job
+            .filter(|job| job.repeatable)
+            .and_then(|job| self.choose_peer(&job));
+        match peer.map(|peer| (Target::Peer(peer.entry.clone()), peer.addr.clone())) {
+            Some((target, addr)) => self.send(id, target, addr, now),
+            None => self.refuse(id, Why::NoWorker, now),
+        }
+    }
+}
