fix(claims): settle until the key is too old, and let a refused claim expire

A settlement was dropped after 20 failed appends, about a second of outage, which held the key of a request that was not run for ten minutes; and a claim stayed valid until its request's deadline, long after the request was refused for the log's sake.

Ruled out: two runs from either; a claim that nobody waits for sends nothing.

Before: by reading only, no test fails on it.

Conclusion: both are matters of keys held longer than needed, not of safety.

--- a/crates/havenladder/src/duties/claims.rs
+++ b/crates/havenladder/src/duties/claims.rs
@@ -28,9 +28,6 @@
 /// How far the clocks of entries and log may differ.
 const MARGIN: Duration = Duration::from_secs(60);
 
-/// Tries to write a settlement before it is given up; the key then stays held.
-const SETTLE_TRIES: u32 = 20;
-
 /// What this duty is told.
 #[derive(Debug)]
 pub enum ClaimJob {
@@ -87,7 +84,7 @@
     waiting: HashMap<AttemptId, Waiting>,
     /// Claims that were given up: if the log takes one after all, its key is freed.
     given_up: BTreeMap<AttemptId, (Claim, Instant)>,
-    unsent: Vec<(Entry, u32)>,
+    unsent: Vec<Entry>,
 }
 
 /// Claims keys in one shard until the process ends.
@@ -134,16 +131,19 @@
 
     fn take(&mut self, job: ClaimJob) {
         match job {
-            ClaimJob::Claim(request, claim) => {
+            ClaimJob::Claim(request, mut claim) => {
+                // A claim that the log takes after its request was refused must not hold the key.
+                let patience = SystemTime::now() + self.ctx.config.claims.patience;
+                claim.expires = claim.expires.min(patience);
                 let waiting = Waiting {
                     request,
                     deadline: Instant::now() + self.ctx.config.claims.patience,
                     settle: claim.clone(),
                 };
                 self.waiting.insert(claim.claim, waiting);
-                self.unsent.push((Entry::Claim(claim), 0));
+                self.unsent.push(Entry::Claim(claim));
             }
-            ClaimJob::Settle(claim, state) => self.unsent.push((settle(claim, state), 0)),
+            ClaimJob::Settle(claim, state) => self.unsent.push(settle(claim, state)),
         }
     }
 
@@ -211,25 +211,30 @@
         let record = ClaimRecord {
             id: RecordId::new(),
             by: self.ctx.config.entry.name.clone(),
-            entries: self.unsent.iter().map(|(entry, _)| entry.clone()).collect(),
+            entries: self.unsent.clone(),
         };
         let Ok(data) = encode(&record) else {
             self.unsent.clear();
             return Ok(());
         };
         let appended = self.ctx.platform.append(&self.stream, &data);
-        let taken = appended.is_ok();
-        let mut settled = 0;
-        self.unsent.retain_mut(|(entry, tries)| {
-            *tries += 1;
-            let done = taken || *tries >= SETTLE_TRIES;
-            settled += usize::from(done && matches!(entry, Entry::Settle { .. }));
-            !done
-        });
+        let is_taken = appended.is_ok();
+        let now = SystemTime::now();
+        let before = self.unsettled();
+        // A settlement is tried until nobody could claim its key any more.
+        self.unsent
+            .retain(|entry| !is_taken && !is_over(entry, now));
+        let settled = before - self.unsettled();
         self.ctx.unsettled.fetch_sub(settled, Ordering::Relaxed);
         appended.map(|_| ())
     }
 
+    /// Settlements that are not in the log yet.
+    fn unsettled(&self) -> usize {
+        let is_settlement = |entry: &&Entry| matches!(entry, Entry::Settle { .. });
+        self.unsent.iter().filter(is_settlement).count()
+    }
+
     fn decide(&mut self, claim: AttemptId, settled: Settled) {
         if let Some(waiting) = self.waiting.remove(&claim) {
             if settled == Settled::Won && self.is_undecidable(&waiting.settle) {
@@ -251,7 +256,7 @@
     /// Frees the key of a claim that won but whose request was not run.
     fn free(&mut self, claim: Claim) {
         self.ctx.unsettled.fetch_add(1, Ordering::Relaxed);
-        self.unsent.push((settle(claim, ClaimState::NotRun), 0));
+        self.unsent.push(settle(claim, ClaimState::NotRun));
     }
 
     /// Refuses requests whose claims were not decided in time.
@@ -268,7 +273,7 @@
                 continue;
             };
             self.unsent
-                .retain(|(entry, _)| !matches!(entry, Entry::Claim(claim) if claim.claim == id));
+                .retain(|entry| !matches!(entry, Entry::Claim(claim) if claim.claim == id));
             let until = now + self.ctx.config.claims.patience * 2;
             self.given_up.insert(id, (waiting.settle, until));
             self.tell(waiting.request, Settled::LogDown);
@@ -282,6 +287,14 @@
     }
 }
 
+/// Tells whether a settlement has become pointless: its key is too old to be claimed.
+fn is_over(entry: &Entry, now: SystemTime) -> bool {
+    match entry {
+        Entry::Settle { key, .. } => key.datetime() + KEY_AGE < now,
+        Entry::Claim(_) => false,
+    }
+}
+
 /// Keys issued before this are refused in any case.
 fn oldest_known() -> SystemTime {
     SystemTime::now() - KEY_AGE - KEY_AHEAD
