--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -1,6 +1,10 @@
 //! A small world for the fold and the planner: a log, a platform that counts for itself, and
 //! entries that lag, freeze, lose answers and disagree about who is live.
 
+mod machines;
+
+pub use machines::Machine;
+
 use havenladder_fleet::{
     Action, Change, Errand, Evidence, Fleet, Grant, GrantRequest, Health, LeaseRequest,
     Observation, Outcome, PathChange, Record, Seen, Sight, View, Vm, WaveChange, free_token,
@@ -16,22 +20,6 @@
 
 pub const LEASE: Duration = Duration::from_secs(10);
 
-/// One VM as the platform has it.
-#[derive(Clone, Debug)]
-pub struct Machine {
-    pub hall: String,
-    pub rack: String,
-    pub slots: u32,
-    pub boot: u64,
-    pub up: bool,
-    pub drained: bool,
-    pub running: u32,
-    pub pool: String,
-    pub token: u64,
-    /// When it comes back, and whether the system or a fault took it down.
-    pub back: Option<(SystemTime, bool)>,
-}
-
 /// A call that an entry has decided on and not yet made: it may be frozen in between.
 struct Call {
     entry: usize,
@@ -184,27 +172,6 @@
             .unwrap_or(u32::MAX)
     }
 
-    /// The platform's own count: what the system's calls keep out of service.
-    fn check_platform(&mut self) {
-        let mut pools: BTreeMap<String, (u32, u32)> = BTreeMap::new();
-        for (id, machine) in &self.machines {
-            let Some(vm) = self.truth.vms.get(id) else {
-                continue;
-            };
-            let by_system = machine.drained || machine.back.is_some_and(|(_, system)| system);
-            let count = pools.entry(vm.pool.clone()).or_default();
-            count.0 += machine.slots;
-            count.1 += if by_system { machine.slots } else { 0 };
-        }
-        for (pool, (capacity, out)) in pools {
-            let over = out > self.budget(&pool, capacity);
-            self.expect(
-                !over,
-                "the platform counts more out of service than a budget allows",
-            );
-        }
-    }
-
     pub fn expect(&mut self, holds: bool, what: &str) {
         if !holds && self.violations.is_empty() {
             self.violations
@@ -373,37 +340,6 @@
         }
     }
 
-    fn platform_call(&mut self, id: &str, grant: &Grant, action: Action) {
-        let (now, slow) = (self.now, self.rng.random_range(5..40));
-        let Some(machine) = self.machines.get_mut(id) else {
-            return;
-        };
-        if grant.token < machine.token {
-            return;
-        }
-        machine.token = grant.token;
-        match action {
-            Action::Drain => machine.drained = true,
-            Action::Undrain => machine.drained = false,
-            Action::Assign(pool) => {
-                machine.pool = pool;
-                machine.drained = false;
-            }
-            Action::Release => {
-                self.machines.remove(id);
-            }
-            Action::Reboot(boot) if boot == machine.boot && machine.up => {
-                let cut_off = machine.running > 0;
-                machine.up = false;
-                machine.running = 0;
-                machine.back = Some((now + Duration::from_secs(slow), true));
-                *self.reboots.entry((id.to_owned(), boot)).or_default() += 1;
-                self.expect(!cut_off, "a reboot cut off a request");
-            }
-            _ => {}
-        }
-    }
-
     fn observe_all(&mut self, entry: usize) {
         let name = self.entries[entry].name.clone();
         let fleet = &self.entries[entry].fleet;
@@ -441,37 +377,6 @@
         self.append(&name, vec![Change::Observe(seen)]);
     }
 
-    fn pass(&mut self) {
-        self.now += Duration::from_millis(self.rng.random_range(100..4_000));
-        for machine in self.machines.values_mut() {
-            if machine.back.is_some_and(|(at, _)| at <= self.now) {
-                machine.back = None;
-                machine.up = true;
-                machine.boot += 1;
-                machine.drained = false;
-            }
-        }
-    }
-
-    fn fault(&mut self) {
-        let ids: Vec<String> = self.machines.keys().cloned().collect();
-        let Some(id) = ids.choose(&mut self.rng) else {
-            return;
-        };
-        let rack = self.machines[id].rack.clone();
-        let whole_rack = self.rng.random_bool(0.2);
-        let back = self.now + Duration::from_secs(self.rng.random_range(5..60));
-        for (other, machine) in &mut self.machines {
-            let hit = other == id || (whole_rack && machine.rack == rack);
-            if hit && machine.up {
-                machine.up = false;
-                machine.running = 0;
-                machine.drained = false;
-                machine.back = Some((back, false));
-            }
-        }
-    }
-
     /// Operators race: each bases its order on what some entry knows.
     fn operate(&mut self, entry: usize) {
         let fleet = &self.entries[entry].fleet;
@@ -516,16 +421,6 @@
         self.entries[entry].fleet = Fleet::default();
     }
 
-    fn work(&mut self) {
-        for machine in self.machines.values_mut() {
-            if machine.up && !machine.drained && self.rng.random_bool(0.3) {
-                machine.running = 1;
-            } else if self.rng.random_bool(0.7) {
-                machine.running = 0;
-            }
-        }
-    }
-
     /// Ends the faults and lets everything that was begun come to its end.
     pub fn calm(&mut self) {
         self.faulty = false;
