--- a/crates/havenladder/tests/site/mod.rs
+++ b/crates/havenladder/tests/site/mod.rs
@@ -321,6 +321,13 @@
         all && sizes && labelled
     }
 
+    /// Writes a file of the site's own and returns its path.
+    pub fn write(&self, name: &str, text: &str) -> String {
+        let file = self.folder.join(name);
+        fs::write(&file, text).unwrap();
+        file.to_str().unwrap().to_owned()
+    }
+
     /// Runs a command against an entry.
     pub fn run(&self, index: usize, args: &[&str]) -> Output {
         Command::new(env!("CARGO_BIN_EXE_havenladder"))
