feat: a worker that is set aside is told of, and a command prints fresh keys

The demonstration needed another language to make a key.

Ruled out: a log call inside the scheduler, which knows no log; it says so by a command like all else.

Before: placed, refused, granted were told.

--- a/crates/havenladder/src/cli.rs
+++ b/crates/havenladder/src/cli.rs
@@ -58,6 +58,8 @@
     PrintConfig,
     /// Time each kind of question to the entry.
     Timings,
+    /// Print a fresh key for a request that must not be repeated.
+    Key,
     /// Print completions for a shell.
     Completions {
         /// The shell.
--- a/crates/havenladder/src/commands/mod.rs
+++ b/crates/havenladder/src/commands/mod.rs
@@ -126,6 +126,10 @@
         Command::BugReport => bug_report::bug_report(setup),
         Command::PrintConfig => print_config(setup),
         Command::Timings => timings::timings(setup),
+        Command::Key => {
+            println!("{}", ulid::Ulid::new());
+            Ok(())
+        }
         Command::Completions { shell } => {
             clap_complete::generate(
                 shell,
--- a/crates/havenladder/src/duties/placement.rs
+++ b/crates/havenladder/src/duties/placement.rs
@@ -248,6 +248,12 @@
                 deadline,
             } => self.send(request, attempt, &target, addr, pool, deadline),
             Command::Stop(attempt) => self.dispatch(Dispatch::Stop(attempt)),
+            Command::SetAside(vm, until) => {
+                let seconds = until
+                    .saturating_duration_since(Instant::now())
+                    .as_secs_f64();
+                tracing::warn!(vm, seconds, reason = "failed tasks in a row", "set aside");
+            }
             Command::Answer(id, outcome) => self.answer(id, outcome),
         }
     }
--- a/crates/serving/src/health.rs
+++ b/crates/serving/src/health.rs
@@ -35,16 +35,18 @@
         *self = Self::default();
     }
 
-    /// Takes in a failure; `may_pause` tells whether one more worker may be set aside.
-    pub(crate) fn fail(&mut self, now: Instant, may_pause: bool) {
+    /// Takes in a failure; `may_pause` tells whether one more worker may be set aside. Returns until
+    /// when the worker is set aside, if it is now.
+    pub(crate) fn fail(&mut self, now: Instant, may_pause: bool) -> Option<Instant> {
         self.streak += 1;
         let is_trial = self.is_on_trial(now);
         if !may_pause || (self.streak < STREAK && !is_trial) {
-            return;
+            return None;
         }
         let pause = FIRST_PAUSE * 2_u32.saturating_pow(self.pauses.min(6));
         self.aside = Some(now + pause.min(LONGEST_PAUSE));
         self.pauses += 1;
         self.streak = 0;
+        self.aside
     }
 }
--- a/crates/serving/src/job.rs
+++ b/crates/serving/src/job.rs
@@ -145,6 +145,8 @@
     },
     /// Stop an attempt.
     Stop(AttemptId),
+    /// Note that a worker failed so often that it gets no tasks until this time.
+    SetAside(VmId, Instant),
     /// Give a request its final outcome.
     Answer(RequestId, Outcome),
 }
--- a/crates/serving/src/scheduler/ended.rs
+++ b/crates/serving/src/scheduler/ended.rs
@@ -1,7 +1,7 @@
 //! What the scheduler makes of an attempt that ended: it learns, tries again or answers.
 
 use super::{Attempt, Scheduler, worker_of};
-use crate::job::{AttemptEnd, AttemptId, Outcome, Target, Why};
+use crate::job::{AttemptEnd, AttemptId, Command, Outcome, Target, Why};
 use std::time::Instant;
 
 /// Attempts that may fail or break before a request is given up.
@@ -46,17 +46,28 @@
         };
         worker.own = worker.own.saturating_sub(1);
         let run = now - attempt.sent;
-        match end {
+        let aside = match end {
             AttemptEnd::Done => {
                 worker.health.succeed();
                 estimate.record(run, now);
+                None
+            }
+            AttemptEnd::Refused => {
+                worker.refuse(now, estimate.mean());
+                None
             }
-            AttemptEnd::Refused => worker.refuse(now, estimate.mean()),
-            AttemptEnd::NotSent | AttemptEnd::Failed => worker.health.fail(now, may_pause),
             // A run that used up its deadline says how long the service takes, not that the
             // worker is at fault.
-            AttemptEnd::Broken if now >= request.job.deadline => estimate.record(run, now),
-            AttemptEnd::Broken => worker.health.fail(now, may_pause),
+            AttemptEnd::Broken if now >= request.job.deadline => {
+                estimate.record(run, now);
+                None
+            }
+            AttemptEnd::NotSent | AttemptEnd::Failed | AttemptEnd::Broken => {
+                worker.health.fail(now, may_pause)
+            }
+        };
+        if let Some(until) = aside {
+            self.commands.push(Command::SetAside(vm.clone(), until));
         }
     }
 
--- a/crates/serving/tests/scheduler.rs
+++ b/crates/serving/tests/scheduler.rs
@@ -22,6 +22,7 @@
     answers: HashMap<u64, Outcome>,
     claims: Vec<u64>,
     stopped: Vec<AttemptId>,
+    set_aside: u32,
 }
 
 impl Bench {
@@ -34,6 +35,7 @@
             answers: HashMap::new(),
             claims: Vec::new(),
             stopped: Vec::new(),
+            set_aside: 0,
         };
         let large = Service {
             class: Class::Large,
@@ -71,6 +73,7 @@
                     self.sent.push((request, attempt, target));
                 }
                 Command::Stop(attempt) => self.stopped.push(attempt),
+                Command::SetAside(..) => self.set_aside += 1,
                 Command::Answer(id, outcome) => {
                     assert!(self.answers.insert(id, outcome).is_none(), "two outcomes");
                 }
@@ -230,6 +233,7 @@
         (4..=8).contains(&failures),
         "{failures} tasks to the failing worker"
     );
+    assert_eq!(bench.set_aside, failures - 2, "each one is told");
 }
 
 #[test]
