--- /dev/null
+++ b/crates/havenladder/src/duties/watch/report.rs
@@ -0,0 +1,112 @@
+//! What the agreed state is told of VMs: changes only, each by one entry.
+
+use crate::{context::Context, sightings::Sighting};
+use fleet::{Health, Observation, Seen, Vm};
+use platform::{ListState, VmInfo};
+use protocol::{HallId, VmId, ranked};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// What the agreed state should be told, of the VMs that fall to this entry.
+pub fn changes(
+    ctx: &Context,
+    listed: &[VmInfo],
+    sightings: &BTreeMap<VmId, Sighting>,
+    boots: &BTreeMap<VmId, u64>,
+) -> Vec<Observation> {
+    let members = ctx.peers.members(&ctx.config, true);
+    let falls_to_us =
+        |id: &str, hall: &str| watcher(&members, id, hall) == Some(&ctx.config.entry.name);
+    let fleet = ctx.fleet.get();
+    let mut changes = Vec::new();
+    for info in listed
+        .iter()
+        .filter(|info| falls_to_us(&info.id, &info.hall))
+    {
+        let vm = fleet.vms.get(&info.id);
+        let sighting = sightings.get(&info.id).copied();
+        let seen = seen_of(info, vm, sighting, boots.get(&info.id).copied());
+        let base = vm.map_or(0, |vm| vm.version);
+        if let Some(seen) = seen.filter(|seen| is_news(vm, seen)) {
+            changes.push(Observation {
+                vm: info.id.clone(),
+                base,
+                seen,
+            });
+        }
+    }
+    let ids: BTreeSet<&VmId> = listed.iter().map(|info| &info.id).collect();
+    let halls: BTreeSet<&HallId> = listed.iter().map(|info| &info.hall).collect();
+    for (id, vm) in fleet.vms.iter().filter(|(_, vm)| halls.contains(&vm.hall)) {
+        let is_lost = !ids.contains(id) && vm.health != Health::Gone && vm.grant.is_none();
+        let is_silent = sightings
+            .get(id)
+            .is_none_or(|sighting| sighting.is_suspect());
+        if is_lost && is_silent && falls_to_us(id, &vm.hall) {
+            changes.push(Observation {
+                vm: id.clone(),
+                base: vm.version,
+                seen: Seen::Gone,
+            });
+        }
+    }
+    changes
+}
+
+/// The live entry that records what becomes of a VM: one of its hall, or the one that the hall
+/// has fallen to if it has none left.
+fn watcher<'m>(members: &'m BTreeMap<String, HallId>, id: &str, hall: &str) -> Option<&'m String> {
+    let in_hall: Vec<&str> = members
+        .iter()
+        .filter(|(_, other)| *other == hall)
+        .map(|(entry, _)| entry.as_str())
+        .collect();
+    let first = if in_hall.is_empty() {
+        *ranked(members.keys().map(String::as_str), hall).first()?
+    } else {
+        *ranked(in_hall, id).first()?
+    };
+    members.get_key_value(first).map(|(entry, _)| entry)
+}
+
+/// Weighs the lagging list against the probes: the list alone never brings a VM up again that
+/// this entry itself finds silent, and an old list never takes a count of boots back.
+fn seen_of(
+    info: &VmInfo,
+    vm: Option<&Vm>,
+    sighting: Option<Sighting>,
+    boot: Option<u64>,
+) -> Option<Seen> {
+    if sighting.is_some_and(Sighting::is_suspect) {
+        return Some(Seen::Down);
+    }
+    if info.state == ListState::Leaving {
+        return Some(Seen::Leaving);
+    }
+    let known_boot = vm.map_or(0, |vm| vm.boot);
+    let boot = boot.unwrap_or(info.boot).max(info.boot);
+    let answered = sighting.is_some_and(|sighting| sighting.misses == 0);
+    if boot < known_boot || !(info.up || answered) {
+        return None;
+    }
+    Some(Seen::Up {
+        hall: info.hall.clone(),
+        rack: info.rack.clone(),
+        addr: info.addr.clone(),
+        slots: info.slots,
+        boot,
+    })
+}
+
+fn is_news(vm: Option<&Vm>, seen: &Seen) -> bool {
+    let Some(vm) = vm else {
+        return matches!(seen, Seen::Up { .. });
+    };
+    match seen {
+        Seen::Up {
+            addr, slots, boot, ..
+        } => vm.health != Health::Up || vm.boot != *boot || vm.addr != *addr || vm.slots != *slots,
+        Seen::Leaving => vm.health != Health::Leaving,
+        Seen::Down => vm.health != Health::Down && vm.health != Health::Gone,
+        Seen::Gone => vm.health != Health::Gone,
+    }
+}
