fix(serving): an answer that a peer passes on must bear the request's id

Cause: an answer from another hall was checked by its length and outcome only; nothing tied it to the request that was passed on.

Before: any whole answer with an outcome counted. After: one without the request's id is a broken attempt; 3 tests of cut-off halls and 9 of outcomes pass.

Conclusion: matched like a worker's answer; no test sends a wrong id yet.

--- a/crates/havenladder/src/duties/workers.rs
+++ b/crates/havenladder/src/duties/workers.rs
@@ -10,7 +10,7 @@
         runtime,
     },
     outcome,
-    problem::HEADER_OUTCOME,
+    problem::{self, HEADER_OUTCOME},
 };
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -188,12 +188,14 @@
         deadline,
         forwarded,
         limit,
+        name,
         ..
     } = &dispatch
     else {
         return (AttemptEnd::NotSent, None);
     };
     let (attempt, deadline, forwarded, limit) = (*attempt, *deadline, *forwarded, *limit);
+    let name = name.clone();
     // The last look at the clock before the request leaves: a process that was frozen since it
     // placed the request must not send it now.
     if Instant::now() >= deadline {
@@ -204,7 +206,7 @@
     };
     let exchange = async {
         match http.request(request).await {
-            Ok(response) if forwarded => peer_answer(response, limit).await,
+            Ok(response) if forwarded => peer_answer(response, &name, limit).await,
             Ok(response) => worker_answer(response, attempt, limit).await,
             Err(error) if error.is_connect() => (AttemptEnd::NotSent, None),
             Err(_) => (AttemptEnd::Broken, None),
@@ -237,7 +239,7 @@
         builder = builder
             .uri(format!("http://{addr}/v1/{service}"))
             .header(HEADER_FORWARDED, "1")
-            .header("havenladder-request", name)
+            .header(problem::HEADER_REQUEST, name)
             .header("havenladder-deadline", lease);
         if let Some(key) = key {
             builder = builder.header("idempotency-key", key);
@@ -287,7 +289,12 @@
     }
 }
 
-async fn peer_answer(response: Response<Incoming>, limit: usize) -> Ended {
+/// Reads what a peer made of a request; only an answer that bears the request's id counts.
+async fn peer_answer(response: Response<Incoming>, name: &str, limit: usize) -> Ended {
+    let id = response.headers().get(problem::HEADER_REQUEST);
+    if id.is_none_or(|id| id.as_bytes() != name.as_bytes()) {
+        return (AttemptEnd::Broken, None);
+    }
     let outcome = response.headers().get(HEADER_OUTCOME);
     let outcome = outcome.map_or(&b""[..], HeaderValue::as_bytes);
     let status = response.status();
