refactor(tests): the site's files and addresses in a file of their own

Cause: site/mod.rs started processes, wrote their files and asked questions, in 523 lines.

Ruled out: a change of any assertion or wait.

--- a/crates/havenladder/tests/site/mod.rs
+++ b/crates/havenladder/tests/site/mod.rs
@@ -10,10 +10,13 @@
 )]
 
 mod client;
+mod config;
 
 pub use client::{Reply, key, threads_of};
+pub use config::Pace;
 
 use client::{agent, get};
+use config::own_addresses;
 use havenladder_standin::{
     ledger::{Ledger, Run},
     platform::{self, Plan},
@@ -27,10 +30,7 @@
     net::SocketAddr,
     path::PathBuf,
     process::{Child, Command, Output, Stdio},
-    sync::{
-        Arc,
-        atomic::{AtomicU32, Ordering},
-    },
+    sync::Arc,
     thread,
     time::{Duration, Instant},
 };
@@ -39,7 +39,6 @@
 /// Limit of every wait; generous, so that a busy machine changes no verdict.
 pub const LIMIT: Duration = Duration::from_secs(60);
 
-const PEER_KEY: &str = "test-peer-key-0123456789";
 pub const OPERATOR_KEY: &str = "test-operator-key-0123456789";
 
 /// One entry: its process and the links that lead to it.
@@ -66,28 +65,6 @@
     setup_events: usize,
 }
 
-/// How fast an entry looks, waits and gives up.
-#[derive(Clone, Copy, PartialEq, Eq)]
-pub enum Pace {
-    /// As documented.
-    Default,
-    /// Faster, so that tests need not wait.
-    Quick,
-}
-
-fn hasten(config: &mut Value) {
-    config["editors"]["header_ms"] = 2000.into();
-    config["editors"]["body_ms"] = 2000.into();
-    config["peers"]["interval_ms"] = 100.into();
-    config["peers"]["patience_ms"] = 1000.into();
-    config["platform"]["wait_ms"] = 300.into();
-    config["platform"]["propose_ms"] = 8000.into();
-    config["steward"] = serde_json::json!({ "lease_ms": 3000 });
-    config["watch"] = serde_json::json!({ "interval_ms": 100 });
-    config["claims"] = serde_json::json!({ "patience_ms": 2000 });
-    config["snapshots"] = serde_json::json!({ "records": 20, "interval_ms": 2000 });
-}
-
 /// A plan with `vms` VMs in each of `halls` halls and quick reboots.
 pub fn plan(halls: u32, vms: u32) -> Plan {
     Plan {
@@ -155,46 +132,6 @@
         site
     }
 
-    fn configure(&mut self, pace: Pace, index: usize, hall: &str, halls: &[&str]) {
-        let log = self.proxy(self.platform);
-        self.log_links.push(log.faults);
-        let mut neighbours = Vec::new();
-        for (other, other_hall) in halls
-            .iter()
-            .enumerate()
-            .filter(|(other, _)| *other != index)
-        {
-            let editors = self.proxy(self.entries[other].editors);
-            let peers = self.proxy(self.entries[other].peers);
-            neighbours.push(serde_json::json!({
-                "entry": self.entries[other].name,
-                "hall": other_hall,
-                "editors": editors.addr.to_string(),
-                "peers": peers.addr.to_string(),
-            }));
-            self.peer_links
-                .insert((index, other), [editors.faults, peers.faults]);
-        }
-        let entry = &self.entries[index];
-        let mut config = serde_json::json!({
-            "entry": entry.name,
-            "hall": hall,
-            "editors": { "listen": entry.editors.to_string() },
-            "peers": {
-                "listen": entry.peers.to_string(),
-                "key": PEER_KEY,
-                "neighbours": neighbours,
-            },
-            "operators": { "listen": entry.operators.to_string(), "key": OPERATOR_KEY },
-            "platform": { "address": log.addr.to_string() },
-            "logs": { "filter": std::env::var("HAVENLADDER_TEST_LOG").unwrap_or("error".into()) },
-        });
-        if pace == Pace::Quick {
-            hasten(&mut config);
-        }
-        fs::write(&entry.config, config.to_string()).unwrap();
-    }
-
     /// Starts a proxy in front of an address.
     pub fn proxy(&self, target: SocketAddr) -> Proxy {
         let (sender, receiver) = std::sync::mpsc::channel();
@@ -510,14 +447,3 @@
     });
     receiver.recv().unwrap()
 }
-
-/// Addresses that nothing else on the machine uses: each site has a loopback address of its own,
-/// so that no other site's listener and no outgoing connection can be in the way.
-fn own_addresses(count: u16) -> Vec<SocketAddr> {
-    static SITES: AtomicU32 = AtomicU32::new(1);
-    let site = (std::process::id() % (1 << 18)) * 64 + SITES.fetch_add(1, Ordering::Relaxed) % 64;
-    let [_, a, b, c] = site.to_be_bytes();
-    (0..count)
-        .map(|index| SocketAddr::from(([127, a, b, c], 7_100 + index)))
-        .collect()
-}
