refactor: one way to find a hall's first entry, a pool's expected size, a step's name

Cause: read once more as a whole.

Ruled out: a change of behaviour.

Before: two loops over members, two counts of incoming VMs, two names.

Conclusion: left as they are: a lock held over the call that lists VMs (one thread calls it), and shapes that repeat in tests but check different things.

--- a/crates/fleet/src/moves.rs
+++ b/crates/fleet/src/moves.rs
@@ -62,15 +62,14 @@
             .tree
             .pools()
             .chain(fleet.counts.keys())
-            .map(|pool| (pool.clone(), fleet.present(pool)))
+            .map(|pool| (pool.clone(), fleet.expected(pool)))
             .collect();
         for (_, vm, grant) in fleet
             .grants()
             .filter(|(_, _, grant)| grant.step != Step::Returning)
         {
             match &grant.errand {
-                Errand::Move { to } => shift(&mut will, &vm.pool, to),
-                Errand::Release => lower(&mut will, &vm.pool),
+                Errand::Move { .. } | Errand::Release => lower(&mut will, &vm.pool),
                 Errand::Reboot | Errand::Drain => {}
             }
         }
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -7,7 +7,7 @@
     state::{Fleet, Grant, Health, Step, Vm, WaveState},
     wave::{next_reboots, progress},
 };
-use protocol::{EntryId, HallId, Offset, PoolId, ranked};
+use protocol::{EntryId, HallId, Offset, PoolId, first_in_hall, ranked};
 use std::{
     collections::BTreeMap,
     time::{Duration, SystemTime},
@@ -39,12 +39,7 @@
 
     /// The live entry of the VM's hall that should carry out its errands.
     pub fn holder(&self, id: &str, vm: &Vm) -> Option<EntryId> {
-        let in_hall = self
-            .live
-            .iter()
-            .filter(|(_, hall)| **hall == vm.hall)
-            .map(|(entry, _)| entry.as_str());
-        ranked(in_hall, id).first().map(|entry| (*entry).to_owned())
+        first_in_hall(self.live, &vm.hall, id).map(str::to_owned)
     }
 }
 
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -9,6 +9,7 @@
 use settings::{Path, Tree};
 use std::{
     collections::{BTreeMap, BTreeSet},
+    fmt::{self, Display, Formatter},
     time::SystemTime,
 };
 
@@ -162,6 +163,16 @@
     Returning,
 }
 
+impl Display for Step {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Draining => "draining",
+            Self::Begun => "begun",
+            Self::Returning => "returning",
+        })
+    }
+}
+
 /// One maintenance wave.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Wave {
--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -229,12 +229,7 @@
     fn plan(&mut self, entry: usize) {
         let members = self.members(entry);
         let name = self.entries[entry].name.clone();
-        let view = View {
-            entry: &name,
-            live: &members,
-            now: self.now,
-            lease: LEASE,
-        };
+        let view = view(&name, &members, self.now);
         let changes = plan(&self.entries[entry].fleet, &view);
         if !changes.is_empty() {
             self.append(&name, changes);
@@ -257,12 +252,7 @@
             return self.settle_stray(entry);
         };
         let name = self.entries[entry].name.clone();
-        let view = View {
-            entry: &name,
-            live: &members,
-            now: self.now,
-            lease: LEASE,
-        };
+        let view = view(&name, &members, self.now);
         let sight = self.machines.get(&id).map(|machine| Sight {
             boot: machine.boot,
             up: machine.up,
@@ -458,3 +448,12 @@
             .collect()
     }
 }
+
+fn view<'a>(entry: &'a str, live: &'a BTreeMap<EntryId, HallId>, now: SystemTime) -> View<'a> {
+    View {
+        entry,
+        live,
+        now,
+        lease: LEASE,
+    }
+}
--- a/crates/havenladder/src/commands/vm.rs
+++ b/crates/havenladder/src/commands/vm.rs
@@ -58,9 +58,6 @@
     let health = format!("{:?}", vm.health).to_lowercase();
     match &vm.grant {
         None => health,
-        Some(grant) => {
-            let step = format!("{:?}", grant.step).to_lowercase();
-            format!("{health}, {step} for {:?}", grant.errand)
-        }
+        Some(grant) => format!("{health}, {} for {:?}", grant.step, grant.errand),
     }
 }
--- a/crates/havenladder/src/duties/watch/report.rs
+++ b/crates/havenladder/src/duties/watch/report.rs
@@ -3,7 +3,7 @@
 use crate::{context::Context, sightings::Sighting};
 use fleet::{Health, Observation, Seen, Vm};
 use platform::{ListState, VmInfo};
-use protocol::{HallId, VmId, ranked};
+use protocol::{EntryId, HallId, VmId, first_in_hall, ranked};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// What the agreed state should be told, of the VMs that fall to this entry.
@@ -15,7 +15,7 @@
 ) -> Vec<Observation> {
     let members = ctx.peers.members(&ctx.config, true);
     let falls_to_us =
-        |id: &str, hall: &str| watcher(&members, id, hall) == Some(&ctx.config.entry.name);
+        |id: &str, hall: &str| watcher(&members, id, hall) == Some(ctx.config.entry.name.as_str());
     let fleet = ctx.fleet.get();
     let mut changes = Vec::new();
     for info in listed
@@ -54,18 +54,11 @@
 
 /// The live entry that records what becomes of a VM: one of its hall, or the one that the hall
 /// has fallen to if it has none left.
-fn watcher<'m>(members: &'m BTreeMap<String, HallId>, id: &str, hall: &str) -> Option<&'m String> {
-    let in_hall: Vec<&str> = members
-        .iter()
-        .filter(|(_, other)| *other == hall)
-        .map(|(entry, _)| entry.as_str())
-        .collect();
-    let first = if in_hall.is_empty() {
-        *ranked(members.keys().map(String::as_str), hall).first()?
-    } else {
-        *ranked(in_hall, id).first()?
-    };
-    members.get_key_value(first).map(|(entry, _)| entry)
+fn watcher<'m>(members: &'m BTreeMap<EntryId, HallId>, id: &str, hall: &str) -> Option<&'m str> {
+    first_in_hall(members, hall, id).or_else(|| {
+        let all = members.keys().map(String::as_str);
+        ranked(all, hall).first().copied()
+    })
 }
 
 /// Weighs the lagging list against the probes: the list alone never brings a VM up again that
--- a/crates/havenladder/src/explain.rs
+++ b/crates/havenladder/src/explain.rs
@@ -49,7 +49,7 @@
         format!("health: {}", health(vm.health)),
     ];
     if let Some(grant) = &vm.grant {
-        let step = format!("{:?}", grant.step).to_lowercase();
+        let step = grant.step;
         lines.push(format!(
             "out of service by grant {} for {:?}, {step}, held by {}",
             grant.id, grant.errand, grant.holder
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -14,4 +14,4 @@
 pub use peer::{
     BurnCell, BurnReply, BurnSum, HEADER_FORWARDED, HEADER_KEY, Loss, Room, SnapshotReply, Status,
 };
-pub use rendezvous::{rank, ranked};
+pub use rendezvous::{first_in_hall, rank, ranked};
--- a/crates/protocol/src/rendezvous.rs
+++ b/crates/protocol/src/rendezvous.rs
@@ -1,6 +1,7 @@
 //! Rendezvous hashing: who of the live entries does a piece of work, without asking anybody.
 
-use std::cmp::Reverse;
+use crate::{EntryId, HallId};
+use std::{cmp::Reverse, collections::BTreeMap};
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Weight of `node` for `key`; the highest weight wins.
@@ -26,6 +27,19 @@
     order
 }
 
+/// Returns the first for `key` among the members that stand in `hall`; `None` if it has none.
+pub fn first_in_hall<'a>(
+    members: &'a BTreeMap<EntryId, HallId>,
+    hall: &str,
+    key: &str,
+) -> Option<&'a str> {
+    let in_hall = members
+        .iter()
+        .filter(|(_, other)| *other == hall)
+        .map(|(entry, _)| entry.as_str());
+    ranked(in_hall, key).first().copied()
+}
+
 /// Returns the rank of `node` among `nodes` for `key`, 0 being first, or `None` if it is not one.
 pub fn rank<'a>(nodes: impl IntoIterator<Item = &'a str>, node: &str, key: &str) -> Option<usize> {
     ranked(nodes, key).iter().position(|other| *other == node)
