--- a/crates/havenladder/src/cli.rs
+++ b/crates/havenladder/src/cli.rs
@@ -31,6 +31,8 @@
 pub enum Command {
     /// Run an entry.
     Serve,
+    /// Run an entry on the users' platform, by the settings file that the platform writes.
+    Entry,
     /// Check, publish and show settings.
     #[command(subcommand)]
     Settings(SettingsCommand),
--- a/crates/havenladder/src/commands/mod.rs
+++ b/crates/havenladder/src/commands/mod.rs
@@ -100,6 +100,9 @@
 
 /// Runs a command and returns its exit code.
 pub fn run(args: Args) -> ExitCode {
+    if matches!(args.command, Command::Entry) {
+        return crate::entry::run();
+    }
     let setup = Setup {
         config: &args.config,
         json: args.json,
@@ -116,6 +119,8 @@
 fn dispatch(setup: &Setup<'_>, command: Command) -> Result<(), CommandError> {
     match command {
         Command::Serve => serve::serve(setup),
+        // It reads the platform's settings, not ours, and has been dispatched by then.
+        Command::Entry => Ok(()),
         Command::Settings(command) => settings::settings(setup, command),
         Command::Wave(command) => wave::wave(setup, command),
         Command::Vm(command) => vm::vm(setup, command),
--- /dev/null
+++ b/crates/havenladder/src/entry/callers.rs
@@ -0,0 +1,248 @@
+//! Takes the calls of consumers and of the platform's balancer.
+
+use super::{
+    inner::{self, Ask, Tell},
+    node::Node,
+};
+use adapter::callers::{HEADER_DEADLINE, read_id, read_job, write_pending, write_state};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{
+    Method, Request, Response, StatusCode, body::Incoming, header, server::conn::http1,
+    service::service_fn,
+};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use jobs::{JobId, Submission};
+use std::{
+    convert::Infallible,
+    pin::pin,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    task, time,
+};
+use tracing::{info, warn};
+
+/// The longest body of a job; the platform's pages name 262,144 bytes.
+const LONGEST: usize = 262_144;
+
+/// How long a caller waits if it does not say.
+const DEADLINE: Duration = Duration::from_millis(3_000);
+
+/// Part of the caller's time after which an entry that found no owner gives up: the rest is for the
+/// way back, and for another try at another entry.
+const PATIENCE: f64 = 0.5;
+
+/// Time until an owner that was not there is looked for again.
+const AGAIN: Duration = Duration::from_millis(40);
+
+/// When a caller that was refused is to come back, in seconds: an owner is found within 3.
+const RETRY_AFTER: &str = "1";
+
+type Reply = Response<Full<Bytes>>;
+
+/// Takes the connections of consumers.
+pub async fn listen(node: Rc<Node>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                task::spawn_local(serve(Rc::clone(&node), stream));
+            }
+            Err(error) => {
+                warn!(%error, "no connection of a caller could be taken");
+                time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+    }
+}
+
+async fn serve(node: Rc<Node>, stream: TcpStream) {
+    // Without this, answers are only slower.
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(|request| count(Rc::clone(&node), request));
+    let builder = http1::Builder::new().timer(TokioTimer::new()).clone();
+    let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
+    tokio::select! {
+        // A caller that breaks off is met in its request.
+        _ = connection.as_mut() => return,
+        () = node.stop.notified() => {}
+    }
+    connection.as_mut().graceful_shutdown();
+    let _ = connection.await;
+}
+
+async fn count(node: Rc<Node>, request: Request<Incoming>) -> Result<Reply, Infallible> {
+    node.in_flight.set(node.in_flight.get() + 1);
+    let reply = handle(&node, request).await;
+    node.in_flight.set(node.in_flight.get() - 1);
+    Ok(reply)
+}
+
+/// Answers whether the entry takes callers.
+pub async fn listen_ready(node: Rc<Node>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            time::sleep(Duration::from_millis(20)).await;
+            continue;
+        };
+        let node = Rc::clone(&node);
+        task::spawn_local(async move {
+            let service = service_fn(|_| async {
+                let ready = node.config().is_some() && !node.stopping.get();
+                let status = if ready {
+                    StatusCode::OK
+                } else {
+                    StatusCode::SERVICE_UNAVAILABLE
+                };
+                Ok::<_, Infallible>(reply(status, ""))
+            });
+            // The balancer asks again every second.
+            let _ = http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+        });
+    }
+}
+
+fn reply(status: StatusCode, body: impl Into<Bytes>) -> Reply {
+    let body = body.into();
+    let mut response = Response::new(Full::new(body));
+    *response.status_mut() = status;
+    let json = header::HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, json);
+    if status == StatusCode::SERVICE_UNAVAILABLE {
+        let after = header::HeaderValue::from_static(RETRY_AFTER);
+        response.headers_mut().insert(header::RETRY_AFTER, after);
+    }
+    response
+}
+
+fn text<'a>(request: &'a Request<Incoming>, name: &str) -> &'a str {
+    request
+        .headers()
+        .get(name)
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or("")
+}
+
+fn deadline(request: &Request<Incoming>, now: Instant) -> Instant {
+    let ms = text(request, HEADER_DEADLINE)
+        .parse()
+        .map_or(DEADLINE, Duration::from_millis);
+    now + ms.min(DEADLINE * 20)
+}
+
+async fn handle(node: &Rc<Node>, request: Request<Incoming>) -> Reply {
+    let deadline = deadline(&request, Instant::now());
+    let Some(config) = node.config() else {
+        return reply(StatusCode::SERVICE_UNAVAILABLE, "");
+    };
+    let path = request.uri().path().to_owned();
+    let Some(queue) = config.queue(text(&request, "host"), &path) else {
+        return reply(StatusCode::NOT_FOUND, "");
+    };
+    let rest = &path[queue.prefix.len()..];
+    if request.method() == Method::GET && rest.is_empty() {
+        return ask(node, Ask::Pending(queue.name.clone()), deadline).await;
+    }
+    let Some(id) = read_id(rest) else {
+        return reply(
+            StatusCode::BAD_REQUEST,
+            "{\"error\":\"a job's id is 16 hex digits\"}",
+        );
+    };
+    match *request.method() {
+        Method::GET => ask(node, Ask::State(id), deadline).await,
+        Method::DELETE => ask(node, Ask::Cancel(id), deadline).await,
+        Method::POST => {
+            let limited = Limited::new(request.into_body(), LONGEST).collect().await;
+            let Ok(body) = limited else {
+                return reply(StatusCode::PAYLOAD_TOO_LARGE, "");
+            };
+            match read_submission(queue, id, &body.to_bytes()) {
+                Ok(given) => ask(node, Ask::Submit(given), deadline).await,
+                Err(why) => {
+                    info!(job = format!("{id:016x}"), why, "not taken");
+                    let body = serde_json::json!({ "error": why }).to_string();
+                    reply(StatusCode::BAD_REQUEST, body)
+                }
+            }
+        }
+        _ => reply(StatusCode::METHOD_NOT_ALLOWED, ""),
+    }
+}
+
+fn read_submission(
+    queue: &adapter::operator::Queue,
+    id: JobId,
+    body: &[u8],
+) -> Result<Submission, String> {
+    let spec = read_job(body).map_err(|error| error.to_string())?;
+    spec.check().map_err(|error| error.to_string())?;
+    Ok(Submission {
+        id,
+        queue: queue.name.clone(),
+        service: queue.service.clone(),
+        priority: queue.priority,
+        attempts: queue.attempts,
+        spec,
+    })
+}
+
+/// Puts a question to the owner, wherever it is, until the caller's time gets short.
+async fn ask(node: &Rc<Node>, ask: Ask, deadline: Instant) -> Reply {
+    let now = Instant::now();
+    let give_up = now + (deadline - now).mul_f64(PATIENCE);
+    let mut sent = false;
+    loop {
+        let tell = match node.own() {
+            Some(owner) => {
+                let answer = time::timeout_at(deadline.into(), owner.answer(ask.clone())).await;
+                answer.unwrap_or(Tell::Unsure)
+            }
+            None => forward(node, &ask, deadline).await,
+        };
+        sent |= tell == Tell::Unsure;
+        if let Some(reply) = write(&tell) {
+            return reply;
+        }
+        if Instant::now() >= give_up {
+            return refuse(&ask, sent);
+        }
+        let _ = time::timeout(AGAIN, node.lease_changed.notified()).await;
+    }
+}
+
+async fn forward(node: &Rc<Node>, ask: &Ask, deadline: Instant) -> Tell {
+    let lease = node.lease.borrow().clone();
+    let Some(lease) = lease.filter(|lease| lease.life != node.life && !lease.released) else {
+        return Tell::NotOwner;
+    };
+    match inner::ask(node, &lease.address, ask, deadline).await {
+        Ok(tell) => tell,
+        Err(error) if error.is_unsent() => Tell::NotOwner,
+        Err(_) => Tell::Unsure,
+    }
+}
+
+/// The answer for a caller; none if the owner has to be asked again.
+fn write(tell: &Tell) -> Option<Reply> {
+    match tell {
+        Tell::Accepted | Tell::Cancelled => Some(reply(StatusCode::OK, "{}")),
+        Tell::Unknown => Some(reply(StatusCode::GONE, "")),
+        Tell::State(phase) => Some(reply(StatusCode::OK, write_state(*phase))),
+        Tell::Pending(count) => Some(reply(StatusCode::OK, write_pending(*count))),
+        Tell::NotOwner | Tell::Unsure => None,
+    }
+}
+
+/// A job that may have been kept is never said to be refused.
+fn refuse(ask: &Ask, sent: bool) -> Reply {
+    info!(?ask, sent, "given up: no owner answers");
+    match sent {
+        true => reply(StatusCode::GATEWAY_TIMEOUT, ""),
+        false => reply(StatusCode::SERVICE_UNAVAILABLE, ""),
+    }
+}
--- /dev/null
+++ b/crates/havenladder/src/entry/follow.rs
@@ -0,0 +1,93 @@
+//! Follows what operators publish: the configuration and waves of upkeep.
+
+use super::node::Node;
+use adapter::{
+    operator::{self, CONFIG_KEY, TOPIC, WAVE_KEY},
+    store::{Keyed, Offset, Read, split_keyed},
+};
+use std::{rc::Rc, time::Duration};
+use tokio::time;
+use tracing::{info, warn};
+
+/// How long a read waits for the next record. The store holds a read for 30 s at most; a connection
+/// that fell silent is noticed by the end of this, and a change must be in force within 2 s.
+const WAIT: Duration = Duration::from_millis(5_000);
+
+/// Time until the store is asked again after it did not answer.
+const AGAIN: Duration = Duration::from_millis(250);
+
+/// Follows the topic for ever.
+pub async fn run(node: Rc<Node>) {
+    loop {
+        if let Ok(Some(newest)) = node.store.newest(TOPIC).await {
+            newest
+                .records
+                .into_iter()
+                .for_each(|record| apply(&node, record));
+            read_on(&node, newest.end).await;
+        }
+        time::sleep(AGAIN).await;
+    }
+}
+
+/// Reads on until the records asked for are gone.
+async fn read_on(node: &Node, mut from: Offset) {
+    loop {
+        match node.store.read(TOPIC, from, WAIT).await {
+            Ok(Read::Records(_, records)) => {
+                from += records.len() as Offset;
+                records
+                    .into_iter()
+                    .filter_map(split_keyed)
+                    .for_each(|r| apply(node, r));
+            }
+            Ok(Read::Gone(first)) => {
+                info!(
+                    from,
+                    first, "records of operators are gone; the newest are read again"
+                );
+                return;
+            }
+            Ok(Read::Busy) | Err(_) => time::sleep(AGAIN).await,
+        }
+    }
+}
+
+fn apply(node: &Node, record: Keyed) {
+    let Some(value) = record.value else { return };
+    if record.key == CONFIG_KEY {
+        match operator::read_config(&value) {
+            Ok(config) => apply_config(node, config),
+            Err(error) => warn!(%error, "a configuration cannot be read; the old one stays"),
+        }
+    } else if record.key.starts_with(WAVE_KEY) {
+        match operator::read_wave(&value) {
+            Ok(wave) => {
+                info!(
+                    wave = wave.number,
+                    vms = wave.vms.len(),
+                    most = wave.most,
+                    "wave asked for"
+                );
+                node.waves.borrow_mut().entry(wave.number).or_insert(wave);
+            }
+            Err(error) => warn!(%error, key = record.key, "a wave cannot be read"),
+        }
+    }
+}
+
+/// Puts a configuration in force, unless a newer one is.
+fn apply_config(node: &Node, config: operator::Config) {
+    let mut current = node.config.borrow_mut();
+    let old = current.as_ref().map_or(0, |config| config.version);
+    if current.is_some() && config.version <= old {
+        return;
+    }
+    info!(
+        version = config.version,
+        old,
+        queues = config.routes.len(),
+        "configuration in force"
+    );
+    *current = Some(Rc::new(config));
+}
--- /dev/null
+++ b/crates/havenladder/src/entry/inner.rs
@@ -0,0 +1,126 @@
+//! What entries ask of the cell's owner, over HTTP with MessagePack.
+
+use super::node::Node;
+use adapter::http::{Call, CallError};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{
+    Method, Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
+};
+use hyper_util::rt::TokioIo;
+use jobs::{JobId, Phase, QueueId, Submission};
+use serde::{Deserialize, Serialize};
+use std::{convert::Infallible, rc::Rc, time::Instant};
+use tokio::{net::TcpListener, task};
+use tracing::warn;
+
+/// The path of a question.
+const PATH: &str = "/ask";
+
+/// The longest question: a job's body may have 262,144 bytes.
+const LONGEST: usize = 1 << 20;
+
+/// A question for the owner.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Ask {
+    /// Take this job.
+    Submit(Submission),
+    /// Cancel this job.
+    Cancel(JobId),
+    /// How far is this job?
+    State(JobId),
+    /// How many jobs of this queue have not begun?
+    Pending(QueueId),
+}
+
+/// An answer of the owner.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Tell {
+    /// The job is kept.
+    Accepted,
+    /// The job is cancelled, or was over.
+    Cancelled,
+    /// There is no such job.
+    Unknown,
+    /// The job is this far.
+    State(Phase),
+    /// So many jobs have not begun.
+    Pending(usize),
+    /// The entry that was asked owns nothing; nothing was done.
+    NotOwner,
+    /// It may have been done, or may not.
+    Unsure,
+}
+
+/// Answers the questions of other entries.
+pub async fn listen(node: Rc<Node>, listener: TcpListener) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                warn!(%error, "no connection of an entry could be taken");
+                tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+                continue;
+            }
+        };
+        // Without this, answers are only slower.
+        let _ = stream.set_nodelay(true);
+        let node = Rc::clone(&node);
+        task::spawn_local(async move {
+            let service = service_fn(|request| answer(Rc::clone(&node), request));
+            // An entry that breaks off asks again by itself.
+            let _ = http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+        });
+    }
+}
+
+async fn answer(
+    node: Rc<Node>,
+    request: Request<Incoming>,
+) -> Result<Response<Full<Bytes>>, Infallible> {
+    let body = Limited::new(request.into_body(), LONGEST).collect().await;
+    let ask = body
+        .ok()
+        .and_then(|body| rmp_serde::from_slice::<Ask>(&body.to_bytes()).ok());
+    let Some(ask) = ask else {
+        let mut response = Response::new(Full::default());
+        *response.status_mut() = StatusCode::BAD_REQUEST;
+        return Ok(response);
+    };
+    let owner = node.own();
+    let tell = match owner {
+        Some(owner) => owner.answer(ask).await,
+        None => Tell::NotOwner,
+    };
+    let bytes = rmp_serde::to_vec(&tell).expect("plain data has a form in MessagePack");
+    Ok(Response::new(Full::new(bytes.into())))
+}
+
+/// Asks the owner at an address.
+///
+/// # Errors
+///
+/// Tells whether the question may have been taken.
+pub async fn ask(
+    node: &Node,
+    address: &str,
+    ask: &Ask,
+    deadline: Instant,
+) -> Result<Tell, CallError> {
+    let body = rmp_serde::to_vec(ask).expect("plain data has a form in MessagePack");
+    let call = Call {
+        address,
+        method: Method::POST,
+        path: PATH,
+        headers: &[],
+        body: Some(body.into()),
+        deadline,
+    };
+    let answer = node.client.call(call).await?;
+    rmp_serde::from_slice(&answer.body).map_err(|error| {
+        warn!(%error, address, "an entry's answer cannot be read");
+        CallError::Unanswered
+    })
+}
--- /dev/null
+++ b/crates/havenladder/src/entry/lease.rs
@@ -0,0 +1,235 @@
+//! Who owns the cell: a lease in the log.
+//!
+//! The owner appends a record every [`RENEW`]; each entry reads them. One that has read none for
+//! [`EXPIRY`], while the store answered, appends its own on the condition that nobody else has. The
+//! record's offset is the new owner's epoch, which fences its appends and its orders.
+
+use super::{
+    node::{Lease, Node},
+    owner::Owner,
+};
+use adapter::store::{Appended, Condition, Offset, Read, frame_plain};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+use tokio::time;
+use tracing::{info, warn};
+
+/// The topic with the lease's records.
+const TOPIC: &str = "owner";
+
+/// How often the owner renews. Three renewals fit into [`EXPIRY`], so that two may be lost.
+const RENEW: Duration = Duration::from_millis(600);
+
+/// How long the log must have been without a renewal before another entry claims the cell.
+const EXPIRY: Duration = Duration::from_millis(2_000);
+
+/// How long an owner may believe in its last renewal where two owners must not act in turn. Shorter
+/// than [`EXPIRY`] by what clocks and answers may be late.
+pub const TRUST: Duration = Duration::from_millis(1_500);
+
+/// Time until the store is asked again after it did not answer.
+const AGAIN: Duration = Duration::from_millis(100);
+
+/// How far this entry has read the lease's records.
+struct Log {
+    end: Offset,
+    /// When the newest record was read, or the store last came back.
+    fresh: Instant,
+}
+
+/// Follows the lease, claims it where it has lapsed, and renews it while this entry has it.
+pub async fn run(node: Rc<Node>) {
+    let mut log = Log {
+        end: 0,
+        fresh: Instant::now(),
+    };
+    // The first read needs no wait: where there is no record yet, the first to claim has it.
+    let mut wait = Duration::ZERO;
+    loop {
+        match read(&node, &mut log, wait).await {
+            Seen::Records | Seen::Failed => {}
+            Seen::Nothing => {
+                if is_vacant(&node, &log, wait) {
+                    claim(&node, &mut log).await;
+                }
+            }
+        }
+        if holds(&node) {
+            own(&node, &mut log).await;
+        }
+        wait = next_wait(&node, &log);
+    }
+}
+
+enum Seen {
+    /// New records.
+    Records,
+    /// None, and the store answered.
+    Nothing,
+    /// The store did not answer.
+    Failed,
+}
+
+async fn read(node: &Node, log: &mut Log, wait: Duration) -> Seen {
+    match node.store.read(TOPIC, log.end, wait).await {
+        Ok(Read::Records(_, records)) if records.is_empty() => Seen::Nothing,
+        Ok(Read::Records(_, records)) => {
+            log.end += records.len() as Offset;
+            log.fresh = Instant::now();
+            match records
+                .last()
+                .map(|record| rmp_serde::from_slice::<Lease>(record))
+            {
+                Some(Ok(lease)) => set_lease(node, lease, log.end),
+                Some(Err(error)) => warn!(%error, "a record of the lease cannot be read"),
+                None => {}
+            }
+            Seen::Records
+        }
+        Ok(Read::Gone(first)) => {
+            log.end = first;
+            Seen::Records
+        }
+        Ok(Read::Busy) | Err(_) => {
+            // The owner may not have reached the store either: its time counts from the return.
+            log.fresh = Instant::now();
+            time::sleep(AGAIN).await;
+            Seen::Failed
+        }
+    }
+}
+
+fn set_lease(node: &Node, lease: Lease, end: Offset) {
+    let mut current = node.lease.borrow_mut();
+    if current.as_ref() == Some(&lease) {
+        return;
+    }
+    info!(
+        owner = lease.node,
+        life = lease.life,
+        end,
+        released = lease.released,
+        "owner seen"
+    );
+    *current = Some(lease);
+    node.lease_changed.notify_waiters();
+}
+
+/// Whether the lease may be claimed now.
+fn is_vacant(node: &Node, log: &Log, waited: Duration) -> bool {
+    if node.stopping.get() {
+        return false;
+    }
+    match node.lease.borrow().as_ref() {
+        None => log.end == 0 || waited >= EXPIRY,
+        Some(lease) if lease.released => true,
+        // An earlier life of this entry has ended.
+        Some(lease) if lease.node == node.settings.node && lease.life != node.life => true,
+        Some(_) => log.fresh.elapsed() >= EXPIRY,
+    }
+}
+
+fn next_wait(node: &Node, log: &Log) -> Duration {
+    let released = node
+        .lease
+        .borrow()
+        .as_ref()
+        .is_none_or(|lease| lease.released);
+    if released && !node.stopping.get() && log.end > 0 {
+        return Duration::ZERO;
+    }
+    let left = EXPIRY.saturating_sub(log.fresh.elapsed());
+    left.max(Duration::from_millis(50))
+}
+
+fn record(node: &Node, released: bool) -> Lease {
+    Lease {
+        node: node.settings.node.clone(),
+        life: node.life,
+        address: node.inner_address(),
+        released,
+    }
+}
+
+async fn append(node: &Node, at: Offset, lease: &Lease) -> Option<Appended> {
+    let bytes = rmp_serde::to_vec(lease).expect("plain data has a form in MessagePack");
+    let body = frame_plain([bytes.as_slice()]);
+    node.store.append(TOPIC, Condition::At(at), body).await.ok()
+}
+
+async fn claim(node: &Node, log: &mut Log) {
+    let lease = record(node, false);
+    match append(node, log.end, &lease).await {
+        Some(Appended::Done(end)) => {
+            log.end = end;
+            log.fresh = Instant::now();
+            set_lease(node, lease, end);
+        }
+        // Another was first, or the answer was lost: the next read tells.
+        Some(_) | None => time::sleep(Duration::from_millis(20)).await,
+    }
+}
+
+fn holds(node: &Node) -> bool {
+    let lease = node.lease.borrow();
+    lease
+        .as_ref()
+        .is_some_and(|lease| lease.life == node.life && !lease.released)
+}
+
+/// Owns the cell until the lease is lost or given up.
+async fn own(node: &Rc<Node>, log: &mut Log) {
+    let owner = Owner::start(node, log.end);
+    loop {
+        let wait = if owner.is_alive() {
+            RENEW
+        } else {
+            Duration::ZERO
+        };
+        tokio::select! {
+            () = time::sleep(wait) => {}
+            () = node.stop.notified() => {}
+        }
+        if node.stopping.get() && owner.is_alive() {
+            owner.end("the process stops");
+            let released = record(node, true);
+            if let Some(Appended::Done(end)) = append(node, log.end, &released).await {
+                log.end = end;
+                set_lease(node, released, end);
+            }
+            return;
+        }
+        if !owner.is_alive() {
+            info!("the cell was lost to a newer owner");
+            forget(node);
+            return;
+        }
+        renew(node, log, &owner).await;
+        if !holds(node) {
+            owner.end("another entry has the lease");
+            return;
+        }
+    }
+}
+
+/// A newer owner was met before its record was read.
+fn forget(node: &Node) {
+    *node.lease.borrow_mut() = None;
+}
+
+async fn renew(node: &Node, log: &mut Log, owner: &Owner) {
+    let sent = Instant::now();
+    match append(node, log.end, &record(node, false)).await {
+        Some(Appended::Done(end)) => {
+            log.end = end;
+            log.fresh = Instant::now();
+            owner.renewed.set(sent);
+        }
+        Some(Appended::Moved(_)) => {
+            read(node, log, Duration::ZERO).await;
+        }
+        Some(_) | None => time::sleep(AGAIN).await,
+    }
+}
--- /dev/null
+++ b/crates/havenladder/src/entry/mod.rs
@@ -0,0 +1,74 @@
+//! An entry on the users' machines: takes jobs from callers and, where it owns the cell, decides
+//! about them.
+//!
+//! All of it runs on one thread: wake-ups are charged there, and no duty computes for long. What the
+//! duties share is in one [`Node`].
+
+mod callers;
+mod follow;
+mod inner;
+mod lease;
+mod node;
+mod orders;
+mod owner;
+mod stop;
+mod upkeep;
+mod watch;
+
+use adapter::settings;
+use node::Node;
+use std::{io, process::ExitCode, rc::Rc};
+use tokio::{net::TcpListener, runtime, task::LocalSet};
+use tracing::{error, info};
+
+/// Runs the entry until it is told to stop.
+pub fn run() -> ExitCode {
+    tracing_subscriber::fmt()
+        .json()
+        .flatten_event(true)
+        .with_target(false)
+        .init();
+    let settings = match settings::read() {
+        Ok(settings) => settings,
+        Err(error) => {
+            error!(%error, "settings cannot be used");
+            return ExitCode::from(3);
+        }
+    };
+    let runtime = match runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            error!(%error, "no runtime");
+            return ExitCode::FAILURE;
+        }
+    };
+    let node = Node::new(settings);
+    match LocalSet::new().block_on(&runtime, serve(node)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            error!(%error, "entry ends");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn serve(node: Rc<Node>) -> io::Result<()> {
+    let settings = &node.settings;
+    let callers = TcpListener::bind(&settings.callers).await?;
+    let ready = TcpListener::bind(&settings.ready).await?;
+    let inner = TcpListener::bind((settings.ip.as_str(), settings.inner_port)).await?;
+    info!(
+        node = settings.node,
+        zone = settings.zone,
+        life = node.life,
+        "entry starts"
+    );
+    tokio::task::spawn_local(follow::run(Rc::clone(&node)));
+    tokio::task::spawn_local(lease::run(Rc::clone(&node)));
+    tokio::task::spawn_local(callers::listen(Rc::clone(&node), callers));
+    tokio::task::spawn_local(callers::listen_ready(Rc::clone(&node), ready));
+    tokio::task::spawn_local(inner::listen(Rc::clone(&node), inner));
+    stop::wait(&node).await;
+    info!(node = settings.node, "entry stops");
+    Ok(())
+}
--- /dev/null
+++ b/crates/havenladder/src/entry/node.rs
@@ -0,0 +1,108 @@
+//! What the duties of an entry share.
+
+use super::owner::Owner;
+use adapter::{
+    cloud::Cloud,
+    http::Client,
+    operator::{Config, Wave},
+    settings::Settings,
+    store::Store,
+    workers::Workers,
+};
+use serde::{Deserialize, Serialize};
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    rc::Rc,
+};
+use tokio::sync::Notify;
+
+/// One life of an entry's process.
+pub type LifeId = u64;
+
+/// Who owns the cell, as the log says.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Lease {
+    /// The owner's name.
+    pub node: String,
+    /// Its life.
+    pub life: LifeId,
+    /// Where it takes the calls of other entries.
+    pub address: String,
+    /// Whether it has given the cell up.
+    pub released: bool,
+}
+
+/// What the duties of an entry share.
+pub struct Node {
+    /// What the platform's file says.
+    pub settings: Settings,
+    /// This life of the process.
+    pub life: LifeId,
+    /// Calls to anybody.
+    pub client: Client,
+    /// The platform's store.
+    pub store: Store,
+    /// The workers.
+    pub workers: Workers,
+    /// The platform's VMs.
+    pub cloud: Cloud,
+    /// The newest configuration.
+    pub config: RefCell<Option<Rc<Config>>>,
+    /// The waves that operators asked for, by number.
+    pub waves: RefCell<BTreeMap<u64, Wave>>,
+    /// Who owns the cell.
+    pub lease: RefCell<Option<Lease>>,
+    /// Told when the owner changes, or this entry is ready to own.
+    pub lease_changed: Notify,
+    /// What this entry owns.
+    pub owner: RefCell<Option<Rc<Owner>>>,
+    /// Whether the process has been told to stop.
+    pub stopping: Cell<bool>,
+    /// Told when the process is to stop.
+    pub stop: Notify,
+    /// How many requests of callers are being answered.
+    pub in_flight: Cell<usize>,
+}
+
+impl Node {
+    /// What an entry knows when it starts.
+    pub fn new(settings: Settings) -> Rc<Self> {
+        let client = Client::default();
+        Rc::new(Node {
+            life: rand::random(),
+            store: Store::new(client.clone(), &settings.store),
+            workers: Workers::new(client.clone()),
+            cloud: Cloud::new(client.clone(), &settings.cloud, &settings.node),
+            client,
+            settings,
+            config: RefCell::default(),
+            waves: RefCell::default(),
+            lease: RefCell::default(),
+            lease_changed: Notify::new(),
+            owner: RefCell::default(),
+            stopping: Cell::new(false),
+            stop: Notify::new(),
+            in_flight: Cell::new(0),
+        })
+    }
+
+    /// Where this entry takes the calls of others.
+    pub fn inner_address(&self) -> String {
+        format!("{}:{}", self.settings.ip, self.settings.inner_port)
+    }
+
+    /// The owner, if this entry is it.
+    pub fn own(&self) -> Option<Rc<Owner>> {
+        self.owner
+            .borrow()
+            .as_ref()
+            .filter(|owner| owner.is_alive())
+            .cloned()
+    }
+
+    /// The newest configuration.
+    pub fn config(&self) -> Option<Rc<Config>> {
+        self.config.borrow().clone()
+    }
+}
--- /dev/null
+++ b/crates/havenladder/src/entry/orders.rs
@@ -0,0 +1,169 @@
+//! Carries out the owner's orders to workers.
+
+use super::{
+    owner::{LEASE, Owner},
+    watch,
+};
+use adapter::{
+    http::CallError,
+    workers::{ClockMs, Start, WorkerError},
+};
+use jobs::{Order, Refusal, RunId, TaskId, WorkerInfo};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+use tokio::{task, time};
+use tracing::info;
+
+/// Time until a stop without an answer is sent again.
+const STOP_AGAIN: Duration = Duration::from_millis(250);
+
+/// Sends an order, without waiting for its answer.
+pub fn send(owner: &Rc<Owner>, order: Order) {
+    let owner = Rc::clone(owner);
+    task::spawn_local(async move {
+        match order {
+            Order::Start { worker, task, run } => start(&owner, &worker, task, run).await,
+            Order::Stop { worker, task, run } => stop(&owner, &worker, task, run).await,
+            Order::Pace {
+                worker,
+                task,
+                run,
+                percent,
+            } => {
+                pace(&owner, &worker, task, run, percent).await;
+            }
+        }
+    });
+}
+
+fn find(owner: &Owner, worker: &str) -> Option<WorkerInfo> {
+    owner
+        .cell
+        .borrow()
+        .workers
+        .get(worker)
+        .map(|w| w.info.clone())
+}
+
+/// The end of a lease that begins now, on the worker's clock, if its clock is known.
+pub fn lease_end(owner: &Owner, worker: &str) -> Option<ClockMs> {
+    let now = Instant::now();
+    let mut contacts = owner.contacts.borrow_mut();
+    let contact = contacts.get_mut(worker)?;
+    let (clock, read) = contact.clock?;
+    let lease = LEASE.min(owner.node.settings.hold);
+    // The clock may run 2 % slow, and was read up to a second ago.
+    contact.leased = contact
+        .leased
+        .max(now + lease.mul_f64(1.03) + Duration::from_millis(50));
+    Some(clock + (now - read + lease).as_millis() as ClockMs)
+}
+
+async fn start(owner: &Rc<Owner>, worker: &str, task: TaskId, run: RunId) {
+    if !owner.may_hold() || !owner.cell.borrow_mut().confirm_start(worker, task, run) {
+        owner.wake();
+        return;
+    }
+    let Some(info) = find(owner, worker) else {
+        return;
+    };
+    let Some((spec, saved)) = words(owner, task) else {
+        return;
+    };
+    let Some(deadline) = lease_end(owner, worker) else {
+        owner
+            .cell
+            .borrow_mut()
+            .refused(worker, task, run, Refusal::Unwell, Instant::now());
+        return owner.wake();
+    };
+    let name = task.to_string();
+    let fence = owner.epoch;
+    let order = Start {
+        task: name,
+        run,
+        spec: &spec,
+        deadline,
+        fence,
+        saved: &saved,
+    };
+    let outcome = owner.node.workers.start(&info, &order).await;
+    let now = Instant::now();
+    match outcome {
+        Ok(told) => {
+            watch::set_clock(owner, worker, told.clock, now);
+            owner.cell.borrow_mut().started(worker, task, run, now);
+        }
+        Err(error) => {
+            info!(task = order.task, run, worker, %error, "start failed");
+            settle(owner, worker, task, run, error, now);
+        }
+    }
+    owner.wake();
+}
+
+/// Draws from a failed start what is certain about it.
+fn settle(owner: &Owner, worker: &str, task: TaskId, run: RunId, error: WorkerError, now: Instant) {
+    let mut cell = owner.cell.borrow_mut();
+    match error {
+        WorkerError::Refused(Refusal::Fenced) => owner.end("a worker has seen a newer owner"),
+        WorkerError::Refused(why) => cell.refused(worker, task, run, why, now),
+        WorkerError::Replaced => cell.lose_worker(worker),
+        WorkerError::Call(CallError::Refused | CallError::Unreachable) => {
+            cell.refused(worker, task, run, Refusal::Unwell, now);
+        }
+        WorkerError::Call(CallError::Unanswered) | WorkerError::Odd(_) => {
+            cell.unsure(worker, task, run);
+        }
+    }
+}
+
+/// The job's text and the task's saved progress.
+fn words(owner: &Owner, task: TaskId) -> Option<(String, String)> {
+    let cell = owner.cell.borrow();
+    let job = cell.jobs.get(&task.job)?;
+    let saved = job.task(task.round, task.step, task.index)?.saved.clone();
+    Some((job.given.spec.text.clone(), saved))
+}
+
+async fn stop(owner: &Rc<Owner>, worker: &str, task: TaskId, run: RunId) {
+    while owner.may_hold() && owner.cell.borrow().wants_stop(worker, task, run) {
+        let Some(info) = find(owner, worker) else {
+            return;
+        };
+        match owner.node.workers.stop(&info, task, run, owner.epoch).await {
+            Ok(()) => {
+                owner
+                    .cell
+                    .borrow_mut()
+                    .stop_answered(worker, task, run, Instant::now());
+                return;
+            }
+            Err(WorkerError::Replaced) => {
+                owner.cell.borrow_mut().lose_worker(worker);
+                return owner.wake();
+            }
+            Err(WorkerError::Refused(Refusal::Fenced)) => {
+                return owner.end("a worker has seen a newer owner");
+            }
+            Err(error) => info!(task = %task, run, worker, %error, "stop failed"),
+        }
+        time::sleep(STOP_AGAIN).await;
+    }
+}
+
+async fn pace(owner: &Rc<Owner>, worker: &str, task: TaskId, run: RunId, percent: u64) {
+    let Some(info) = find(owner, worker) else {
+        return;
+    };
+    let outcome = owner
+        .node
+        .workers
+        .pace(&info, task, run, percent, owner.epoch)
+        .await;
+    if let Err(error) = outcome {
+        info!(task = %task, run, worker, percent, %error, "change of pace failed");
+    }
+}
--- /dev/null
+++ b/crates/havenladder/src/entry/owner.rs
@@ -0,0 +1,346 @@
+//! The owner of the cell: takes what earlier owners left, makes decisions durable, then acts.
+
+use super::{
+    inner::{Ask, Tell},
+    lease::TRUST,
+    node::Node,
+    orders, upkeep, watch,
+};
+use adapter::{
+    store::{Appended, Condition, Keyed, frame_keyed},
+    workers::ClockMs,
+};
+use jobs::{Accepted, Batch, Cancelled, Cell as JobCell, Entry, JobId, Limits, Phase, WorkerId};
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    rc::Rc,
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+};
+use tokio::{sync::Notify, task, time};
+use tracing::{info, warn};
+
+/// The topic with the jobs of the cell.
+const TOPIC: &str = "keyed.jobs";
+
+/// The name under which owners append to it; their epochs shut out earlier owners.
+const PRODUCER: &str = "owner";
+
+/// How long a worker keeps its runs without a word from the owner. Long enough for a new owner to be
+/// found (2 s), to take over (0.5 s) and to reach the worker; a worker that is lost keeps its tasks
+/// waiting for as long.
+pub const LEASE: Duration = Duration::from_millis(4_500);
+
+/// How long an owner that cannot renew goes on extending leases: while the store is down for all,
+/// nobody else can take over. A new owner waits it out where it does not reach a worker.
+pub const GRACE: Duration = Duration::from_millis(6_000);
+
+/// The least time between two appends: each call has a price, and what comes up meanwhile shares one.
+const GAP: Duration = Duration::from_millis(8);
+
+/// Time between two looks at what only time changes: due rounds and runs that stand still.
+const TICK: Duration = Duration::from_millis(200);
+
+/// Time until an append that did not succeed is tried again.
+const AGAIN: Duration = Duration::from_millis(60);
+
+/// What the owner knows of the way to a worker.
+#[derive(Clone, Debug)]
+pub struct Contact {
+    /// The worker's clock when it last answered.
+    pub clock: Option<(ClockMs, Instant)>,
+    /// Until when its lease may hold at the latest.
+    pub leased: Instant,
+    /// Up to which number its ends are durable.
+    pub noted: u64,
+}
+
+/// The owner of the cell.
+pub struct Owner {
+    /// Shared state of the entry.
+    pub node: Rc<Node>,
+    /// The number that fences the owner's appends and orders.
+    pub epoch: u64,
+    /// The jobs and workers.
+    pub cell: RefCell<JobCell>,
+    /// The ways to the workers.
+    pub contacts: RefCell<HashMap<WorkerId, Contact>>,
+    /// When the renewal that last succeeded was sent.
+    pub renewed: Cell<Instant>,
+    /// When this owner began.
+    pub began: Instant,
+    alive: Cell<bool>,
+    loaded: Cell<bool>,
+    wake: Notify,
+    /// Told after each append, and when the owner ends.
+    settled: Notify,
+}
+
+impl Owner {
+    /// Begins to own the cell.
+    pub fn start(node: &Rc<Node>, epoch: u64) -> Rc<Self> {
+        let now = Instant::now();
+        let limits = Limits {
+            stop: node.settings.stop,
+            ..Limits::default()
+        };
+        let owner = Rc::new(Owner {
+            node: Rc::clone(node),
+            epoch,
+            cell: RefCell::new(JobCell::new(limits)),
+            contacts: RefCell::default(),
+            renewed: Cell::new(now),
+            began: now,
+            alive: Cell::new(true),
+            loaded: Cell::new(false),
+            wake: Notify::new(),
+            settled: Notify::new(),
+        });
+        info!(epoch, "owns the cell");
+        *node.owner.borrow_mut() = Some(Rc::clone(&owner));
+        task::spawn_local(run(Rc::clone(&owner)));
+        owner
+    }
+
+    /// Whether it may still decide.
+    pub fn is_alive(&self) -> bool {
+        self.alive.get()
+    }
+
+    /// Whether it may extend leases and start what is durable.
+    pub fn may_hold(&self) -> bool {
+        self.is_alive() && self.renewed.get().elapsed() < GRACE
+    }
+
+    /// Whether it is certain that nobody else owns the cell.
+    pub fn is_certain(&self) -> bool {
+        self.is_alive() && self.renewed.get().elapsed() < TRUST
+    }
+
+    /// Ends it: it decides and orders nothing any more.
+    pub fn end(&self, why: &str) {
+        if self.alive.replace(false) {
+            info!(epoch = self.epoch, why, "owns the cell no longer");
+            self.wake.notify_one();
+            self.settled.notify_waiters();
+        }
+    }
+
+    /// Something has changed in the cell: what follows is to be decided and done.
+    pub fn wake(self: &Rc<Self>) {
+        let urgent = self.cell.borrow_mut().take_urgent();
+        urgent
+            .into_iter()
+            .for_each(|order| orders::send(self, order));
+        self.wake.notify_one();
+    }
+
+    /// Answers a question of an entry.
+    pub async fn answer(self: &Rc<Self>, ask: Ask) -> Tell {
+        while !self.loaded.get() {
+            if !self.is_alive() {
+                return Tell::NotOwner;
+            }
+            self.settled.notified().await;
+        }
+        match ask {
+            Ask::Submit(given) => {
+                let id = given.id;
+                let accepted = self.cell.borrow_mut().accept(given);
+                self.wake();
+                match self.durable(id).await {
+                    Some(_) => {
+                        info!(
+                            job = format!("{id:016x}"),
+                            new = accepted == Accepted::New,
+                            "accepted"
+                        );
+                        Tell::Accepted
+                    }
+                    None => Tell::Unsure,
+                }
+            }
+            Ask::Cancel(id) => {
+                let cancelled = self.cell.borrow_mut().cancel(id);
+                if cancelled == Cancelled::Unknown {
+                    return Tell::Unknown;
+                }
+                self.wake();
+                info!(job = format!("{id:016x}"), "cancelled");
+                self.durable(id)
+                    .await
+                    .map_or(Tell::Unsure, |_| Tell::Cancelled)
+            }
+            Ask::State(id) => {
+                let shown = self.cell.borrow().jobs.get(&id).map(|job| job.shown);
+                match shown {
+                    None => Tell::Unknown,
+                    Some(Some(phase)) => Tell::State(phase),
+                    Some(None) => self.durable(id).await.map_or(Tell::Unsure, Tell::State),
+                }
+            }
+            Ask::Pending(queue) => Tell::Pending(self.cell.borrow().pending(&queue)),
+        }
+    }
+
+    /// Waits until what is known of a job is durable; none if this owner ends before.
+    async fn durable(&self, id: JobId) -> Option<Phase> {
+        loop {
+            let settled = self.settled.notified();
+            if !self.is_alive() {
+                return None;
+            }
+            let cell = self.cell.borrow();
+            let job = cell.jobs.get(&id)?;
+            // Over or not is what a caller was told or waits for; the rest may be behind.
+            match job.shown {
+                Some(shown) if shown.is_over() == job.phase.is_over() => return Some(shown),
+                _ => {}
+            }
+            drop(cell);
+            settled.await;
+        }
+    }
+}
+
+async fn run(owner: Rc<Owner>) {
+    if !load(&owner).await {
+        return;
+    }
+    owner.loaded.set(true);
+    owner.settled.notify_waiters();
+    task::spawn_local(watch::run(Rc::clone(&owner)));
+    task::spawn_local(upkeep::run(Rc::clone(&owner)));
+    let mut sequence = 1;
+    while owner.is_alive() {
+        let _ = time::timeout(TICK, owner.wake.notified()).await;
+        let batch = decide(&owner);
+        owner.wake_urgent();
+        if batch.is_empty() {
+            continue;
+        }
+        if !batch.entries.is_empty() {
+            if !append(&owner, &batch.entries, sequence).await {
+                break;
+            }
+            sequence += 1;
+        }
+        carry_out(&owner, batch);
+        time::sleep(GAP).await;
+    }
+    owner.end("the loop ends");
+}
+
+impl Owner {
+    fn wake_urgent(self: &Rc<Self>) {
+        let urgent = self.cell.borrow_mut().take_urgent();
+        urgent
+            .into_iter()
+            .for_each(|order| orders::send(self, order));
+    }
+}
+
+fn decide(owner: &Rc<Owner>) -> Batch {
+    let now = Instant::now();
+    let mut cell = owner.cell.borrow_mut();
+    cell.mark_due(wall_ms());
+    cell.stop_still(now);
+    cell.schedule(now);
+    cell.take_batch()
+}
+
+/// The time of day, in ms since 1970.
+fn wall_ms() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |t| t.as_millis() as u64)
+}
+
+fn carry_out(owner: &Rc<Owner>, batch: Batch) {
+    owner.cell.borrow_mut().confirm(&batch.shown);
+    for (worker, number) in batch.noted {
+        if let Some(contact) = owner.contacts.borrow_mut().get_mut(&worker) {
+            contact.noted = contact.noted.max(number);
+        }
+    }
+    batch
+        .starts
+        .into_iter()
+        .for_each(|order| orders::send(owner, order));
+    owner.settled.notify_waiters();
+}
+
+/// Shuts out earlier owners and takes in what they recorded; false if this owner was shut out.
+async fn load(owner: &Rc<Owner>) -> bool {
+    let began = Instant::now();
+    if !append(owner, &[], 0).await {
+        owner.end("a newer owner was there first");
+        return false;
+    }
+    loop {
+        if !owner.is_alive() {
+            return false;
+        }
+        match owner.node.store.newest(TOPIC).await {
+            Ok(Some(newest)) => {
+                let records: Vec<_> = newest.records.iter().filter_map(decode).collect();
+                let count = records.len();
+                owner.cell.borrow_mut().load(records);
+                let jobs = owner.cell.borrow().jobs.len();
+                info!(
+                    count,
+                    jobs,
+                    ms = began.elapsed().as_millis() as u64,
+                    "took over the cell"
+                );
+                return true;
+            }
+            Ok(None) | Err(_) => time::sleep(AGAIN).await,
+        }
+    }
+}
+
+fn decode(record: &Keyed) -> Option<jobs::Decoded> {
+    let value = record.value.as_ref()?;
+    match jobs::decode_entry(&record.key, value) {
+        Ok(decoded) => Some(decoded),
+        Err(error) => {
+            warn!(%error, key = record.key, "a record of the cell cannot be read");
+            None
+        }
+    }
+}
+
+/// Makes records durable, however often it takes; false if a newer owner shut this one out.
+async fn append(owner: &Rc<Owner>, entries: &[Entry], sequence: u64) -> bool {
+    let rows = entries
+        .iter()
+        .map(|entry| (entry.key.as_str(), entry.value.as_deref()));
+    let body = frame_keyed(rows);
+    let condition = Condition::Producer {
+        name: PRODUCER,
+        epoch: owner.epoch,
+        sequence,
+    };
+    while owner.is_alive() {
+        match owner
+            .node
+            .store
+            .append(TOPIC, condition, body.clone())
+            .await
+        {
+            Ok(Appended::Done(_)) => return true,
+            Ok(Appended::Fenced) => {
+                owner.end("a newer owner appends");
+                return false;
+            }
+            Ok(Appended::Busy) | Err(_) => time::sleep(AGAIN).await,
+            Ok(odd) => {
+                warn!(?odd, sequence, "an append was refused");
+                owner.end("an append was refused");
+                return false;
+            }
+        }
+    }
+    false
+}
--- /dev/null
+++ b/crates/havenladder/src/entry/stop.rs
@@ -0,0 +1,42 @@
+//! Stops the process without breaking off what it is answering.
+
+use super::node::Node;
+use std::{rc::Rc, time::Duration};
+use tokio::{
+    signal::unix::{SignalKind, signal},
+    time,
+};
+use tracing::{error, info};
+
+/// How long callers may still connect after the entry has said that it is not ready: the balancer
+/// asks every second and needs two misses.
+const LINGER: Duration = Duration::from_millis(2_500);
+
+/// What is left of the time to stop when the process ends whatever it still does.
+const RESERVE: Duration = Duration::from_millis(500);
+
+/// Waits until the process has been told to stop and has answered what it had taken.
+pub async fn wait(node: &Rc<Node>) {
+    let (Ok(mut term), Ok(mut hup)) = (
+        signal(SignalKind::terminate()),
+        signal(SignalKind::hangup()),
+    ) else {
+        error!("signals cannot be heard");
+        return;
+    };
+    loop {
+        tokio::select! {
+            _ = term.recv() => break,
+            _ = hup.recv() => info!("settings file has changed; nothing in it is used after the start"),
+        }
+    }
+    info!(in_flight = node.in_flight.get(), "told to stop");
+    node.stopping.set(true);
+    node.stop.notify_waiters();
+    time::sleep(LINGER).await;
+    let grace = node.settings.grace.saturating_sub(LINGER + RESERVE);
+    let end = time::Instant::now() + grace;
+    while node.in_flight.get() > 0 && time::Instant::now() < end {
+        time::sleep(Duration::from_millis(20)).await;
+    }
+}
--- /dev/null
+++ b/crates/havenladder/src/entry/upkeep.rs
@@ -0,0 +1,252 @@
+//! Takes VMs through waves of upkeep, within their bounds and the budgets of lasting steps.
+
+use super::owner::Owner;
+use adapter::{
+    cloud::{Ordered, Vm, VmState},
+    operator::{STATUS_TOPIC, WAVE_KEY, Wave, WaveState, write_wave},
+    store::{Appended, Condition, frame_keyed},
+};
+use jobs::Takeout;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    rc::Rc,
+    time::{Duration, Instant},
+};
+use tokio::time;
+use tracing::{info, warn};
+
+/// Time between two looks while a wave goes on. A VM is down for 2 s; a look costs a call.
+const LOOK: Duration = Duration::from_millis(250);
+
+/// Time between two looks for a new wave.
+const REST: Duration = Duration::from_millis(500);
+
+/// How long a VM that is to go may wait for its runs to end.
+const DRAIN: Duration = Duration::from_millis(1_500);
+
+/// How far one wave is.
+#[derive(Default)]
+struct Course {
+    began: Option<Instant>,
+    /// VMs that have begun their upkeep.
+    done: BTreeSet<String>,
+    /// VMs that are down, or may be: told to go, and not seen up again with another worker.
+    down: BTreeMap<String, Down>,
+    /// VMs whose workers get no new runs, and since when.
+    closing: BTreeMap<String, Instant>,
+    /// What operators have been told.
+    said: Option<WaveState>,
+}
+
+struct Down {
+    worker: Option<String>,
+    since: Instant,
+    answered: bool,
+}
+
+/// Runs the waves until the owner ends.
+pub async fn run(owner: Rc<Owner>) {
+    let mut courses: BTreeMap<u64, Course> = BTreeMap::new();
+    // An earlier owner may still have orders under way: two holders must not act in turn.
+    time::sleep(owner.node.settings.lease).await;
+    while owner.is_alive() {
+        let waves: Vec<Wave> = owner.node.waves.borrow().values().cloned().collect();
+        let mut open = false;
+        for wave in waves {
+            let course = courses.entry(wave.number).or_default();
+            if course.said == Some(WaveState::Succeeded) {
+                continue;
+            }
+            open = true;
+            advance(&owner, &wave, course).await;
+        }
+        time::sleep(if open { LOOK } else { REST }).await;
+    }
+}
+
+async fn advance(owner: &Rc<Owner>, wave: &Wave, course: &mut Course) {
+    if course.began.is_none() {
+        course.began = Some(Instant::now());
+        say(owner, wave, course, WaveState::Running).await;
+    }
+    let Ok(Some(vms)) = owner.node.cloud.vms().await else {
+        return;
+    };
+    let vms: BTreeMap<&str, &Vm> = vms.iter().map(|vm| (vm.name.as_str(), vm)).collect();
+    see_returned(course, &vms);
+    for name in &wave.vms {
+        if !vms.contains_key(name.as_str()) {
+            // It has left: there is nothing to do for it.
+            course.done.insert(name.clone());
+        }
+    }
+    close_next(owner, wave, course, &vms);
+    let closing: Vec<String> = course.closing.keys().cloned().collect();
+    for name in closing {
+        if course.down.len() >= wave.most {
+            break;
+        }
+        if let Some(vm) = vms.get(name.as_str()) {
+            take_down(owner, wave, course, vm).await;
+        }
+    }
+    let all = wave.vms.iter().all(|name| course.done.contains(name));
+    if all && course.down.values().all(|down| down.answered) {
+        say(owner, wave, course, WaveState::Succeeded).await;
+    }
+}
+
+/// Notes VMs that are up again with a new worker.
+fn see_returned(course: &mut Course, vms: &BTreeMap<&str, &Vm>) {
+    course.down.retain(|name, down| {
+        let Some(vm) = vms.get(name.as_str()) else {
+            return false;
+        };
+        let back = vm.state == VmState::Up && vm.worker != down.worker;
+        // An order without an answer that was not carried out shows nothing for this long.
+        let never =
+            !down.answered && vm.state == VmState::Up && down.since.elapsed().as_secs() >= 13;
+        !back && !never
+    });
+}
+
+/// Chooses the VMs to go next: those that carry the least, as many as the bound has room for.
+fn close_next(owner: &Owner, wave: &Wave, course: &mut Course, vms: &BTreeMap<&str, &Vm>) {
+    let room = wave.most.saturating_sub(course.down.len());
+    course.closing.retain(|name, _| {
+        vms.get(name.as_str())
+            .is_some_and(|vm| vm.state == VmState::Up)
+    });
+    let waits = |name: &&String| {
+        !course.done.contains(*name)
+            && !course.closing.contains_key(*name)
+            && !course.down.contains_key(*name)
+            && vms
+                .get(name.as_str())
+                .is_some_and(|vm| vm.state == VmState::Up)
+    };
+    let cell = owner.cell.borrow();
+    let cost = |name: &&String| match vms[name.as_str()]
+        .worker
+        .as_deref()
+        .map(|id| cell.takeout(id))
+    {
+        None | Some(Takeout::Free) => 0,
+        Some(Takeout::Busy(runs)) => 1 + runs,
+        Some(Takeout::Guarded) => usize::MAX,
+    };
+    let mut next: Vec<(usize, &String)> = wave
+        .vms
+        .iter()
+        .filter(waits)
+        .map(|name| (cost(&name), name))
+        .collect();
+    next.sort();
+    let wanted = (room + 1).saturating_sub(course.closing.len());
+    let chosen: Vec<String> = next
+        .into_iter()
+        .filter(|(cost, _)| *cost != usize::MAX)
+        .take(wanted)
+        .map(|(_, name)| name.clone())
+        .collect();
+    drop(cell);
+    for name in chosen {
+        if let Some(id) = &vms[name.as_str()].worker {
+            owner.cell.borrow_mut().close_worker(id, true);
+        }
+        course.closing.insert(name, Instant::now());
+    }
+}
+
+async fn take_down(owner: &Rc<Owner>, wave: &Wave, course: &mut Course, vm: &Vm) {
+    let since = course.closing[&vm.name];
+    let cost = vm
+        .worker
+        .as_deref()
+        .map_or(Takeout::Free, |id| owner.cell.borrow().takeout(id));
+    match cost {
+        Takeout::Free => {}
+        Takeout::Busy(_) if since.elapsed() >= DRAIN => {}
+        Takeout::Busy(_) => return,
+        Takeout::Guarded => {
+            // Another VM may go first; this one is used meanwhile.
+            if since.elapsed() >= DRAIN {
+                course.closing.remove(&vm.name);
+                if let Some(id) = &vm.worker {
+                    owner.cell.borrow_mut().close_worker(id, false);
+                }
+            }
+            return;
+        }
+    }
+    if !owner.is_certain() {
+        return;
+    }
+    if let Some(id) = &vm.worker {
+        owner.cell.borrow_mut().take_worker(id, true);
+    }
+    let down = Down {
+        worker: vm.worker.clone(),
+        since: Instant::now(),
+        answered: false,
+    };
+    course.down.insert(vm.name.clone(), down);
+    course.closing.remove(&vm.name);
+    let outcome = owner
+        .node
+        .cloud
+        .upkeep(&vm.name, wave.number, owner.epoch)
+        .await;
+    info!(
+        wave = wave.number,
+        vm = vm.name,
+        worker = vm.worker,
+        ?outcome,
+        "upkeep ordered"
+    );
+    settle(owner, course, vm, outcome.ok());
+}
+
+fn settle(owner: &Rc<Owner>, course: &mut Course, vm: &Vm, outcome: Option<Ordered>) {
+    match outcome {
+        Some(Ordered::Done) => {
+            course.done.insert(vm.name.clone());
+            if let Some(down) = course.down.get_mut(&vm.name) {
+                down.answered = true;
+            }
+            if let Some(id) = &vm.worker {
+                owner.cell.borrow_mut().lose_worker(id);
+                owner.wake();
+            }
+        }
+        Some(Ordered::Fenced) => owner.end("a newer owner gave orders for a VM"),
+        Some(Ordered::Busy | Ordered::Later | Ordered::Rejected) => {
+            course.down.remove(&vm.name);
+            if let Some(id) = &vm.worker {
+                let mut cell = owner.cell.borrow_mut();
+                cell.take_worker(id, false);
+                cell.close_worker(id, false);
+            }
+        }
+        // It may be carried out at any moment: the VM counts as down until the list tells.
+        None => {}
+    }
+}
+
+async fn say(owner: &Rc<Owner>, wave: &Wave, course: &mut Course, state: WaveState) {
+    let key = format!("{WAVE_KEY}{}", wave.number);
+    let value = write_wave(state);
+    let body = frame_keyed([(key.as_str(), Some(value.as_ref()))]);
+    match owner
+        .node
+        .store
+        .append(STATUS_TOPIC, Condition::Always, body)
+        .await
+    {
+        Ok(Appended::Done(_)) => {
+            info!(wave = wave.number, ?state, "wave told");
+            course.said = Some(state);
+        }
+        outcome => warn!(wave = wave.number, ?state, ?outcome, "wave not told"),
+    }
+}
--- a/crates/havenladder/src/main.rs
+++ b/crates/havenladder/src/main.rs
@@ -6,6 +6,7 @@
 mod configs;
 mod context;
 mod duties;
+mod entry;
 mod explain;
 mod fleet_cell;
 mod key;
--- /dev/null
+++ b/crates/jobs/src/job.rs
@@ -0,0 +1,149 @@
+//! A job's state: its rounds, steps and tasks.
+
+use crate::{RunId, Step, Submission, WorkerId};
+use serde::{Deserialize, Serialize};
+
+/// How far a job is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Phase {
+    /// No task has begun.
+    Pending,
+    /// A task has begun.
+    Running,
+    /// Every task has ended well.
+    Succeeded,
+    /// A task has failed too often.
+    Failed,
+    /// The caller has cancelled it.
+    Cancelled,
+}
+
+impl Phase {
+    /// Whether nothing of the job is to run any more.
+    pub fn is_over(self) -> bool {
+        matches!(self, Phase::Succeeded | Phase::Failed | Phase::Cancelled)
+    }
+}
+
+/// How far a task is.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum TaskPhase {
+    /// It waits for its step's turn or for room.
+    Waiting,
+    /// A run of it has been ordered on this worker and is not known to have ended.
+    Placed(WorkerId),
+    /// It has ended well.
+    Done,
+}
+
+/// One task.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Task {
+    /// How far it is.
+    pub phase: TaskPhase,
+    /// The number of its last run; 0 before the first.
+    pub run: RunId,
+    /// How many runs have failed.
+    pub fails: u32,
+    /// The highest run whose end has been dealt with: a worker may list an end twice.
+    pub ended: RunId,
+    /// The newest saved progress; empty if none.
+    pub saved: String,
+}
+
+/// One repeat of a job.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Round {
+    /// Tasks by step and index.
+    pub steps: Vec<Vec<Task>>,
+    /// How many tasks of each step have not ended well.
+    pub open: Vec<u32>,
+    /// Whether its time has come.
+    pub due: bool,
+}
+
+impl Round {
+    /// A round in which nothing has begun.
+    pub fn new(steps: &[Step]) -> Self {
+        let fresh = Task {
+            phase: TaskPhase::Waiting,
+            run: 0,
+            fails: 0,
+            ended: 0,
+            saved: String::new(),
+        };
+        let tasks = |step: &Step| vec![fresh.clone(); step.count as usize];
+        Round {
+            steps: steps.iter().map(tasks).collect(),
+            open: steps.iter().map(|s| s.count).collect(),
+            due: false,
+        }
+    }
+
+    /// Whether all steps that `step` waits for have ended well.
+    pub fn is_ready(&self, step: &Step) -> bool {
+        let ended = |number: &u32| self.open.get(*number as usize) == Some(&0);
+        self.due && step.after.iter().all(ended)
+    }
+
+    /// Whether every task has ended well.
+    pub fn is_done(&self) -> bool {
+        self.open.iter().all(|open| *open == 0)
+    }
+}
+
+/// One job.
+#[derive(Clone, Debug)]
+pub struct Job {
+    /// What was handed in.
+    pub given: Submission,
+    /// How far it is.
+    pub phase: Phase,
+    /// How far it may be said to be: what has been recorded. None before the job itself is.
+    pub shown: Option<Phase>,
+    /// Its repeats.
+    pub rounds: Vec<Round>,
+    /// Its place in the order of arrival.
+    pub order: u64,
+}
+
+impl Job {
+    /// A job of which nothing has begun.
+    pub fn new(given: Submission, order: u64) -> Self {
+        let fresh = Round::new(&given.spec.steps);
+        let rounds = vec![fresh; given.spec.rounds() as usize];
+        Job {
+            given,
+            phase: Phase::Pending,
+            shown: None,
+            rounds,
+            order,
+        }
+    }
+
+    /// When a round falls due, in ms since 1970; none if at once.
+    pub fn due_at(&self, round: u32) -> Option<u64> {
+        let schedule = self.given.spec.schedule?;
+        Some(schedule.first + u64::from(round) * schedule.interval)
+    }
+
+    /// What the tasks of a step are.
+    pub fn step(&self, step: u32) -> &Step {
+        &self.given.spec.steps[step as usize]
+    }
+
+    /// A task, if the job has it.
+    pub fn task(&self, round: u32, step: u32, index: u32) -> Option<&Task> {
+        self.rounds
+            .get(round as usize)?
+            .steps
+            .get(step as usize)?
+            .get(index as usize)
+    }
+
+    /// A task, if the job has it, to be changed.
+    pub fn task_mut(&mut self, round: u32, step: u32, index: u32) -> Option<&mut Task> {
+        let round = self.rounds.get_mut(round as usize)?;
+        round.steps.get_mut(step as usize)?.get_mut(index as usize)
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/lib.rs
@@ -0,0 +1,69 @@
+//! Jobs, their steps, tasks and runs, and the decisions about where and when a run starts.
+//!
+//! A job has steps, a step has tasks, and a task is tried by runs, one after the other, each on one
+//! worker. A [`Cell`] holds the jobs and workers that one owner decides about. Nothing in here knows
+//! a socket, a clock or a thread: time is an argument, and what has to be done next is returned as
+//! values that the caller carries out once the records that belong to them are durable.
+
+mod cell;
+mod job;
+mod need;
+mod observe;
+mod outbox;
+mod place;
+mod rank;
+mod record;
+mod report;
+mod spec;
+mod takeout;
+mod worker;
+
+pub use cell::{Accepted, Cancelled, Cell, Limits};
+pub use job::{Job, Phase, Round, Task, TaskPhase};
+pub use need::Need;
+pub use outbox::{Batch, Order};
+pub use record::{Decoded, Entry, RecordError, State, decode_entry};
+pub use report::{EndRow, How, Refusal, Report, RunRow};
+pub use spec::{JobSpec, Schedule, SpecError, Step, Submission};
+pub use takeout::Takeout;
+pub use worker::{RunPhase, Worker, WorkerInfo};
+
+use std::fmt;
+
+/// A job, chosen by its caller: 64 bits, shown as 16 hex digits.
+pub type JobId = u64;
+
+/// One life of a worker.
+pub type WorkerId = String;
+
+/// A queue of jobs.
+pub type QueueId = String;
+
+/// A service, whose workers run the jobs of its queues.
+pub type ServiceId = String;
+
+/// A number that counts the starts of a task, rising from 1.
+pub type RunId = u32;
+
+/// One task of a job: which repeat of the job, which step, which task of the step.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TaskId {
+    /// The job.
+    pub job: JobId,
+    /// The repeat of the job, from 0.
+    pub round: u32,
+    /// The step, from 0.
+    pub step: u32,
+    /// The task of the step, from 0.
+    pub index: u32,
+}
+
+impl fmt::Display for TaskId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "{:016x}.{}.{}.{}",
+            self.job, self.round, self.step, self.index
+        )
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/observe.rs
@@ -0,0 +1,239 @@
+//! What a worker's report changes: ends, progress, runs that are not there, and how fast what fills
+//! beside others may work.
+
+use crate::{
+    Cell, EndRow, How, Order, Report, RunId, RunPhase, RunRow, TaskId, TaskPhase, WorkerId,
+    cell::room_of, worker::RunState,
+};
+use std::time::{Duration, Instant};
+
+/// Part of a task's target above which what fills beside it is slowed down. Tails shift within
+/// seconds, and the figure is half a second old: a third of the target is kept as a margin.
+const TIGHT: f64 = 0.65;
+
+/// Part of a task's target under which what fills beside it is let go faster again.
+const LOOSE: f64 = 0.4;
+
+/// Time between two changes of a run's pace: the figures cover the last half second.
+const PACE_GAP: Duration = Duration::from_millis(500);
+
+/// By how much a pace is raised at a time, in hundredths.
+const PACE_UP: u64 = 20;
+
+impl Cell {
+    /// Takes in what a worker said to a question that was sent at `asked`.
+    pub fn report(&mut self, worker: &str, report: &Report, asked: Instant, now: Instant) {
+        let Some(host) = self.workers.get_mut(worker) else {
+            return;
+        };
+        host.known = true;
+        let noted = host.noted;
+        for end in report.ended.iter().filter(|end| end.number > noted) {
+            self.take_end(worker, end, now);
+        }
+        for row in &report.running {
+            self.take_row(worker, row, now);
+        }
+        self.drop_missing(worker, report, asked);
+        self.pace(worker, report, now);
+    }
+
+    /// Stops runs that show no progress, so that they are tried elsewhere.
+    pub fn stop_still(&mut self, now: Instant) {
+        let still = self.limits.still;
+        let mut stuck = Vec::new();
+        for (id, worker) in &self.workers {
+            let rows = worker.runs.iter().filter(|(_, state)| {
+                state.phase == RunPhase::Running && now > state.moved + still && state.pace == 100
+            });
+            stuck.extend(rows.map(|((task, run), _)| (id.clone(), *task, *run)));
+        }
+        for (id, task, run) in stuck {
+            let lasting = self
+                .jobs
+                .get(&task.job)
+                .is_none_or(|job| job.given.spec.lasts());
+            if lasting {
+                continue;
+            }
+            self.blame(&id, now);
+            self.stop_run(&id, task, run);
+        }
+    }
+
+    fn take_end(&mut self, worker: &str, end: &EndRow, now: Instant) {
+        if let Some(host) = self.workers.get_mut(worker) {
+            host.noted = end.number;
+            host.remove(end.task, end.run);
+            if end.how == How::Done {
+                host.failures = 0;
+            }
+        }
+        if end.how == How::Failed {
+            self.blame(worker, now);
+        }
+        self.note(worker, end.number);
+        self.end_run(worker, end.task, end.run, end.how, &end.saved);
+    }
+
+    /// Counts a bad end against a worker and sets it aside after several in a row.
+    fn blame(&mut self, worker: &str, now: Instant) {
+        let limits = self.limits.clone();
+        let Some(host) = self.workers.get_mut(worker) else {
+            return;
+        };
+        host.failures += 1;
+        if host.failures < limits.failures {
+            return;
+        }
+        let service = host.info.service.clone();
+        let of_service = || self.workers.values().filter(|w| w.info.service == service);
+        let aside = of_service()
+            .filter(|w| w.aside.is_some_and(|until| until > now))
+            .count();
+        // At most a third of a pool: where all fail, the fault is not the workers'.
+        if (aside + 1) * 3 > of_service().count() {
+            return;
+        }
+        if let Some(host) = self.workers.get_mut(worker) {
+            host.aside = Some(now + limits.aside);
+            host.failures = 0;
+        }
+    }
+
+    fn take_row(&mut self, worker: &str, row: &RunRow, now: Instant) {
+        if self.run_mut(worker, row.task, row.run).is_none() {
+            self.adopt(worker, row, now);
+        }
+        let Some(state) = self.run_mut(worker, row.task, row.run) else {
+            return;
+        };
+        if state.phase == RunPhase::Ordered {
+            state.phase = RunPhase::Running;
+            state.settled = Some(now);
+        }
+        if state.percent != row.percent {
+            state.percent = row.percent;
+            state.moved = now;
+        }
+        if !row.saved.is_empty() && self.is_current(worker, row.task, row.run) {
+            let TaskId {
+                round, step, index, ..
+            } = row.task;
+            let job = self.jobs.get_mut(&row.task.job);
+            if let Some(task) = job.and_then(|job| job.task_mut(round, step, index)) {
+                task.saved.clone_from(&row.saved);
+            }
+        }
+    }
+
+    /// A run that was not known to be there: one of ours that was given up too early, or one that
+    /// nobody wants any more.
+    fn adopt(&mut self, worker: &str, row: &RunRow, now: Instant) {
+        let job = self.jobs.get(&row.task.job);
+        let need = job.map(|job| room_of(job, row.task)).unwrap_or_default();
+        let TaskId {
+            round, step, index, ..
+        } = row.task;
+        let waits = job.filter(|job| !job.phase.is_over()).is_some_and(|job| {
+            let task = job.task(round, step, index);
+            let gang = job.step(step).gang;
+            !gang && task.is_some_and(|t| t.phase == TaskPhase::Waiting && t.run == row.run)
+        });
+        if let Some(host) = self.workers.get_mut(worker) {
+            host.add(row.task, row.run, RunState::ordered(need, now));
+        }
+        if waits {
+            self.reclaim(worker, row.task);
+        } else if !self.is_current(worker, row.task, row.run) {
+            self.stop_run(worker, row.task, row.run);
+        }
+    }
+
+    fn reclaim(&mut self, worker: &str, task: TaskId) {
+        let job = self.jobs.get_mut(&task.job);
+        let state = job.and_then(|job| job.task_mut(task.round, task.step, task.index));
+        if let Some(state) = state {
+            state.phase = TaskPhase::Placed(worker.to_owned());
+            self.mark_dirty(task.job);
+        }
+    }
+
+    /// Runs that the worker no longer has and whose end it has not listed: they never came there.
+    fn drop_missing(&mut self, worker: &str, report: &Report, asked: Instant) {
+        let Some(host) = self.workers.get(worker) else {
+            return;
+        };
+        let listed = |task: TaskId, run: RunId| {
+            report
+                .running
+                .iter()
+                .any(|row| row.task == task && row.run == run)
+        };
+        let gone: Vec<(TaskId, RunId)> = host
+            .runs
+            .iter()
+            .filter(|(_, state)| state.settled.is_some_and(|at| asked > at))
+            .map(|(key, _)| *key)
+            .filter(|(task, run)| !listed(*task, *run))
+            .collect();
+        for (task, run) in gone {
+            if let Some(host) = self.workers.get_mut(worker) {
+                host.remove(task, run);
+            }
+            if self.is_current(worker, task, run) {
+                self.requeue(task);
+            }
+        }
+    }
+
+    /// Slows down what fills beside tasks whose answers take too long, and lets it go again.
+    fn pace(&mut self, worker: &str, report: &Report, now: Instant) {
+        let mut tightest: f64 = 0.0;
+        let mut fillers = Vec::new();
+        for row in &report.running {
+            let Some(job) = self.jobs.get(&row.task.job) else {
+                continue;
+            };
+            let Some(step) = job.given.spec.steps.get(row.task.step as usize) else {
+                continue;
+            };
+            if let Some(target) = step.target {
+                tightest = tightest.max(row.figure as f64 / target.max(1) as f64);
+            }
+            if step.fills {
+                fillers.push((row.task, row.run));
+            }
+        }
+        for (task, run) in fillers {
+            self.pace_run(worker, task, run, tightest, now);
+        }
+    }
+
+    fn pace_run(&mut self, worker: &str, task: TaskId, run: RunId, tightest: f64, now: Instant) {
+        let Some(state) = self.run_mut(worker, task, run) else {
+            return;
+        };
+        if state.paced.is_some_and(|at| now < at + PACE_GAP) {
+            return;
+        }
+        let percent = match state.pace {
+            pace if tightest > 1.0 => pace / 4,
+            pace if tightest > TIGHT => pace / 2,
+            pace if tightest < LOOSE => (pace + PACE_UP).min(100),
+            pace => pace,
+        };
+        if percent == state.pace {
+            return;
+        }
+        state.pace = percent;
+        state.paced = Some(now);
+        let worker: WorkerId = worker.to_owned();
+        self.urgent.push(Order::Pace {
+            worker,
+            task,
+            run,
+            percent,
+        });
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/place.rs
@@ -0,0 +1,231 @@
+//! Which waiting task gets room where.
+
+use crate::{
+    Cell, Need, Order, Phase, RunId, Step, TaskId, TaskPhase, Worker, WorkerId, cell::room_of,
+    rank::Rank, worker::RunState,
+};
+use std::{collections::HashMap, time::Instant};
+
+/// How many tasks that find no room are tried in one pass of a service before the rest wait for the
+/// next: enough to find small ones behind large ones, few enough to bound a pass in an overload.
+const MISFITS: usize = 32;
+
+/// What placing a task elsewhere than near its data weighs against a worker's free share, which
+/// lies between 0 and 1: data that is near always goes first.
+const FAR: f64 = 4.0;
+
+/// What another task of the same step in the rack weighs: lasting tasks are spread over racks, so
+/// that a rack that is lost takes as few of them as can be.
+const SAME_RACK: f64 = 2.0;
+
+/// What a serving task on the worker weighs for a task that takes what others leave, and the other
+/// way round: they disturb each other.
+const DISTURBS: f64 = 1.0;
+
+impl Cell {
+    /// Gives room to waiting tasks, in order, and notes the orders that follow.
+    pub fn schedule(&mut self, now: Instant) {
+        let services: Vec<_> = self.waiting.keys().cloned().collect();
+        for service in services {
+            let mut misfits = 0;
+            let ranks: Vec<Rank> = self.waiting[&service].iter().copied().collect();
+            for rank in ranks {
+                if misfits >= MISFITS {
+                    break;
+                }
+                if self.is_stale(rank.task()) || self.place(rank.task(), now) {
+                    self.drop_rank(&service, &rank);
+                } else {
+                    misfits += 1;
+                }
+            }
+        }
+    }
+
+    fn drop_rank(&mut self, service: &str, rank: &Rank) {
+        if let Some(queue) = self.waiting.get_mut(service) {
+            queue.remove(rank);
+        }
+    }
+
+    fn is_stale(&self, task: TaskId) -> bool {
+        let Some(job) = self.jobs.get(&task.job) else {
+            return true;
+        };
+        let state = job.task(task.round, task.step, task.index);
+        job.phase.is_over() || state.is_none_or(|s| s.phase != TaskPhase::Waiting)
+    }
+
+    /// Places a task, or the whole gang that it stands for; false if there is no room.
+    fn place(&mut self, task: TaskId, now: Instant) -> bool {
+        let Some(job) = self.jobs.get(&task.job) else {
+            return true;
+        };
+        if !job.step(task.step).gang {
+            let Some(worker) = self.best_worker(task, now) else {
+                return false;
+            };
+            let run = job
+                .task(task.round, task.step, task.index)
+                .map_or(1, |t| t.run + 1);
+            self.order(worker, task, run, now);
+            return true;
+        }
+        let Some(places) = self.gang_places(task, now) else {
+            return false;
+        };
+        let tasks = &job.rounds[task.round as usize].steps[task.step as usize];
+        let run = tasks.iter().map(|t| t.run).max().unwrap_or(0) + 1;
+        for (index, worker) in (0..).zip(places) {
+            self.order(worker, TaskId { index, ..task }, run, now);
+        }
+        true
+    }
+
+    fn order(&mut self, worker: WorkerId, task: TaskId, run: RunId, now: Instant) {
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let room = room_of(job, task);
+        if job.phase == Phase::Pending {
+            job.phase = Phase::Running;
+        }
+        if let Some(state) = job.task_mut(task.round, task.step, task.index) {
+            state.phase = TaskPhase::Placed(worker.clone());
+            state.run = run;
+        }
+        if let Some(host) = self.workers.get_mut(&worker) {
+            host.add(task, run, RunState::ordered(room, now));
+        }
+        self.mark_dirty(task.job);
+        self.starts.push(Order::Start { worker, task, run });
+    }
+
+    fn best_worker(&self, task: TaskId, now: Instant) -> Option<WorkerId> {
+        let job = self.jobs.get(&task.job)?;
+        let step = job.step(task.step);
+        let room = room_of(job, task);
+        let may = |w: &&Worker| {
+            w.info.service == job.given.service
+                && w.is_open(now)
+                && allows(w, step)
+                && room.fits(w.used, w.info.capacity)
+                && step.apart.is_none_or(|most| w.siblings(task) < most)
+        };
+        let racks = if step.lasting {
+            self.racks_of(task)
+        } else {
+            HashMap::new()
+        };
+        let mut best: Option<(f64, &Worker)> = None;
+        for worker in self.workers.values().filter(may) {
+            let crowd = racks.get(worker.info.rack()).copied().unwrap_or(0);
+            let score = self.score(worker, step, room, crowd);
+            if best.is_none_or(|(top, _)| score > top) {
+                best = Some((score, worker));
+            }
+        }
+        best.map(|(_, worker)| worker.info.id.clone())
+    }
+
+    /// How many tasks of the same step each rack has.
+    fn racks_of(&self, task: TaskId) -> HashMap<&str, u32> {
+        let mut racks = HashMap::new();
+        for worker in self.workers.values() {
+            *racks.entry(worker.info.rack()).or_insert(0) += worker.siblings(task);
+        }
+        racks
+    }
+
+    fn score(&self, worker: &Worker, step: &Step, room: Need, crowd: u32) -> f64 {
+        let capacity = worker.info.capacity.cpu.max(1) as f64;
+        let used = (worker.used.cpu + room.cpu) as f64;
+        let mut score = 1.0 - used / capacity;
+        if step
+            .near
+            .as_ref()
+            .is_some_and(|rack| !worker.info.has_label(rack))
+        {
+            score -= FAR;
+        }
+        score -= SAME_RACK * f64::from(crowd);
+        if step.fills || step.target.is_some() {
+            score -= DISTURBS * self.disturbing(worker, step.fills) as f64;
+        }
+        score
+    }
+
+    /// How many runs on the worker a new one would disturb, or be disturbed by.
+    fn disturbing(&self, worker: &Worker, fills: bool) -> usize {
+        let clashes = |task: &TaskId| {
+            let Some(job) = self.jobs.get(&task.job) else {
+                return false;
+            };
+            let Some(step) = job.given.spec.steps.get(task.step as usize) else {
+                return false;
+            };
+            if fills {
+                step.target.is_some()
+            } else {
+                step.fills
+            }
+        };
+        worker.runs.keys().filter(|(task, _)| clashes(task)).count()
+    }
+
+    /// A worker for each member of a gang, or none if not all find room at once.
+    fn gang_places(&self, task: TaskId, now: Instant) -> Option<Vec<WorkerId>> {
+        let step = self.jobs.get(&task.job)?.step(task.step);
+        if !step.together {
+            return self.gang_places_in(task, None, now);
+        }
+        let mut racks: Vec<&str> = self.workers.values().map(|w| w.info.rack()).collect();
+        racks.sort_unstable();
+        racks.dedup();
+        let within = racks
+            .into_iter()
+            .find_map(|rack| self.gang_places_in(task, Some(rack), now));
+        within.or_else(|| self.gang_places_in(task, None, now))
+    }
+
+    fn gang_places_in(
+        &self,
+        task: TaskId,
+        rack: Option<&str>,
+        now: Instant,
+    ) -> Option<Vec<WorkerId>> {
+        let job = self.jobs.get(&task.job)?;
+        let step = job.step(task.step);
+        let room = room_of(job, task);
+        let may = |w: &&Worker| {
+            let here = rack.is_none_or(|rack| w.info.rack() == rack);
+            here && w.info.service == job.given.service && w.is_open(now) && allows(w, step)
+        };
+        let mut hosts: Vec<(&Worker, Need, u32)> = self
+            .workers
+            .values()
+            .filter(may)
+            .map(|w| (w, w.used, w.siblings(task)))
+            .collect();
+        let mut places = Vec::new();
+        for _ in 0..step.count {
+            let fits = |(w, used, own): &&mut (&Worker, Need, u32)| {
+                room.fits(*used, w.info.capacity) && step.apart.is_none_or(|most| *own < most)
+            };
+            let freest = |host: &&mut (&Worker, Need, u32)| {
+                host.0.info.capacity.cpu.saturating_sub(host.1.cpu)
+            };
+            let host = hosts.iter_mut().filter(fits).max_by_key(freest)?;
+            host.1.add(room);
+            host.2 += 1;
+            places.push(host.0.info.id.clone());
+        }
+        Some(places)
+    }
+}
+
+fn allows(worker: &Worker, step: &Step) -> bool {
+    step.label
+        .as_ref()
+        .is_none_or(|label| worker.info.has_label(label))
+}
--- /dev/null
+++ b/crates/jobs/src/rank.rs
@@ -0,0 +1,49 @@
+//! The order in which waiting tasks get room.
+
+use crate::{JobId, TaskId};
+
+/// The place of a waiting task, or of a whole gang by its first task: the smallest goes first.
+///
+/// Lasting tasks come first, since a service is away while one of them waits; then the queue's
+/// priority, then the order of arrival.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Rank {
+    finite: bool,
+    priority: u32,
+    order: u64,
+    round: u32,
+    step: u32,
+    index: u32,
+    job: JobId,
+}
+
+impl Rank {
+    /// The place of a task.
+    pub fn new(task: TaskId, lasting: bool, priority: u32, order: u64) -> Self {
+        let TaskId {
+            job,
+            round,
+            step,
+            index,
+        } = task;
+        Rank {
+            finite: !lasting,
+            priority,
+            order,
+            round,
+            step,
+            index,
+            job,
+        }
+    }
+
+    /// The task that has this place.
+    pub fn task(&self) -> TaskId {
+        TaskId {
+            job: self.job,
+            round: self.round,
+            step: self.step,
+            index: self.index,
+        }
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/spec.rs
@@ -0,0 +1,168 @@
+//! What a caller hands in, and what is wrong with it.
+
+use crate::{JobId, Need, QueueId, ServiceId};
+use serde::{Deserialize, Serialize};
+
+/// The longest text of a job, in bytes; the workers' interface takes no longer one.
+const LONGEST_TEXT: usize = 4_000;
+
+/// The most tasks that one job may have; far above what a pool could hold, it keeps a slip of the
+/// pen from filling the owner's memory.
+const MOST_TASKS: u64 = 20_000;
+
+/// The most repeats of one job.
+const MOST_REPEATS: u32 = 10_000;
+
+/// What the tasks of a step are and need.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Step {
+    /// How many tasks the step has.
+    pub count: u32,
+    /// What each of them needs.
+    pub need: Need,
+    /// The caller's guess of a task's run time in ms; 0 if none was made.
+    pub estimate: u64,
+    /// Earlier steps that must have ended before this one begins.
+    pub after: Vec<u32>,
+    /// Whether the tasks run only all together.
+    pub gang: bool,
+    /// Whether the tasks are slow unless they share a rack.
+    pub together: bool,
+    /// A label that the worker must have.
+    pub label: Option<String>,
+    /// The rack where the data lies.
+    pub near: Option<String>,
+    /// How many tasks of the step one worker may have at most.
+    pub apart: Option<u32>,
+    /// Whether two runs of a task may go on side by side.
+    pub copies: bool,
+    /// Whether the tasks save their progress.
+    pub saves: bool,
+    /// Whether the tasks run until the job is cancelled.
+    pub lasting: bool,
+    /// What the tasks run; those of one image behave alike.
+    pub image: Option<String>,
+    /// The tail of the answer times that a lasting task is to stay under, in ms.
+    pub target: Option<u64>,
+    /// Whether the tasks take only the processor that others leave.
+    pub fills: bool,
+    /// How many tasks of a lasting step may be away at once by the system's own doing.
+    pub budget: Option<u32>,
+}
+
+/// When a job's repeats fall due, by the time of day in ms since 1970.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Schedule {
+    /// When the first falls due.
+    pub first: u64,
+    /// How much later each next one does.
+    pub interval: u64,
+    /// How many there are.
+    pub repeats: u32,
+}
+
+/// What a job is to do.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct JobSpec {
+    /// The text that each run is started with.
+    pub text: String,
+    /// The steps, each naming only earlier ones as those that it waits for.
+    pub steps: Vec<Step>,
+    /// When its repeats fall due; none for a job that runs once, at once.
+    pub schedule: Option<Schedule>,
+}
+
+/// A job as it is handed in, with what its queue says at that moment.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Submission {
+    /// The job.
+    pub id: JobId,
+    /// Its queue.
+    pub queue: QueueId,
+    /// The service whose workers run it.
+    pub service: ServiceId,
+    /// Its priority; 0 goes first.
+    pub priority: u32,
+    /// How often a task may fail before the job has failed.
+    pub attempts: u32,
+    /// What it is to do.
+    pub spec: JobSpec,
+}
+
+/// Why a job is not taken.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum SpecError {
+    /// The text is too long.
+    #[error("the text has {0} bytes; {LONGEST_TEXT} is the limit")]
+    Text(usize),
+    /// The job has no steps.
+    #[error("the job has no steps")]
+    Empty,
+    /// A step has no tasks.
+    #[error("step {0} has no tasks")]
+    NoTasks(usize),
+    /// A step waits for itself, a later or a missing step.
+    #[error("step {step} waits for step {after}, which is not before it")]
+    After {
+        /// The step.
+        step: usize,
+        /// What it waits for.
+        after: u32,
+    },
+    /// The job has too many tasks.
+    #[error("the job has {0} tasks; {MOST_TASKS} is the limit")]
+    TooMany(u64),
+    /// The job repeats too often.
+    #[error("the job repeats {0} times; {MOST_REPEATS} is the limit")]
+    Repeats(u32),
+}
+
+impl JobSpec {
+    /// Checks what a caller handed in.
+    ///
+    /// # Errors
+    ///
+    /// Names the first thing that is wrong, with the step that holds it.
+    pub fn check(&self) -> Result<(), SpecError> {
+        if self.text.len() > LONGEST_TEXT {
+            return Err(SpecError::Text(self.text.len()));
+        }
+        if self.steps.is_empty() {
+            return Err(SpecError::Empty);
+        }
+        for (number, step) in self.steps.iter().enumerate() {
+            check_step(number, step)?;
+        }
+        let tasks = self.steps.iter().map(|s| u64::from(s.count)).sum::<u64>();
+        if tasks > MOST_TASKS {
+            return Err(SpecError::TooMany(tasks));
+        }
+        match self.schedule {
+            Some(s) if s.repeats > MOST_REPEATS => Err(SpecError::Repeats(s.repeats)),
+            _ => Ok(()),
+        }
+    }
+
+    /// How often the steps run.
+    pub fn rounds(&self) -> u32 {
+        self.schedule.map_or(1, |s| s.repeats.max(1))
+    }
+
+    /// Whether any step runs until the job is cancelled.
+    pub fn lasts(&self) -> bool {
+        self.steps.iter().any(|s| s.lasting)
+    }
+}
+
+fn check_step(number: usize, step: &Step) -> Result<(), SpecError> {
+    if step.count == 0 {
+        return Err(SpecError::NoTasks(number));
+    }
+    match step.after.iter().find(|after| **after as usize >= number) {
+        Some(after) => Err(SpecError::After {
+            step: number,
+            after: *after,
+        }),
+        None => Ok(()),
+    }
+}
