fix(upkeep): a VM whose upkeep was done before keeps its worker

Ruled out: the lease of the worker (the log shows no lapse). The list of VMs now tells what an order did, and the VMs done are kept with the jobs.

--- a/crates/havenladder/src/entry/upkeep.rs
+++ b/crates/havenladder/src/entry/upkeep.rs
@@ -28,7 +28,7 @@
 #[derive(Default)]
 struct Course {
     began: Option<Instant>,
-    /// VMs that have begun their upkeep.
+    /// VMs that have begun their upkeep, or have left.
     done: BTreeSet<String>,
     /// VMs that are down, or may be: told to go, and not seen up again with another worker.
     down: BTreeMap<String, Down>,
@@ -42,6 +42,8 @@
     worker: Option<String>,
     since: Instant,
     answered: bool,
+    /// Whether the list has shown what became of the worker.
+    confirmed: bool,
 }
 
 /// Runs the waves until the owner ends.
@@ -67,12 +69,14 @@
 async fn advance(owner: &Rc<Owner>, wave: &Wave, course: &mut Course) {
     if course.began.is_none() {
         course.began = Some(Instant::now());
+        course.done = owner.cell.borrow().upkept(wave.number);
         say(owner, wave, course, WaveState::Running).await;
     }
     let Ok(Some(vms)) = owner.node.cloud.vms().await else {
         return;
     };
     let vms: BTreeMap<&str, &Vm> = vms.iter().map(|vm| (vm.name.as_str(), vm)).collect();
+    confirm(owner, course, &vms);
     see_returned(course, &vms);
     for name in &wave.vms {
         if !vms.contains_key(name.as_str()) {
@@ -90,12 +94,50 @@
             take_down(owner, wave, course, vm).await;
         }
     }
+    if course
+        .down
+        .values()
+        .any(|down| down.answered && !down.confirmed)
+    {
+        if let Ok(Some(vms)) = owner.node.cloud.vms().await {
+            let vms = vms.iter().map(|vm| (vm.name.as_str(), vm)).collect();
+            confirm(owner, course, &vms);
+        }
+    }
     let all = wave.vms.iter().all(|name| course.done.contains(name));
     if all && course.down.values().all(|down| down.answered) {
         say(owner, wave, course, WaveState::Succeeded).await;
     }
 }
 
+/// Draws from the list what an order did: where the VM is not up with the worker that it had, that
+/// worker's life is over. An order that had been carried out before changes nothing.
+fn confirm(owner: &Rc<Owner>, course: &mut Course, vms: &BTreeMap<&str, &Vm>) {
+    for (name, down) in course.down.iter_mut().filter(|(_, down)| !down.confirmed) {
+        let Some(vm) = vms.get(name.as_str()) else {
+            continue;
+        };
+        let same = vm.state == VmState::Up && vm.worker == down.worker;
+        if same && !down.answered {
+            continue;
+        }
+        down.confirmed = true;
+        let Some(id) = &down.worker else { continue };
+        if same {
+            info!(vm = name, worker = id, "the VM had had its upkeep before");
+            owner.cell.borrow_mut().take_worker(id, false);
+            owner.cell.borrow_mut().close_worker(id, false);
+        } else {
+            owner.cell.borrow_mut().lose_worker(id);
+        }
+        owner.wake();
+    }
+    course.down.retain(|name, down| {
+        let same = |vm: &&Vm| vm.state == VmState::Up && vm.worker == down.worker;
+        !(down.confirmed && vms.get(name.as_str()).is_some_and(same))
+    });
+}
+
 /// Notes VMs that are up again with a new worker.
 fn see_returned(course: &mut Course, vms: &BTreeMap<&str, &Vm>) {
     course.down.retain(|name, down| {
@@ -189,6 +231,7 @@
         worker: vm.worker.clone(),
         since: Instant::now(),
         answered: false,
+        confirmed: false,
     };
     course.down.insert(vm.name.clone(), down);
     course.closing.remove(&vm.name);
@@ -204,20 +247,18 @@
         ?outcome,
         "upkeep ordered"
     );
-    settle(owner, course, vm, outcome.ok());
+    settle(owner, wave, course, vm, outcome.ok());
 }
 
-fn settle(owner: &Rc<Owner>, course: &mut Course, vm: &Vm, outcome: Option<Ordered>) {
+fn settle(owner: &Rc<Owner>, wave: &Wave, course: &mut Course, vm: &Vm, outcome: Option<Ordered>) {
     match outcome {
         Some(Ordered::Done) => {
             course.done.insert(vm.name.clone());
+            owner.cell.borrow_mut().note_upkeep(wave.number, &vm.name);
+            owner.wake();
             if let Some(down) = course.down.get_mut(&vm.name) {
                 down.answered = true;
             }
-            if let Some(id) = &vm.worker {
-                owner.cell.borrow_mut().lose_worker(id);
-                owner.wake();
-            }
         }
         Some(Ordered::Fenced) => owner.end("a newer owner gave orders for a VM"),
         Some(Ordered::Busy | Ordered::Later | Ordered::Rejected) => {
--- a/crates/jobs/src/cell.rs
+++ b/crates/jobs/src/cell.rs
@@ -4,7 +4,7 @@
     Batch, How, Job, JobId, Order, Phase, Refusal, RunId, RunPhase, ServiceId, Submission, TaskId,
     TaskPhase, Worker, WorkerId, WorkerInfo,
     rank::Rank,
-    record::{Decoded, encode_given, encode_state, forget_given},
+    record::{Decoded, encode_given, encode_state, encode_upkept, forget_given},
     worker::RunState,
 };
 use std::{
@@ -76,6 +76,8 @@
     pub(crate) starts: Vec<Order>,
     pub(crate) urgent: Vec<Order>,
     next_order: u64,
+    upkept: BTreeMap<u64, BTreeSet<String>>,
+    upkept_dirty: BTreeSet<u64>,
 }
 
 impl Cell {
@@ -100,6 +102,9 @@
                 Decoded::State(id, state) => {
                     states.insert(id, state);
                 }
+                Decoded::Upkept(wave, vms) => {
+                    self.upkept.insert(wave, vms);
+                }
             }
         }
         for (id, state) in states {
@@ -316,6 +321,18 @@
         state.is_some_and(|s| s.phase == RunPhase::Stopping)
     }
 
+    /// The VMs that have had their upkeep in a wave.
+    pub fn upkept(&self, wave: u64) -> BTreeSet<String> {
+        self.upkept.get(&wave).cloned().unwrap_or_default()
+    }
+
+    /// A VM has had its upkeep in a wave.
+    pub fn note_upkeep(&mut self, wave: u64, vm: &str) {
+        if self.upkept.entry(wave).or_default().insert(vm.to_owned()) {
+            self.upkept_dirty.insert(wave);
+        }
+    }
+
     /// Takes the orders that need no record: stops and changes of pace.
     pub fn take_urgent(&mut self) -> Vec<Order> {
         std::mem::take(&mut self.urgent)
@@ -338,6 +355,9 @@
             batch.entries.push(encode_state(job));
             batch.shown.push((id, job.phase));
         }
+        for wave in std::mem::take(&mut self.upkept_dirty) {
+            batch.entries.push(encode_upkept(wave, &self.upkept[&wave]));
+        }
         batch.starts = std::mem::take(&mut self.starts);
         batch.noted = std::mem::take(&mut self.noted).into_iter().collect();
         batch
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -3,6 +3,7 @@
 
 use crate::{Job, JobId, Phase, Round, Submission};
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
 
 /// A record of the log by its key; without a value it removes the key's earlier records.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -36,6 +37,8 @@
     Given(u64, Submission),
     /// How far a job is.
     State(JobId, State),
+    /// Which VMs have had their upkeep in a wave.
+    Upkept(u64, BTreeSet<String>),
 }
 
 /// How far a job is, as it is kept.
@@ -53,8 +56,11 @@
 /// The first letter of the key of a job's state.
 const STATE: char = 's';
 
+/// The first letter of the key of a wave's record.
+const UPKEPT: char = 'w';
+
 /// The key of a job's record of one kind.
-pub fn encode_key(kind: char, id: JobId) -> String {
+fn encode_key(kind: char, id: JobId) -> String {
     format!("{kind}{id:016x}")
 }
 
@@ -94,6 +100,15 @@
     }
 }
 
+/// The record of the VMs that have had their upkeep in a wave.
+pub fn encode_upkept(wave: u64, vms: &BTreeSet<String>) -> Entry {
+    let value = rmp_serde::to_vec(vms).expect("plain data has a form in MessagePack");
+    Entry {
+        key: encode_key(UPKEPT, wave),
+        value: Some(value),
+    }
+}
+
 /// Reads a record.
 ///
 /// # Errors
@@ -116,6 +131,10 @@
             id,
             rmp_serde::from_slice(value).map_err(wrong)?,
         )),
+        UPKEPT => Ok(Decoded::Upkept(
+            id,
+            rmp_serde::from_slice(value).map_err(wrong)?,
+        )),
         _ => Err(unknown()),
     }
 }
