fix(jobs): stop the runs of a job that was cancelled before its worker was met

Cause: a job cancelled between the load of the records and the first list of workers had its runs among the orphans, which were adopted without a look at the job. Ruled out: the way of the cancel (the log shows it 6 ms before the worker is listed). Test: a_job_that_is_cancelled_before_its_worker_is_met_is_stopped_there.

--- a/crates/jobs/src/observe.rs
+++ b/crates/jobs/src/observe.rs
@@ -104,6 +104,9 @@
     fn take_row(&mut self, worker: &str, row: &RunRow, now: Instant) {
         if self.run_mut(worker, row.task, row.run).is_none() {
             self.adopt(worker, row, now);
+        } else if !self.is_current(worker, row.task, row.run) {
+            // Its job may have been cancelled before the worker was met.
+            self.stop_run(worker, row.task, row.run);
         }
         let Some(state) = self.run_mut(worker, row.task, row.run) else {
             return;
--- /dev/null
+++ b/crates/jobs/tests/cell.rs
@@ -0,0 +1,267 @@
+//! What a cell decides, one event at a time.
+
+mod world;
+
+use havenladder_jobs::{Accepted, Cancelled, How, Phase, Refusal, Report, Step, Takeout};
+use world::{World, job, row, step, task, worker};
+
+#[test]
+fn a_job_runs_step_after_step_and_succeeds() {
+    let mut world = World::new(&["a1", "b1"]);
+    let second = Step {
+        after: vec![0],
+        ..step(1)
+    };
+    assert_eq!(
+        world.cell.accept(job(1, vec![step(2), second])),
+        Accepted::New
+    );
+    assert_eq!(world.cell.accept(job(1, vec![step(2)])), Accepted::Known);
+    let started = world.run();
+    assert_eq!(started.len(), 2);
+    for (number, (id, task, run)) in (1..).zip(started) {
+        world.end(&id, number, task, run, How::Done);
+    }
+    let started = world.run();
+    assert_eq!(started.len(), 1);
+    assert_eq!(started[0].1, task(1, 1, 0));
+    world.end(&started[0].0, 9, started[0].1, 1, How::Done);
+    assert_eq!(world.cell.jobs[&1].shown, Some(Phase::Running));
+    world.run();
+    assert_eq!(world.cell.jobs[&1].shown, Some(Phase::Succeeded));
+}
+
+#[test]
+fn a_task_that_failed_too_often_fails_its_job() {
+    let mut world = World::new(&["a1"]);
+    world.cell.accept(job(1, vec![step(1)]));
+    for attempt in 1..=3 {
+        let started = world.run();
+        assert_eq!(started, [("a1".to_owned(), task(1, 0, 0), attempt)]);
+        world.end(
+            "a1",
+            u64::from(attempt),
+            task(1, 0, 0),
+            attempt,
+            How::Failed,
+        );
+        world.pass(5_000);
+    }
+    assert!(world.run().is_empty());
+    assert_eq!(world.cell.jobs[&1].shown, Some(Phase::Failed));
+}
+
+#[test]
+fn an_end_that_is_listed_twice_counts_once() {
+    let mut world = World::new(&["a1", "b1"]);
+    world.cell.accept(job(1, vec![step(1)]));
+    let (id, first, run) = world.run().remove(0);
+    world.end(&id, 1, first, run, How::Failed);
+    world.run();
+    world.take_over();
+    world.join("a1");
+    world.join("b1");
+    world.end(&id, 1, first, run, How::Failed);
+    assert_eq!(world.cell.jobs[&1].task(0, 0, 0).unwrap().fails, 1);
+}
+
+#[test]
+fn a_late_end_of_an_earlier_run_counts_and_stops_the_later_one() {
+    let mut world = World::new(&["a1", "b1"]);
+    world.cell.accept(job(1, vec![step(1)]));
+    let (first, id, run) = world.run().remove(0);
+    world.cell.lose_worker(&first);
+    let (second, _, later) = world.run().remove(0);
+    assert!(second != first && later == run + 1);
+    world.cell.see_worker(worker(&first), world.now);
+    world.end(&first, 1, id, run, How::Done);
+    assert_eq!(world.stops(), [(second, id, later)]);
+    world.run();
+    assert_eq!(world.cell.jobs[&1].shown, Some(Phase::Succeeded));
+}
+
+#[test]
+fn what_a_worker_does_not_list_is_tried_again_only_once_it_answered_the_order() {
+    let mut world = World::new(&["a1"]);
+    world.cell.accept(job(1, vec![step(1)]));
+    let (id, first, run) = world.run().remove(0);
+    world.cell.unsure(&id, first, run);
+    assert_eq!(world.stops().len(), 1);
+    world.pass(2_000);
+    world.report("a1", Report::default());
+    assert!(world.run().is_empty(), "the start may still come");
+    world.cell.stop_answered("a1", first, run, world.now);
+    world.report("a1", Report::default());
+    assert!(world.run().is_empty(), "the run may not have ended yet");
+    world.pass(500);
+    world.report("a1", Report::default());
+    assert_eq!(world.run(), [("a1".to_owned(), first, run + 1)]);
+}
+
+#[test]
+fn a_new_owner_waits_for_the_workers_of_the_earlier_one() {
+    let mut world = World::new(&["a1"]);
+    world.cell.accept(job(1, vec![step(1)]));
+    let (_, first, run) = world.run().remove(0);
+    world.take_over();
+    world.join("b1");
+    assert!(world.run().is_empty(), "it may run on a1");
+    assert_eq!(world.cell.orphaned(), ["a1"]);
+    world.cell.see_worker(worker("a1"), world.now);
+    assert!(world.run().is_empty(), "a1 has not answered");
+    world.report(
+        "a1",
+        Report {
+            running: vec![row(first, run, 40)],
+            ended: vec![],
+        },
+    );
+    assert!(world.run().is_empty(), "it runs on a1");
+    world.report("a1", Report::default());
+    assert_eq!(world.run().len(), 1);
+}
+
+#[test]
+fn a_job_that_is_cancelled_before_its_worker_is_met_is_stopped_there() {
+    let mut world = World::new(&["a1"]);
+    world.cell.accept(job(1, vec![step(1)]));
+    let (_, first, run) = world.run().remove(0);
+    world.take_over();
+    assert_eq!(world.cell.cancel(1), Cancelled::Done);
+    world.cell.see_worker(worker("a1"), world.now);
+    world.report(
+        "a1",
+        Report {
+            running: vec![row(first, run, 40)],
+            ended: vec![],
+        },
+    );
+    assert_eq!(world.stops(), [("a1".to_owned(), first, run)]);
+}
+
+#[test]
+fn a_start_that_waits_for_its_record_is_not_sent_once_the_job_is_cancelled() {
+    let mut world = World::new(&["a1"]);
+    world.cell.accept(job(1, vec![step(1)]));
+    world.cell.schedule(world.now);
+    let batch = world.cell.take_batch();
+    assert_eq!(batch.starts.len(), 1);
+    world.cell.cancel(1);
+    assert!(!world.cell.confirm_start("a1", task(1, 0, 0), 1));
+    assert!(world.cell.workers["a1"].runs.is_empty());
+    assert_eq!(world.cell.cancel(2), Cancelled::Unknown);
+}
+
+#[test]
+fn room_is_never_overfilled_and_a_refusal_gives_it_back() {
+    let mut world = World::new(&["a1"]);
+    world.cell.accept(job(1, vec![step(6)]));
+    let started = world.run();
+    assert_eq!(started.len(), 4);
+    world
+        .cell
+        .refused("a1", started[0].1, 1, Refusal::Room, world.now);
+    assert!(
+        world.run().is_empty(),
+        "the worker is set aside for a moment"
+    );
+    world.pass(300);
+    assert_eq!(world.run().len(), 1);
+}
+
+#[test]
+fn a_gang_starts_whole_or_not_at_all() {
+    let mut world = World::new(&["a1"]);
+    let gang = Step {
+        gang: true,
+        ..step(6)
+    };
+    world.cell.accept(job(1, vec![gang]));
+    assert!(world.run().is_empty());
+    world.join("b1");
+    let started = world.run();
+    assert_eq!(started.len(), 6);
+    assert!(started.iter().all(|(_, _, run)| *run == 1));
+    world.end(&started[0].0, 1, started[0].1, 1, How::Done);
+    world.run();
+    assert_eq!(world.cell.jobs[&1].shown, Some(Phase::Succeeded));
+}
+
+#[test]
+fn a_broken_gang_starts_again_once_all_its_members_have_ended() {
+    let mut world = World::new(&["a1", "b1"]);
+    let gang = Step {
+        gang: true,
+        ..step(2)
+    };
+    world.cell.accept(job(1, vec![gang]));
+    let started = world.run();
+    world.end(&started[0].0, 1, started[0].1, 1, How::Failed);
+    assert!(world.run().is_empty());
+    world.end(&started[1].0, 1, started[1].1, 1, How::Broken);
+    let again = world.run();
+    assert_eq!(again.len(), 2);
+    assert!(again.iter().all(|(_, _, run)| *run == 2));
+}
+
+#[test]
+fn a_vm_is_not_taken_out_while_its_budget_is_used_up() {
+    let mut world = World::new(&["a1", "b1", "c1"]);
+    let lasting = Step {
+        lasting: true,
+        budget: Some(1),
+        apart: Some(1),
+        ..step(2)
+    };
+    world.cell.accept(job(1, vec![lasting]));
+    let started = world.run();
+    assert_eq!(started.len(), 2);
+    let (first, second) = (started[0].clone(), started[1].clone());
+    world.report(
+        &first.0,
+        Report {
+            running: vec![row(first.1, 1, 100)],
+            ended: vec![],
+        },
+    );
+    assert_eq!(
+        world.cell.takeout(&first.0),
+        Takeout::Guarded,
+        "the other is not at work yet"
+    );
+    world.report(
+        &second.0,
+        Report {
+            running: vec![row(second.1, 1, 100)],
+            ended: vec![],
+        },
+    );
+    assert_eq!(world.cell.takeout(&first.0), Takeout::Free);
+    world.cell.take_worker(&second.0, true);
+    assert_eq!(world.cell.takeout(&first.0), Takeout::Guarded);
+}
+
+#[test]
+fn the_vms_of_a_wave_are_known_to_a_new_owner() {
+    let mut world = World::new(&["a1"]);
+    world.cell.note_upkeep(7, "vm-1");
+    world.run();
+    world.take_over();
+    assert!(world.cell.upkept(7).contains("vm-1"));
+}
+
+#[test]
+fn a_lasting_task_starts_again_however_it_ends() {
+    let mut world = World::new(&["a1"]);
+    let lasting = Step {
+        lasting: true,
+        ..step(1)
+    };
+    world.cell.accept(job(1, vec![lasting]));
+    for run in 1..=6 {
+        assert_eq!(world.run(), [("a1".to_owned(), task(1, 0, 0), run)]);
+        let how = if run % 2 == 0 { How::Failed } else { How::Done };
+        world.end("a1", u64::from(run), task(1, 0, 0), run, how);
+        world.pass(4_000);
+    }
+}
--- /dev/null
+++ b/crates/jobs/tests/world/mod.rs
@@ -0,0 +1,194 @@
+//! A cell with a few workers, for tests of single decisions.
+
+use havenladder_jobs::{
+    Batch, Cell, Decoded, EndRow, Entry, How, JobId, JobSpec, Limits, Need, Order, Report, RunId,
+    RunRow, Step, Submission, TaskId, WorkerInfo, decode_entry,
+};
+use std::time::{Duration, Instant};
+
+/// A cell, its clock, and what its log would hold.
+pub struct World {
+    /// The cell.
+    pub cell: Cell,
+    /// The time.
+    pub now: Instant,
+    /// The records, oldest first.
+    pub log: Vec<Entry>,
+}
+
+/// A step of so many tasks of one core each.
+pub fn step(count: u32) -> Step {
+    let need = Need {
+        cpu: 1_000,
+        memory: 100,
+        gpu: 0,
+    };
+    Step {
+        count,
+        need,
+        ..Step::default()
+    }
+}
+
+/// A job of the service `s`.
+pub fn job(id: JobId, steps: Vec<Step>) -> Submission {
+    let spec = JobSpec {
+        text: "text".to_owned(),
+        steps,
+        schedule: None,
+    };
+    let (queue, service) = ("q".to_owned(), "s".to_owned());
+    Submission {
+        id,
+        queue,
+        service,
+        priority: 0,
+        attempts: 3,
+        spec,
+    }
+}
+
+/// The first task of a step of a job's first round.
+pub fn task(job: JobId, step: u32, index: u32) -> TaskId {
+    TaskId {
+        job,
+        round: 0,
+        step,
+        index,
+    }
+}
+
+/// A row of a run that goes on.
+pub fn row(task: TaskId, run: RunId, percent: u64) -> RunRow {
+    RunRow {
+        task,
+        run,
+        saved: String::new(),
+        percent,
+        figure: 0,
+    }
+}
+
+/// A worker's entry: four cores, in the rack `r-` and its first letter.
+pub fn worker(id: &str) -> WorkerInfo {
+    WorkerInfo {
+        id: id.to_owned(),
+        service: "s".to_owned(),
+        address: "10.0.0.1:1".to_owned(),
+        zone: "z".to_owned(),
+        labels: vec!["a".to_owned(), format!("r-{}", &id[..1])],
+        capacity: Need {
+            cpu: 4_000,
+            memory: 4_000,
+            gpu: 0,
+        },
+        draining: false,
+    }
+}
+
+impl World {
+    /// A cell whose workers have all answered.
+    pub fn new(workers: &[&str]) -> Self {
+        let mut world = World {
+            cell: Cell::new(Limits::default()),
+            now: Instant::now(),
+            log: Vec::new(),
+        };
+        workers.iter().for_each(|id| world.join(id));
+        world
+    }
+
+    /// A worker is listed and answers.
+    pub fn join(&mut self, id: &str) {
+        self.cell.see_worker(worker(id), self.now);
+        self.report(id, Report::default());
+    }
+
+    /// Time passes.
+    pub fn pass(&mut self, ms: u64) {
+        self.now += Duration::from_millis(ms);
+    }
+
+    /// A worker reports.
+    pub fn report(&mut self, id: &str, report: Report) {
+        self.pass(1);
+        self.cell.report(id, &report, self.now, self.now);
+    }
+
+    /// A worker lists one end.
+    pub fn end(&mut self, id: &str, number: u64, task: TaskId, run: RunId, how: How) {
+        let end = EndRow {
+            number,
+            task,
+            run,
+            how,
+            saved: String::new(),
+        };
+        let running = self.rows(id, task, run);
+        self.report(
+            id,
+            Report {
+                running,
+                ended: vec![end],
+            },
+        );
+    }
+
+    /// Rows of all that the cell believes to run on a worker, but for one run.
+    fn rows(&self, id: &str, task: TaskId, run: RunId) -> Vec<RunRow> {
+        let Some(host) = self.cell.workers.get(id) else {
+            return Vec::new();
+        };
+        let others = host.runs.keys().filter(|key| **key != (task, run));
+        others.map(|(task, run)| row(*task, *run, 50)).collect()
+    }
+
+    /// Decides, makes the records durable, and returns the starts that were confirmed and answered.
+    pub fn run(&mut self) -> Vec<(String, TaskId, RunId)> {
+        self.cell.schedule(self.now);
+        let batch: Batch = self.cell.take_batch();
+        self.log.extend(batch.entries);
+        self.cell.confirm(&batch.shown);
+        let mut started = Vec::new();
+        for order in batch.starts {
+            let Order::Start { worker, task, run } = order else {
+                continue;
+            };
+            if self.cell.confirm_start(&worker, task, run) {
+                self.cell.started(&worker, task, run, self.now);
+                started.push((worker, task, run));
+            }
+        }
+        started
+    }
+
+    /// The stops that are to be sent.
+    pub fn stops(&mut self) -> Vec<(String, TaskId, RunId)> {
+        let stop = |order| match order {
+            Order::Stop { worker, task, run } => Some((worker, task, run)),
+            Order::Start { .. } | Order::Pace { .. } => None,
+        };
+        self.cell
+            .take_urgent()
+            .into_iter()
+            .filter_map(stop)
+            .collect()
+    }
+
+    /// A new owner reads the log; it has met no worker.
+    pub fn take_over(&mut self) {
+        let mut newest: std::collections::BTreeMap<String, Vec<u8>> = Default::default();
+        for entry in &self.log {
+            match &entry.value {
+                Some(value) => newest.insert(entry.key.clone(), value.clone()),
+                None => newest.remove(&entry.key),
+            };
+        }
+        let decoded: Vec<Decoded> = newest
+            .iter()
+            .map(|(key, value)| decode_entry(key, value).unwrap())
+            .collect();
+        self.cell = Cell::new(Limits::default());
+        self.cell.load(decoded);
+    }
+}
