feat(fleet): VMs change their pool by what its jobs ask for

Cause: at its peak a service asks for more than its pool has, while others rest; half of the tasks first started after 2.5 s. Ruled out: the way of a job through the system (no job waits with room free).

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -12,6 +12,7 @@
 mod plan;
 mod publish;
 mod record;
+mod sizing;
 mod snapshot;
 mod state;
 mod wave;
@@ -23,6 +24,7 @@
     Change, Errand, GrantRequest, LeaseRequest, Observation, Outcome, PathChange, Reason, Record,
     Seen, WaveChange,
 };
+pub use sizing::{IdleVm, PoolDemand, Shift, SizingLimits, shifts};
 pub use snapshot::{Chunk, SnapshotError, assemble, chunks, decode_snapshot, encode_snapshot};
 pub use state::{Fleet, Grant, Health, Mark, SPARE, Step, Vm, Wave, WaveId, WaveState};
 pub use wave::{Progress, next_reboots, progress};
--- /dev/null
+++ b/crates/fleet/tests/sizing.rs
@@ -0,0 +1,98 @@
+//! Which VMs change their pool.
+
+use havenladder_fleet::{IdleVm, PoolDemand, Shift, SizingLimits, shifts};
+use std::time::{Duration, Instant};
+
+fn pool(
+    name: &str,
+    vms: usize,
+    busy: u64,
+    waiting: u64,
+    idle: &[&str],
+    since: Instant,
+) -> PoolDemand {
+    let idle = idle
+        .iter()
+        .map(|vm| IdleVm {
+            vm: (*vm).to_owned(),
+            since,
+        })
+        .collect();
+    let reserve = name == "reserve";
+    PoolDemand {
+        pool: name.to_owned(),
+        reserve,
+        vms,
+        room: 16_000,
+        busy,
+        waiting,
+        idle,
+    }
+}
+
+fn shift(vm: &str, from: &str, to: &str) -> Shift {
+    Shift {
+        vm: vm.to_owned(),
+        from: from.to_owned(),
+        to: to.to_owned(),
+    }
+}
+
+fn later(start: Instant, ms: u64) -> Instant {
+    start + Duration::from_millis(ms)
+}
+
+#[test]
+fn a_pool_whose_jobs_wait_gets_idle_vms_of_others_before_those_of_the_reserve() {
+    let start = Instant::now();
+    let pools = [
+        pool("a", 2, 30_000, 40_000, &[], start),
+        pool("b", 3, 16_000, 0, &["b1"], start),
+        pool("reserve", 2, 0, 0, &["r1", "r2"], start),
+    ];
+    let moves = shifts(&pools, later(start, 1_000), &SizingLimits::default());
+    assert_eq!(
+        moves,
+        [
+            shift("b1", "b", "a"),
+            shift("r1", "reserve", "a"),
+            shift("r2", "reserve", "a")
+        ]
+    );
+}
+
+#[test]
+fn a_pool_that_needs_its_vms_gives_none_away() {
+    let start = Instant::now();
+    let pools = [
+        pool("a", 1, 16_000, 40_000, &[], start),
+        pool("b", 2, 20_000, 0, &["b1"], start),
+    ];
+    assert!(shifts(&pools, later(start, 9_000), &SizingLimits::default()).is_empty());
+}
+
+#[test]
+fn an_idle_vm_goes_to_the_reserve_once_it_has_cost_what_the_moves_cost() {
+    let start = Instant::now();
+    let pools = [
+        pool("a", 3, 9_000, 0, &["a1", "a2"], start),
+        pool("reserve", 0, 0, 0, &[], start),
+    ];
+    let limits = SizingLimits::default();
+    assert!(shifts(&pools, later(start, 2_400), &limits).is_empty());
+    let moves = shifts(&pools, later(start, 2_500), &limits);
+    assert_eq!(
+        moves,
+        [shift("a1", "a", "reserve"), shift("a2", "a", "reserve")]
+    );
+}
+
+#[test]
+fn the_last_vm_of_a_pool_stays() {
+    let start = Instant::now();
+    let pools = [
+        pool("a", 1, 0, 0, &["a1"], start),
+        pool("reserve", 0, 0, 0, &[], start),
+    ];
+    assert!(shifts(&pools, later(start, 9_000), &SizingLimits::default()).is_empty());
+}
--- a/crates/havenladder/src/entry/mod.rs
+++ b/crates/havenladder/src/entry/mod.rs
@@ -5,9 +5,11 @@
 //! duties share is in one [`Node`].
 
 mod callers;
+mod fleet;
 mod follow;
 mod inner;
 mod lease;
+mod moves;
 mod node;
 mod orders;
 mod owner;
--- /dev/null
+++ b/crates/havenladder/src/entry/moves.rs
@@ -0,0 +1,219 @@
+//! Moves VMs between pools, by what the pools' jobs ask for.
+
+use super::{fleet::VmList, owner::Owner, upkeep::Waves};
+use adapter::cloud::{Ordered, Vm, VmState};
+use fleet::{IdleVm, PoolDemand, Shift, SizingLimits, shifts};
+use jobs::Takeout;
+use std::{
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    rc::Rc,
+    time::{Duration, Instant},
+};
+use tracing::info;
+
+/// Over how long the highest use of a pool counts: about one run of the usual kind.
+const PEAK: Duration = Duration::from_millis(1_500);
+
+/// How long a move without an answer, or with one that the list doesn't show, is waited for: orders
+/// may be carried out 12 s late.
+const LOST: Duration = Duration::from_millis(13_000);
+
+/// The VMs on their way, and what the pools have used of late.
+#[derive(Default)]
+pub struct Moves {
+    moving: BTreeMap<String, Moving>,
+    idle: BTreeMap<String, Instant>,
+    used: BTreeMap<String, VecDeque<(Instant, u64)>>,
+    /// Moves that the platform does not allow.
+    barred: BTreeSet<(String, String)>,
+}
+
+struct Moving {
+    to: String,
+    worker: Option<String>,
+    since: Instant,
+    answered: bool,
+    confirmed: bool,
+}
+
+impl Moves {
+    /// Whether VMs are on their way.
+    pub fn is_open(&self) -> bool {
+        !self.moving.is_empty()
+    }
+
+    /// Draws from a new list what became of the moves.
+    pub fn see(&mut self, owner: &Rc<Owner>, list: &VmList) {
+        for (name, moving) in &mut self.moving {
+            let Some(vm) = list.get(name) else { continue };
+            let left = vm.state != VmState::Up || vm.worker != moving.worker;
+            if left && !moving.confirmed {
+                moving.confirmed = true;
+                moving.answered = true;
+                if let Some(id) = &moving.worker {
+                    owner.cell.borrow_mut().lose_worker(id);
+                    owner.wake();
+                }
+            }
+        }
+        self.moving.retain(|name, moving| {
+            let Some(vm) = list.get(name) else {
+                return false;
+            };
+            let there = vm.state == VmState::Up && vm.worker != moving.worker;
+            let lost = !moving.confirmed && moving.since.elapsed() >= LOST;
+            if lost && let Some(id) = &moving.worker {
+                owner.cell.borrow_mut().take_worker(id, false);
+            }
+            !there && !lost
+        });
+    }
+
+    /// Orders the moves that are worth making now.
+    pub async fn advance(&mut self, owner: &Rc<Owner>, list: &VmList, waves: &Waves) {
+        if !owner.is_certain() {
+            return;
+        }
+        let now = Instant::now();
+        let pools = self.demands(owner, list, waves, now);
+        for shift in shifts(&pools, now, &SizingLimits::default()) {
+            if let Some(vm) = list.get(&shift.vm) {
+                self.order(owner, vm, &shift).await;
+            }
+        }
+    }
+
+    fn demands(
+        &mut self,
+        owner: &Owner,
+        list: &VmList,
+        waves: &Waves,
+        now: Instant,
+    ) -> Vec<PoolDemand> {
+        let Some(config) = owner.node.config() else {
+            return Vec::new();
+        };
+        let mut pools = Vec::new();
+        for service in &config.services {
+            let asked = owner.cell.borrow().demand(&service.name);
+            let busy = self.peak(&service.name, asked.busy, now);
+            let mut pool = PoolDemand {
+                pool: service.name.clone(),
+                reserve: service.reserve,
+                busy,
+                waiting: asked.waiting,
+                ..PoolDemand::default()
+            };
+            for vm in list.values() {
+                self.count(owner, &mut pool, vm, waves, now);
+            }
+            pool.idle.sort_by_key(|vm| vm.since);
+            pools.push(pool);
+        }
+        pools
+    }
+
+    /// The highest use of a pool of late.
+    fn peak(&mut self, pool: &str, busy: u64, now: Instant) -> u64 {
+        let used = self.used.entry(pool.to_owned()).or_default();
+        used.push_back((now, busy));
+        while used.front().is_some_and(|(at, _)| *at + PEAK < now) {
+            used.pop_front();
+        }
+        used.iter().map(|(_, busy)| *busy).max().unwrap_or(0)
+    }
+
+    fn count(
+        &mut self,
+        owner: &Owner,
+        pool: &mut PoolDemand,
+        vm: &Vm,
+        waves: &Waves,
+        now: Instant,
+    ) {
+        if let Some(moving) = self.moving.get(&vm.name) {
+            pool.vms += usize::from(moving.to == pool.pool);
+            return;
+        }
+        if vm.pool != pool.pool {
+            return;
+        }
+        pool.vms += 1;
+        pool.room = pool.room.max(vm.capacity.cpu);
+        if vm.state != VmState::Up || waves.holds(&vm.name) {
+            return;
+        }
+        if pool.reserve {
+            pool.idle.push(IdleVm {
+                vm: vm.name.clone(),
+                since: now,
+            });
+            return;
+        }
+        let Some(id) = &vm.worker else { return };
+        let cell = owner.cell.borrow();
+        let idle = cell
+            .workers
+            .get(id)
+            .is_some_and(|w| w.runs.is_empty() && w.is_open(now));
+        if !idle {
+            self.idle.remove(&vm.name);
+            return;
+        }
+        let since = *self.idle.entry(vm.name.clone()).or_insert(now);
+        pool.idle.push(IdleVm {
+            vm: vm.name.clone(),
+            since,
+        });
+    }
+
+    async fn order(&mut self, owner: &Rc<Owner>, vm: &Vm, shift: &Shift) {
+        let bar = (shift.from.clone(), shift.to.clone());
+        if self.barred.contains(&bar) || !owner.is_certain() {
+            return;
+        }
+        if let Some(id) = &vm.worker {
+            let mut cell = owner.cell.borrow_mut();
+            if cell.takeout(id) != Takeout::Free {
+                return;
+            }
+            cell.take_worker(id, true);
+        }
+        self.idle.remove(&vm.name);
+        let mut moving = Moving {
+            to: shift.to.clone(),
+            worker: vm.worker.clone(),
+            since: Instant::now(),
+            answered: false,
+            confirmed: false,
+        };
+        let outcome = owner
+            .node
+            .cloud
+            .move_vm(&vm.name, &shift.to, owner.epoch)
+            .await;
+        info!(
+            vm = vm.name,
+            from = shift.from,
+            to = shift.to,
+            ?outcome,
+            "move ordered"
+        );
+        match outcome {
+            Ok(Ordered::Done) => moving.answered = true,
+            Ok(Ordered::Fenced) => return owner.end("a newer owner gave orders for a VM"),
+            Ok(refused) => {
+                if refused == Ordered::Rejected {
+                    self.barred.insert(bar);
+                }
+                if let Some(id) = &vm.worker {
+                    owner.cell.borrow_mut().take_worker(id, false);
+                }
+                return;
+            }
+            // It may be carried out at any moment; the list tells.
+            Err(_) => {}
+        }
+        self.moving.insert(vm.name.clone(), moving);
+    }
+}
--- a/crates/havenladder/src/entry/owner.rs
+++ b/crates/havenladder/src/entry/owner.rs
@@ -1,10 +1,11 @@
 //! The owner of the cell: takes what earlier owners left, makes decisions durable, then acts.
 
 use super::{
+    fleet,
     inner::{Ask, Tell},
     lease::TRUST,
     node::Node,
-    orders, upkeep, watch,
+    orders, watch,
 };
 use adapter::{
     store::{Appended, Condition, Keyed, frame_keyed},
@@ -210,7 +211,7 @@
     owner.loaded.set(true);
     owner.settled.notify_waiters();
     task::spawn_local(watch::run(Rc::clone(&owner)));
-    task::spawn_local(upkeep::run(Rc::clone(&owner)));
+    task::spawn_local(fleet::run(Rc::clone(&owner)));
     let mut sequence = 1;
     while owner.is_alive() {
         let _ = time::timeout(TICK, owner.wake.notified()).await;
--- a/crates/havenladder/src/entry/upkeep.rs
+++ b/crates/havenladder/src/entry/upkeep.rs
@@ -1,6 +1,6 @@
 //! Takes VMs through waves of upkeep, within their bounds and the budgets of lasting steps.
 
-use super::owner::Owner;
+use super::{fleet::VmList, owner::Owner};
 use adapter::{
     cloud::{Ordered, Vm, VmState},
     operator::{STATUS_TOPIC, WAVE_KEY, Wave, WaveState, write_wave},
@@ -12,15 +12,8 @@
     rc::Rc,
     time::{Duration, Instant},
 };
-use tokio::time;
 use tracing::{info, warn};
 
-/// Time between two looks while a wave goes on. A VM is down for 2 s; a look costs a call.
-const LOOK: Duration = Duration::from_millis(250);
-
-/// Time between two looks for a new wave.
-const REST: Duration = Duration::from_millis(500);
-
 /// How long a VM that is to go may wait for its runs to end.
 const DRAIN: Duration = Duration::from_millis(1_500);
 
@@ -46,75 +39,82 @@
     confirmed: bool,
 }
 
-/// Runs the waves until the owner ends.
-pub async fn run(owner: Rc<Owner>) {
-    let mut courses: BTreeMap<u64, Course> = BTreeMap::new();
-    // An earlier owner may still have orders under way: two holders must not act in turn.
-    time::sleep(owner.node.settings.lease).await;
-    while owner.is_alive() {
+/// The waves that are under way.
+#[derive(Default)]
+pub struct Waves {
+    courses: BTreeMap<u64, Course>,
+}
+
+impl Waves {
+    /// Whether a wave that operators asked for has not succeeded.
+    pub fn is_open(&self, owner: &Owner) -> bool {
+        let asked = owner.node.waves.borrow();
+        asked.keys().any(|number| !self.has_succeeded(*number))
+    }
+
+    /// Whether a VM is about to go down, or is down.
+    pub fn holds(&self, vm: &str) -> bool {
+        let busy = |c: &Course| c.closing.contains_key(vm) || c.down.contains_key(vm);
+        self.courses.values().any(busy)
+    }
+
+    fn has_succeeded(&self, number: u64) -> bool {
+        let course = self.courses.get(&number);
+        course.is_some_and(|c| c.said == Some(WaveState::Succeeded))
+    }
+
+    /// Takes the next steps of all waves; true if the list of VMs has changed by that.
+    pub async fn advance(&mut self, owner: &Rc<Owner>, vms: &VmList) -> bool {
         let waves: Vec<Wave> = owner.node.waves.borrow().values().cloned().collect();
-        let mut open = false;
-        for wave in waves {
-            let course = courses.entry(wave.number).or_default();
-            if course.said == Some(WaveState::Succeeded) {
+        let mut changed = false;
+        for wave in &waves {
+            if self.has_succeeded(wave.number) {
                 continue;
             }
-            open = true;
-            advance(&owner, &wave, course).await;
+            let course = self.courses.entry(wave.number).or_default();
+            changed |= advance(owner, wave, course, vms).await;
         }
-        time::sleep(if open { LOOK } else { REST }).await;
+        changed
     }
 }
 
-async fn advance(owner: &Rc<Owner>, wave: &Wave, course: &mut Course) {
+async fn advance(owner: &Rc<Owner>, wave: &Wave, course: &mut Course, vms: &VmList) -> bool {
     if course.began.is_none() {
         course.began = Some(Instant::now());
         course.done = owner.cell.borrow().upkept(wave.number);
         say(owner, wave, course, WaveState::Running).await;
     }
-    let Ok(Some(vms)) = owner.node.cloud.vms().await else {
-        return;
-    };
-    let vms: BTreeMap<&str, &Vm> = vms.iter().map(|vm| (vm.name.as_str(), vm)).collect();
-    confirm(owner, course, &vms);
-    see_returned(course, &vms);
+    confirm(owner, course, vms);
+    see_returned(course, vms);
     for name in &wave.vms {
-        if !vms.contains_key(name.as_str()) {
+        if !vms.contains_key(name) {
             // It has left: there is nothing to do for it.
             course.done.insert(name.clone());
         }
     }
-    close_next(owner, wave, course, &vms);
+    close_next(owner, wave, course, vms);
     let closing: Vec<String> = course.closing.keys().cloned().collect();
     for name in closing {
         if course.down.len() >= wave.most {
             break;
         }
-        if let Some(vm) = vms.get(name.as_str()) {
+        if let Some(vm) = vms.get(&name) {
             take_down(owner, wave, course, vm).await;
         }
     }
-    if course
-        .down
-        .values()
-        .any(|down| down.answered && !down.confirmed)
-    {
-        if let Ok(Some(vms)) = owner.node.cloud.vms().await {
-            let vms = vms.iter().map(|vm| (vm.name.as_str(), vm)).collect();
-            confirm(owner, course, &vms);
-        }
-    }
     let all = wave.vms.iter().all(|name| course.done.contains(name));
     if all && course.down.values().all(|down| down.answered) {
         say(owner, wave, course, WaveState::Succeeded).await;
     }
+    let unconfirmed = |down: &Down| down.answered && !down.confirmed;
+    course.down.values().any(unconfirmed)
 }
 
 /// Draws from the list what an order did: where the VM is not up with the worker that it had, that
 /// worker's life is over. An order that had been carried out before changes nothing.
-fn confirm(owner: &Rc<Owner>, course: &mut Course, vms: &BTreeMap<&str, &Vm>) {
+fn confirm(owner: &Rc<Owner>, course: &mut Course, vms: &VmList) {
     for (name, down) in course.down.iter_mut().filter(|(_, down)| !down.confirmed) {
-        let Some(vm) = vms.get(name.as_str()) else {
+        let Some(vm) = vms.get(name) else {
             continue;
         };
         let same = vm.state == VmState::Up && vm.worker == down.worker;
@@ -133,15 +133,15 @@
         owner.wake();
     }
     course.down.retain(|name, down| {
-        let same = |vm: &&Vm| vm.state == VmState::Up && vm.worker == down.worker;
-        !(down.confirmed && vms.get(name.as_str()).is_some_and(same))
+        let same = |vm: &Vm| vm.state == VmState::Up && vm.worker == down.worker;
+        !(down.confirmed && vms.get(name).is_some_and(same))
     });
 }
 
 /// Notes VMs that are up again with a new worker.
-fn see_returned(course: &mut Course, vms: &BTreeMap<&str, &Vm>) {
+fn see_returned(course: &mut Course, vms: &VmList) {
     course.down.retain(|name, down| {
-        let Some(vm) = vms.get(name.as_str()) else {
+        let Some(vm) = vms.get(name) else {
             return false;
         };
         let back = vm.state == VmState::Up && vm.worker != down.worker;
@@ -153,12 +153,11 @@
 }
 
 /// Chooses the VMs to go next: those that carry the least, as many as the bound has room for.
-fn close_next(owner: &Owner, wave: &Wave, course: &mut Course, vms: &BTreeMap<&str, &Vm>) {
+fn close_next(owner: &Owner, wave: &Wave, course: &mut Course, vms: &VmList) {
     let room = wave.most.saturating_sub(course.down.len());
-    course.closing.retain(|name, _| {
-        vms.get(name.as_str())
-            .is_some_and(|vm| vm.state == VmState::Up)
-    });
+    course
+        .closing
+        .retain(|name, _| vms.get(name).is_some_and(|vm| vm.state == VmState::Up));
     let waits = |name: &&String| {
         !course.done.contains(*name)
             && !course.closing.contains_key(*name)
@@ -168,11 +167,7 @@
                 .is_some_and(|vm| vm.state == VmState::Up)
     };
     let cell = owner.cell.borrow();
-    let cost = |name: &&String| match vms[name.as_str()]
-        .worker
-        .as_deref()
-        .map(|id| cell.takeout(id))
-    {
+    let cost = |name: &&String| match vms[*name].worker.as_deref().map(|id| cell.takeout(id)) {
         None | Some(Takeout::Free) => 0,
         Some(Takeout::Busy(runs)) => 1 + runs,
         Some(Takeout::Guarded) => usize::MAX,
@@ -193,7 +188,7 @@
         .collect();
     drop(cell);
     for name in chosen {
-        if let Some(id) = &vms[name.as_str()].worker {
+        if let Some(id) = &vms[&name].worker {
             owner.cell.borrow_mut().close_worker(id, true);
         }
         course.closing.insert(name, Instant::now());
--- a/crates/jobs/src/cell.rs
+++ b/crates/jobs/src/cell.rs
@@ -58,6 +58,15 @@
     Unknown,
 }
 
+/// What the jobs of a service ask for, in thousandths of a core.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Demand {
+    /// What runs take.
+    pub busy: u64,
+    /// What waits for room.
+    pub waiting: u64,
+}
+
 /// The jobs and workers of one owner.
 #[derive(Debug, Default)]
 pub struct Cell {
@@ -170,6 +179,25 @@
         self.jobs.values().filter(waits).count()
     }
 
+    /// What the jobs of a service take, and what more they wait for, in thousandths of a core.
+    pub fn demand(&self, service: &str) -> Demand {
+        let own = |worker: &&Worker| worker.info.service == service;
+        let busy = self.workers.values().filter(own).map(|w| w.used.cpu).sum();
+        let needs = |rank: &Rank| {
+            let task = rank.task();
+            let job = self
+                .jobs
+                .get(&task.job)
+                .filter(|job| !job.phase.is_over())?;
+            let step = job.step(task.step);
+            let members = if step.gang { u64::from(step.count) } else { 1 };
+            Some(room_of(job, task).cpu * members)
+        };
+        let waiting = self.waiting.get(service);
+        let waiting = waiting.map_or(0, |queue| queue.iter().filter_map(needs).sum());
+        Demand { busy, waiting }
+    }
+
     /// Whether something about a job is not durable yet.
     pub fn is_dirty(&self, id: JobId) -> bool {
         self.dirty.contains(&id)
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -18,7 +18,7 @@
 mod takeout;
 mod worker;
 
-pub use cell::{Accepted, Cancelled, Cell, Limits};
+pub use cell::{Accepted, Cancelled, Cell, Demand, Limits};
 pub use job::{Job, Phase, Round, Task, TaskPhase};
 pub use need::Need;
 pub use outbox::{Batch, Order};
