fix(fleet): a pool keeps the VMs over which its tasks are spread, and a spare one

Cause: sizing looked at cores alone, and a pool fell below the VMs that a step with tasks apart needs. Test: a_pool_keeps_the_vms_over_which_its_tasks_are_spread (it failed first: the rule had not reached 'short').

--- a/crates/fleet/src/sizing.rs
+++ b/crates/fleet/src/sizing.rs
@@ -56,6 +56,8 @@
     pub busy: u64,
     /// What waits for room, in thousandths of a core.
     pub waiting: u64,
+    /// How many VMs it needs whatever its jobs use: tasks that must be apart, and a spare one.
+    pub least: usize,
     /// Its idle VMs, those idle for the longest time first.
     pub idle: Vec<IdleVm>,
 }
@@ -78,11 +80,14 @@
 
     /// How many more VMs its jobs could fill.
     fn short(&self, limits: &SizingLimits) -> usize {
-        if self.reserve || self.waiting == 0 {
+        if self.reserve {
             return 0;
         }
-        self.vms_for(self.busy + self.waiting, limits.fill)
-            .saturating_sub(self.vms)
+        let wanted = match self.waiting {
+            0 => 0,
+            waiting => self.vms_for(self.busy + waiting, limits.fill),
+        };
+        wanted.max(self.least).saturating_sub(self.vms)
     }
 
     /// How many VMs it can do without.
@@ -93,8 +98,8 @@
         if self.waiting > 0 {
             return 0;
         }
-        self.vms
-            .saturating_sub(self.vms_for(self.busy, limits.spare).max(1))
+        let used = self.vms_for(self.busy, limits.spare);
+        self.vms.saturating_sub(used.max(self.least).max(1))
     }
 }
 
--- a/crates/fleet/tests/sizing.rs
+++ b/crates/fleet/tests/sizing.rs
@@ -26,6 +26,7 @@
         room: 16_000,
         busy,
         waiting,
+        least: 0,
         idle,
     }
 }
@@ -96,3 +97,15 @@
     ];
     assert!(shifts(&pools, later(start, 9_000), &SizingLimits::default()).is_empty());
 }
+
+#[test]
+fn a_pool_keeps_the_vms_over_which_its_tasks_are_spread() {
+    let start = Instant::now();
+    let mut spread = pool("a", 3, 0, 0, &["a1", "a2", "a3"], start);
+    spread.least = 2;
+    let mut short = pool("b", 1, 0, 0, &[], start);
+    short.least = 3;
+    let pools = [spread, short, pool("reserve", 1, 0, 0, &["r1"], start)];
+    let moves = shifts(&pools, later(start, 9_000), &SizingLimits::default());
+    assert_eq!(moves, [shift("a1", "a", "b"), shift("r1", "reserve", "b")]);
+}
--- a/crates/havenladder/src/entry/moves.rs
+++ b/crates/havenladder/src/entry/moves.rs
@@ -102,6 +102,7 @@
                 reserve: service.reserve,
                 busy,
                 waiting: asked.waiting,
+                least: asked.spread,
                 ..PoolDemand::default()
             };
             for vm in list.values() {
--- a/crates/jobs/src/cell.rs
+++ b/crates/jobs/src/cell.rs
@@ -65,6 +65,9 @@
     pub busy: u64,
     /// What waits for room.
     pub waiting: u64,
+    /// How many workers the widest step needs whose tasks must be apart, and one more, so that a
+    /// task whose worker is lost or taken out finds another.
+    pub spread: usize,
 }
 
 /// The jobs and workers of one owner.
@@ -195,7 +198,22 @@
         };
         let waiting = self.waiting.get(service);
         let waiting = waiting.map_or(0, |queue| queue.iter().filter_map(needs).sum());
-        Demand { busy, waiting }
+        Demand {
+            busy,
+            waiting,
+            spread: self.spread(service),
+        }
+    }
+
+    fn spread(&self, service: &str) -> usize {
+        let live = |job: &&Job| job.given.service == service && !job.phase.is_over();
+        let steps = self
+            .jobs
+            .values()
+            .filter(live)
+            .flat_map(|job| &job.given.spec.steps);
+        let apart = steps.filter_map(|step| Some(step.count.div_ceil(step.apart?)));
+        apart.max().map_or(0, |widest| widest as usize + 1)
     }
 
     /// Whether something about a job is not durable yet.
