--- a/crates/havenladder/src/entry/orders.rs
+++ b/crates/havenladder/src/entry/orders.rs
@@ -93,6 +93,7 @@
     let now = Instant::now();
     match outcome {
         Ok(told) => {
+            info!(task = order.task, run, worker, deadline, "started");
             watch::set_clock(owner, worker, told.clock, now);
             owner.cell.borrow_mut().started(worker, task, run, now);
         }
--- a/crates/havenladder/src/entry/watch.rs
+++ b/crates/havenladder/src/entry/watch.rs
@@ -8,7 +8,7 @@
     store::{Keyed, Offset, Read, split_keyed},
     workers::{self, ClockMs, Hold, WorkerError},
 };
-use jobs::{Refusal, WorkerId};
+use jobs::{Refusal, Report, WorkerId};
 use std::{
     collections::HashSet,
     rc::Rc,
@@ -160,6 +160,7 @@
             Ok(told) => {
                 let now = Instant::now();
                 set_clock(&owner, &id, told.clock, now);
+                log_ends(&id, &told.value, noted);
                 owner.cell.borrow_mut().report(&id, &told.value, asked, now);
                 owner.wake();
                 silent = false;
@@ -193,6 +194,12 @@
     }
 }
 
+fn log_ends(worker: &str, report: &Report, noted: u64) {
+    for end in report.ended.iter().filter(|end| end.number > noted) {
+        info!(task = %end.task, run = end.run, worker, number = end.number, how = ?end.how, "ended");
+    }
+}
+
 /// A worker that does not answer gets no new runs until it does.
 fn mute(owner: &Owner, id: &str) {
     if let Some(worker) = owner.cell.borrow_mut().workers.get_mut(id) {
--- a/crates/jobs/src/cell.rs
+++ b/crates/jobs/src/cell.rs
@@ -88,6 +88,7 @@
     pub(crate) starts: Vec<Order>,
     pub(crate) urgent: Vec<Order>,
     next_order: u64,
+    pub(crate) reserved: HashSet<WorkerId>,
     upkept: BTreeMap<u64, BTreeSet<String>>,
     upkept_dirty: BTreeSet<u64>,
 }
--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -27,21 +27,58 @@
     pub fn schedule(&mut self, now: Instant) {
         let services: Vec<_> = self.waiting.keys().cloned().collect();
         for service in services {
-            let mut misfits = 0;
-            let ranks: Vec<Rank> = self.waiting[&service].iter().copied().collect();
-            for rank in ranks {
-                if misfits >= MISFITS {
-                    break;
-                }
-                if self.is_stale(rank.task()) || self.place(rank.task(), now) {
-                    self.drop_rank(&service, &rank);
-                } else {
-                    misfits += 1;
-                }
+            self.schedule_service(&service, now);
+        }
+        self.reserved.clear();
+    }
+
+    fn schedule_service(&mut self, service: &str, now: Instant) {
+        let mut misfits = 0;
+        let ranks: Vec<Rank> = self.waiting[service].iter().copied().collect();
+        for rank in ranks {
+            if misfits >= MISFITS {
+                break;
+            }
+            let task = rank.task();
+            if self.is_stale(task) || self.place(task, now) {
+                self.drop_rank(service, &rank);
+                continue;
+            }
+            misfits += 1;
+            if rank.is_lasting() {
+                self.reserve(task, now);
             }
         }
     }
 
+    /// Keeps the worker that has the most room free for a task that fits nowhere: smaller tasks
+    /// would fill each gap before it is large enough.
+    fn reserve(&mut self, task: TaskId, now: Instant) {
+        let Some(job) = self.jobs.get(&task.job) else {
+            return;
+        };
+        let step = job.step(task.step);
+        let room = room_of(job, task);
+        let may = |w: &&Worker| {
+            self.takes(w, &job.given.service, step, now)
+                && room.fits(Need::default(), w.info.capacity)
+                && step.apart.is_none_or(|most| w.siblings(task) < most)
+        };
+        let free = |w: &&Worker| w.info.capacity.cpu.saturating_sub(w.used.cpu);
+        let freest = self.workers.values().filter(may).max_by_key(free);
+        if let Some(id) = freest.map(|w| w.info.id.clone()) {
+            self.reserved.insert(id);
+        }
+    }
+
+    /// Whether a worker may get a run of this step at all.
+    fn takes(&self, worker: &Worker, service: &str, step: &Step, now: Instant) -> bool {
+        worker.info.service == service
+            && worker.is_open(now)
+            && allows(worker, step)
+            && !self.reserved.contains(&worker.info.id)
+    }
+
     fn drop_rank(&mut self, service: &str, rank: &Rank) {
         if let Some(queue) = self.waiting.get_mut(service) {
             queue.remove(rank);
@@ -106,9 +143,7 @@
         let step = job.step(task.step);
         let room = room_of(job, task);
         let may = |w: &&Worker| {
-            w.info.service == job.given.service
-                && w.is_open(now)
-                && allows(w, step)
+            self.takes(w, &job.given.service, step, now)
                 && room.fits(w.used, w.info.capacity)
                 && step.apart.is_none_or(|most| w.siblings(task) < most)
         };
@@ -199,7 +234,7 @@
         let room = room_of(job, task);
         let may = |w: &&Worker| {
             let here = rack.is_none_or(|rack| w.info.rack() == rack);
-            here && w.info.service == job.given.service && w.is_open(now) && allows(w, step)
+            here && self.takes(w, &job.given.service, step, now)
         };
         let mut hosts: Vec<(&Worker, Need, u32)> = self
             .workers
--- a/crates/jobs/src/rank.rs
+++ b/crates/jobs/src/rank.rs
@@ -37,6 +37,11 @@
         }
     }
 
+    /// Whether the task runs until its job is cancelled.
+    pub fn is_lasting(&self) -> bool {
+        !self.finite
+    }
+
     /// The task that has this place.
     pub fn task(&self) -> TaskId {
         TaskId {
--- a/crates/jobs/tests/cell.rs
+++ b/crates/jobs/tests/cell.rs
@@ -265,3 +265,22 @@
         world.pass(4_000);
     }
 }
+
+#[test]
+fn a_lasting_task_that_fits_nowhere_keeps_a_worker_free_of_smaller_ones() {
+    let mut world = World::new(&["a1"]);
+    world.cell.accept(job(1, vec![step(9)]));
+    let started = world.run();
+    assert_eq!(started.len(), 4);
+    let mut wide = Step {
+        lasting: true,
+        ..step(1)
+    };
+    wide.need.cpu = 2_000;
+    world.cell.accept(job(2, vec![wide]));
+    for (number, (id, task, run)) in (1..).zip(started.into_iter().take(2)) {
+        assert!(world.run().is_empty(), "the gap is kept");
+        world.end(&id, number, task, run, How::Done);
+    }
+    assert_eq!(world.run(), [("a1".to_owned(), task(2, 0, 0), 1)]);
+}
