fix(entry): a worker that is silent is asked without a new lease

Cause: each unanswered question moved the time at which the lease has run out for certain, so a dead worker that was still asked was never given up. Ruled out: missing room (the new line 'lasting task waits for room' names what keeps a task from each worker).

--- a/crates/havenladder/src/entry/owner.rs
+++ b/crates/havenladder/src/entry/owner.rs
@@ -212,6 +212,7 @@
     owner.settled.notify_waiters();
     task::spawn_local(watch::run(Rc::clone(&owner)));
     task::spawn_local(fleet::run(Rc::clone(&owner)));
+    task::spawn_local(complain(Rc::clone(&owner)));
     let mut sequence = 1;
     while owner.is_alive() {
         let _ = time::timeout(TICK, owner.wake.notified()).await;
@@ -241,6 +242,22 @@
     }
 }
 
+/// Time between two lines about lasting tasks that wait for room.
+const COMPLAINT: Duration = Duration::from_millis(2_000);
+
+/// Tells for a lasting task that waits what keeps it from the workers.
+async fn complain(owner: Rc<Owner>) {
+    while owner.is_alive() {
+        time::sleep(COMPLAINT).await;
+        let cell = owner.cell.borrow();
+        let waiting = cell.waiting_lasting();
+        if let Some(task) = waiting.first() {
+            let obstacles = cell.obstacles(*task, Instant::now());
+            info!(%task, waiting = waiting.len(), ?obstacles, "lasting task waits for room");
+        }
+    }
+}
+
 fn decide(owner: &Rc<Owner>) -> Batch {
     let now = Instant::now();
     let mut cell = owner.cell.borrow_mut();
--- a/crates/havenladder/src/entry/watch.rs
+++ b/crates/havenladder/src/entry/watch.rs
@@ -142,7 +142,13 @@
             continue;
         }
         let asked = Instant::now();
-        let deadline = orders::lease_end(&owner, &id);
+        // A question without an answer may extend the lease all the same: a worker that is silent is
+        // asked without, so that its lease can run out.
+        let deadline = if silent {
+            None
+        } else {
+            orders::lease_end(&owner, &id)
+        };
         let noted = owner.contacts.borrow().get(&id).map_or(0, |c| c.noted);
         // The first question only tells the worker's clock and who owns the cell now.
         let wait = if deadline.is_some() {
--- /dev/null
+++ b/crates/jobs/src/explain.rs
@@ -0,0 +1,74 @@
+//! Why a task gets no room: what speaks against each worker of its service.
+
+use crate::{Cell, TaskId, Worker, cell::room_of};
+use std::{collections::BTreeMap, time::Instant};
+
+/// What speaks against a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Obstacle {
+    /// It has not answered this owner.
+    Silent,
+    /// Its VM is to be taken out.
+    Leaving,
+    /// It is set aside after bad ends.
+    Aside,
+    /// It lacks a label.
+    Label,
+    /// It has as many tasks of the step as it may have.
+    Apart,
+    /// The task does not fit beside what runs there.
+    Room,
+    /// Nothing: the task is placed at the next look.
+    Nothing,
+}
+
+impl Cell {
+    /// The lasting tasks of a service that wait, in order.
+    pub fn waiting_lasting(&self) -> Vec<TaskId> {
+        let ranks = self.waiting.values().flatten();
+        ranks
+            .filter(|rank| rank.is_lasting())
+            .map(|rank| rank.task())
+            .collect()
+    }
+
+    /// How many workers of its service each obstacle keeps a task from.
+    pub fn obstacles(&self, task: TaskId, now: Instant) -> BTreeMap<Obstacle, usize> {
+        let mut counts = BTreeMap::new();
+        let Some(job) = self.jobs.get(&task.job) else {
+            return counts;
+        };
+        for worker in self.workers.values() {
+            if worker.info.service == job.given.service {
+                *counts.entry(self.obstacle(worker, task, now)).or_insert(0) += 1;
+            }
+        }
+        counts
+    }
+
+    fn obstacle(&self, worker: &Worker, task: TaskId, now: Instant) -> Obstacle {
+        let Some(job) = self.jobs.get(&task.job) else {
+            return Obstacle::Nothing;
+        };
+        let step = job.step(task.step);
+        if !worker.known {
+            Obstacle::Silent
+        } else if worker.closed || worker.taken || worker.info.draining {
+            Obstacle::Leaving
+        } else if worker.aside.is_some_and(|until| until > now) {
+            Obstacle::Aside
+        } else if step
+            .label
+            .as_ref()
+            .is_some_and(|label| !worker.info.has_label(label))
+        {
+            Obstacle::Label
+        } else if step.apart.is_some_and(|most| worker.siblings(task) >= most) {
+            Obstacle::Apart
+        } else if !room_of(job, task).fits(worker.used, worker.info.capacity) {
+            Obstacle::Room
+        } else {
+            Obstacle::Nothing
+        }
+    }
+}
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -6,6 +6,7 @@
 //! values that the caller carries out once the records that belong to them are durable.
 
 mod cell;
+mod explain;
 mod job;
 mod need;
 mod observe;
@@ -19,6 +20,7 @@
 mod worker;
 
 pub use cell::{Accepted, Cancelled, Cell, Demand, Limits};
+pub use explain::Obstacle;
 pub use job::{Job, Phase, Round, Task, TaskPhase};
 pub use need::Need;
 pub use outbox::{Batch, Order};
