--- a/crates/jobs/src/cell.rs
+++ b/crates/jobs/src/cell.rs
@@ -1,11 +1,11 @@
 //! The jobs and workers that one owner decides about, and what each event changes.
 
 use crate::{
-    Batch, How, Job, JobId, Order, Phase, Refusal, RunId, RunPhase, ServiceId, Submission, TaskId,
-    TaskPhase, Worker, WorkerId, WorkerInfo,
+    Batch, How, Job, JobId, Need, Order, Phase, Refusal, RunId, RunPhase, ServiceId, Submission,
+    TaskId, TaskPhase, Worker, WorkerId, WorkerInfo,
     rank::Rank,
     record::{Decoded, encode_given, encode_state, encode_upkept, forget_given},
-    worker::RunState,
+    worker::{Load, RunKind, RunState},
 };
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap, HashSet},
@@ -256,7 +256,7 @@
             let Some(job) = self.jobs.get(&task.job) else {
                 continue;
             };
-            let mut state = RunState::ordered(room_of(job, task), now);
+            let mut state = RunState::ordered(load_of(job, task), now);
             // The worker's first answer shuts out what the earlier owner may still have under way,
             // so a report that was asked for from now on tells whether the run is there.
             state.settled = Some(now);
@@ -664,13 +664,24 @@
     }
 }
 
-/// What a run of a task takes of a worker's room.
-pub(crate) fn room_of(job: &Job, task: TaskId) -> crate::Need {
+/// What a run of a task takes of a worker's room, and what it is like.
+pub(crate) fn load_of(job: &Job, task: TaskId) -> Load {
     let Some(step) = job.given.spec.steps.get(task.step as usize) else {
-        return crate::Need::default();
+        return Load {
+            need: Need::default(),
+            kind: RunKind::Finite,
+        };
     };
     let cpu = if step.fills { 0 } else { step.need.cpu };
-    crate::Need { cpu, ..step.need }
+    Load {
+        need: Need { cpu, ..step.need },
+        kind: RunKind::of(step),
+    }
+}
+
+/// What a run of a task takes of a worker's room.
+pub(crate) fn room_of(job: &Job, task: TaskId) -> Need {
+    load_of(job, task).need
 }
 
 /// What stands for a job that is over and of which only the outcome is kept.
--- a/crates/jobs/src/observe.rs
+++ b/crates/jobs/src/observe.rs
@@ -2,8 +2,9 @@
 //! beside others may work.
 
 use crate::{
-    Cell, EndRow, How, Order, Report, RunId, RunPhase, RunRow, TaskId, TaskPhase, WorkerId,
-    cell::room_of, worker::RunState,
+    Cell, EndRow, How, Need, Order, Report, RunId, RunPhase, RunRow, TaskId, TaskPhase, WorkerId,
+    cell::load_of,
+    worker::{Load, RunKind, RunState},
 };
 use std::time::{Duration, Instant};
 
@@ -134,7 +135,11 @@
     /// nobody wants any more.
     fn adopt(&mut self, worker: &str, row: &RunRow, now: Instant) {
         let job = self.jobs.get(&row.task.job);
-        let need = job.map(|job| room_of(job, row.task)).unwrap_or_default();
+        let free = Load {
+            need: Need::default(),
+            kind: RunKind::Finite,
+        };
+        let load = job.map_or(free, |job| load_of(job, row.task));
         let TaskId {
             round, step, index, ..
         } = row.task;
@@ -144,7 +149,7 @@
             !gang && task.is_some_and(|t| t.phase == TaskPhase::Waiting && t.run == row.run)
         });
         if let Some(host) = self.workers.get_mut(worker) {
-            host.add(row.task, row.run, RunState::ordered(need, now));
+            host.add(row.task, row.run, RunState::ordered(load, now));
         }
         if waits {
             self.reclaim(worker, row.task);
--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -1,8 +1,10 @@
 //! Which waiting task gets room where.
 
 use crate::{
-    Cell, Need, Order, Phase, RunId, Step, TaskId, TaskPhase, Worker, WorkerId, cell::room_of,
-    rank::Rank, worker::RunState,
+    Cell, Need, Order, Phase, RunId, Step, TaskId, TaskPhase, Worker, WorkerId,
+    cell::{load_of, room_of},
+    rank::Rank,
+    worker::{RunKind, RunState},
 };
 use std::{collections::HashMap, time::Instant};
 
@@ -14,6 +16,10 @@
 /// lies between 0 and 1: data that is near always goes first.
 const FAR: f64 = 4.0;
 
+/// What a worker weighs that has lasting tasks: its VM stays in any case, and the fewer others are
+/// used, the more VMs are idle and can be moved.
+const ANCHORED: f64 = 1.0;
+
 /// What another task of the same step in the rack weighs: lasting tasks are spread over racks, so
 /// that a rack that is lost takes as few of them as can be.
 const SAME_RACK: f64 = 2.0;
@@ -123,7 +129,7 @@
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
         };
-        let room = room_of(job, task);
+        let load = load_of(job, task);
         if job.phase == Phase::Pending {
             job.phase = Phase::Running;
         }
@@ -132,7 +138,7 @@
             state.run = run;
         }
         if let Some(host) = self.workers.get_mut(&worker) {
-            host.add(task, run, RunState::ordered(room, now));
+            host.add(task, run, RunState::ordered(load, now));
         }
         self.mark_dirty(task.job);
         self.starts.push(Order::Start { worker, task, run });
@@ -175,37 +181,17 @@
     fn score(&self, worker: &Worker, step: &Step, room: Need, crowd: u32) -> f64 {
         let capacity = worker.info.capacity.cpu.max(1) as f64;
         let used = (worker.used.cpu + room.cpu) as f64;
-        let mut score = 1.0 - used / capacity;
-        if step
-            .near
-            .as_ref()
-            .is_some_and(|rack| !worker.info.has_label(rack))
-        {
+        let kind = RunKind::of(step);
+        let mut score = used / capacity;
+        if worker.anchors > 0 {
+            score += ANCHORED;
+        }
+        let near = step.near.as_ref();
+        if near.is_some_and(|rack| !worker.info.has_label(rack)) {
             score -= FAR;
         }
         score -= SAME_RACK * f64::from(crowd);
-        if step.fills || step.target.is_some() {
-            score -= DISTURBS * self.disturbing(worker, step.fills) as f64;
-        }
-        score
-    }
-
-    /// How many runs on the worker a new one would disturb, or be disturbed by.
-    fn disturbing(&self, worker: &Worker, fills: bool) -> usize {
-        let clashes = |task: &TaskId| {
-            let Some(job) = self.jobs.get(&task.job) else {
-                return false;
-            };
-            let Some(step) = job.given.spec.steps.get(task.step as usize) else {
-                return false;
-            };
-            if fills {
-                step.target.is_some()
-            } else {
-                step.fills
-            }
-        };
-        worker.runs.keys().filter(|(task, _)| clashes(task)).count()
+        score - DISTURBS * disturbing(worker, kind) as f64
     }
 
     /// A worker for each member of a gang, or none if not all find room at once.
@@ -259,6 +245,15 @@
     }
 }
 
+/// How many runs on the worker a new one would disturb, or be disturbed by.
+fn disturbing(worker: &Worker, kind: RunKind) -> usize {
+    match kind {
+        RunKind::Filling => worker.count(RunKind::Serving),
+        RunKind::Serving => worker.count(RunKind::Filling),
+        RunKind::Finite | RunKind::Lasting => 0,
+    }
+}
+
 fn allows(worker: &Worker, step: &Step) -> bool {
     step.label
         .as_ref()
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -1,6 +1,6 @@
 //! A worker as the owner of its cell sees it: its room, and the runs that it may have.
 
-use crate::{Need, RunId, ServiceId, TaskId, WorkerId};
+use crate::{Need, RunId, ServiceId, Step, TaskId, WorkerId};
 use std::{collections::BTreeMap, time::Instant};
 
 /// What the platform's list says of a worker.
@@ -45,11 +45,52 @@
     Stopping,
 }
 
+/// What a run is like, as far as it matters to those beside it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunKind {
+    /// It ends by itself.
+    Finite,
+    /// It lasts, and serves users of its own within a target.
+    Serving,
+    /// It lasts.
+    Lasting,
+    /// It takes what the others leave.
+    Filling,
+}
+
+impl RunKind {
+    /// What the runs of a step are like.
+    pub fn of(step: &Step) -> Self {
+        match step {
+            Step { fills: true, .. } => RunKind::Filling,
+            Step {
+                target: Some(_), ..
+            } => RunKind::Serving,
+            Step { lasting: true, .. } => RunKind::Lasting,
+            _ => RunKind::Finite,
+        }
+    }
+
+    /// Whether its worker's VM cannot be moved without a thought for it.
+    fn is_anchor(self) -> bool {
+        matches!(self, RunKind::Serving | RunKind::Lasting)
+    }
+}
+
+/// What a run takes and is like.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Load {
+    /// What it takes of the worker's room.
+    pub need: Need,
+    /// What it is like.
+    pub kind: RunKind,
+}
+
 /// A run that a worker may have.
 #[derive(Clone, Debug)]
 pub struct RunState {
-    /// What it takes of the worker's room.
-    pub need: Need,
+    /// What it takes and is like.
+    pub load: Load,
     /// How far it is.
     pub phase: RunPhase,
     /// When the worker last answered an order about it: a report that was asked for later and does
@@ -67,10 +108,10 @@
 
 impl RunState {
     /// A run that is being ordered.
-    pub fn ordered(need: Need, now: Instant) -> Self {
+    pub fn ordered(load: Load, now: Instant) -> Self {
         let phase = RunPhase::Ordered;
         RunState {
-            need,
+            load,
             phase,
             settled: None,
             percent: 0,
@@ -94,6 +135,8 @@
     pub taken: bool,
     /// What its runs take of its room.
     pub used: Need,
+    /// How many of its runs last and serve.
+    pub anchors: usize,
     /// The runs that it may have.
     pub runs: BTreeMap<(TaskId, RunId), RunState>,
     /// The highest end that has been dealt with.
@@ -113,6 +156,7 @@
             closed: false,
             taken: false,
             used: Need::default(),
+            anchors: 0,
             runs: BTreeMap::new(),
             noted: 0,
             failures: 0,
@@ -128,19 +172,33 @@
 
     /// Adds a run and what it takes.
     pub fn add(&mut self, task: TaskId, run: RunId, state: RunState) {
-        self.used.add(state.need);
+        self.used.add(state.load.need);
+        self.anchors += usize::from(state.load.kind.is_anchor());
         if let Some(old) = self.runs.insert((task, run), state) {
-            self.used.remove(old.need);
+            self.forget(old.load);
         }
     }
 
     /// Removes a run and gives its room back.
     pub fn remove(&mut self, task: TaskId, run: RunId) -> Option<RunState> {
         let state = self.runs.remove(&(task, run))?;
-        self.used.remove(state.need);
+        self.forget(state.load);
         Some(state)
     }
 
+    fn forget(&mut self, load: Load) {
+        self.used.remove(load.need);
+        self.anchors -= usize::from(load.kind.is_anchor());
+    }
+
+    /// How many runs of a kind it has.
+    pub fn count(&self, kind: RunKind) -> usize {
+        self.runs
+            .values()
+            .filter(|state| state.load.kind == kind)
+            .count()
+    }
+
     /// How many runs it has of one step of one round of a job.
     pub fn siblings(&self, task: TaskId) -> u32 {
         let first = TaskId { index: 0, ..task };
