--- a/crates/havenladder/src/entry/callers.rs
+++ b/crates/havenladder/src/entry/callers.rs
@@ -2,9 +2,12 @@
 
 use super::{
     inner::{self, Ask, Tell},
-    node::Node,
+    node::{LifeId, Node},
+};
+use adapter::{
+    callers::{HEADER_DEADLINE, read_id, read_job, write_pending, write_state},
+    http::CallError,
 };
-use adapter::callers::{HEADER_DEADLINE, read_id, read_job, write_pending, write_state};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{
@@ -221,12 +224,29 @@
         return Tell::NotOwner;
     };
     match inner::ask(node, &lease.address, ask, deadline).await {
-        Ok(tell) => tell,
+        Ok(tell) => {
+            node.suspect.set(None);
+            tell
+        }
+        Err(CallError::Refused) => {
+            suspect(node, lease.life);
+            Tell::NotOwner
+        }
         Err(error) if error.is_unsent() => Tell::NotOwner,
         Err(_) => Tell::Unsure,
     }
 }
 
+/// The owner's port refuses connections. Where it does so twice in a row, 40 ms apart, its process has
+/// ended, and nobody needs to wait for its lease to run out.
+fn suspect(node: &Node, life: LifeId) {
+    if node.suspect.replace(Some(life)) == Some(life) && node.refused.get() != Some(life) {
+        info!(life, "the owner's process has ended");
+        node.refused.set(Some(life));
+        node.owner_refused.notify_one();
+    }
+}
+
 /// The answer for a caller; none if the owner has to be asked again.
 fn write(tell: &Tell) -> Option<Reply> {
     match tell {
--- a/crates/havenladder/src/entry/lease.rs
+++ b/crates/havenladder/src/entry/lease.rs
@@ -48,10 +48,14 @@
     // The first read needs no wait: where there is no record yet, the first to claim has it.
     let mut wait = Duration::ZERO;
     loop {
-        match read(&node, &mut log, wait).await {
+        let seen = tokio::select! {
+            seen = read(&node, &mut log, wait) => seen,
+            () = node.owner_refused.notified() => Seen::Records,
+        };
+        match seen {
             Seen::Records | Seen::Failed => {}
             Seen::Nothing => {
-                if is_vacant(&node, &log, wait) {
+                if is_vacant(&node, &log) {
                     claim(&node, &mut log).await;
                 }
             }
@@ -117,27 +121,25 @@
     node.lease_changed.notify_waiters();
 }
 
-/// Whether the lease may be claimed now.
-fn is_vacant(node: &Node, log: &Log, waited: Duration) -> bool {
+/// Whether the lease may be claimed now, if the log has nothing newer.
+fn is_vacant(node: &Node, log: &Log) -> bool {
     if node.stopping.get() {
         return false;
     }
     match node.lease.borrow().as_ref() {
-        None => log.end == 0 || waited >= EXPIRY,
+        None => log.end == 0 || log.fresh.elapsed() >= EXPIRY,
         Some(lease) if lease.released => true,
         // An earlier life of this entry has ended.
         Some(lease) if lease.node == node.settings.node && lease.life != node.life => true,
+        // Its port refuses connections: its process has ended.
+        Some(lease) if node.refused.get() == Some(lease.life) => true,
         Some(_) => log.fresh.elapsed() >= EXPIRY,
     }
 }
 
+/// How long the next read waits: not at all where only the log has to be asked before a claim.
 fn next_wait(node: &Node, log: &Log) -> Duration {
-    let released = node
-        .lease
-        .borrow()
-        .as_ref()
-        .is_none_or(|lease| lease.released);
-    if released && !node.stopping.get() && log.end > 0 {
+    if is_vacant(node, log) {
         return Duration::ZERO;
     }
     let left = EXPIRY.saturating_sub(log.fresh.elapsed());
--- a/crates/havenladder/src/entry/node.rs
+++ b/crates/havenladder/src/entry/node.rs
@@ -55,6 +55,12 @@
     pub lease: RefCell<Option<Lease>>,
     /// Told when the owner changes, or this entry is ready to own.
     pub lease_changed: Notify,
+    /// The owner whose port refused the last connection.
+    pub suspect: Cell<Option<LifeId>>,
+    /// The owner whose port refused a connection, twice in a row.
+    pub refused: Cell<Option<LifeId>>,
+    /// Told when that has happened.
+    pub owner_refused: Notify,
     /// What this entry owns.
     pub owner: RefCell<Option<Rc<Owner>>>,
     /// Whether the process has been told to stop.
@@ -80,6 +86,9 @@
             waves: RefCell::default(),
             lease: RefCell::default(),
             lease_changed: Notify::new(),
+            suspect: Cell::new(None),
+            refused: Cell::new(None),
+            owner_refused: Notify::new(),
             owner: RefCell::default(),
             stopping: Cell::new(false),
             stop: Notify::new(),
--- a/crates/havenladder/src/entry/upkeep.rs
+++ b/crates/havenladder/src/entry/upkeep.rs
@@ -102,8 +102,9 @@
             take_down(owner, wave, course, vm).await;
         }
     }
+    // A wave that is over is not looked at again: what its last VM carried must be dealt with first.
     let all = wave.vms.iter().all(|name| course.done.contains(name));
-    if all && course.down.values().all(|down| down.answered) {
+    if all && course.down.values().all(|down| down.confirmed) {
         say(owner, wave, course, WaveState::Succeeded).await;
     }
     let unconfirmed = |down: &Down| down.answered && !down.confirmed;
