perf(jobs): tasks that cannot be in time go behind those that can

How long a queue's runs take against their estimates is learned. Test: a_task_that_cannot_be_in_time_any_more_goes_behind_those_that_can.

--- a/crates/havenladder/src/entry/callers.rs
+++ b/crates/havenladder/src/entry/callers.rs
@@ -2,7 +2,7 @@
 
 use super::{
     inner::{self, Ask, Tell},
-    node::{LifeId, Node},
+    node::{LifeId, Node, wall_ms},
 };
 use adapter::{
     callers::{HEADER_DEADLINE, read_id, read_job, write_pending, write_state},
@@ -190,6 +190,9 @@
         service: queue.service.clone(),
         priority: queue.priority,
         attempts: queue.attempts,
+        at: wall_ms(),
+        stretch: queue.stretch,
+        slack: queue.slack,
         spec,
     })
 }
--- a/crates/havenladder/src/entry/node.rs
+++ b/crates/havenladder/src/entry/node.rs
@@ -14,6 +14,7 @@
     cell::{Cell, RefCell},
     collections::BTreeMap,
     rc::Rc,
+    time::{SystemTime, UNIX_EPOCH},
 };
 use tokio::sync::Notify;
 
@@ -115,3 +116,10 @@
         self.config.borrow().clone()
     }
 }
+
+/// The time of day, in ms since 1970.
+pub fn wall_ms() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |t| t.as_millis() as u64)
+}
--- a/crates/havenladder/src/entry/owner.rs
+++ b/crates/havenladder/src/entry/owner.rs
@@ -4,7 +4,7 @@
     fleet,
     inner::{Ask, Tell},
     lease::TRUST,
-    node::Node,
+    node::{Node, wall_ms},
     orders, watch,
 };
 use adapter::{
@@ -16,7 +16,7 @@
     cell::{Cell, RefCell},
     collections::HashMap,
     rc::Rc,
-    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+    time::{Duration, Instant},
 };
 use tokio::{sync::Notify, task, time};
 use tracing::{info, warn};
@@ -267,13 +267,6 @@
     cell.take_batch()
 }
 
-/// The time of day, in ms since 1970.
-fn wall_ms() -> u64 {
-    SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .map_or(0, |t| t.as_millis() as u64)
-}
-
 fn carry_out(owner: &Rc<Owner>, batch: Batch) {
     owner.cell.borrow_mut().confirm(&batch.shown);
     for (worker, number) in batch.noted {
--- a/crates/jobs/src/cell.rs
+++ b/crates/jobs/src/cell.rs
@@ -1,8 +1,8 @@
 //! The jobs and workers that one owner decides about, and what each event changes.
 
 use crate::{
-    Batch, How, Job, JobId, Need, Order, Phase, Refusal, RunId, RunPhase, ServiceId, Submission,
-    TaskId, TaskPhase, Worker, WorkerId, WorkerInfo,
+    Batch, How, Job, JobId, Need, Order, Phase, QueueId, Refusal, RunId, RunPhase, ServiceId,
+    Submission, TaskId, TaskPhase, Worker, WorkerId, WorkerInfo,
     rank::Rank,
     record::{Decoded, encode_given, encode_state, encode_upkept, forget_given},
     worker::{Load, RunKind, RunState},
@@ -88,6 +88,8 @@
     pub(crate) starts: Vec<Order>,
     pub(crate) urgent: Vec<Order>,
     next_order: u64,
+    wall: u64,
+    pub(crate) pace: HashMap<QueueId, f64>,
     pub(crate) reserved: HashSet<WorkerId>,
     upkept: BTreeMap<u64, BTreeSet<String>>,
     upkept_dirty: BTreeSet<u64>,
@@ -224,6 +226,7 @@
 
     /// Marks the rounds whose time has come; `wall` is the time of day in ms since 1970.
     pub fn mark_due(&mut self, wall: u64) {
+        self.wall = wall;
         while let Some((at, id, round)) = self.timed.first().copied() {
             if at > wall {
                 return;
@@ -240,6 +243,17 @@
         }
     }
 
+    /// Whether a task can no longer be in time, even if it starts now: its room does more good where
+    /// another one is.
+    pub(crate) fn is_late(&self, task: TaskId) -> bool {
+        let Some(job) = self.jobs.get(&task.job) else {
+            return false;
+        };
+        let pace = self.pace.get(&job.given.queue).copied().unwrap_or(1.0);
+        let left = job.tails[task.step as usize] as f64 * pace;
+        self.wall as f64 + left > job.goal(task.round, pace)
+    }
+
     /// When the next round falls due, in ms since 1970.
     pub fn next_due(&self) -> Option<u64> {
         self.timed.first().map(|(at, ..)| *at)
@@ -698,6 +712,9 @@
         service,
         priority: 0,
         attempts: 0,
+        at: 0,
+        stretch: 1.0,
+        slack: 0,
         spec,
     }
 }
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -105,6 +105,8 @@
     pub rounds: Vec<Round>,
     /// Its place in the order of arrival.
     pub order: u64,
+    /// For each step, the longest chain of estimated work that begins with it, in ms.
+    pub tails: Vec<u64>,
 }
 
 impl Job {
@@ -112,12 +114,14 @@
     pub fn new(given: Submission, order: u64) -> Self {
         let fresh = Round::new(&given.spec.steps);
         let rounds = vec![fresh; given.spec.rounds() as usize];
+        let tails = tails(&given.spec.steps);
         Job {
             given,
             phase: Phase::Pending,
             shown: None,
             rounds,
             order,
+            tails,
         }
     }
 
@@ -127,6 +131,14 @@
         Some(schedule.first + u64::from(round) * schedule.interval)
     }
 
+    /// Until when a round is in time, in ms since 1970, if its work takes `pace` times as long as was
+    /// estimated.
+    pub fn goal(&self, round: u32, pace: f64) -> f64 {
+        let begin = self.due_at(round).unwrap_or(self.given.at);
+        let chain = self.tails.iter().max().copied().unwrap_or(0) as f64;
+        begin as f64 + self.given.stretch * chain * pace + self.given.slack as f64
+    }
+
     /// What the tasks of a step are.
     pub fn step(&self, step: u32) -> &Step {
         &self.given.spec.steps[step as usize]
@@ -147,3 +159,14 @@
         round.steps.get_mut(step as usize)?.get_mut(index as usize)
     }
 }
+
+/// For each step, the longest chain of estimated work that begins with it.
+fn tails(steps: &[Step]) -> Vec<u64> {
+    let mut tails: Vec<u64> = steps.iter().map(|step| step.estimate).collect();
+    for number in (0..steps.len()).rev() {
+        for before in steps[number].after.iter().map(|before| *before as usize) {
+            tails[before] = tails[before].max(steps[before].estimate + tails[number]);
+        }
+    }
+    tails
+}
--- a/crates/jobs/src/observe.rs
+++ b/crates/jobs/src/observe.rs
@@ -18,6 +18,9 @@
 /// Time between two changes of a run's pace: the figures cover the last half second.
 const PACE_GAP: Duration = Duration::from_millis(500);
 
+/// Weight of one run in what is learned of its queue: about the last 50 count.
+const LEARNING: f64 = 0.02;
+
 /// By how much a pace is raised at a time, in hundredths.
 const PACE_UP: u64 = 20;
 
@@ -63,13 +66,19 @@
     }
 
     fn take_end(&mut self, worker: &str, end: &EndRow, now: Instant) {
+        let mut took = None;
         if let Some(host) = self.workers.get_mut(worker) {
             host.noted = end.number;
-            host.remove(end.task, end.run);
+            took = host
+                .remove(end.task, end.run)
+                .map(|state| now - state.since);
             if end.how == How::Done {
                 host.failures = 0;
             }
         }
+        if let (Some(took), How::Done) = (took, end.how) {
+            self.learn_pace(end.task, took);
+        }
         if end.how == How::Failed {
             self.blame(worker, now);
         }
@@ -77,6 +86,22 @@
         self.end_run(worker, end.task, end.run, end.how, &end.saved);
     }
 
+    /// Learns how long the runs of a queue take, against what their callers estimate.
+    fn learn_pace(&mut self, task: TaskId, took: Duration) {
+        let Some(job) = self.jobs.get(&task.job) else {
+            return;
+        };
+        let Some(step) = job.given.spec.steps.get(task.step as usize) else {
+            return;
+        };
+        if step.estimate == 0 || step.lasting {
+            return;
+        }
+        let seen = took.as_millis() as f64 / step.estimate as f64;
+        let pace = self.pace.entry(job.given.queue.clone()).or_insert(1.0);
+        *pace += (seen.min(10.0) - *pace) * LEARNING;
+    }
+
     /// Counts a bad end against a worker and sets it aside after several in a row.
     fn blame(&mut self, worker: &str, now: Instant) {
         let limits = self.limits.clone();
--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -39,6 +39,7 @@
     }
 
     fn schedule_service(&mut self, service: &str, now: Instant) {
+        self.demote_late(service);
         let mut misfits = 0;
         let ranks: Vec<Rank> = self.waiting[service].iter().copied().collect();
         for rank in ranks {
@@ -57,6 +58,19 @@
         }
     }
 
+    /// Puts the tasks that cannot be in time any more behind those that can.
+    fn demote_late(&mut self, service: &str) {
+        let late =
+            |rank: &&Rank| !rank.is_late() && !rank.is_lasting() && self.is_late(rank.task());
+        let late: Vec<Rank> = self.waiting[service].iter().filter(late).copied().collect();
+        if let Some(queue) = self.waiting.get_mut(service) {
+            for rank in late {
+                queue.remove(&rank);
+                queue.insert(rank.to_late());
+            }
+        }
+    }
+
     /// Keeps the worker that has the most room free for a task that fits nowhere: smaller tasks
     /// would fill each gap before it is large enough.
     fn reserve(&mut self, task: TaskId, now: Instant) {
--- a/crates/jobs/src/rank.rs
+++ b/crates/jobs/src/rank.rs
@@ -4,11 +4,12 @@
 
 /// The place of a waiting task, or of a whole gang by its first task: the smallest goes first.
 ///
-/// Lasting tasks come first, since a service is away while one of them waits; then the queue's
-/// priority, then the order of arrival.
+/// Lasting tasks come first, since a service is away while one of them waits; then those that can
+/// still be in time; then the queue's priority, then the order of arrival.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Rank {
     finite: bool,
+    late: bool,
     priority: u32,
     order: u64,
     round: u32,
@@ -28,6 +29,7 @@
         } = task;
         Rank {
             finite: !lasting,
+            late: false,
             priority,
             order,
             round,
@@ -42,6 +44,16 @@
         !self.finite
     }
 
+    /// Whether it is known that the task cannot be in time.
+    pub fn is_late(&self) -> bool {
+        self.late
+    }
+
+    /// The place of the same task among those that cannot be in time.
+    pub fn to_late(self) -> Self {
+        Rank { late: true, ..self }
+    }
+
     /// The task that has this place.
     pub fn task(&self) -> TaskId {
         TaskId {
--- a/crates/jobs/src/spec.rs
+++ b/crates/jobs/src/spec.rs
@@ -85,6 +85,12 @@
     pub priority: u32,
     /// How often a task may fail before the job has failed.
     pub attempts: u32,
+    /// When it was handed in, by the time of day in ms since 1970.
+    pub at: u64,
+    /// How many times its longest chain of work it may take to be in time.
+    pub stretch: f64,
+    /// What it may take beyond that, in ms.
+    pub slack: u64,
     /// What it is to do.
     pub spec: JobSpec,
 }
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -93,6 +93,8 @@
     pub load: Load,
     /// How far it is.
     pub phase: RunPhase,
+    /// When it was ordered.
+    pub since: Instant,
     /// When the worker last answered an order about it: a report that was asked for later and does
     /// not name the run proves that the run is not there.
     pub settled: Option<Instant>,
@@ -113,6 +115,7 @@
         RunState {
             load,
             phase,
+            since: now,
             settled: None,
             percent: 0,
             moved: now,
--- a/crates/jobs/tests/cell.rs
+++ b/crates/jobs/tests/cell.rs
@@ -284,3 +284,26 @@
     }
     assert_eq!(world.run(), [("a1".to_owned(), task(2, 0, 0), 1)]);
 }
+
+#[test]
+fn a_task_that_cannot_be_in_time_any_more_goes_behind_those_that_can() {
+    let mut world = World::new(&["a1"]);
+    let estimated = |count| Step {
+        estimate: 1_000,
+        ..step(count)
+    };
+    world.cell.accept(job(1, vec![estimated(4)]));
+    let started = world.run();
+    world.cell.accept(job(2, vec![estimated(1)]));
+    let fresh = havenladder_jobs::Submission {
+        at: 4_000,
+        ..job(3, vec![estimated(1)])
+    };
+    world.cell.accept(fresh);
+    // Job 2 was handed in at 0 and is in time until 2 x 1,000 + 1,000 ms.
+    world.cell.mark_due(2_001);
+    world.end(&started[0].0, 1, started[0].1, 1, How::Done);
+    assert_eq!(world.run()[0].1, task(3, 0, 0));
+    world.end(&started[1].0, 2, started[1].1, 1, How::Done);
+    assert_eq!(world.run()[0].1, task(2, 0, 0));
+}
--- a/crates/jobs/tests/world/mod.rs
+++ b/crates/jobs/tests/world/mod.rs
@@ -44,6 +44,9 @@
         service,
         priority: 0,
         attempts: 3,
+        at: 0,
+        stretch: 2.0,
+        slack: 1_000,
         spec,
     }
 }
