feat(fleet): no VM goes to the reserve before its pool's demand is known

Cause looked for: the first peak is served badly. Kept, since a pool is else empty when the first jobs come.

--- a/crates/fleet/src/sizing.rs
+++ b/crates/fleet/src/sizing.rs
@@ -56,6 +56,8 @@
     pub busy: u64,
     /// What waits for room, in thousandths of a core.
     pub waiting: u64,
+    /// Whether its idle VMs stay out of the reserve: what its jobs ask for is not known yet.
+    pub fixed: bool,
     /// How many VMs it needs whatever its jobs use: tasks that must be apart, and a spare one.
     pub least: usize,
     /// Its idle VMs, those idle for the longest time first.
@@ -124,7 +126,11 @@
     let Some(reserve) = pools.iter().find(|pool| pool.reserve) else {
         return shifts;
     };
-    for (pool, idle) in pools.iter().zip(left).filter(|(pool, _)| !pool.reserve) {
+    for (pool, idle) in pools
+        .iter()
+        .zip(left)
+        .filter(|(pool, _)| !pool.reserve && !pool.fixed)
+    {
         let rested = idle.into_iter().filter(|vm| now >= vm.since + limits.rest);
         shifts.extend(rested.map(|vm| Shift {
             vm: vm.vm.clone(),
--- a/crates/fleet/tests/sizing.rs
+++ b/crates/fleet/tests/sizing.rs
@@ -27,6 +27,7 @@
         busy,
         waiting,
         least: 0,
+        fixed: false,
         idle,
     }
 }
@@ -109,3 +110,12 @@
     let moves = shifts(&pools, later(start, 9_000), &SizingLimits::default());
     assert_eq!(moves, [shift("a1", "a", "b"), shift("r1", "reserve", "b")]);
 }
+
+#[test]
+fn a_pool_whose_demand_is_not_known_yet_keeps_what_it_has() {
+    let start = Instant::now();
+    let mut unknown = pool("a", 3, 0, 0, &["a1", "a2"], start);
+    unknown.fixed = true;
+    let pools = [unknown, pool("reserve", 0, 0, 0, &[], start)];
+    assert!(shifts(&pools, later(start, 9_000), &SizingLimits::default()).is_empty());
+}
--- a/crates/havenladder/src/entry/moves.rs
+++ b/crates/havenladder/src/entry/moves.rs
@@ -103,6 +103,7 @@
                 busy,
                 waiting: asked.waiting,
                 least: asked.spread,
+                fixed: !asked.begun,
                 ..PoolDemand::default()
             };
             for vm in list.values() {
--- a/crates/jobs/src/cell.rs
+++ b/crates/jobs/src/cell.rs
@@ -65,6 +65,8 @@
     pub busy: u64,
     /// What waits for room.
     pub waiting: u64,
+    /// Whether the service has had a job that ends by itself.
+    pub begun: bool,
     /// How many workers the widest step needs whose tasks must be apart, and one more, so that a
     /// task whose worker is lost or taken out finds another.
     pub spread: usize,
@@ -89,6 +91,7 @@
     pub(crate) urgent: Vec<Order>,
     next_order: u64,
     wall: u64,
+    begun: HashSet<ServiceId>,
     pub(crate) pace: HashMap<QueueId, f64>,
     pub(crate) reserved: HashSet<WorkerId>,
     upkept: BTreeMap<u64, BTreeSet<String>>,
@@ -112,6 +115,9 @@
             match record {
                 Decoded::Given(order, given) => {
                     self.next_order = self.next_order.max(order + 1);
+                    if !given.spec.lasts() {
+                        self.begun.insert(given.service.clone());
+                    }
                     self.jobs.insert(given.id, Job::new(given, order));
                 }
                 Decoded::State(id, state) => {
@@ -157,6 +163,9 @@
         if self.jobs.contains_key(&id) {
             return Accepted::Known;
         }
+        if !given.spec.lasts() {
+            self.begun.insert(given.service.clone());
+        }
         let job = Job::new(given, self.next_order);
         self.next_order += 1;
         self.jobs.insert(id, job);
@@ -204,6 +213,7 @@
         Demand {
             busy,
             waiting,
+            begun: self.begun.contains(service),
             spread: self.spread(service),
         }
     }
