fix(entry): an entry that the store turns away asks its peers

Reads now wait 0.8 s, and an entry whose read fails asks the owner and the seeds for the configuration and the lease.

--- a/crates/havenladder/src/entry/follow.rs
+++ b/crates/havenladder/src/entry/follow.rs
@@ -1,17 +1,28 @@
 //! Follows what operators publish: the configuration and waves of upkeep.
 
-use super::node::Node;
+use super::{
+    inner::{self, Ask, Tell},
+    lease::set_lease,
+    node::Node,
+};
 use adapter::{
     operator::{self, CONFIG_KEY, TOPIC, WAVE_KEY},
     store::{Keyed, Offset, Read, split_keyed},
 };
-use std::{rc::Rc, time::Duration};
+use bytes::Bytes;
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 use tokio::time;
 use tracing::{info, warn};
 
-/// How long a read waits for the next record. The store holds a read for 30 s at most; a connection
-/// that fell silent is noticed by the end of this, and a change must be in force within 2 s.
-const WAIT: Duration = Duration::from_millis(5_000);
+/// How long a read waits for the next record. A connection that fell silent is noticed soon after
+/// this, and a change must be in force within 2 s.
+const WAIT: Duration = Duration::from_millis(800);
+
+/// How long a peer may take to tell what is new.
+const PEER: Duration = Duration::from_millis(150);
 
 /// Time until the store is asked again after it did not answer.
 const AGAIN: Duration = Duration::from_millis(250);
@@ -26,6 +37,7 @@
                 .for_each(|record| apply(&node, record));
             read_on(&node, newest.end).await;
         }
+        ask_peers(&node).await;
         time::sleep(AGAIN).await;
     }
 }
@@ -48,8 +60,35 @@
                 );
                 return;
             }
-            Ok(Read::Busy) | Err(_) => time::sleep(AGAIN).await,
+            Ok(Read::Busy) | Err(_) => {
+                ask_peers(node).await;
+                time::sleep(AGAIN).await;
+            }
+        }
+    }
+}
+
+/// Asks other entries for what the platform does not tell this one.
+async fn ask_peers(node: &Node) {
+    let version = node.config().map_or(0, |config| config.version);
+    let ask = Ask::News {
+        version,
+        end: node.lease_end.get(),
+    };
+    for peer in node.peers() {
+        let Ok(Tell::News(news)) = inner::ask(node, &peer, &ask, Instant::now() + PEER).await
+        else {
+            continue;
+        };
+        if let Some((lease, end)) = news.lease {
+            set_lease(node, lease, end);
         }
+        if let Some(config) = news.config {
+            info!(peer, "a peer has a newer configuration");
+            let (key, value) = (CONFIG_KEY.to_owned(), Some(config.into()));
+            apply(node, Keyed { key, value });
+        }
+        return;
     }
 }
 
@@ -57,7 +96,7 @@
     let Some(value) = record.value else { return };
     if record.key == CONFIG_KEY {
         match operator::read_config(&value) {
-            Ok(config) => apply_config(node, config),
+            Ok(config) => apply_config(node, config, value),
             Err(error) => warn!(%error, "a configuration cannot be read; the old one stays"),
         }
     } else if record.key.starts_with(WAVE_KEY) {
@@ -77,7 +116,7 @@
 }
 
 /// Puts a configuration in force, unless a newer one is.
-fn apply_config(node: &Node, config: operator::Config) {
+fn apply_config(node: &Node, config: operator::Config, raw: Bytes) {
     let mut current = node.config.borrow_mut();
     let old = current.as_ref().map_or(0, |config| config.version);
     if current.is_some() && config.version <= old {
@@ -90,4 +129,5 @@
         "configuration in force"
     );
     *current = Some(Rc::new(config));
+    *node.raw_config.borrow_mut() = Some(raw);
 }
--- a/crates/havenladder/src/entry/inner.rs
+++ b/crates/havenladder/src/entry/inner.rs
@@ -1,6 +1,6 @@
 //! What entries ask of the cell's owner, over HTTP with MessagePack.
 
-use super::node::Node;
+use super::node::{Lease, Node};
 use adapter::http::{Call, CallError};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -31,6 +31,24 @@
     State(JobId),
     /// How many jobs of this queue have not begun?
     Pending(QueueId),
+    /// What is newer than this version of the configuration and this end of the lease's log? Any
+    /// entry answers this, for one that the platform turns away.
+    News {
+        /// The newest version that is known.
+        version: u64,
+        /// The end of the lease's log, as far as it is known.
+        end: u64,
+    },
+}
+
+/// What an entry knows that another may not.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct News {
+    /// The configuration, as operators wrote it, if it is newer.
+    #[serde(with = "serde_bytes")]
+    pub config: Option<Vec<u8>>,
+    /// The lease and the end of its log, if it is newer.
+    pub lease: Option<(Lease, u64)>,
 }
 
 /// An answer of the owner.
@@ -48,6 +66,8 @@
     Pending(usize),
     /// The entry that was asked owns nothing; nothing was done.
     NotOwner,
+    /// What is newer.
+    News(News),
     /// It may have been done, or may not.
     Unsure,
 }
@@ -89,16 +109,31 @@
         *response.status_mut() = StatusCode::BAD_REQUEST;
         return Ok(response);
     };
-    let owner = node.own();
-    let tell = match owner {
-        Some(owner) => owner.answer(ask).await,
-        None => Tell::NotOwner,
+    let tell = match (ask, node.own()) {
+        (Ask::News { version, end }, _) => Tell::News(news(&node, version, end)),
+        (ask, Some(owner)) => owner.answer(ask).await,
+        (_, None) => Tell::NotOwner,
     };
     let bytes = rmp_serde::to_vec(&tell).expect("plain data has a form in MessagePack");
     Ok(Response::new(Full::new(bytes.into())))
 }
 
-/// Asks the owner at an address.
+fn news(node: &Node, version: u64, end: u64) -> News {
+    let newer = node.config().is_some_and(|config| config.version > version);
+    let raw = node.raw_config.borrow();
+    let config = raw.as_ref().filter(|_| newer).map(|raw| raw.to_vec());
+    let lease = node
+        .lease
+        .borrow()
+        .clone()
+        .map(|lease| (lease, node.lease_end.get()));
+    News {
+        config,
+        lease: lease.filter(|(_, known)| *known > end),
+    }
+}
+
+/// Asks an entry at an address.
 ///
 /// # Errors
 ///
--- a/crates/havenladder/src/entry/lease.rs
+++ b/crates/havenladder/src/entry/lease.rs
@@ -105,7 +105,11 @@
     }
 }
 
-fn set_lease(node: &Node, lease: Lease, end: Offset) {
+/// Takes in who owns the cell, unless something newer is known.
+pub fn set_lease(node: &Node, lease: Lease, end: Offset) {
+    if end < node.lease_end.replace(end.max(node.lease_end.get())) {
+        return;
+    }
     let mut current = node.lease.borrow_mut();
     if current.as_ref() == Some(&lease) {
         return;
--- a/crates/havenladder/src/entry/node.rs
+++ b/crates/havenladder/src/entry/node.rs
@@ -9,6 +9,7 @@
     store::Store,
     workers::Workers,
 };
+use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use std::{
     cell::{Cell, RefCell},
@@ -50,10 +51,14 @@
     pub cloud: Cloud,
     /// The newest configuration.
     pub config: RefCell<Option<Rc<Config>>>,
+    /// The same as operators wrote it.
+    pub raw_config: RefCell<Option<Bytes>>,
     /// The waves that operators asked for, by number.
     pub waves: RefCell<BTreeMap<u64, Wave>>,
     /// Who owns the cell.
     pub lease: RefCell<Option<Lease>>,
+    /// The end of the lease's log, as far as it is known.
+    pub lease_end: Cell<u64>,
     /// Told when the owner changes, or this entry is ready to own.
     pub lease_changed: Notify,
     /// The owner whose port refused the last connection.
@@ -84,6 +89,8 @@
             client,
             settings,
             config: RefCell::default(),
+            raw_config: RefCell::default(),
+            lease_end: Cell::new(0),
             waves: RefCell::default(),
             lease: RefCell::default(),
             lease_changed: Notify::new(),
@@ -102,6 +109,19 @@
         format!("{}:{}", self.settings.ip, self.settings.inner_port)
     }
 
+    /// Where other entries can be asked: the owner's address first, then the seeds'.
+    pub fn peers(&self) -> Vec<String> {
+        let port = self.settings.inner_port;
+        let lease = self.lease.borrow();
+        let owner = lease.iter().map(|lease| lease.address.clone());
+        let seeds = self.settings.seeds.iter().map(|ip| format!("{ip}:{port}"));
+        let own = self.inner_address();
+        owner
+            .chain(seeds)
+            .filter(|address| *address != own)
+            .collect()
+    }
+
     /// The owner, if this entry is it.
     pub fn own(&self) -> Option<Rc<Owner>> {
         self.owner
--- a/crates/havenladder/src/entry/owner.rs
+++ b/crates/havenladder/src/entry/owner.rs
@@ -2,7 +2,7 @@
 
 use super::{
     fleet,
-    inner::{Ask, Tell},
+    inner::{Ask, News, Tell},
     lease::TRUST,
     node::{Node, wall_ms},
     orders, watch,
@@ -180,6 +180,7 @@
                     Some(None) => self.durable(id).await.map_or(Tell::Unsure, Tell::State),
                 }
             }
+            Ask::News { .. } => Tell::News(News::default()),
             Ask::Pending(queue) => Tell::Pending(self.cell.borrow().pending(&queue)),
         }
     }
