feat(entry): work on jobs that the log holds goes on while the log is away

Cause: in each outage of the store nothing was started for up to 6 s. So: what waited under an earlier owner is gated until its workers were met; a run that was lost from sight is not tried again without a record; a refused port no longer counts as the end of an owner's leases.

--- a/crates/havenladder/src/entry/callers.rs
+++ b/crates/havenladder/src/entry/callers.rs
@@ -211,6 +211,9 @@
             None => forward(node, &ask, deadline).await,
         };
         sent |= tell == Tell::Unsure;
+        if tell == Tell::Refused {
+            return refuse(&ask, sent);
+        }
         if let Some(reply) = write(&tell) {
             return reply;
         }
@@ -257,13 +260,13 @@
         Tell::Unknown => Some(reply(StatusCode::GONE, "")),
         Tell::State(phase) => Some(reply(StatusCode::OK, write_state(*phase))),
         Tell::Pending(count) => Some(reply(StatusCode::OK, write_pending(*count))),
-        Tell::NotOwner | Tell::News(_) | Tell::Unsure => None,
+        Tell::NotOwner | Tell::Refused | Tell::News(_) | Tell::Unsure => None,
     }
 }
 
 /// A job that may have been kept is never said to be refused.
 fn refuse(ask: &Ask, sent: bool) -> Reply {
-    info!(?ask, sent, "given up: no owner answers");
+    info!(?ask, sent, "given up");
     match sent {
         true => reply(StatusCode::GATEWAY_TIMEOUT, ""),
         false => reply(StatusCode::SERVICE_UNAVAILABLE, ""),
--- a/crates/havenladder/src/entry/inner.rs
+++ b/crates/havenladder/src/entry/inner.rs
@@ -58,6 +58,8 @@
     Accepted,
     /// The job is cancelled, or was over.
     Cancelled,
+    /// The job is not taken, and nothing of it was sent to the log.
+    Refused,
     /// There is no such job.
     Unknown,
     /// The job is this far.
--- a/crates/havenladder/src/entry/lease.rs
+++ b/crates/havenladder/src/entry/lease.rs
@@ -6,7 +6,7 @@
 
 use super::{
     node::{Lease, Node},
-    owner::Owner,
+    owner::{Owner, Predecessor},
 };
 use adapter::store::{Appended, Condition, Offset, Read, frame_plain};
 use std::{
@@ -37,13 +37,29 @@
     end: Offset,
     /// When the newest record was read, or the store last came back.
     fresh: Instant,
+    /// When a renewal of the current owner was last read.
+    renewed: Option<Instant>,
+    /// When the store last did not answer.
+    trouble: Option<Instant>,
+    /// What was known of the owner when this entry last claimed.
+    before: Predecessor,
 }
 
+/// For how long trouble of the store may have effects: entries of workers that lapsed are back 2 s
+/// after its end.
+const TROUBLE: Duration = Duration::from_millis(8_000);
+
 /// Follows the lease, claims it where it has lapsed, and renews it while this entry has it.
 pub async fn run(node: Rc<Node>) {
     let mut log = Log {
         end: 0,
         fresh: Instant::now(),
+        renewed: None,
+        trouble: None,
+        before: Predecessor {
+            renewed: None,
+            troubled: false,
+        },
     };
     // The first read needs no wait: where there is no record yet, the first to claim has it.
     let mut wait = Duration::ZERO;
@@ -99,6 +115,7 @@
         Ok(Read::Busy) | Err(_) => {
             // The owner may not have reached the store either: its time counts from the return.
             log.fresh = Instant::now();
+            log.trouble = Some(log.fresh);
             time::sleep(AGAIN).await;
             Seen::Failed
         }
@@ -165,7 +182,20 @@
     node.store.append(TOPIC, Condition::At(at), body).await.ok()
 }
 
+/// What is known of the owner before the one that claims now.
+fn predecessor(node: &Node, log: &Log) -> Predecessor {
+    let lease = node.lease.borrow();
+    // A port that refuses connections proves nothing here: a cut may refuse them, too.
+    let ended = lease
+        .as_ref()
+        .is_none_or(|lease| lease.released || lease.node == node.settings.node);
+    let troubled = log.trouble.is_some_and(|at| at.elapsed() < TROUBLE);
+    let renewed = log.renewed.filter(|_| !ended);
+    Predecessor { renewed, troubled }
+}
+
 async fn claim(node: &Node, log: &mut Log) {
+    log.before = predecessor(node, log);
     let lease = record(node, false);
     match append(node, log.end, &lease).await {
         Some(Appended::Done(end)) => {
@@ -187,7 +217,7 @@
 
 /// Owns the cell until the lease is lost or given up.
 async fn own(node: &Rc<Node>, log: &mut Log) {
-    let owner = Owner::start(node, log.end);
+    let owner = Owner::start(node, log.end, log.before);
     loop {
         let wait = if owner.is_alive() {
             RENEW
--- a/crates/havenladder/src/entry/owner.rs
+++ b/crates/havenladder/src/entry/owner.rs
@@ -11,10 +11,13 @@
     store::{Appended, Condition, Keyed, frame_keyed},
     workers::ClockMs,
 };
-use jobs::{Accepted, Batch, Cancelled, Cell as JobCell, Entry, JobId, Limits, Phase, WorkerId};
+use jobs::{
+    Accepted, Batch, Cancelled, Cell as JobCell, Entry, JobId, Limits, Order, Phase, WorkerId,
+};
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
+    pin::pin,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -42,6 +45,18 @@
 /// Time between two looks at what only time changes: due rounds and runs that stand still.
 const TICK: Duration = Duration::from_millis(200);
 
+/// How long an append may take before work goes on without it: ten times what it takes as a rule.
+const SLOW: Duration = Duration::from_millis(150);
+
+/// Time between two looks at what can be done while an append is under way.
+const MEANWHILE: Duration = Duration::from_millis(50);
+
+/// How long an append may take before new jobs are refused at once: the store is away.
+const AWAY: Duration = Duration::from_millis(500);
+
+/// How long after trouble of the store a worker may be missing from its list though it lives.
+const RELISTED: Duration = Duration::from_millis(2_500);
+
 /// Time until an append that did not succeed is tried again.
 const AGAIN: Duration = Duration::from_millis(60);
 
@@ -56,6 +71,15 @@
     pub noted: u64,
 }
 
+/// What is known of the owner before.
+#[derive(Clone, Copy, Debug)]
+pub struct Predecessor {
+    /// When its last renewal was read; none if its process has ended for certain.
+    pub renewed: Option<Instant>,
+    /// Whether the store was in trouble of late.
+    pub troubled: bool,
+}
+
 /// The owner of the cell.
 pub struct Owner {
     /// Shared state of the entry.
@@ -68,8 +92,10 @@
     pub contacts: RefCell<HashMap<WorkerId, Contact>>,
     /// When the renewal that last succeeded was sent.
     pub renewed: Cell<Instant>,
-    /// When this owner began.
-    pub began: Instant,
+    /// Until when an earlier owner's leases may hold.
+    pub inherited: Instant,
+    /// Since when an append is under way.
+    appending: Cell<Option<Instant>>,
     alive: Cell<bool>,
     loaded: Cell<bool>,
     wake: Notify,
@@ -79,8 +105,12 @@
 
 impl Owner {
     /// Begins to own the cell.
-    pub fn start(node: &Rc<Node>, epoch: u64) -> Rc<Self> {
+    pub fn start(node: &Rc<Node>, epoch: u64, before: Predecessor) -> Rc<Self> {
         let now = Instant::now();
+        let extended = match before.renewed {
+            Some(at) => at + GRACE,
+            None => now,
+        };
         let limits = Limits {
             stop: node.settings.stop,
             ..Limits::default()
@@ -91,15 +121,17 @@
             cell: RefCell::new(JobCell::new(limits)),
             contacts: RefCell::default(),
             renewed: Cell::new(now),
-            began: now,
+            inherited: extended + LEASE.mul_f64(1.03) + Duration::from_millis(50),
+            appending: Cell::new(None),
             alive: Cell::new(true),
             loaded: Cell::new(false),
             wake: Notify::new(),
             settled: Notify::new(),
         });
-        info!(epoch, "owns the cell");
+        let settled = if before.troubled { now + RELISTED } else { now };
+        info!(epoch, ?before, "owns the cell");
         *node.owner.borrow_mut() = Some(Rc::clone(&owner));
-        task::spawn_local(run(Rc::clone(&owner)));
+        task::spawn_local(run(Rc::clone(&owner), settled));
         owner
     }
 
@@ -118,6 +150,20 @@
         self.is_alive() && self.renewed.get().elapsed() < TRUST
     }
 
+    /// Whether the store has not taken an append for so long that a new job would wait in vain.
+    fn is_cut_off(&self) -> bool {
+        self.appending
+            .get()
+            .is_some_and(|since| since.elapsed() >= AWAY)
+    }
+
+    /// Whether the log has not taken an append for a while.
+    fn is_stalled(&self) -> bool {
+        self.appending
+            .get()
+            .is_some_and(|since| since.elapsed() >= SLOW)
+    }
+
     /// Ends it: it decides and orders nothing any more.
     pub fn end(&self, why: &str) {
         if self.alive.replace(false) {
@@ -147,6 +193,10 @@
         match ask {
             Ask::Submit(given) => {
                 let id = given.id;
+                if self.is_cut_off() && !self.cell.borrow().jobs.contains_key(&id) {
+                    info!(job = format!("{id:016x}"), "refused: the store is away");
+                    return Tell::Refused;
+                }
                 let accepted = self.cell.borrow_mut().accept(given);
                 self.wake();
                 match self.durable(id).await {
@@ -205,10 +255,11 @@
     }
 }
 
-async fn run(owner: Rc<Owner>) {
+async fn run(owner: Rc<Owner>, settled: Instant) {
     if !load(&owner).await {
         return;
     }
+    owner.cell.borrow_mut().close_gate(settled);
     owner.loaded.set(true);
     owner.settled.notify_waiters();
     task::spawn_local(watch::run(Rc::clone(&owner)));
@@ -217,13 +268,13 @@
     let mut sequence = 1;
     while owner.is_alive() {
         let _ = time::timeout(TICK, owner.wake.notified()).await;
-        let batch = decide(&owner);
+        let mut batch = decide(&owner);
         owner.wake_urgent();
         if batch.is_empty() {
             continue;
         }
         if !batch.entries.is_empty() {
-            if !append(&owner, &batch.entries, sequence).await {
+            if !append(&owner, &batch.entries, sequence, &mut batch.starts).await {
                 break;
             }
             sequence += 1;
@@ -285,7 +336,7 @@
 /// Shuts out earlier owners and takes in what they recorded; false if this owner was shut out.
 async fn load(owner: &Rc<Owner>) -> bool {
     let began = Instant::now();
-    if !append(owner, &[], 0).await {
+    if !append(owner, &[], 0, &mut Vec::new()).await {
         owner.end("a newer owner was there first");
         return false;
     }
@@ -323,8 +374,14 @@
     }
 }
 
-/// Makes records durable, however often it takes; false if a newer owner shut this one out.
-async fn append(owner: &Rc<Owner>, entries: &[Entry], sequence: u64) -> bool {
+/// Makes records durable, however often it takes; false if a newer owner shut this one out. What can
+/// be done without them is done meanwhile.
+async fn append(
+    owner: &Rc<Owner>,
+    entries: &[Entry],
+    sequence: u64,
+    starts: &mut Vec<Order>,
+) -> bool {
     let rows = entries
         .iter()
         .map(|entry| (entry.key.as_str(), entry.value.as_deref()));
@@ -334,25 +391,60 @@
         epoch: owner.epoch,
         sequence,
     };
+    owner.appending.set(Some(Instant::now()));
+    let mut durable = false;
     while owner.is_alive() {
-        match owner
-            .node
-            .store
-            .append(TOPIC, condition, body.clone())
-            .await
-        {
-            Ok(Appended::Done(_)) => return true,
-            Ok(Appended::Fenced) => {
-                owner.end("a newer owner appends");
-                return false;
+        let call = owner.node.store.append(TOPIC, condition, body.clone());
+        match meanwhile(owner, call, starts).await {
+            Ok(Appended::Done(_)) => {
+                durable = true;
+                break;
+            }
+            Ok(Appended::Fenced) => owner.end("a newer owner appends"),
+            Ok(Appended::Busy) | Err(_) => {
+                let pause = time::sleep(AGAIN);
+                meanwhile(owner, pause, starts).await;
             }
-            Ok(Appended::Busy) | Err(_) => time::sleep(AGAIN).await,
             Ok(odd) => {
                 warn!(?odd, sequence, "an append was refused");
                 owner.end("an append was refused");
-                return false;
             }
         }
     }
-    false
+    owner.appending.set(None);
+    durable
+}
+
+/// Waits for something and, where an append takes long, goes on with jobs that the log holds.
+async fn meanwhile<T>(
+    owner: &Rc<Owner>,
+    call: impl Future<Output = T>,
+    starts: &mut Vec<Order>,
+) -> T {
+    let mut call = pin!(call);
+    loop {
+        if let Ok(outcome) = time::timeout(MEANWHILE, call.as_mut()).await {
+            return outcome;
+        }
+        if owner.is_stalled() && owner.loaded.get() && owner.may_hold() {
+            go_on(owner, starts);
+        }
+    }
+}
+
+/// Starts what is due of jobs that the log holds, though the starts themselves are not recorded: a
+/// new owner meets all workers before it starts what waited.
+fn go_on(owner: &Rc<Owner>, starts: &mut Vec<Order>) {
+    let now = Instant::now();
+    let mut cell = owner.cell.borrow_mut();
+    cell.mark_due(wall_ms());
+    cell.stop_still(now);
+    cell.schedule_unrecorded(now);
+    let mut known = cell.take_known(starts);
+    known.extend(cell.take_unrecorded());
+    drop(cell);
+    owner.wake_urgent();
+    known
+        .into_iter()
+        .for_each(|order| orders::send(owner, order));
 }
--- a/crates/havenladder/src/entry/watch.rs
+++ b/crates/havenladder/src/entry/watch.rs
@@ -2,7 +2,7 @@
 
 use super::{
     orders,
-    owner::{Contact, GRACE, LEASE, Owner},
+    owner::{Contact, Owner},
 };
 use adapter::{
     store::{Keyed, Offset, Read, split_keyed},
@@ -53,6 +53,7 @@
                 .into_iter()
                 .for_each(|record| apply(&owner, record));
             drop_unlisted(&owner, &listed);
+            owner.cell.borrow_mut().mark_listed();
             owner.wake();
             read_on(&owner, newest.end).await;
         }
@@ -95,10 +96,9 @@
             draining = entry.draining,
             "worker listed"
         );
-        let leased = owner.began + GRACE + LEASE.mul_f64(1.03);
         let contact = Contact {
             clock: None,
-            leased,
+            leased: owner.inherited,
             noted: 0,
         };
         owner.contacts.borrow_mut().insert(id.clone(), contact);
@@ -249,7 +249,7 @@
 /// Gives up the workers that an earlier owner had used and that are not listed any more, once nothing
 /// can run there.
 async fn expire_orphans(owner: Rc<Owner>) {
-    time::sleep(GRACE + LEASE.mul_f64(1.03)).await;
+    time::sleep_until(owner.inherited.into()).await;
     let orphans = owner.cell.borrow().orphaned();
     for id in orphans {
         info!(worker = id, "worker of an earlier owner is gone");
--- a/crates/jobs/src/cell.rs
+++ b/crates/jobs/src/cell.rs
@@ -90,6 +90,11 @@
     pub(crate) starts: Vec<Order>,
     pub(crate) urgent: Vec<Order>,
     next_order: u64,
+    /// Tasks whose last run was given up without an end that a worker listed.
+    pub(crate) lost: HashSet<TaskId>,
+    gate: u64,
+    settled: Option<Instant>,
+    listed: bool,
     wall: u64,
     begun: HashSet<ServiceId>,
     pub(crate) pace: HashMap<QueueId, f64>,
@@ -142,6 +147,29 @@
         ids.into_iter().for_each(|id| self.restore(id));
     }
 
+    /// Keeps what waited under an earlier owner from starting until its workers have been met: while
+    /// the log was away, that owner may have started runs that it could not record. Workers that the
+    /// list may have lost meanwhile are waited for until `settled`.
+    pub fn close_gate(&mut self, settled: Instant) {
+        self.gate = self.next_order;
+        self.settled = Some(settled);
+    }
+
+    /// The list of workers has been read for the first time.
+    pub fn mark_listed(&mut self) {
+        self.listed = true;
+    }
+
+    /// Whether a task waits for workers to be met.
+    pub(crate) fn is_gated(&self, order: u64, service: &str, now: Instant) -> bool {
+        if order >= self.gate {
+            return false;
+        }
+        let unsettled = self.settled.is_some_and(|at| now < at);
+        let unmet = |w: &Worker| w.info.service == service && !w.met;
+        !self.listed || unsettled || self.workers.values().any(unmet)
+    }
+
     fn restore(&mut self, id: JobId) {
         let Some(job) = self.jobs.get(&id) else {
             return;
@@ -276,6 +304,7 @@
             return;
         }
         let mut worker = Worker::new(info);
+        worker.met = self.listed;
         for (task, run) in self.orphans.remove(&worker.info.id).unwrap_or_default() {
             let Some(job) = self.jobs.get(&task.job) else {
                 continue;
@@ -302,6 +331,7 @@
         }
         for (task, run) in lost {
             if self.is_current(id, task, run) {
+                self.lost.insert(task);
                 self.requeue(task);
             }
         }
@@ -404,6 +434,27 @@
         }
     }
 
+    /// Takes the starts of jobs that are durable themselves, from those that wait for their records:
+    /// while the log is away, work goes on with what it holds.
+    pub fn take_known(&self, starts: &mut Vec<Order>) -> Vec<Order> {
+        let known = |order: &mut Order| match order {
+            Order::Start { task, .. } => self
+                .jobs
+                .get(&task.job)
+                .is_some_and(|job| job.shown.is_some()),
+            Order::Stop { .. } | Order::Pace { .. } => true,
+        };
+        starts.extract_if(.., known).collect()
+    }
+
+    /// Takes the starts that wait for a batch, where their jobs are durable.
+    pub fn take_unrecorded(&mut self) -> Vec<Order> {
+        let mut starts = std::mem::take(&mut self.starts);
+        let known = self.take_known(&mut starts);
+        self.starts = starts;
+        known
+    }
+
     /// Takes the orders that need no record: stops and changes of pace.
     pub fn take_urgent(&mut self) -> Vec<Order> {
         std::mem::take(&mut self.urgent)
--- a/crates/jobs/src/observe.rs
+++ b/crates/jobs/src/observe.rs
@@ -31,6 +31,7 @@
             return;
         };
         host.known = true;
+        host.met = true;
         let noted = host.noted;
         for end in report.ended.iter().filter(|end| end.number > noted) {
             self.take_end(worker, end, now);
@@ -171,23 +172,24 @@
         let waits = job.filter(|job| !job.phase.is_over()).is_some_and(|job| {
             let task = job.task(round, step, index);
             let gang = job.step(step).gang;
-            !gang && task.is_some_and(|t| t.phase == TaskPhase::Waiting && t.run == row.run)
+            !gang && task.is_some_and(|t| t.phase == TaskPhase::Waiting && t.run <= row.run)
         });
         if let Some(host) = self.workers.get_mut(worker) {
             host.add(row.task, row.run, RunState::ordered(load, now));
         }
         if waits {
-            self.reclaim(worker, row.task);
+            self.reclaim(worker, row.task, row.run);
         } else if !self.is_current(worker, row.task, row.run) {
             self.stop_run(worker, row.task, row.run);
         }
     }
 
-    fn reclaim(&mut self, worker: &str, task: TaskId) {
+    fn reclaim(&mut self, worker: &str, task: TaskId, run: RunId) {
         let job = self.jobs.get_mut(&task.job);
         let state = job.and_then(|job| job.task_mut(task.round, task.step, task.index));
         if let Some(state) = state {
             state.phase = TaskPhase::Placed(worker.to_owned());
+            state.run = run;
             self.mark_dirty(task.job);
         }
     }
--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -31,14 +31,24 @@
 impl Cell {
     /// Gives room to waiting tasks, in order, and notes the orders that follow.
     pub fn schedule(&mut self, now: Instant) {
+        self.schedule_all(now, false);
+    }
+
+    /// The same while the log is away. There may be a newer owner then, which may have met the workers
+    /// that this one has lost from sight: what ran there is not tried again.
+    pub fn schedule_unrecorded(&mut self, now: Instant) {
+        self.schedule_all(now, true);
+    }
+
+    fn schedule_all(&mut self, now: Instant, unrecorded: bool) {
         let services: Vec<_> = self.waiting.keys().cloned().collect();
         for service in services {
-            self.schedule_service(&service, now);
+            self.schedule_service(&service, now, unrecorded);
         }
         self.reserved.clear();
     }
 
-    fn schedule_service(&mut self, service: &str, now: Instant) {
+    fn schedule_service(&mut self, service: &str, now: Instant, unrecorded: bool) {
         self.demote_late(service);
         let mut misfits = 0;
         let ranks: Vec<Rank> = self.waiting[service].iter().copied().collect();
@@ -47,6 +57,10 @@
                 break;
             }
             let task = rank.task();
+            let lost = unrecorded && self.lost.contains(&task);
+            if lost || self.is_gated(rank.order(), service, now) {
+                continue;
+            }
             if self.is_stale(task) || self.place(task, now) {
                 self.drop_rank(service, &rank);
                 continue;
@@ -154,6 +168,7 @@
         if let Some(host) = self.workers.get_mut(&worker) {
             host.add(task, run, RunState::ordered(load, now));
         }
+        self.lost.remove(&task);
         self.mark_dirty(task.job);
         self.starts.push(Order::Start { worker, task, run });
     }
--- a/crates/jobs/src/rank.rs
+++ b/crates/jobs/src/rank.rs
@@ -44,6 +44,11 @@
         !self.finite
     }
 
+    /// Its job's place in the order of arrival.
+    pub fn order(&self) -> u64 {
+        self.order
+    }
+
     /// Whether it is known that the task cannot be in time.
     pub fn is_late(&self) -> bool {
         self.late
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -132,6 +132,8 @@
     pub info: WorkerInfo,
     /// Whether it has answered this owner, and so refuses all earlier ones.
     pub known: bool,
+    /// Whether it has answered this owner at any time, or was listed only after others had been met.
+    pub met: bool,
     /// Whether it is to get no new runs because its VM is to be taken out.
     pub closed: bool,
     /// Whether its VM has been told to go down or to move.
@@ -156,6 +158,7 @@
         Worker {
             info,
             known: false,
+            met: false,
             closed: false,
             taken: false,
             used: Need::default(),
--- a/crates/jobs/tests/cell.rs
+++ b/crates/jobs/tests/cell.rs
@@ -307,3 +307,77 @@
     world.end(&started[1].0, 2, started[1].1, 1, How::Done);
     assert_eq!(world.run()[0].1, task(2, 0, 0));
 }
+
+#[test]
+fn while_the_log_is_away_only_jobs_that_it_holds_go_on() {
+    let mut world = World::new(&["a1"]);
+    world.cell.accept(job(1, vec![step(5)]));
+    let started = world.run();
+    assert_eq!(started.len(), 4);
+    world.cell.accept(job(2, vec![step(1)]));
+    for (number, (id, task, run)) in (1..).zip(started.into_iter().take(2)) {
+        world.end(&id, number, task, run, How::Done);
+    }
+    world.cell.schedule(world.now);
+    let known = world.cell.take_unrecorded();
+    assert_eq!(known.len(), 1, "job 2 is not durable");
+    assert_eq!(world.run().len(), 1, "it starts once it is");
+}
+
+#[test]
+fn what_waited_under_an_earlier_owner_starts_once_all_workers_have_been_met() {
+    let mut world = World::new(&["a1", "b1"]);
+    world.cell.accept(job(1, vec![step(9)]));
+    assert_eq!(world.run().len(), 8);
+    world.take_over();
+    world.cell.close_gate(world.now);
+    world.cell.see_worker(worker("a1"), world.now);
+    world.cell.see_worker(worker("b1"), world.now);
+    world.report("a1", Report::default());
+    assert!(world.run().is_empty(), "the list has not been read");
+    world.cell.mark_listed();
+    assert!(
+        world.run().is_empty(),
+        "b1 may run what was started without a record"
+    );
+    world.cell.accept(job(2, vec![step(1)]));
+    assert_eq!(
+        world.run()[0].1,
+        task(2, 0, 0),
+        "a new job cannot run there"
+    );
+    // The earlier owner had started the last task there after an unrecorded end.
+    let unrecorded = row(task(1, 0, 8), 1, 10);
+    world.report(
+        "b1",
+        Report {
+            running: vec![unrecorded],
+            ended: vec![],
+        },
+    );
+    let started: Vec<_> = world
+        .run()
+        .into_iter()
+        .map(|(_, task, _)| task.index)
+        .collect();
+    assert!(!started.contains(&8), "it runs: {started:?}");
+    assert!(!started.is_empty());
+}
+
+#[test]
+fn while_the_log_is_away_what_ran_on_a_lost_worker_is_not_tried_again() {
+    let mut world = World::new(&["a1", "b1"]);
+    world.cell.accept(job(1, vec![step(1)]));
+    let (lost, ..) = world.run().remove(0);
+    world.cell.lose_worker(&lost);
+    world.cell.schedule_unrecorded(world.now);
+    assert!(
+        world.cell.take_unrecorded().is_empty(),
+        "a newer owner may have met it"
+    );
+    assert_eq!(
+        world.run().len(),
+        1,
+        "a record shuts the newer owner out, or fails"
+    );
+}
