--- a/crates/havenladder/src/entry/lease.rs
+++ b/crates/havenladder/src/entry/lease.rs
@@ -98,6 +98,7 @@
         Ok(Read::Records(_, records)) => {
             log.end += records.len() as Offset;
             log.fresh = Instant::now();
+            log.renewed = Some(log.fresh);
             match records
                 .last()
                 .map(|record| rmp_serde::from_slice::<Lease>(record))
