fix(jobs): failed runs are counted by number, whatever the order of their ends

Test: failed_runs_count_in_whatever_order_their_workers_list_them. Also: a worker is not asked again before its ends are durable.

--- a/crates/havenladder/src/entry/owner.rs
+++ b/crates/havenladder/src/entry/owner.rs
@@ -100,7 +100,7 @@
     loaded: Cell<bool>,
     wake: Notify,
     /// Told after each append, and when the owner ends.
-    settled: Notify,
+    pub settled: Notify,
 }
 
 impl Owner {
--- a/crates/havenladder/src/entry/watch.rs
+++ b/crates/havenladder/src/entry/watch.rs
@@ -32,6 +32,9 @@
 /// together share one.
 const HOLD_GAP: Duration = Duration::from_millis(20);
 
+/// How long a question waits for the ends of the one before to be durable, at the most.
+const NOTED_WAIT: Duration = Duration::from_millis(700);
+
 /// Time until a worker that did not answer is asked again.
 const HOLD_AGAIN: Duration = Duration::from_millis(150);
 
@@ -172,6 +175,7 @@
                 silent = false;
                 if deadline.is_some() {
                     time::sleep(HOLD_GAP).await;
+                    wait_noted(&owner, &id, &told.value).await;
                 }
             }
             Err(WorkerError::Replaced) => {
@@ -200,6 +204,27 @@
     }
 }
 
+/// Waits until the ends that a worker listed are durable: until then, it would list them again at
+/// once. Its lease must be extended meanwhile, so the wait is bounded.
+async fn wait_noted(owner: &Owner, worker: &str, report: &Report) {
+    let Some(last) = report.ended.iter().map(|end| end.number).max() else {
+        return;
+    };
+    let until = time::Instant::now() + NOTED_WAIT;
+    while owner.is_alive() && time::Instant::now() < until {
+        let noted = owner
+            .contacts
+            .borrow()
+            .get(worker)
+            .map_or(u64::MAX, |c| c.noted);
+        if noted >= last {
+            return;
+        }
+        // A timeout only means that nothing has become durable for so long.
+        let _ = time::timeout_at(until, owner.settled.notified()).await;
+    }
+}
+
 fn log_ends(worker: &str, report: &Report, noted: u64) {
     for end in report.ended.iter().filter(|end| end.number > noted) {
         info!(task = %end.task, run = end.run, worker, number = end.number, how = ?end.how, "ended");
--- a/crates/jobs/src/cell.rs
+++ b/crates/jobs/src/cell.rs
@@ -553,13 +553,11 @@
         if current && !saved.is_empty() {
             state.saved = saved.to_owned();
         }
-        let first = run > state.ended;
-        state.ended = state.ended.max(run);
         self.mark_dirty(task.job);
         match how {
             How::Done if !lasting => return self.complete(task, gang),
-            How::Failed if first && !lasting => {
-                if self.count_failure(task, gang) {
+            How::Failed if !lasting => {
+                if self.count_failure(task, run, gang) {
                     return self.finish(task.job, Phase::Failed);
                 }
             }
@@ -570,18 +568,20 @@
         }
     }
 
-    /// Counts a failed run; true if it was the last that the task, or its gang, may have.
-    fn count_failure(&mut self, task: TaskId, gang: bool) -> bool {
+    /// Counts a failed run, once; true if it was the last that the task, or its gang, may have.
+    fn count_failure(&mut self, task: TaskId, run: RunId, gang: bool) -> bool {
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return false;
         };
-        let attempts = job.given.attempts;
+        let attempts = job.given.attempts as usize;
         let counted = if gang { 0 } else { task.index };
         let Some(state) = job.task_mut(task.round, task.step, counted) else {
             return false;
         };
-        state.fails += 1;
-        state.fails >= attempts
+        if !state.failed.contains(&run) {
+            state.failed.push(run);
+        }
+        state.failed.len() >= attempts
     }
 
     /// Marks a task, or its whole gang, as done and lets what waited for it begin.
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -43,10 +43,8 @@
     pub phase: TaskPhase,
     /// The number of its last run; 0 before the first.
     pub run: RunId,
-    /// How many runs have failed.
-    pub fails: u32,
-    /// The highest run whose end has been dealt with: a worker may list an end twice.
-    pub ended: RunId,
+    /// The runs that have failed, each once however often and in whatever order workers list them.
+    pub failed: Vec<RunId>,
     /// The newest saved progress; empty if none.
     pub saved: String,
 }
@@ -68,8 +66,7 @@
         let fresh = Task {
             phase: TaskPhase::Waiting,
             run: 0,
-            fails: 0,
-            ended: 0,
+            failed: Vec::new(),
             saved: String::new(),
         };
         let tasks = |step: &Step| vec![fresh.clone(); step.count as usize];
--- a/crates/jobs/tests/cell.rs
+++ b/crates/jobs/tests/cell.rs
@@ -62,7 +62,7 @@
     world.join("a1");
     world.join("b1");
     world.end(&id, 1, first, run, How::Failed);
-    assert_eq!(world.cell.jobs[&1].task(0, 0, 0).unwrap().fails, 1);
+    assert_eq!(world.cell.jobs[&1].task(0, 0, 0).unwrap().failed, [1]);
 }
 
 #[test]
@@ -381,3 +381,15 @@
         "a record shuts the newer owner out, or fails"
     );
 }
+
+#[test]
+fn failed_runs_count_in_whatever_order_their_workers_list_them() {
+    let mut world = World::new(&["a1", "b1"]);
+    world.cell.accept(job(1, vec![step(1)]));
+    world.run();
+    for (number, run) in [(1, 2), (1, 1), (2, 3)] {
+        let id = if run == 2 { "b1" } else { "a1" };
+        world.end(id, number, task(1, 0, 0), run, How::Failed);
+    }
+    assert_eq!(world.cell.jobs[&1].phase, Phase::Failed);
+}
