--- a/crates/jobs/tests/cell.rs
+++ b/crates/jobs/tests/cell.rs
@@ -393,3 +393,15 @@
     }
     assert_eq!(world.cell.jobs[&1].phase, Phase::Failed);
 }
+
+#[test]
+fn the_numbers_of_runs_rise_beyond_those_that_were_not_recorded() {
+    let mut world = World::new(&[]);
+    world.cell.accept(job(1, vec![step(1)]));
+    assert!(world.run().is_empty());
+    world.take_over();
+    world.join("a1");
+    // The earlier owner had started the task without a record.
+    world.end("a1", 1, task(1, 0, 0), 1, How::Failed);
+    assert_eq!(world.run(), [("a1".to_owned(), task(1, 0, 0), 2)]);
+}
