fix(upkeep): lasting tasks leave a crowded VM one after the other

Found by the new line 'wave waits'. Test: lasting_tasks_of_one_step_leave_a_worker_one_after_the_other; placing such tasks now avoids it.

--- a/crates/havenladder/src/entry/upkeep.rs
+++ b/crates/havenladder/src/entry/upkeep.rs
@@ -14,9 +14,16 @@
 };
 use tracing::{info, warn};
 
+/// What a VM weighs whose lasting tasks cannot be away now, against one run that is thrown away: such
+/// VMs go last, and while they wait to go they get nothing new.
+const GUARDED: usize = 1_000;
+
 /// How long a VM that is to go may wait for its runs to end.
 const DRAIN: Duration = Duration::from_millis(1_500);
 
+/// Time between two tellings of what a wave waits for.
+const COMPLAINT: Duration = Duration::from_millis(3_000);
+
 /// How far one wave is.
 #[derive(Default)]
 struct Course {
@@ -27,6 +34,8 @@
     down: BTreeMap<String, Down>,
     /// VMs whose workers get no new runs, and since when.
     closing: BTreeMap<String, Instant>,
+    /// When it was last told which VMs the wave waits for.
+    complained: Option<Instant>,
     /// What operators have been told.
     said: Option<WaveState>,
 }
@@ -92,6 +101,7 @@
             course.done.insert(name.clone());
         }
     }
+    complain(owner, wave, course, vms);
     close_next(owner, wave, course, vms);
     let closing: Vec<String> = course.closing.keys().cloned().collect();
     for name in closing {
@@ -153,6 +163,25 @@
     });
 }
 
+/// Tells now and then which VMs a wave waits for, and what keeps them.
+fn complain(owner: &Owner, wave: &Wave, course: &mut Course, vms: &VmList) {
+    let last = course.complained.get_or_insert_with(Instant::now);
+    if last.elapsed() < COMPLAINT {
+        return;
+    }
+    *last = Instant::now();
+    let cell = owner.cell.borrow();
+    for name in wave.vms.iter().filter(|name| !course.done.contains(*name)) {
+        let Some(vm) = vms.get(name) else { continue };
+        let cost = vm.worker.as_deref().map(|id| cell.takeout(id));
+        let (closing, down) = (
+            course.closing.contains_key(name),
+            course.down.contains_key(name),
+        );
+        info!(wave = wave.number, vm = name, worker = vm.worker, state = ?vm.state, ?cost, closing, down, "wave waits");
+    }
+}
+
 /// Chooses the VMs to go next: those that carry the least, as many as the bound has room for.
 fn close_next(owner: &Owner, wave: &Wave, course: &mut Course, vms: &VmList) {
     let room = wave.most.saturating_sub(course.down.len());
@@ -171,7 +200,7 @@
     let cost = |name: &&String| match vms[*name].worker.as_deref().map(|id| cell.takeout(id)) {
         None | Some(Takeout::Free) => 0,
         Some(Takeout::Busy(runs)) => 1 + runs,
-        Some(Takeout::Guarded) => usize::MAX,
+        Some(Takeout::Guarded) => GUARDED,
     };
     let mut next: Vec<(usize, &String)> = wave
         .vms
@@ -183,7 +212,6 @@
     let wanted = (room + 1).saturating_sub(course.closing.len());
     let chosen: Vec<String> = next
         .into_iter()
-        .filter(|(cost, _)| *cost != usize::MAX)
         .take(wanted)
         .map(|(_, name)| name.clone())
         .collect();
@@ -207,6 +235,13 @@
         Takeout::Busy(_) if since.elapsed() >= DRAIN => {}
         Takeout::Busy(_) => return,
         Takeout::Guarded => {
+            // Its lasting tasks are moved one by one where it has several of a step.
+            if let Some(id) = &vm.worker
+                && owner.cell.borrow_mut().shed(id) > 0
+            {
+                owner.wake();
+                return;
+            }
             // Another VM may go first; this one is used meanwhile.
             if since.elapsed() >= DRAIN {
                 course.closing.remove(&vm.name);
--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -16,6 +16,9 @@
 /// lies between 0 and 1: data that is near always goes first.
 const FAR: f64 = 4.0;
 
+/// What another lasting task of the same step on the worker weighs: one VM that goes must not take two.
+const SAME_WORKER: f64 = 8.0;
+
 /// What a worker weighs that has lasting tasks: its VM stays in any case, and the fewer others are
 /// used, the more VMs are idle and can be moved.
 const ANCHORED: f64 = 1.0;
@@ -190,7 +193,8 @@
         let mut best: Option<(f64, &Worker)> = None;
         for worker in self.workers.values().filter(may) {
             let crowd = racks.get(worker.info.rack()).copied().unwrap_or(0);
-            let score = self.score(worker, step, room, crowd);
+            let siblings = worker.siblings(task);
+            let score = score(worker, step, room, crowd, siblings);
             if best.is_none_or(|(top, _)| score > top) {
                 best = Some((score, worker));
             }
@@ -207,22 +211,6 @@
         racks
     }
 
-    fn score(&self, worker: &Worker, step: &Step, room: Need, crowd: u32) -> f64 {
-        let capacity = worker.info.capacity.cpu.max(1) as f64;
-        let used = (worker.used.cpu + room.cpu) as f64;
-        let kind = RunKind::of(step);
-        let mut score = used / capacity;
-        if worker.anchors > 0 {
-            score += ANCHORED;
-        }
-        let near = step.near.as_ref();
-        if near.is_some_and(|rack| !worker.info.has_label(rack)) {
-            score -= FAR;
-        }
-        score -= SAME_RACK * f64::from(crowd);
-        score - DISTURBS * disturbing(worker, kind) as f64
-    }
-
     /// A worker for each member of a gang, or none if not all find room at once.
     fn gang_places(&self, task: TaskId, now: Instant) -> Option<Vec<WorkerId>> {
         let step = self.jobs.get(&task.job)?.step(task.step);
@@ -274,6 +262,26 @@
     }
 }
 
+/// How well a worker suits a run; the highest is best.
+fn score(worker: &Worker, step: &Step, room: Need, crowd: u32, siblings: u32) -> f64 {
+    let capacity = worker.info.capacity.cpu.max(1) as f64;
+    let used = (worker.used.cpu + room.cpu) as f64;
+    let kind = RunKind::of(step);
+    let mut score = used / capacity;
+    if worker.anchors > 0 {
+        score += ANCHORED;
+    }
+    let near = step.near.as_ref();
+    if near.is_some_and(|rack| !worker.info.has_label(rack)) {
+        score -= FAR;
+    }
+    score -= SAME_RACK * f64::from(crowd);
+    if step.lasting {
+        score -= SAME_WORKER * f64::from(siblings);
+    }
+    score - DISTURBS * disturbing(worker, kind) as f64
+}
+
 /// How many runs on the worker a new one would disturb, or be disturbed by.
 fn disturbing(worker: &Worker, kind: RunKind) -> usize {
     match kind {
--- a/crates/jobs/src/takeout.rs
+++ b/crates/jobs/src/takeout.rs
@@ -1,6 +1,6 @@
 //! Whether a worker's VM may be taken out for upkeep or a move without breaking a budget.
 
-use crate::{Cell, RunPhase, TaskId, TaskPhase, Worker};
+use crate::{Cell, RunPhase, Task, TaskId, TaskPhase, Worker};
 
 /// Whether a worker may be taken out now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -54,50 +54,76 @@
             .is_some_and(|step| step.lasting)
     }
 
-    fn exceeds_budget(&self, worker: &Worker, task: TaskId) -> bool {
-        let Some(job) = self.jobs.get(&task.job) else {
-            return false;
+    /// Stops lasting tasks on a worker that is to be taken out, where it has more of a step than the
+    /// step's budget allows to go at once: they start again elsewhere, one after the other. Returns how
+    /// many were stopped.
+    pub fn shed(&mut self, id: &str) -> usize {
+        let Some(worker) = self.workers.get(id) else {
+            return 0;
         };
-        if job.phase.is_over() {
-            return false;
-        }
-        let Some(budget) = job
-            .given
-            .spec
-            .steps
-            .get(task.step as usize)
-            .and_then(|s| s.budget)
-        else {
-            return false;
+        let crowded = |task: &TaskId| {
+            let budget = self.budget(*task);
+            budget.is_some_and(|budget| worker.siblings(*task) > budget)
         };
-        let Some(round) = job.rounds.get(task.round as usize) else {
-            return false;
+        let may_go = |task: &TaskId| {
+            let budget = self.budget(*task);
+            crowded(task) && budget.is_some_and(|budget| self.away(*task, None) < budget)
         };
-        let tasks = &round.steps[task.step as usize];
-        let away = (0..).zip(tasks).filter(|(index, state)| {
+        let mut runs = worker.runs.iter();
+        let chosen = runs.find(|((task, _), run)| run.phase == RunPhase::Running && may_go(task));
+        let chosen = chosen.map(|(key, _)| *key);
+        if let Some((task, run)) = chosen {
+            self.stop_run(id, task, run);
+        }
+        usize::from(chosen.is_some())
+    }
+
+    fn exceeds_budget(&self, worker: &Worker, task: TaskId) -> bool {
+        let budget = self.budget(task);
+        budget.is_some_and(|budget| self.away(task, Some(&worker.info.id)) >= budget)
+    }
+
+    /// How many tasks of a task's step may be away; none if that is not limited.
+    fn budget(&self, task: TaskId) -> Option<u32> {
+        let job = self
+            .jobs
+            .get(&task.job)
+            .filter(|job| !job.phase.is_over())?;
+        job.given.spec.steps.get(task.step as usize)?.budget
+    }
+
+    /// How many other tasks of a task's step are not at work, or on the worker that leaves.
+    fn away(&self, task: TaskId, leaving: Option<&str>) -> u32 {
+        let round = self
+            .jobs
+            .get(&task.job)
+            .and_then(|job| job.rounds.get(task.round as usize));
+        let Some(tasks) = round.and_then(|round| round.steps.get(task.step as usize)) else {
+            return 0;
+        };
+        let is_away = |(index, state): &(u32, &Task)| {
             let sibling = TaskId {
                 index: *index,
                 ..task
             };
-            sibling != task && !self.works(sibling, &state.phase, state.run, &worker.info.id)
-        });
-        away.count() as u32 >= budget
+            sibling != task && !self.works(sibling, state, leaving)
+        };
+        (0..).zip(tasks).filter(is_away).count() as u32
     }
 
-    /// Whether a task is at work on a worker that stays, other than `leaving`.
-    fn works(&self, task: TaskId, phase: &TaskPhase, run: u32, leaving: &str) -> bool {
-        let TaskPhase::Placed(on) = phase else {
-            return false;
-        };
-        let Some(host) = self.workers.get(on).filter(|_| on != leaving) else {
+    /// Whether a task is at work on a worker that stays, other than the one that leaves.
+    fn works(&self, task: TaskId, state: &Task, leaving: Option<&str>) -> bool {
+        let TaskPhase::Placed(on) = &state.phase else {
             return false;
         };
-        let Some(state) = host.runs.get(&(task, run)) else {
+        let host = self
+            .workers
+            .get(on)
+            .filter(|_| Some(on.as_str()) != leaving);
+        let Some(host) = host.filter(|host| !host.taken && !host.info.draining) else {
             return false;
         };
-        !host.taken
-            && !host.info.draining
-            && state.phase == RunPhase::Running
-            && state.percent >= 100
+        let run = host.runs.get(&(task, state.run));
+        run.is_some_and(|run| run.phase == RunPhase::Running && run.percent >= 100)
     }
 }
--- a/crates/jobs/tests/cell.rs
+++ b/crates/jobs/tests/cell.rs
@@ -405,3 +405,53 @@
     world.end("a1", 1, task(1, 0, 0), 1, How::Failed);
     assert_eq!(world.run(), [("a1".to_owned(), task(1, 0, 0), 2)]);
 }
+
+#[test]
+fn lasting_tasks_of_one_step_leave_a_worker_one_after_the_other() {
+    let mut world = World::new(&["a1"]);
+    let lasting = Step {
+        lasting: true,
+        budget: Some(1),
+        ..step(2)
+    };
+    world.cell.accept(job(1, vec![lasting]));
+    assert_eq!(world.run().len(), 2);
+    let both = vec![row(task(1, 0, 0), 1, 100), row(task(1, 0, 1), 1, 100)];
+    world.report(
+        "a1",
+        Report {
+            running: both,
+            ended: vec![],
+        },
+    );
+    world.join("b1");
+    world.cell.close_worker("a1", true);
+    assert_eq!(world.cell.takeout("a1"), Takeout::Guarded);
+    assert_eq!(world.cell.shed("a1"), 1);
+    assert_eq!(world.stops(), [("a1".to_owned(), task(1, 0, 0), 1)]);
+    assert_eq!(world.cell.shed("a1"), 0, "one at a time");
+    world.end("a1", 1, task(1, 0, 0), 1, How::Stopped);
+    assert_eq!(world.run()[0].0, "b1");
+    assert_eq!(
+        world.cell.takeout("a1"),
+        Takeout::Guarded,
+        "it is not at work yet"
+    );
+    let there = vec![row(task(1, 0, 0), 2, 100)];
+    world.report(
+        "b1",
+        Report {
+            running: there,
+            ended: vec![],
+        },
+    );
+    let here = vec![row(task(1, 0, 1), 1, 100)];
+    world.report(
+        "a1",
+        Report {
+            running: here,
+            ended: vec![],
+        },
+    );
+    assert_eq!(world.cell.takeout("a1"), Takeout::Free);
+}
