fix(jobs): an unrecorded run replaces the recorded one, and no task starts beside an old run

Ruled out: the gate (all workers had been met). Tests: a_run_that_was_not_recorded_replaces_the_recorded_one, a_task_does_not_start_again_while_an_unwanted_run_of_it_is_being_stopped.

--- a/crates/jobs/src/observe.rs
+++ b/crates/jobs/src/observe.rs
@@ -2,7 +2,8 @@
 //! beside others may work.
 
 use crate::{
-    Cell, EndRow, How, Need, Order, Report, RunId, RunPhase, RunRow, TaskId, TaskPhase, WorkerId,
+    Cell, EndRow, How, Need, Order, Report, RunId, RunPhase, RunRow, Task, TaskId, TaskPhase,
+    WorkerId,
     cell::load_of,
     worker::{Load, RunKind, RunState},
 };
@@ -169,15 +170,14 @@
         let TaskId {
             round, step, index, ..
         } = row.task;
-        let waits = job.filter(|job| !job.phase.is_over()).is_some_and(|job| {
+        let newer = job.filter(|job| !job.phase.is_over()).is_some_and(|job| {
             let task = job.task(round, step, index);
-            let gang = job.step(step).gang;
-            !gang && task.is_some_and(|t| t.phase == TaskPhase::Waiting && t.run <= row.run)
+            !job.step(step).gang && task.is_some_and(|task| is_newer(task, row.run))
         });
         if let Some(host) = self.workers.get_mut(worker) {
             host.add(row.task, row.run, RunState::ordered(load, now));
         }
-        if waits {
+        if newer {
             self.reclaim(worker, row.task, row.run);
         } else if !self.is_current(worker, row.task, row.run) {
             self.stop_run(worker, row.task, row.run);
@@ -272,3 +272,13 @@
         });
     }
 }
+
+/// Whether a run was started after what is known of its task: an earlier owner that could not record
+/// it starts a next run only once the end of the one before was listed.
+fn is_newer(task: &Task, run: RunId) -> bool {
+    match task.phase {
+        TaskPhase::Waiting => run >= task.run,
+        TaskPhase::Placed(_) => run > task.run,
+        TaskPhase::Done => false,
+    }
+}
--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -61,7 +61,7 @@
             }
             let task = rank.task();
             let lost = unrecorded && self.lost.contains(&task);
-            if lost || self.is_gated(rank.order(), service, now) {
+            if lost || self.is_gated(rank.order(), service, now) || self.has_run(task) {
                 continue;
             }
             if self.is_stale(task) || self.place(task, now) {
@@ -116,6 +116,29 @@
             && !self.reserved.contains(&worker.info.id)
     }
 
+    /// Whether a worker may still have a run of a task of which there must not be two.
+    fn has_run(&self, task: TaskId) -> bool {
+        let Some(job) = self.jobs.get(&task.job).filter(|job| !job.phase.is_over()) else {
+            return false;
+        };
+        let step = job.step(task.step);
+        let last = if step.gang {
+            step.count - 1
+        } else {
+            task.index
+        };
+        let span = (task, 0)
+            ..=(
+                TaskId {
+                    index: last,
+                    ..task
+                },
+                RunId::MAX,
+            );
+        let there = |w: &Worker| w.runs.range(span.clone()).next().is_some();
+        !step.copies && self.workers.values().any(there)
+    }
+
     fn drop_rank(&mut self, service: &str, rank: &Rank) {
         if let Some(queue) = self.waiting.get_mut(service) {
             queue.remove(rank);
--- a/crates/jobs/tests/cell.rs
+++ b/crates/jobs/tests/cell.rs
@@ -455,3 +455,48 @@
     );
     assert_eq!(world.cell.takeout("a1"), Takeout::Free);
 }
+
+#[test]
+fn a_run_that_was_not_recorded_replaces_the_recorded_one() {
+    let mut world = World::new(&["a1", "b1"]);
+    world.cell.accept(job(1, vec![step(1)]));
+    let (first, id, _) = world.run().remove(0);
+    let second = if first == "a1" { "b1" } else { "a1" };
+    world.take_over();
+    world.cell.see_worker(worker("a1"), world.now);
+    world.cell.see_worker(worker("b1"), world.now);
+    world.cell.mark_listed();
+    // The earlier owner had seen run 1 fail and had started run 2 without a record.
+    world.report(
+        second,
+        Report {
+            running: vec![row(id, 2, 30)],
+            ended: vec![],
+        },
+    );
+    world.end(&first, 1, id, 1, How::Failed);
+    assert!(world.run().is_empty(), "run 2 goes on");
+    assert!(world.stops().is_empty());
+    assert_eq!(world.cell.jobs[&1].task(0, 0, 0).unwrap().failed, [1]);
+}
+
+#[test]
+fn a_task_does_not_start_again_while_an_unwanted_run_of_it_is_being_stopped() {
+    let mut world = World::new(&["a1", "b1"]);
+    world.cell.accept(job(1, vec![step(1)]));
+    let (first, id, run) = world.run().remove(0);
+    let other = if first == "a1" { "b1" } else { "a1" };
+    let stray = row(id, run, 30);
+    world.report(
+        other,
+        Report {
+            running: vec![stray],
+            ended: vec![],
+        },
+    );
+    assert_eq!(world.stops().len(), 1);
+    world.end(&first, 1, id, run, How::Failed);
+    assert!(world.run().is_empty(), "the other run has not ended");
+    world.end(other, 1, id, run, How::Stopped);
+    assert_eq!(world.run().len(), 1);
+}
