perf(fleet): pools grow with the jobs that come, before any of them waits

Cause: VMs were asked for once tasks waited, and came 2 s later, half of a peak. Ruled out: more VMs standing by (prices). Test: a_pool_grows_with_the_jobs_that_come_before_any_of_them_waits.

--- a/crates/fleet/src/sizing.rs
+++ b/crates/fleet/src/sizing.rs
@@ -56,6 +56,8 @@
     pub busy: u64,
     /// What waits for room, in thousandths of a core.
     pub waiting: u64,
+    /// What the jobs that come will use as long as as many come, in thousandths of a core.
+    pub inflow: u64,
     /// Whether its idle VMs stay out of the reserve: what its jobs ask for is not known yet.
     pub fixed: bool,
     /// How many VMs it needs whatever its jobs use: tasks that must be apart, and a spare one.
@@ -86,8 +88,8 @@
             return 0;
         }
         let wanted = match self.waiting {
-            0 => 0,
-            waiting => self.vms_for(self.busy + waiting, limits.fill),
+            0 => self.vms_for(self.inflow, limits.fill),
+            waiting => self.vms_for(self.inflow.max(self.busy + waiting), limits.fill),
         };
         wanted.max(self.least).saturating_sub(self.vms)
     }
@@ -100,7 +102,7 @@
         if self.waiting > 0 {
             return 0;
         }
-        let used = self.vms_for(self.busy, limits.spare);
+        let used = self.vms_for(self.busy.max(self.inflow), limits.spare);
         self.vms.saturating_sub(used.max(self.least).max(1))
     }
 }
--- a/crates/fleet/tests/sizing.rs
+++ b/crates/fleet/tests/sizing.rs
@@ -28,6 +28,7 @@
         waiting,
         least: 0,
         fixed: false,
+        inflow: 0,
         idle,
     }
 }
@@ -119,3 +120,13 @@
     let pools = [unknown, pool("reserve", 0, 0, 0, &[], start)];
     assert!(shifts(&pools, later(start, 9_000), &SizingLimits::default()).is_empty());
 }
+
+#[test]
+fn a_pool_grows_with_the_jobs_that_come_before_any_of_them_waits() {
+    let start = Instant::now();
+    let mut rising = pool("a", 1, 8_000, 0, &[], start);
+    rising.inflow = 20_000;
+    let pools = [rising, pool("reserve", 1, 0, 0, &["r1"], start)];
+    let moves = shifts(&pools, later(start, 1), &SizingLimits::default());
+    assert_eq!(moves, [shift("r1", "reserve", "a")]);
+}
--- a/crates/havenladder/src/entry/moves.rs
+++ b/crates/havenladder/src/entry/moves.rs
@@ -102,6 +102,7 @@
                 reserve: service.reserve,
                 busy,
                 waiting: asked.waiting,
+                inflow: asked.inflow,
                 least: asked.spread,
                 fixed: !asked.begun,
                 ..PoolDemand::default()
--- a/crates/jobs/src/cell.rs
+++ b/crates/jobs/src/cell.rs
@@ -1,14 +1,14 @@
 //! The jobs and workers that one owner decides about, and what each event changes.
 
 use crate::{
-    Batch, How, Job, JobId, Need, Order, Phase, QueueId, Refusal, RunId, RunPhase, ServiceId,
+    Batch, How, Job, JobId, Need, Order, Phase, QueueId, Refusal, RunId, RunPhase, ServiceId, Step,
     Submission, TaskId, TaskPhase, Worker, WorkerId, WorkerInfo,
     rank::Rank,
     record::{Decoded, encode_given, encode_state, encode_upkept, forget_given},
     worker::{Load, RunKind, RunState},
 };
 use std::{
-    collections::{BTreeMap, BTreeSet, HashMap, HashSet},
+    collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque},
     time::{Duration, Instant},
 };
 
@@ -40,6 +40,10 @@
     }
 }
 
+/// Over how long the jobs that come are counted to foresee what a pool needs. Ten jobs a second come
+/// at a peak; over less, one large job looks like a peak, over more, a peak is seen too late.
+const INFLOW: Duration = Duration::from_millis(1_200);
+
 /// What became of a job that was handed in.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Accepted {
@@ -65,6 +69,8 @@
     pub busy: u64,
     /// What waits for room.
     pub waiting: u64,
+    /// What the jobs that came of late will take, as long as as many come.
+    pub inflow: u64,
     /// Whether the service has had a job that ends by itself.
     pub begun: bool,
     /// How many workers the widest step needs whose tasks must be apart, and one more, so that a
@@ -96,6 +102,7 @@
     settled: Option<Instant>,
     listed: bool,
     wall: u64,
+    came: HashMap<ServiceId, VecDeque<(u64, f64)>>,
     begun: HashSet<ServiceId>,
     pub(crate) pace: HashMap<QueueId, f64>,
     pub(crate) reserved: HashSet<WorkerId>,
@@ -193,6 +200,7 @@
         }
         if !given.spec.lasts() {
             self.begun.insert(given.service.clone());
+            self.note_inflow(&given);
         }
         let job = Job::new(given, self.next_order);
         self.next_order += 1;
@@ -241,11 +249,41 @@
         Demand {
             busy,
             waiting,
+            inflow: self.inflow(service),
             begun: self.begun.contains(service),
             spread: self.spread(service),
         }
     }
 
+    /// The work of the jobs that came within [`INFLOW`], per second.
+    fn inflow(&self, service: &str) -> u64 {
+        let since = self.wall.saturating_sub(INFLOW.as_millis() as u64);
+        let came = self.came.get(service).into_iter().flatten();
+        let work: f64 = came
+            .filter(|(at, _)| *at >= since)
+            .map(|(_, work)| work)
+            .sum();
+        (work / INFLOW.as_secs_f64()) as u64
+    }
+
+    /// Notes the work of a job, in thousandths of a core times seconds.
+    fn note_inflow(&mut self, given: &Submission) {
+        let pace = self.pace.get(&given.queue).copied().unwrap_or(1.0);
+        let finite = given
+            .spec
+            .steps
+            .iter()
+            .filter(|step| !step.lasting && !step.fills);
+        let work = |step: &Step| f64::from(step.count) * (step.need.cpu * step.estimate) as f64;
+        let work = finite.map(work).sum::<f64>() * pace / 1_000.0;
+        let since = self.wall.saturating_sub(INFLOW.as_millis() as u64);
+        let came = self.came.entry(given.service.clone()).or_default();
+        came.push_back((self.wall, work));
+        while came.front().is_some_and(|(at, _)| *at < since) {
+            came.pop_front();
+        }
+    }
+
     fn spread(&self, service: &str) -> usize {
         let live = |job: &&Job| job.given.service == service && !job.phase.is_over();
         let steps = self
