fix(jobs): workers that the list lost with the log are known by their VMs

The list of VMs, which does not go with the store, now tells whom to wait for. Test: workers_that_the_list_lost_with_the_log_are_known_by_their_vms.

--- a/crates/havenladder/src/entry/fleet.rs
+++ b/crates/havenladder/src/entry/fleet.rs
@@ -1,7 +1,7 @@
 //! The VMs: their list, and what the owner does about them, one look after the other.
 
 use super::{moves::Moves, owner::Owner, upkeep::Waves};
-use adapter::cloud::Vm;
+use adapter::cloud::{Vm, VmState};
 use std::{
     collections::BTreeMap,
     rc::Rc,
@@ -24,6 +24,7 @@
 
 /// Runs until the owner ends.
 pub async fn run(owner: Rc<Owner>) {
+    expect_workers(&owner).await;
     // An earlier owner may still have orders under way: two holders must not act in turn.
     time::sleep(owner.node.settings.lease).await;
     let mut waves = Waves::default();
@@ -50,3 +51,16 @@
         time::sleep(LOOK).await;
     }
 }
+
+/// Tells the cell, once, which workers run on the VMs that are up.
+async fn expect_workers(owner: &Rc<Owner>) {
+    while owner.is_alive() {
+        if let Ok(Some(vms)) = owner.node.cloud.vms().await {
+            let up = vms.into_iter().filter(|vm| vm.state == VmState::Up);
+            let workers = up.filter_map(|vm| Some((vm.worker?, vm.pool)));
+            owner.cell.borrow_mut().expect_workers(workers);
+            return owner.wake();
+        }
+        time::sleep(FRESH).await;
+    }
+}
--- a/crates/havenladder/src/entry/owner.rs
+++ b/crates/havenladder/src/entry/owner.rs
@@ -54,9 +54,6 @@
 /// How long an append may take before new jobs are refused at once: the store is away.
 const AWAY: Duration = Duration::from_millis(500);
 
-/// How long after trouble of the store a worker may be missing from its list though it lives.
-const RELISTED: Duration = Duration::from_millis(2_500);
-
 /// Time until an append that did not succeed is tried again.
 const AGAIN: Duration = Duration::from_millis(60);
 
@@ -128,10 +125,9 @@
             wake: Notify::new(),
             settled: Notify::new(),
         });
-        let settled = if before.troubled { now + RELISTED } else { now };
         info!(epoch, ?before, "owns the cell");
         *node.owner.borrow_mut() = Some(Rc::clone(&owner));
-        task::spawn_local(run(Rc::clone(&owner), settled));
+        task::spawn_local(run(Rc::clone(&owner), before.troubled));
         owner
     }
 
@@ -255,11 +251,14 @@
     }
 }
 
-async fn run(owner: Rc<Owner>, settled: Instant) {
+async fn run(owner: Rc<Owner>, troubled: bool) {
     if !load(&owner).await {
         return;
     }
-    owner.cell.borrow_mut().close_gate(settled);
+    owner
+        .cell
+        .borrow_mut()
+        .close_gate(owner.inherited, troubled);
     owner.loaded.set(true);
     owner.settled.notify_waiters();
     task::spawn_local(watch::run(Rc::clone(&owner)));
--- a/crates/jobs/src/cell.rs
+++ b/crates/jobs/src/cell.rs
@@ -78,6 +78,21 @@
     pub spread: usize,
 }
 
+/// What has to be known before the tasks that waited under an earlier owner start.
+#[derive(Debug, Default)]
+pub(crate) struct Gate {
+    /// The jobs before this place in the order of arrival are held.
+    order: u64,
+    /// When nothing of the earlier owner can run any more.
+    expires: Option<Instant>,
+    /// Whether the list of workers has been read.
+    listed: bool,
+    /// Whether the list of VMs is to be read, too.
+    wants_vms: bool,
+    /// Workers of VMs that have not been met.
+    pub(crate) expected: HashMap<WorkerId, ServiceId>,
+}
+
 /// The jobs and workers of one owner.
 #[derive(Debug, Default)]
 pub struct Cell {
@@ -98,9 +113,7 @@
     next_order: u64,
     /// Tasks whose last run was given up without an end that a worker listed.
     pub(crate) lost: HashSet<TaskId>,
-    gate: u64,
-    settled: Option<Instant>,
-    listed: bool,
+    pub(crate) gate: Gate,
     wall: u64,
     came: HashMap<ServiceId, VecDeque<(u64, f64)>>,
     begun: HashSet<ServiceId>,
@@ -155,26 +168,42 @@
     }
 
     /// Keeps what waited under an earlier owner from starting until its workers have been met: while
-    /// the log was away, that owner may have started runs that it could not record. Workers that the
-    /// list may have lost meanwhile are waited for until `settled`.
-    pub fn close_gate(&mut self, settled: Instant) {
-        self.gate = self.next_order;
-        self.settled = Some(settled);
+    /// the log was away, that owner may have started runs that it could not record. Its leases have
+    /// run out at `expires`. If the log was away of late, the list of workers may lack some that live,
+    /// and the list of VMs is asked, too.
+    pub fn close_gate(&mut self, expires: Instant, troubled: bool) {
+        self.gate = Gate {
+            order: self.next_order,
+            expires: Some(expires),
+            wants_vms: troubled,
+            ..Gate::default()
+        };
     }
 
     /// The list of workers has been read for the first time.
     pub fn mark_listed(&mut self) {
-        self.listed = true;
+        self.gate.listed = true;
+    }
+
+    /// The list of VMs has been read for the first time: these workers run on them.
+    pub fn expect_workers(&mut self, workers: impl IntoIterator<Item = (WorkerId, ServiceId)>) {
+        let met = |id: &WorkerId| self.workers.get(id).is_some_and(|w| w.met);
+        let expected = workers.into_iter().filter(|(id, _)| !met(id)).collect();
+        self.gate.expected = expected;
+        self.gate.wants_vms = false;
     }
 
     /// Whether a task waits for workers to be met.
     pub(crate) fn is_gated(&self, order: u64, service: &str, now: Instant) -> bool {
-        if order >= self.gate {
+        let gate = &self.gate;
+        if order >= gate.order || gate.expires.is_some_and(|at| now >= at) {
             return false;
         }
-        let unsettled = self.settled.is_some_and(|at| now < at);
         let unmet = |w: &Worker| w.info.service == service && !w.met;
-        !self.listed || unsettled || self.workers.values().any(unmet)
+        !gate.listed
+            || gate.wants_vms
+            || gate.expected.values().any(|of| of == service)
+            || self.workers.values().any(unmet)
     }
 
     fn restore(&mut self, id: JobId) {
@@ -342,7 +371,7 @@
             return;
         }
         let mut worker = Worker::new(info);
-        worker.met = self.listed;
+        worker.met = self.gate.listed;
         for (task, run) in self.orphans.remove(&worker.info.id).unwrap_or_default() {
             let Some(job) = self.jobs.get(&task.job) else {
                 continue;
@@ -363,6 +392,7 @@
 
     /// Gives a worker up: its life has ended, or its lease has run out for certain.
     pub fn lose_worker(&mut self, id: &str) {
+        self.gate.expected.remove(id);
         let mut lost = self.orphans.remove(id).unwrap_or_default();
         if let Some(worker) = self.workers.remove(id) {
             lost.extend(worker.runs.into_keys());
--- a/crates/jobs/src/observe.rs
+++ b/crates/jobs/src/observe.rs
@@ -33,6 +33,7 @@
         };
         host.known = true;
         host.met = true;
+        self.gate.expected.remove(worker);
         let noted = host.noted;
         for end in report.ended.iter().filter(|end| end.number > noted) {
             self.take_end(worker, end, now);
--- a/crates/jobs/tests/cell.rs
+++ b/crates/jobs/tests/cell.rs
@@ -3,6 +3,7 @@
 mod world;
 
 use havenladder_jobs::{Accepted, Cancelled, How, Phase, Refusal, Report, Step, Takeout};
+use std::time::Duration;
 use world::{World, job, row, step, task, worker};
 
 #[test]
@@ -330,7 +331,8 @@
     world.cell.accept(job(1, vec![step(9)]));
     assert_eq!(world.run().len(), 8);
     world.take_over();
-    world.cell.close_gate(world.now);
+    let expires = world.now + Duration::from_millis(10_000);
+    world.cell.close_gate(expires, false);
     world.cell.see_worker(worker("a1"), world.now);
     world.cell.see_worker(worker("b1"), world.now);
     world.report("a1", Report::default());
@@ -500,3 +502,24 @@
     world.end(other, 1, id, run, How::Stopped);
     assert_eq!(world.run().len(), 1);
 }
+
+#[test]
+fn workers_that_the_list_lost_with_the_log_are_known_by_their_vms() {
+    let mut world = World::new(&["a1", "b1"]);
+    world.cell.accept(job(1, vec![step(9)]));
+    assert_eq!(world.run().len(), 8);
+    world.take_over();
+    let expires = world.now + Duration::from_millis(10_000);
+    world.cell.close_gate(expires, true);
+    world.join("a1");
+    world.cell.mark_listed();
+    assert!(world.run().is_empty(), "the list of VMs has not been read");
+    let on_vms = [
+        ("a1".to_owned(), "s".to_owned()),
+        ("b1".to_owned(), "s".to_owned()),
+    ];
+    world.cell.expect_workers(on_vms);
+    assert!(world.run().is_empty(), "b1 is not listed, but its VM is up");
+    world.pass(10_000);
+    assert!(!world.run().is_empty(), "its lease has run out");
+}
