--- a/crates/havenladder/src/entry/lease.rs
+++ b/crates/havenladder/src/entry/lease.rs
@@ -20,14 +20,14 @@
 const TOPIC: &str = "owner";
 
 /// How often the owner renews. Three renewals fit into [`EXPIRY`], so that two may be lost.
-const RENEW: Duration = Duration::from_millis(600);
+const RENEW: Duration = Duration::from_millis(400);
 
 /// How long the log must have been without a renewal before another entry claims the cell.
-const EXPIRY: Duration = Duration::from_millis(2_000);
+const EXPIRY: Duration = Duration::from_millis(1_500);
 
 /// How long an owner may believe in its last renewal where two owners must not act in turn. Shorter
 /// than [`EXPIRY`] by what clocks and answers may be late.
-pub const TRUST: Duration = Duration::from_millis(1_500);
+pub const TRUST: Duration = Duration::from_millis(1_100);
 
 /// Time until the store is asked again after it did not answer.
 const AGAIN: Duration = Duration::from_millis(100);
--- a/crates/havenladder/src/entry/owner.rs
+++ b/crates/havenladder/src/entry/owner.rs
@@ -91,6 +91,9 @@
     pub renewed: Cell<Instant>,
     /// Until when an earlier owner's leases may hold.
     pub inherited: Instant,
+    /// From when on this owner may give orders about VMs: the earlier one may have given one as long as
+    /// it trusted its lease, and two holders must not act in turn.
+    pub duties: Instant,
     /// Since when an append is under way.
     appending: Cell<Option<Instant>>,
     alive: Cell<bool>,
@@ -119,6 +122,7 @@
             contacts: RefCell::default(),
             renewed: Cell::new(now),
             inherited: extended + LEASE.mul_f64(1.03) + Duration::from_millis(50),
+            duties: before.renewed.map_or(now, |at| at + TRUST) + node.settings.lease,
             appending: Cell::new(None),
             alive: Cell::new(true),
             loaded: Cell::new(false),
