feat(jobs): queues whose policy allows only some workers to run a step

The adapter asks the service that the settings name; a step that finds no room asks about up to 30 workers, keeps what it is told, and asks anew where a worker refuses a permit. Test: a_job_whose_queue_needs_permits_starts_only_where_it_has_one.

--- a/crates/havenladder/src/entry/callers.rs
+++ b/crates/havenladder/src/entry/callers.rs
@@ -190,6 +190,7 @@
         service: queue.service.clone(),
         priority: queue.priority,
         attempts: queue.attempts,
+        permits: queue.permits,
         at: wall_ms(),
         stretch: queue.stretch,
         slack: queue.slack,
--- a/crates/havenladder/src/entry/node.rs
+++ b/crates/havenladder/src/entry/node.rs
@@ -2,6 +2,7 @@
 
 use super::owner::Owner;
 use adapter::{
+    advice::Advice,
     cloud::Cloud,
     http::Client,
     operator::{Config, Wave},
@@ -49,6 +50,8 @@
     pub workers: Workers,
     /// The platform's VMs.
     pub cloud: Cloud,
+    /// The service that tells which workers may run a step.
+    pub advice: Option<Advice>,
     /// The newest configuration.
     pub config: RefCell<Option<Rc<Config>>>,
     /// The same as operators wrote it.
@@ -85,6 +88,10 @@
             life: rand::random(),
             store: Store::new(client.clone(), &settings.store),
             workers: Workers::new(client.clone()),
+            advice: settings
+                .advice
+                .as_ref()
+                .map(|at| Advice::new(client.clone(), at)),
             cloud: Cloud::new(client.clone(), &settings.cloud, &settings.node),
             client,
             settings,
--- a/crates/havenladder/src/entry/orders.rs
+++ b/crates/havenladder/src/entry/orders.rs
@@ -8,7 +8,7 @@
     http::CallError,
     workers::{ClockMs, Start, WorkerError},
 };
-use jobs::{Order, Refusal, RunId, TaskId, WorkerInfo};
+use jobs::{Order, Refusal, RunId, TaskId, WorkerId, WorkerInfo};
 use std::{
     rc::Rc,
     time::{Duration, Instant},
@@ -26,6 +26,7 @@
         match order {
             Order::Start { worker, task, run } => start(&owner, &worker, task, run).await,
             Order::Stop { worker, task, run } => stop(&owner, &worker, task, run).await,
+            Order::Ask { task, workers } => ask(&owner, task, &workers).await,
             Order::Pace {
                 worker,
                 task,
@@ -69,6 +70,12 @@
     let Some(info) = find(owner, worker) else {
         return;
     };
+    let ticket = owner
+        .cell
+        .borrow()
+        .permit(task, worker)
+        .map(|permit| permit.ticket.clone());
+    let ticket = ticket.unwrap_or_default();
     let Some((spec, saved)) = words(owner, task) else {
         return;
     };
@@ -88,6 +95,7 @@
         deadline,
         fence,
         saved: &saved,
+        ticket: &ticket,
     };
     let outcome = owner.node.workers.start(&info, &order).await;
     let now = Instant::now();
@@ -168,3 +176,17 @@
         info!(task = %task, run, worker, percent, %error, "change of pace failed");
     }
 }
+
+async fn ask(owner: &Rc<Owner>, task: TaskId, workers: &[WorkerId]) {
+    let answer = match &owner.node.advice {
+        Some(advice) => advice.ask(task, workers).await,
+        None => Ok(None),
+    };
+    let good = answer.unwrap_or_else(|error| {
+        info!(%task, %error, "no answer to which workers may run a step");
+        None
+    });
+    info!(%task, asked = workers.len(), good = good.as_ref().map(Vec::len), "permits");
+    owner.cell.borrow_mut().set_permits(task, workers, good);
+    owner.wake();
+}
--- a/crates/jobs/src/cell.rs
+++ b/crates/jobs/src/cell.rs
@@ -3,6 +3,7 @@
 use crate::{
     Batch, How, Job, JobId, Need, Order, Phase, QueueId, Refusal, RunId, RunPhase, ServiceId, Step,
     Submission, TaskId, TaskPhase, Worker, WorkerId, WorkerInfo,
+    permit::{Permits, StepId},
     rank::Rank,
     record::{Decoded, encode_given, encode_state, encode_upkept, forget_given},
     worker::{Load, RunKind, RunState},
@@ -114,6 +115,7 @@
     /// Tasks whose last run was given up without an end that a worker listed.
     pub(crate) lost: HashSet<TaskId>,
     pub(crate) gate: Gate,
+    pub(crate) permits: HashMap<StepId, Permits>,
     wall: u64,
     came: HashMap<ServiceId, VecDeque<(u64, f64)>>,
     begun: HashSet<ServiceId>,
@@ -459,8 +461,8 @@
             // The worker's own count of its room is ahead of ours by one report at the most.
             Refusal::Room => host.aside = Some(now + Duration::from_millis(200)),
             Refusal::Unwell => host.aside = Some(now + Duration::from_millis(1_000)),
-            Refusal::Fenced | Refusal::Old | Refusal::Late | Refusal::Ticket | Refusal::Invalid => {
-            }
+            Refusal::Ticket => self.drop_permit(task, worker),
+            Refusal::Fenced | Refusal::Old | Refusal::Late | Refusal::Invalid => {}
         }
         if self.is_current(worker, task, run) {
             self.requeue(task);
@@ -510,7 +512,7 @@
                 .jobs
                 .get(&task.job)
                 .is_some_and(|job| job.shown.is_some()),
-            Order::Stop { .. } | Order::Pace { .. } => true,
+            Order::Stop { .. } | Order::Pace { .. } | Order::Ask { .. } => true,
         };
         starts.extract_if(.., known).collect()
     }
@@ -705,6 +707,7 @@
         };
         job.phase = phase;
         job.rounds = Vec::new();
+        self.permits.retain(|(job, ..), _| *job != id);
         self.dirty.insert(id);
         self.timed.retain(|(_, job, _)| *job != id);
         let runs: Vec<(WorkerId, TaskId, RunId)> = self.runs_of(id);
@@ -845,6 +848,7 @@
         service,
         priority: 0,
         attempts: 0,
+        permits: false,
         at: 0,
         stretch: 1.0,
         slack: 0,
--- a/crates/jobs/src/outbox.rs
+++ b/crates/jobs/src/outbox.rs
@@ -23,6 +23,13 @@
         /// Which run of it.
         run: RunId,
     },
+    /// Ask which workers may run a step.
+    Ask {
+        /// A task of the step.
+        task: TaskId,
+        /// The workers.
+        workers: Vec<WorkerId>,
+    },
     /// Change the share at which a run works.
     Pace {
         /// Where.
--- /dev/null
+++ b/crates/jobs/src/permit.rs
@@ -0,0 +1,121 @@
+//! Permits: queues whose policy allows only some workers to run a step, as a service outside tells.
+
+use crate::{Cell, JobId, Order, TaskId, WorkerId};
+use std::{
+    cmp::Reverse,
+    collections::{HashMap, HashSet},
+    time::{Duration, Instant},
+};
+
+/// How many workers are asked about at once: each takes the service some time, and a step rarely
+/// needs more.
+const ASKED: usize = 30;
+
+/// Time until the same step is asked about again: the service answers in turn, and a pass comes more
+/// often than answers do.
+const AGAIN: Duration = Duration::from_millis(300);
+
+/// How long before its end a permit is not used any more: the start must reach the worker in time.
+const RESERVE: Duration = Duration::from_millis(200);
+
+/// A step of one round of a job.
+pub type StepId = (JobId, u32, u32);
+
+/// A permit to start a step's tasks on one life of a worker.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Permit {
+    /// What the start has to carry.
+    pub ticket: String,
+    /// Until when it holds.
+    pub expires: Instant,
+}
+
+/// What is known of a step's permits.
+#[derive(Debug, Default)]
+pub(crate) struct Permits {
+    asked: Option<Instant>,
+    pending: bool,
+    /// The workers that were asked about; those without a permit never get one.
+    named: HashSet<WorkerId>,
+    held: HashMap<WorkerId, Permit>,
+}
+
+impl Cell {
+    /// The permit that a start on a worker has to carry; none if the queue needs none.
+    pub fn permit(&self, task: TaskId, worker: &str) -> Option<&Permit> {
+        self.permits.get(&step_of(task))?.held.get(worker)
+    }
+
+    /// Takes in which of the named workers may run a step. None if the service did not answer.
+    pub fn set_permits(
+        &mut self,
+        task: TaskId,
+        named: &[WorkerId],
+        good: Option<Vec<(WorkerId, Permit)>>,
+    ) {
+        let permits = self.permits.entry(step_of(task)).or_default();
+        permits.pending = false;
+        if let Some(good) = good {
+            permits.named.extend(named.iter().cloned());
+            permits.held.extend(good);
+        }
+    }
+
+    /// A worker did not accept a permit: it is asked for anew.
+    pub(crate) fn drop_permit(&mut self, task: TaskId, worker: &str) {
+        if let Some(permits) = self.permits.get_mut(&step_of(task)) {
+            permits.held.remove(worker);
+            permits.named.remove(worker);
+        }
+    }
+
+    /// Whether a worker may run a task, as far as permits go.
+    pub(crate) fn permits(&self, task: TaskId, worker: &str, now: Instant) -> bool {
+        let Some(job) = self.jobs.get(&task.job) else {
+            return false;
+        };
+        !job.given.permits
+            || self
+                .permit(task, worker)
+                .is_some_and(|p| now + RESERVE < p.expires)
+    }
+
+    /// Asks for permits of a step that found no room, where its queue needs them.
+    pub(crate) fn ask_permits(&mut self, task: TaskId, now: Instant) {
+        let Some(job) = self.jobs.get(&task.job).filter(|job| job.given.permits) else {
+            return;
+        };
+        let service = job.given.service.clone();
+        let permits = self.permits.entry(step_of(task)).or_default();
+        if permits.pending || permits.asked.is_some_and(|at| now < at + AGAIN) {
+            return;
+        }
+        // Workers that never get a permit are not asked about again.
+        let held = |id: &WorkerId| permits.held.get(id).map(|p| now + RESERVE < p.expires);
+        let unknown = |id: &WorkerId| match held(id) {
+            Some(valid) => !valid,
+            None => !permits.named.contains(id),
+        };
+        let open = self
+            .workers
+            .values()
+            .filter(|w| w.info.service == service && w.is_open(now));
+        let mut asked: Vec<_> = open.filter(|w| unknown(&w.info.id)).collect();
+        asked.sort_by_key(|w| Reverse(w.info.capacity.cpu.saturating_sub(w.used.cpu)));
+        let workers: Vec<WorkerId> = asked
+            .iter()
+            .take(ASKED)
+            .map(|w| w.info.id.clone())
+            .collect();
+        if workers.is_empty() {
+            return;
+        }
+        permits.asked = Some(now);
+        permits.pending = true;
+        self.urgent.push(Order::Ask { task, workers });
+    }
+}
+
+fn step_of(task: TaskId) -> StepId {
+    (task.job, task.round, task.step)
+}
--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -69,6 +69,7 @@
                 continue;
             }
             misfits += 1;
+            self.ask_permits(task, now);
             if rank.is_lasting() {
                 self.reserve(task, now);
             }
@@ -97,7 +98,7 @@
         let step = job.step(task.step);
         let room = room_of(job, task);
         let may = |w: &&Worker| {
-            self.takes(w, &job.given.service, step, now)
+            self.takes(w, task, step, now)
                 && room.fits(Need::default(), w.info.capacity)
                 && step.apart.is_none_or(|most| w.siblings(task) < most)
         };
@@ -108,12 +109,17 @@
         }
     }
 
-    /// Whether a worker may get a run of this step at all.
-    fn takes(&self, worker: &Worker, service: &str, step: &Step, now: Instant) -> bool {
-        worker.info.service == service
+    /// Whether a worker may get a run of this task at all.
+    fn takes(&self, worker: &Worker, task: TaskId, step: &Step, now: Instant) -> bool {
+        let service = self
+            .jobs
+            .get(&task.job)
+            .map(|job| job.given.service.as_str());
+        service == Some(worker.info.service.as_str())
             && worker.is_open(now)
             && allows(worker, step)
             && !self.reserved.contains(&worker.info.id)
+            && self.permits(task, &worker.info.id, now)
     }
 
     /// Whether a worker may still have a run of a task of which there must not be two.
@@ -204,7 +210,7 @@
         let step = job.step(task.step);
         let room = room_of(job, task);
         let may = |w: &&Worker| {
-            self.takes(w, &job.given.service, step, now)
+            self.takes(w, task, step, now)
                 && room.fits(w.used, w.info.capacity)
                 && step.apart.is_none_or(|most| w.siblings(task) < most)
         };
@@ -260,7 +266,7 @@
         let room = room_of(job, task);
         let may = |w: &&Worker| {
             let here = rack.is_none_or(|rack| w.info.rack() == rack);
-            here && self.takes(w, &job.given.service, step, now)
+            here && self.takes(w, task, step, now)
         };
         let mut hosts: Vec<(&Worker, Need, u32)> = self
             .workers
--- a/crates/jobs/src/spec.rs
+++ b/crates/jobs/src/spec.rs
@@ -85,6 +85,8 @@
     pub priority: u32,
     /// How often a task may fail before the job has failed.
     pub attempts: u32,
+    /// Whether only workers with a permit may run it.
+    pub permits: bool,
     /// When it was handed in, by the time of day in ms since 1970.
     pub at: u64,
     /// How many times its longest chain of work it may take to be in time.
--- a/crates/jobs/tests/cell.rs
+++ b/crates/jobs/tests/cell.rs
@@ -2,7 +2,9 @@
 
 mod world;
 
-use havenladder_jobs::{Accepted, Cancelled, How, Phase, Refusal, Report, Step, Takeout};
+use havenladder_jobs::{
+    Accepted, Cancelled, How, Order, Permit, Phase, Refusal, Report, Step, Takeout,
+};
 use std::time::Duration;
 use world::{World, job, row, step, task, worker};
 
@@ -523,3 +525,45 @@
     world.pass(10_000);
     assert!(!world.run().is_empty(), "its lease has run out");
 }
+
+#[test]
+fn a_job_whose_queue_needs_permits_starts_only_where_it_has_one() {
+    let mut world = World::new(&["a1", "b1"]);
+    let given = havenladder_jobs::Submission {
+        permits: true,
+        ..job(1, vec![step(2)])
+    };
+    world.cell.accept(given);
+    assert!(world.run().is_empty());
+    let asked = world.cell.take_urgent();
+    let [
+        Order::Ask {
+            task: asked_for,
+            workers,
+        },
+    ] = asked.as_slice()
+    else {
+        panic!("{asked:?}");
+    };
+    assert_eq!(workers.len(), 2);
+    let expires = world.now + Duration::from_millis(3_000);
+    let permit = Permit {
+        ticket: "t".to_owned(),
+        expires,
+    };
+    let good = vec![("b1".to_owned(), permit)];
+    world.cell.set_permits(*asked_for, workers, Some(good));
+    let started = world.run();
+    assert_eq!(started.len(), 2);
+    assert!(started.iter().all(|(id, ..)| id == "b1"));
+    assert_eq!(world.cell.permit(started[0].1, "b1").unwrap().ticket, "t");
+    world
+        .cell
+        .refused("b1", started[0].1, 1, Refusal::Ticket, world.now);
+    world.pass(400);
+    assert!(world.run().is_empty(), "it is asked for anew");
+    assert!(matches!(
+        world.cell.take_urgent().as_slice(),
+        [Order::Ask { .. }]
+    ));
+}
--- a/crates/jobs/tests/world/mod.rs
+++ b/crates/jobs/tests/world/mod.rs
@@ -44,6 +44,7 @@
         service,
         priority: 0,
         attempts: 3,
+        permits: false,
         at: 0,
         stretch: 2.0,
         slack: 1_000,
@@ -169,7 +170,7 @@
     pub fn stops(&mut self) -> Vec<(String, TaskId, RunId)> {
         let stop = |order| match order {
             Order::Stop { worker, task, run } => Some((worker, task, run)),
-            Order::Start { .. } | Order::Pace { .. } => None,
+            Order::Start { .. } | Order::Pace { .. } | Order::Ask { .. } => None,
         };
         self.cell
             .take_urgent()
