--- a/crates/havenladder/src/entry/callers.rs
+++ b/crates/havenladder/src/entry/callers.rs
@@ -78,7 +78,11 @@
 
 async fn count(node: Rc<Node>, request: Request<Incoming>) -> Result<Reply, Infallible> {
     node.in_flight.set(node.in_flight.get() + 1);
+    let began = Instant::now();
+    let method = request.method().clone();
     let reply = handle(&node, request).await;
+    node.metrics
+        .answered(method.as_str(), reply.status().as_u16(), began.elapsed());
     node.in_flight.set(node.in_flight.get() - 1);
     Ok(reply)
 }
--- /dev/null
+++ b/crates/havenladder/src/entry/metrics.rs
@@ -0,0 +1,127 @@
+//! Counters and latencies of an entry on the users' machines, in the text form that scrapers read.
+
+use super::node::Node;
+use http_body_util::Full;
+use hyper::{Response, server::conn::http1, service::service_fn};
+use hyper_util::rt::TokioIo;
+use opentelemetry::{
+    KeyValue,
+    metrics::{Counter, Histogram, MeterProvider},
+};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+use std::{convert::Infallible, rc::Rc, time::Duration};
+use tokio::{net::TcpListener, task, time};
+use tracing::warn;
+
+/// The port of the metrics, as deploy/system.toml names it.
+pub const PORT: u16 = 9_460;
+
+/// Bounds of the latencies, in seconds: an answer takes 10 ms as a rule, and 3 s at the most.
+const BOUNDS: [f64; 10] = [0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 3.0];
+
+/// What an entry counts; docs/OPERATIONS.md names each.
+pub struct Metrics {
+    registry: Registry,
+    answers: Counter<u64>,
+    answer_time: Histogram<f64>,
+    starts: Counter<u64>,
+    ends: Counter<u64>,
+    appends: Histogram<f64>,
+    owners: Counter<u64>,
+    _provider: SdkMeterProvider,
+}
+
+impl Metrics {
+    /// The metrics of this process. Where the exporter cannot be registered, they count in vain, and
+    /// a log line says so.
+    pub fn new() -> Self {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build();
+        let mut builder = SdkMeterProvider::builder();
+        match exporter {
+            Ok(exporter) => builder = builder.with_reader(exporter),
+            Err(error) => warn!(%error, "metrics are not told"),
+        }
+        let provider = builder.build();
+        let meter = provider.meter("havenladder");
+        let seconds = |name: &'static str| {
+            meter
+                .f64_histogram(name)
+                .with_unit("s")
+                .with_boundaries(BOUNDS.to_vec())
+                .build()
+        };
+        Metrics {
+            answers: meter.u64_counter("havenladder_answers").build(),
+            answer_time: seconds("havenladder_answer_seconds"),
+            starts: meter.u64_counter("havenladder_starts").build(),
+            ends: meter.u64_counter("havenladder_ends").build(),
+            appends: seconds("havenladder_append_seconds"),
+            owners: meter.u64_counter("havenladder_ownerships").build(),
+            registry,
+            _provider: provider,
+        }
+    }
+
+    /// Counts an answer to a caller.
+    pub fn answered(&self, method: &str, status: u16, took: Duration) {
+        let method = KeyValue::new("method", method.to_owned());
+        self.answer_time
+            .record(took.as_secs_f64(), std::slice::from_ref(&method));
+        self.answers
+            .add(1, &[method, KeyValue::new("status", i64::from(status))]);
+    }
+
+    /// Counts a start that was sent to a worker.
+    pub fn started(&self, outcome: &'static str) {
+        self.starts.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Counts the end of a run.
+    pub fn ended(&self, how: &'static str) {
+        self.ends.add(1, &[KeyValue::new("how", how)]);
+    }
+
+    /// Notes how long records took to be durable.
+    pub fn appended(&self, took: Duration) {
+        self.appends.record(took.as_secs_f64(), &[]);
+    }
+
+    /// Counts that this entry gained the cell, or lost it.
+    pub fn owned(&self, change: &'static str) {
+        self.owners.add(1, &[KeyValue::new("change", change)]);
+    }
+
+    /// All of them in the text form of Prometheus.
+    pub fn text(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
+            warn!(%error, "metrics cannot be written");
+        }
+        text
+    }
+}
+
+/// Tells the metrics to whoever asks.
+pub async fn listen(node: Rc<Node>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            time::sleep(Duration::from_millis(20)).await;
+            continue;
+        };
+        let node = Rc::clone(&node);
+        task::spawn_local(async move {
+            let service = service_fn(|_| async {
+                let body = Full::new(bytes::Bytes::from(node.metrics.text()));
+                Ok::<_, Infallible>(Response::new(body))
+            });
+            // A scraper that breaks off asks again.
+            let _ = http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+        });
+    }
+}
--- a/crates/havenladder/src/entry/mod.rs
+++ b/crates/havenladder/src/entry/mod.rs
@@ -9,6 +9,8 @@
 mod follow;
 mod inner;
 mod lease;
+mod logs;
+mod metrics;
 mod moves;
 mod node;
 mod orders;
@@ -21,15 +23,11 @@
 use node::Node;
 use std::{io, process::ExitCode, rc::Rc};
 use tokio::{net::TcpListener, runtime, task::LocalSet};
-use tracing::{error, info};
+use tracing::{error, info, warn};
 
 /// Runs the entry until it is told to stop.
 pub fn run() -> ExitCode {
-    tracing_subscriber::fmt()
-        .json()
-        .flatten_event(true)
-        .with_target(false)
-        .init();
+    logs::start();
     let settings = match settings::read() {
         Ok(settings) => settings,
         Err(error) => {
@@ -70,6 +68,12 @@
     tokio::task::spawn_local(callers::listen(Rc::clone(&node), callers));
     tokio::task::spawn_local(callers::listen_ready(Rc::clone(&node), ready));
     tokio::task::spawn_local(inner::listen(Rc::clone(&node), inner));
+    match TcpListener::bind((settings.ip.as_str(), metrics::PORT)).await {
+        Ok(listener) => {
+            tokio::task::spawn_local(metrics::listen(Rc::clone(&node), listener));
+        }
+        Err(error) => warn!(%error, port = metrics::PORT, "metrics are not told"),
+    }
     stop::wait(&node).await;
     info!(node = settings.node, "entry stops");
     Ok(())
--- a/crates/havenladder/src/entry/node.rs
+++ b/crates/havenladder/src/entry/node.rs
@@ -1,6 +1,6 @@
 //! What the duties of an entry share.
 
-use super::owner::Owner;
+use super::{metrics::Metrics, owner::Owner};
 use adapter::{
     advice::Advice,
     cloud::Cloud,
@@ -42,6 +42,8 @@
     pub settings: Settings,
     /// This life of the process.
     pub life: LifeId,
+    /// What the entry counts.
+    pub metrics: Metrics,
     /// Calls to anybody.
     pub client: Client,
     /// The platform's store.
@@ -86,6 +88,7 @@
         let client = Client::default();
         Rc::new(Node {
             life: rand::random(),
+            metrics: Metrics::new(),
             store: Store::new(client.clone(), &settings.store),
             workers: Workers::new(client.clone()),
             advice: settings
--- a/crates/havenladder/src/entry/orders.rs
+++ b/crates/havenladder/src/entry/orders.rs
@@ -99,6 +99,7 @@
     };
     let outcome = owner.node.workers.start(&info, &order).await;
     let now = Instant::now();
+    owner.node.metrics.started(name_outcome(&outcome));
     match outcome {
         Ok(told) => {
             info!(task = order.task, run, worker, deadline, "started");
@@ -113,6 +114,16 @@
     owner.wake();
 }
 
+fn name_outcome<T>(outcome: &Result<T, WorkerError>) -> &'static str {
+    match outcome {
+        Ok(_) => "started",
+        Err(WorkerError::Refused(_)) => "refused",
+        Err(WorkerError::Replaced) => "replaced",
+        Err(WorkerError::Call(error)) if error.is_unsent() => "not-sent",
+        Err(WorkerError::Call(_) | WorkerError::Odd(_)) => "unknown",
+    }
+}
+
 /// Draws from a failed start what is certain about it.
 fn settle(owner: &Owner, worker: &str, task: TaskId, run: RunId, error: WorkerError, now: Instant) {
     let mut cell = owner.cell.borrow_mut();
--- a/crates/havenladder/src/entry/owner.rs
+++ b/crates/havenladder/src/entry/owner.rs
@@ -129,6 +129,7 @@
             wake: Notify::new(),
             settled: Notify::new(),
         });
+        node.metrics.owned("gained");
         info!(epoch, ?before, "owns the cell");
         *node.owner.borrow_mut() = Some(Rc::clone(&owner));
         task::spawn_local(run(Rc::clone(&owner), before.troubled));
@@ -167,6 +168,7 @@
     /// Ends it: it decides and orders nothing any more.
     pub fn end(&self, why: &str) {
         if self.alive.replace(false) {
+            self.node.metrics.owned("lost");
             info!(epoch = self.epoch, why, "owns the cell no longer");
             self.wake.notify_one();
             self.settled.notify_waiters();
@@ -414,7 +416,9 @@
             }
         }
     }
-    owner.appending.set(None);
+    if let Some(since) = owner.appending.take() {
+        owner.node.metrics.appended(since.elapsed());
+    }
     durable
 }
 
--- a/crates/havenladder/src/entry/watch.rs
+++ b/crates/havenladder/src/entry/watch.rs
@@ -8,7 +8,7 @@
     store::{Keyed, Offset, Read, split_keyed},
     workers::{self, ClockMs, Hold, WorkerError},
 };
-use jobs::{Refusal, Report, WorkerId};
+use jobs::{How, Refusal, Report, WorkerId};
 use std::{
     collections::HashSet,
     rc::Rc,
@@ -169,7 +169,7 @@
             Ok(told) => {
                 let now = Instant::now();
                 set_clock(&owner, &id, told.clock, now);
-                log_ends(&id, &told.value, noted);
+                log_ends(&owner, &id, &told.value, noted);
                 owner.cell.borrow_mut().report(&id, &told.value, asked, now);
                 owner.wake();
                 silent = false;
@@ -225,9 +225,21 @@
     }
 }
 
-fn log_ends(worker: &str, report: &Report, noted: u64) {
+fn name_end(how: How) -> &'static str {
+    match how {
+        How::Done => "done",
+        How::Failed => "failed",
+        How::Stopped => "stopped",
+        How::Lapsed => "lapsed",
+        How::Broken => "broken",
+        How::Alone => "alone",
+    }
+}
+
+fn log_ends(owner: &Owner, worker: &str, report: &Report, noted: u64) {
     for end in report.ended.iter().filter(|end| end.number > noted) {
         info!(task = %end.task, run = end.run, worker, number = end.number, how = ?end.how, "ended");
+        owner.node.metrics.ended(name_end(end.how));
     }
 }
 
