--- a/crates/jobs/src/cell.rs
+++ b/crates/jobs/src/cell.rs
@@ -637,10 +637,8 @@
         self.mark_dirty(task.job);
         match how {
             How::Done if !lasting => return self.complete(task, gang),
-            How::Failed if !lasting => {
-                if self.count_failure(task, run, gang) {
-                    return self.finish(task.job, Phase::Failed);
-                }
+            How::Failed if !lasting && self.count_failure(task, run, gang) => {
+                return self.finish(task.job, Phase::Failed);
             }
             _ => {}
         }
--- a/crates/jobs/tests/cell.rs
+++ b/crates/jobs/tests/cell.rs
@@ -1,12 +1,16 @@
 //! What a cell decides, one event at a time.
 
+#![expect(clippy::unwrap_used, reason = "a test stops where it fails")]
+
+mod fixture;
 mod world;
 
+use fixture::{job, step, worker};
 use havenladder_jobs::{
     Accepted, Cancelled, How, Order, Permit, Phase, Refusal, Report, Step, Takeout,
 };
 use std::time::Duration;
-use world::{World, job, row, step, task, worker};
+use world::{World, row, task};
 
 #[test]
 fn a_job_runs_step_after_step_and_succeeds() {
--- a/crates/jobs/tests/world/mod.rs
+++ b/crates/jobs/tests/world/mod.rs
@@ -1,8 +1,11 @@
 //! A cell with a few workers, for tests of single decisions.
 
+#![expect(clippy::unwrap_used, reason = "a test stops where it fails")]
+
+use crate::fixture::worker;
 use havenladder_jobs::{
-    Batch, Cell, Decoded, EndRow, Entry, How, JobId, JobSpec, Limits, Need, Order, Report, RunId,
-    RunRow, Step, Submission, TaskId, WorkerInfo, decode_entry,
+    Batch, Cell, Decoded, EndRow, Entry, How, JobId, Limits, Order, Report, RunId, RunRow, TaskId,
+    decode_entry,
 };
 use std::time::{Duration, Instant};
 
@@ -16,42 +19,6 @@
     pub log: Vec<Entry>,
 }
 
-/// A step of so many tasks of one core each.
-pub fn step(count: u32) -> Step {
-    let need = Need {
-        cpu: 1_000,
-        memory: 100,
-        gpu: 0,
-    };
-    Step {
-        count,
-        need,
-        ..Step::default()
-    }
-}
-
-/// A job of the service `s`.
-pub fn job(id: JobId, steps: Vec<Step>) -> Submission {
-    let spec = JobSpec {
-        text: "text".to_owned(),
-        steps,
-        schedule: None,
-    };
-    let (queue, service) = ("q".to_owned(), "s".to_owned());
-    Submission {
-        id,
-        queue,
-        service,
-        priority: 0,
-        attempts: 3,
-        permits: false,
-        at: 0,
-        stretch: 2.0,
-        slack: 1_000,
-        spec,
-    }
-}
-
 /// The first task of a step of a job's first round.
 pub fn task(job: JobId, step: u32, index: u32) -> TaskId {
     TaskId {
@@ -73,23 +40,6 @@
     }
 }
 
-/// A worker's entry: four cores, in the rack `r-` and its first letter.
-pub fn worker(id: &str) -> WorkerInfo {
-    WorkerInfo {
-        id: id.to_owned(),
-        service: "s".to_owned(),
-        address: "10.0.0.1:1".to_owned(),
-        zone: "z".to_owned(),
-        labels: vec!["a".to_owned(), format!("r-{}", &id[..1])],
-        capacity: Need {
-            cpu: 4_000,
-            memory: 4_000,
-            gpu: 0,
-        },
-        draining: false,
-    }
-}
-
 impl World {
     /// A cell whose workers have all answered.
     pub fn new(workers: &[&str]) -> Self {
