--- a/crates/havenladder/src/entry/owner.rs
+++ b/crates/havenladder/src/entry/owner.rs
@@ -244,17 +244,35 @@
             if !self.is_alive() {
                 return None;
             }
-            let cell = self.cell.borrow();
-            let job = cell.jobs.get(&id)?;
-            // Over or not is what a caller was told or waits for; the rest may be behind.
-            match job.shown {
-                Some(shown) if shown.is_over() == job.phase.is_over() => return Some(shown),
-                _ => {}
+            match self.told(id) {
+                Told::Missing => return None,
+                Told::Durable(phase) => return Some(phase),
+                Told::Waits => settled.await,
             }
-            drop(cell);
-            settled.await;
         }
     }
+
+    fn told(&self, id: JobId) -> Told {
+        let cell = self.cell.borrow();
+        let Some(job) = cell.jobs.get(&id) else {
+            return Told::Missing;
+        };
+        // Over or not is what a caller was told or waits for; the rest may be behind.
+        match job.shown {
+            Some(shown) if shown.is_over() == job.phase.is_over() => Told::Durable(shown),
+            _ => Told::Waits,
+        }
+    }
+}
+
+/// What can be told of a job.
+enum Told {
+    /// It is not known.
+    Missing,
+    /// It is this far, and that is durable.
+    Durable(Phase),
+    /// What is known of it is not durable yet.
+    Waits,
 }
 
 async fn run(owner: Rc<Owner>, troubled: bool) {
