fix(jobs): the number of an unrecorded run is not used again

Ruled out: the count of failures itself. Test: the_number_of_an_unrecorded_run_is_not_used_again_after_the_recorded_one_ended (failed before, passes now).

--- a/crates/jobs/src/cell.rs
+++ b/crates/jobs/src/cell.rs
@@ -630,10 +630,8 @@
         if current && !saved.is_empty() {
             state.saved = saved.to_owned();
         }
-        if state.phase == TaskPhase::Waiting {
-            // An earlier owner may have started it without a record; numbers must go on rising.
-            state.run = state.run.max(run);
-        }
+        // An earlier owner may have started it without a record; numbers must go on rising.
+        state.top = state.top.max(run);
         self.mark_dirty(task.job);
         match how {
             How::Done if !lasting => return self.complete(task, gang),
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -43,12 +43,21 @@
     pub phase: TaskPhase,
     /// The number of its last run; 0 before the first.
     pub run: RunId,
+    /// The highest run that a worker has listed: an earlier owner may not have recorded it.
+    pub top: RunId,
     /// The runs that have failed, each once however often and in whatever order workers list them.
     pub failed: Vec<RunId>,
     /// The newest saved progress; empty if none.
     pub saved: String,
 }
 
+impl Task {
+    /// The number of its next run.
+    pub fn next_run(&self) -> RunId {
+        self.run.max(self.top) + 1
+    }
+}
+
 /// One repeat of a job.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Round {
@@ -66,6 +75,7 @@
         let fresh = Task {
             phase: TaskPhase::Waiting,
             run: 0,
+            top: 0,
             failed: Vec::new(),
             saved: String::new(),
         };
--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -1,7 +1,7 @@
 //! Which waiting task gets room where.
 
 use crate::{
-    Cell, Need, Order, Phase, RunId, Step, TaskId, TaskPhase, Worker, WorkerId,
+    Cell, Need, Order, Phase, RunId, Step, Task, TaskId, TaskPhase, Worker, WorkerId,
     cell::{load_of, room_of},
     rank::Rank,
     worker::{RunKind, RunState},
@@ -170,7 +170,7 @@
             };
             let run = job
                 .task(task.round, task.step, task.index)
-                .map_or(1, |t| t.run + 1);
+                .map_or(1, Task::next_run);
             self.order(worker, task, run, now);
             return true;
         }
@@ -178,7 +178,7 @@
             return false;
         };
         let tasks = &job.rounds[task.round as usize].steps[task.step as usize];
-        let run = tasks.iter().map(|t| t.run).max().unwrap_or(0) + 1;
+        let run = tasks.iter().map(Task::next_run).max().unwrap_or(1);
         for (index, worker) in (0..).zip(places) {
             self.order(worker, TaskId { index, ..task }, run, now);
         }
--- a/crates/jobs/tests/cell.rs
+++ b/crates/jobs/tests/cell.rs
@@ -571,3 +571,19 @@
         [Order::Ask { .. }]
     ));
 }
+
+#[test]
+fn the_number_of_an_unrecorded_run_is_not_used_again_after_the_recorded_one_ended() {
+    let mut world = World::new(&["a1", "b1"]);
+    world.cell.accept(job(1, vec![step(1)]));
+    let (first, id, run) = world.run().remove(0);
+    let second = if first == "a1" { "b1" } else { "a1" };
+    world.take_over();
+    world.cell.see_worker(worker("a1"), world.now);
+    world.cell.see_worker(worker("b1"), world.now);
+    // The earlier owner had seen run 1 fail, and run 2 has failed without a record.
+    world.end(second, 1, id, 2, How::Failed);
+    world.end(&first, 1, id, run, How::Failed);
+    let (_, _, next) = world.run().remove(0);
+    assert_eq!(next, 3);
+}
