perf(entry): a new owner leaves alone only the VMs that the earlier one gave orders about

Cause: after each change of owner no VM moved for 3 s. VMs are now recorded before orders about them are given, so the next owner knows which to spare. Test: a_new_owner_knows_the_vms_that_the_earlier_one_gave_orders_about.

--- a/crates/havenladder/src/entry/fleet.rs
+++ b/crates/havenladder/src/entry/fleet.rs
@@ -25,7 +25,6 @@
 /// Runs until the owner ends.
 pub async fn run(owner: Rc<Owner>) {
     expect_workers(&owner).await;
-    time::sleep_until(owner.duties.into()).await;
     let mut waves = Waves::default();
     let mut moves = Moves::default();
     let mut list = VmList::new();
--- a/crates/havenladder/src/entry/moves.rs
+++ b/crates/havenladder/src/entry/moves.rs
@@ -76,9 +76,18 @@
         }
         let now = Instant::now();
         let pools = self.demands(owner, list, waves, now);
-        for shift in shifts(&pools, now, &SizingLimits::default()) {
+        let wanted = shifts(&pools, now, &SizingLimits::default());
+        let wanted: Vec<Shift> = wanted
+            .into_iter()
+            .filter(|shift| !owner.must_spare(&shift.vm))
+            .collect();
+        let vms: Vec<&str> = wanted.iter().map(|shift| shift.vm.as_str()).collect();
+        if vms.is_empty() || !owner.claim_vms(&vms).await {
+            return;
+        }
+        for shift in &wanted {
             if let Some(vm) = list.get(&shift.vm) {
-                self.order(owner, vm, &shift).await;
+                self.order(owner, vm, shift).await;
             }
         }
     }
--- a/crates/havenladder/src/entry/owner.rs
+++ b/crates/havenladder/src/entry/owner.rs
@@ -91,8 +91,8 @@
     pub renewed: Cell<Instant>,
     /// Until when an earlier owner's leases may hold.
     pub inherited: Instant,
-    /// From when on this owner may give orders about VMs: the earlier one may have given one as long as
-    /// it trusted its lease, and two holders must not act in turn.
+    /// From when on this owner may give orders about VMs that the earlier one gave orders about: it did
+    /// so as long as it trusted its lease, and two holders must not act in turn.
     pub duties: Instant,
     /// Since when an append is under way.
     appending: Cell<Option<Instant>>,
@@ -165,6 +165,34 @@
             .is_some_and(|since| since.elapsed() >= SLOW)
     }
 
+    /// Waits until orders about VMs may be given; false if they may not.
+    pub async fn claim_vms(self: &Rc<Self>, vms: &[&str]) -> bool {
+        if !self.is_certain() {
+            return false;
+        }
+        let matters = self.node.settings.lease;
+        let noted = vms.iter().copied();
+        let version = self
+            .cell
+            .borrow_mut()
+            .note_orders(noted, Instant::now(), matters);
+        self.wake();
+        loop {
+            let settled = self.settled.notified();
+            if self.cell.borrow().orders_durable(version) {
+                return self.is_certain();
+            }
+            if !self.is_certain() || time::timeout(AWAY, settled).await.is_err() {
+                return false;
+            }
+        }
+    }
+
+    /// Whether a VM is to be left alone because an earlier owner may have just given an order about it.
+    pub fn must_spare(&self, vm: &str) -> bool {
+        Instant::now() < self.duties && self.cell.borrow().was_ordered(vm)
+    }
+
     /// Ends it: it decides and orders nothing any more.
     pub fn end(&self, why: &str) {
         if self.alive.replace(false) {
@@ -343,7 +371,7 @@
 }
 
 fn carry_out(owner: &Rc<Owner>, batch: Batch) {
-    owner.cell.borrow_mut().confirm(&batch.shown);
+    owner.cell.borrow_mut().confirm(&batch);
     for (worker, number) in batch.noted {
         if let Some(contact) = owner.contacts.borrow_mut().get_mut(&worker) {
             contact.noted = contact.noted.max(number);
--- a/crates/havenladder/src/entry/upkeep.rs
+++ b/crates/havenladder/src/entry/upkeep.rs
@@ -265,10 +265,14 @@
             return;
         }
     }
-    if !owner.is_certain() {
+    if owner.must_spare(&vm.name) || !owner.claim_vms(&[vm.name.as_str()]).await {
         return;
     }
     if let Some(id) = &vm.worker {
+        if owner.cell.borrow().takeout(id) == Takeout::Guarded {
+            // That has changed while the record was written.
+            return;
+        }
         owner.cell.borrow_mut().take_worker(id, true);
     }
     let down = Down {
--- a/crates/jobs/src/cell.rs
+++ b/crates/jobs/src/cell.rs
@@ -3,9 +3,10 @@
 use crate::{
     Batch, How, Job, JobId, Need, Order, Phase, QueueId, Refusal, RunId, RunPhase, ServiceId, Step,
     Submission, TaskId, TaskPhase, Worker, WorkerId, WorkerInfo,
+    duty::Duty,
     permit::{Permits, StepId},
     rank::Rank,
-    record::{Decoded, encode_given, encode_state, encode_upkept, forget_given},
+    record::{Decoded, encode_given, encode_ordered, encode_state, encode_upkept, forget_given},
     worker::{Load, RunKind, RunState},
 };
 use std::{
@@ -115,6 +116,7 @@
     /// Tasks whose last run was given up without an end that a worker listed.
     pub(crate) lost: HashSet<TaskId>,
     pub(crate) gate: Gate,
+    pub(crate) duty: Duty,
     pub(crate) permits: HashMap<StepId, Permits>,
     wall: u64,
     came: HashMap<ServiceId, VecDeque<(u64, f64)>>,
@@ -150,6 +152,7 @@
                 Decoded::State(id, state) => {
                     states.insert(id, state);
                 }
+                Decoded::Ordered(vms) => self.duty.inherited = vms,
                 Decoded::Upkept(wave, vms) => {
                     self.upkept.insert(wave, vms);
                 }
@@ -557,14 +560,19 @@
         for wave in std::mem::take(&mut self.upkept_dirty) {
             batch.entries.push(encode_upkept(wave, &self.upkept[&wave]));
         }
+        if let Some(vms) = self.duty.take_change() {
+            batch.entries.push(encode_ordered(&vms));
+        }
+        batch.ordered = self.duty.taken;
         batch.starts = std::mem::take(&mut self.starts);
         batch.noted = std::mem::take(&mut self.noted).into_iter().collect();
         batch
     }
 
     /// The records of a batch are durable: what they say may be shown.
-    pub fn confirm(&mut self, shown: &[(JobId, Phase)]) {
-        for (id, phase) in shown {
+    pub fn confirm(&mut self, batch: &Batch) {
+        self.duty.durable = self.duty.durable.max(batch.ordered);
+        for (id, phase) in &batch.shown {
             if let Some(job) = self.jobs.get_mut(id) {
                 job.shown = Some(*phase);
             }
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -6,6 +6,7 @@
 //! values that the caller carries out once the records that belong to them are durable.
 
 mod cell;
+mod duty;
 mod explain;
 mod job;
 mod need;
--- a/crates/jobs/src/outbox.rs
+++ b/crates/jobs/src/outbox.rs
@@ -52,6 +52,8 @@
     pub starts: Vec<Order>,
     /// Up to which number the ends of each worker are then noted.
     pub noted: Vec<(WorkerId, u64)>,
+    /// Up to which version the VMs that orders are given about are then durable.
+    pub ordered: u64,
     /// The jobs whose state may then be shown, with the state.
     pub shown: Vec<(JobId, crate::Phase)>,
 }
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -39,6 +39,8 @@
     State(JobId, State),
     /// Which VMs have had their upkeep in a wave.
     Upkept(u64, BTreeSet<String>),
+    /// Which VMs an owner may have given orders about.
+    Ordered(BTreeSet<String>),
 }
 
 /// How far a job is, as it is kept.
@@ -59,6 +61,9 @@
 /// The first letter of the key of a wave's record.
 const UPKEPT: char = 'w';
 
+/// The first letter of the key of the VMs that orders were given about.
+const ORDERED: char = 'o';
+
 /// The key of a job's record of one kind.
 fn encode_key(kind: char, id: JobId) -> String {
     format!("{kind}{id:016x}")
@@ -100,6 +105,15 @@
     }
 }
 
+/// The record of the VMs that an owner is about to give orders about.
+pub fn encode_ordered(vms: &BTreeSet<String>) -> Entry {
+    let value = rmp_serde::to_vec(vms).expect("plain data has a form in MessagePack");
+    Entry {
+        key: encode_key(ORDERED, 0),
+        value: Some(value),
+    }
+}
+
 /// The record of the VMs that have had their upkeep in a wave.
 pub fn encode_upkept(wave: u64, vms: &BTreeSet<String>) -> Entry {
     let value = rmp_serde::to_vec(vms).expect("plain data has a form in MessagePack");
@@ -135,6 +149,9 @@
             id,
             rmp_serde::from_slice(value).map_err(wrong)?,
         )),
+        ORDERED => Ok(Decoded::Ordered(
+            rmp_serde::from_slice(value).map_err(wrong)?,
+        )),
         _ => Err(unknown()),
     }
 }
--- a/crates/jobs/tests/cell.rs
+++ b/crates/jobs/tests/cell.rs
@@ -587,3 +587,29 @@
     let (_, _, next) = world.run().remove(0);
     assert_eq!(next, 3);
 }
+
+#[test]
+fn a_new_owner_knows_the_vms_that_the_earlier_one_gave_orders_about() {
+    let mut world = World::new(&["a1"]);
+    let matters = Duration::from_millis(3_000);
+    let first = world.cell.note_orders(["vm-1"], world.now, matters);
+    assert!(
+        !world.cell.orders_durable(first),
+        "no order before it is durable"
+    );
+    world.run();
+    assert!(world.cell.orders_durable(first));
+    world.pass(3_000);
+    world.cell.note_orders(["vm-2"], world.now, matters);
+    world.run();
+    world.take_over();
+    assert!(world.cell.was_ordered("vm-2"));
+    assert!(!world.cell.was_ordered("vm-1"), "that was long ago");
+    world.cell.note_orders(["vm-3"], world.now, matters);
+    world.run();
+    world.take_over();
+    assert!(
+        world.cell.was_ordered("vm-2"),
+        "owners may follow each other within moments"
+    );
+}
--- a/crates/jobs/tests/histories.rs
+++ b/crates/jobs/tests/histories.rs
@@ -317,7 +317,7 @@
             self.send(starts);
         } else if let Some(batch) = self.pending.take() {
             self.keep(&batch.entries);
-            self.cell.confirm(&batch.shown);
+            self.cell.confirm(&batch);
             self.noted.extend(batch.noted);
             self.send(batch.starts);
         } else {
--- a/crates/jobs/tests/world/mod.rs
+++ b/crates/jobs/tests/world/mod.rs
@@ -101,8 +101,8 @@
     pub fn run(&mut self) -> Vec<(String, TaskId, RunId)> {
         self.cell.schedule(self.now);
         let batch: Batch = self.cell.take_batch();
+        self.cell.confirm(&batch);
         self.log.extend(batch.entries);
-        self.cell.confirm(&batch.shown);
         let mut started = Vec::new();
         for order in batch.starts {
             let Order::Start { worker, task, run } = order else {
