refactor(entry): the owner's loop, appends, take-over and answers in modules of their own

Kept: order of steps, log lines, constants' values (1.03 and 50 ms are SLOWNESS and DRIFT now, used by longest()). Now: answer, append and load beside the loop; one long answer is three short ones; orders go out by send_all.

--- a/crates/havenladder/src/entry/orders.rs
+++ b/crates/havenladder/src/entry/orders.rs
@@ -1,7 +1,7 @@
 //! Carries out the owner's orders to workers.
 
 use super::{
-    owner::{LEASE, Owner},
+    owner::{LEASE, Owner, longest},
     watch,
 };
 use adapter::{
@@ -19,8 +19,13 @@
 /// Time until a stop without an answer is sent again.
 const STOP_AGAIN: Duration = Duration::from_millis(250);
 
+/// Sends orders, without waiting for their answers.
+pub fn send_all(owner: &Rc<Owner>, orders: impl IntoIterator<Item = Order>) {
+    orders.into_iter().for_each(|order| send(owner, order));
+}
+
 /// Sends an order, without waiting for its answer.
-pub fn send(owner: &Rc<Owner>, order: Order) {
+fn send(owner: &Rc<Owner>, order: Order) {
     let owner = Rc::clone(owner);
     task::spawn_local(async move {
         match order {
@@ -55,10 +60,7 @@
     let contact = contacts.get_mut(worker)?;
     let (clock, read) = contact.clock?;
     let lease = LEASE.min(owner.node.settings.hold);
-    // The clock may run 2 % slow, and was read up to a second ago.
-    contact.leased = contact
-        .leased
-        .max(now + lease.mul_f64(1.03) + Duration::from_millis(50));
+    contact.leased = contact.leased.max(now + longest(lease));
     Some(clock + (now - read + lease).as_millis() as ClockMs)
 }
 
--- /dev/null
+++ b/crates/havenladder/src/entry/owner/append.rs
@@ -0,0 +1,110 @@
+//! Makes records durable, and goes on meanwhile with what needs none.
+
+use super::Owner;
+use crate::entry::{node::wall_ms, orders};
+use adapter::store::{Appended, Condition, frame_keyed};
+use jobs::{Entry, Order};
+use std::{
+    pin::pin,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+use tokio::time;
+use tracing::warn;
+
+/// The topic with the jobs of the cell.
+pub(super) const TOPIC: &str = "keyed.jobs";
+
+/// The name under which owners append to it; their epochs shut out earlier owners.
+const PRODUCER: &str = "owner";
+
+/// How long an append may take before work goes on without it: ten times what it takes as a rule.
+const SLOW: Duration = Duration::from_millis(150);
+
+/// Time between two looks at what can be done while an append is under way.
+const MEANWHILE: Duration = Duration::from_millis(50);
+
+/// Time until an append that did not succeed is tried again.
+pub(super) const AGAIN: Duration = Duration::from_millis(60);
+
+/// Makes records durable, however often it takes; false if a newer owner shut this one out. What can
+/// be done without them is done meanwhile.
+pub(super) async fn append(
+    owner: &Rc<Owner>,
+    entries: &[Entry],
+    sequence: u64,
+    starts: &mut Vec<Order>,
+) -> bool {
+    owner.appending.set(Some(Instant::now()));
+    let durable = try_append(owner, entries, sequence, starts).await;
+    if let Some(since) = owner.appending.take() {
+        owner.node.metrics.appended(since.elapsed());
+    }
+    durable
+}
+
+/// Calls the store until it takes the records or refuses them for good.
+async fn try_append(
+    owner: &Rc<Owner>,
+    entries: &[Entry],
+    sequence: u64,
+    starts: &mut Vec<Order>,
+) -> bool {
+    let rows = entries
+        .iter()
+        .map(|entry| (entry.key.as_str(), entry.value.as_deref()));
+    let body = frame_keyed(rows);
+    let condition = Condition::Producer {
+        name: PRODUCER,
+        epoch: owner.epoch,
+        sequence,
+    };
+    while owner.is_alive() {
+        let call = owner.node.store.append(TOPIC, condition, body.clone());
+        match meanwhile(owner, call, starts).await {
+            Ok(Appended::Done(_)) => return true,
+            Ok(Appended::Fenced) => owner.end("a newer owner appends"),
+            Ok(Appended::Busy) | Err(_) => {
+                let pause = time::sleep(AGAIN);
+                meanwhile(owner, pause, starts).await;
+            }
+            Ok(odd) => {
+                warn!(?odd, sequence, "an append was refused");
+                owner.end("an append was refused");
+            }
+        }
+    }
+    false
+}
+
+/// Waits for something and, where an append takes long, goes on with jobs that the log holds.
+async fn meanwhile<T>(
+    owner: &Rc<Owner>,
+    call: impl Future<Output = T>,
+    starts: &mut Vec<Order>,
+) -> T {
+    let mut call = pin!(call);
+    loop {
+        if let Ok(outcome) = time::timeout(MEANWHILE, call.as_mut()).await {
+            return outcome;
+        }
+        if owner.has_waited(SLOW) && owner.loaded.get() && owner.may_hold() {
+            go_on(owner, starts);
+        }
+    }
+}
+
+/// Starts what is due of jobs that the log holds, though the starts themselves are not recorded: a
+/// new owner meets all workers before it starts what waited.
+fn go_on(owner: &Rc<Owner>, starts: &mut Vec<Order>) {
+    let now = Instant::now();
+    let mut cell = owner.cell.borrow_mut();
+    cell.mark_due(wall_ms());
+    cell.stop_still(now);
+    cell.schedule_unrecorded(now);
+    let mut known = cell.take_known(starts);
+    known.extend(cell.take_unrecorded());
+    drop(cell);
+    owner.send_urgent();
+    orders::send_all(owner, known);
+}
--- /dev/null
+++ b/crates/havenladder/src/entry/owner/load.rs
@@ -0,0 +1,52 @@
+//! Takes in what earlier owners recorded.
+
+use super::{
+    Owner,
+    append::{AGAIN, TOPIC, append},
+};
+use adapter::store::Keyed;
+use std::{rc::Rc, time::Instant};
+use tokio::time;
+use tracing::{info, warn};
+
+/// Shuts out earlier owners and takes in what they recorded; false if this owner was shut out.
+pub(super) async fn load(owner: &Rc<Owner>) -> bool {
+    let began = Instant::now();
+    if !append(owner, &[], 0, &mut Vec::new()).await {
+        owner.end("a newer owner was there first");
+        return false;
+    }
+    loop {
+        if !owner.is_alive() {
+            return false;
+        }
+        match owner.node.store.newest(TOPIC).await {
+            Ok(Some(newest)) => {
+                let records: Vec<_> = newest.records.iter().filter_map(decode).collect();
+                let count = records.len();
+                owner.cell.borrow_mut().load(records);
+                let jobs = owner.cell.borrow().jobs.len();
+                info!(
+                    count,
+                    jobs,
+                    ms = began.elapsed().as_millis() as u64,
+                    "took over the cell"
+                );
+                return true;
+            }
+            Ok(None) | Err(_) => time::sleep(AGAIN).await,
+        }
+    }
+}
+
+/// Reads a record; one that cannot be read is logged and left out.
+fn decode(record: &Keyed) -> Option<jobs::Decoded> {
+    let value = record.value.as_ref()?;
+    match jobs::decode_entry(&record.key, value) {
+        Ok(decoded) => Some(decoded),
+        Err(error) => {
+            warn!(%error, key = record.key, "a record of the cell cannot be read");
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/havenladder/src/entry/owner/mod.rs
@@ -0,0 +1,250 @@
+//! The owner of the cell: takes what earlier owners left, makes decisions durable, then acts.
+
+mod answer;
+mod append;
+mod load;
+
+use super::{
+    fleet,
+    lease::TRUST,
+    node::{Node, wall_ms},
+    orders, watch,
+};
+use adapter::workers::ClockMs;
+use append::append;
+use jobs::{Batch, Cell as JobCell, Limits, WorkerId};
+use load::load;
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+use tokio::{sync::Notify, task, time};
+use tracing::info;
+
+/// How long a worker keeps its runs without a word from the owner. Long enough for a new owner to be
+/// found (2 s), to take over (0.5 s) and to reach the worker; a worker that is lost keeps its tasks
+/// waiting for as long.
+pub const LEASE: Duration = Duration::from_millis(4_500);
+
+/// How long an owner that cannot renew goes on extending leases: while the store is down for all,
+/// nobody else can take over. A new owner waits it out where it does not reach a worker.
+pub const GRACE: Duration = Duration::from_millis(6_000);
+
+/// By what factor a lease may outlast its length: a worker's clock may run 2 % slow.
+const SLOWNESS: f64 = 1.03;
+
+/// By how much more it may: the worker's clock was read up to a second before the lease was given, in
+/// which it may have gone 20 ms astray.
+const DRIFT: Duration = Duration::from_millis(50);
+
+/// The least time between two appends: each call has a price, and what comes up meanwhile shares one.
+const GAP: Duration = Duration::from_millis(8);
+
+/// Time between two looks at what only time changes: due rounds and runs that stand still.
+const TICK: Duration = Duration::from_millis(200);
+
+/// Time between two lines about lasting tasks that wait for room.
+const COMPLAINT: Duration = Duration::from_millis(2_000);
+
+/// How long a lease of this length may hold at the most, after it was given.
+pub fn longest(lease: Duration) -> Duration {
+    lease.mul_f64(SLOWNESS) + DRIFT
+}
+
+/// What the owner knows of the way to a worker.
+#[derive(Clone, Debug)]
+pub struct Contact {
+    /// The worker's clock when it last answered.
+    pub clock: Option<(ClockMs, Instant)>,
+    /// Until when its lease may hold at the latest.
+    pub leased: Instant,
+    /// Up to which number its ends are durable.
+    pub noted: u64,
+}
+
+/// What is known of the owner before.
+#[derive(Clone, Copy, Debug)]
+pub struct Predecessor {
+    /// When its last renewal was read; none if its process has ended for certain.
+    pub renewed: Option<Instant>,
+    /// Whether the store was in trouble of late.
+    pub troubled: bool,
+}
+
+/// The owner of the cell.
+pub struct Owner {
+    /// Shared state of the entry.
+    pub node: Rc<Node>,
+    /// The number that fences the owner's appends and orders.
+    pub epoch: u64,
+    /// The jobs and workers.
+    pub cell: RefCell<JobCell>,
+    /// The ways to the workers.
+    pub contacts: RefCell<HashMap<WorkerId, Contact>>,
+    /// When the renewal that last succeeded was sent.
+    pub renewed: Cell<Instant>,
+    /// Until when an earlier owner's leases may hold.
+    pub inherited: Instant,
+    /// From when on this owner may give orders about VMs: the earlier one may have given one as long as
+    /// it trusted its lease, and two holders must not act in turn.
+    pub duties: Instant,
+    /// Since when an append is under way.
+    appending: Cell<Option<Instant>>,
+    /// Whether it may still decide.
+    alive: Cell<bool>,
+    /// Whether what earlier owners recorded has been taken in.
+    loaded: Cell<bool>,
+    /// Told when something has changed in the cell.
+    wake: Notify,
+    /// Told after each append, and when the owner ends.
+    pub settled: Notify,
+}
+
+impl Owner {
+    /// Begins to own the cell.
+    pub fn start(node: &Rc<Node>, epoch: u64, before: Predecessor) -> Rc<Self> {
+        let now = Instant::now();
+        let extended = match before.renewed {
+            Some(at) => at + GRACE,
+            None => now,
+        };
+        let limits = Limits {
+            stop: node.settings.stop,
+            ..Limits::default()
+        };
+        let owner = Rc::new(Owner {
+            node: Rc::clone(node),
+            epoch,
+            cell: RefCell::new(JobCell::new(limits)),
+            contacts: RefCell::default(),
+            renewed: Cell::new(now),
+            inherited: extended + longest(LEASE),
+            duties: before.renewed.map_or(now, |at| at + TRUST) + node.settings.lease,
+            appending: Cell::new(None),
+            alive: Cell::new(true),
+            loaded: Cell::new(false),
+            wake: Notify::new(),
+            settled: Notify::new(),
+        });
+        node.metrics.owned("gained");
+        info!(epoch, ?before, "owns the cell");
+        *node.owner.borrow_mut() = Some(Rc::clone(&owner));
+        task::spawn_local(run(Rc::clone(&owner), before.troubled));
+        owner
+    }
+
+    /// Whether it may still decide.
+    pub fn is_alive(&self) -> bool {
+        self.alive.get()
+    }
+
+    /// Whether it may extend leases and start what is durable.
+    pub fn may_hold(&self) -> bool {
+        self.is_alive() && self.renewed.get().elapsed() < GRACE
+    }
+
+    /// Whether it is certain that nobody else owns the cell.
+    pub fn is_certain(&self) -> bool {
+        self.is_alive() && self.renewed.get().elapsed() < TRUST
+    }
+
+    /// Ends it: it decides and orders nothing any more.
+    pub fn end(&self, why: &str) {
+        if self.alive.replace(false) {
+            self.node.metrics.owned("lost");
+            info!(epoch = self.epoch, why, "owns the cell no longer");
+            self.wake.notify_one();
+            self.settled.notify_waiters();
+        }
+    }
+
+    /// Something has changed in the cell: what follows is to be decided and done.
+    pub fn wake(self: &Rc<Self>) {
+        self.send_urgent();
+        self.wake.notify_one();
+    }
+
+    /// Sends the orders that need no record.
+    fn send_urgent(self: &Rc<Self>) {
+        let urgent = self.cell.borrow_mut().take_urgent();
+        orders::send_all(self, urgent);
+    }
+
+    /// Whether an append is under way that has taken at least this long.
+    fn has_waited(&self, least: Duration) -> bool {
+        self.appending
+            .get()
+            .is_some_and(|since| since.elapsed() >= least)
+    }
+}
+
+/// Takes the cell over, then decides, records and acts in turn until the owner ends.
+async fn run(owner: Rc<Owner>, troubled: bool) {
+    if !load(&owner).await {
+        return;
+    }
+    owner
+        .cell
+        .borrow_mut()
+        .close_gate(owner.inherited, troubled);
+    owner.loaded.set(true);
+    owner.settled.notify_waiters();
+    task::spawn_local(watch::run(Rc::clone(&owner)));
+    task::spawn_local(fleet::run(Rc::clone(&owner)));
+    task::spawn_local(complain(Rc::clone(&owner)));
+    let mut sequence = 1;
+    while owner.is_alive() {
+        let _ = time::timeout(TICK, owner.wake.notified()).await;
+        let mut batch = decide(&owner);
+        owner.send_urgent();
+        if batch.is_empty() {
+            continue;
+        }
+        if !batch.entries.is_empty() {
+            if !append(&owner, &batch.entries, sequence, &mut batch.starts).await {
+                break;
+            }
+            sequence += 1;
+        }
+        carry_out(&owner, batch);
+        time::sleep(GAP).await;
+    }
+    owner.end("the loop ends");
+}
+
+/// Tells for a lasting task that waits what keeps it from the workers.
+async fn complain(owner: Rc<Owner>) {
+    while owner.is_alive() {
+        time::sleep(COMPLAINT).await;
+        let cell = owner.cell.borrow();
+        let waiting = cell.waiting_lasting();
+        if let Some(task) = waiting.first() {
+            let obstacles = cell.obstacles(*task, Instant::now());
+            info!(%task, waiting = waiting.len(), ?obstacles, "lasting task waits for room");
+        }
+    }
+}
+
+/// Decides what is to be done now, and what has to be recorded for it.
+fn decide(owner: &Rc<Owner>) -> Batch {
+    let now = Instant::now();
+    let mut cell = owner.cell.borrow_mut();
+    cell.mark_due(wall_ms());
+    cell.stop_still(now);
+    cell.schedule(now);
+    cell.take_batch()
+}
+
+/// Does what waited for its records, which are durable now.
+fn carry_out(owner: &Rc<Owner>, batch: Batch) {
+    owner.cell.borrow_mut().confirm(&batch.shown);
+    for (worker, number) in batch.noted {
+        if let Some(contact) = owner.contacts.borrow_mut().get_mut(&worker) {
+            contact.noted = contact.noted.max(number);
+        }
+    }
+    orders::send_all(owner, batch.starts);
+    owner.settled.notify_waiters();
+}
