refactor(entry): one loop takes connections for callers, entries, the balancer and scrapers

Cause: four accept loops and three bare HTTP servers stood beside each other. Kept: which failures are logged and in which words, the pause of 20 ms, no delay on the entries' connections; the callers' own server stays, as it ends gracefully. Now: listen.rs has accept_each and serve; a caller's job is read in a function of its own, and what lacked a doc comment has one.

--- a/crates/havenladder/src/entry/callers.rs
+++ b/crates/havenladder/src/entry/callers.rs
@@ -2,11 +2,13 @@
 
 use super::{
     inner::{self, Ask, Tell},
+    listen::{self, Reply, accept_each},
     node::{LifeId, Node, wall_ms},
 };
 use adapter::{
     callers::{HEADER_DEADLINE, read_id, read_job, write_pending, write_state},
     http::CallError,
+    operator::Queue,
 };
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -24,7 +26,7 @@
 };
 use tokio::{
     net::{TcpListener, TcpStream},
-    task, time,
+    time,
 };
 use tracing::{info, warn};
 
@@ -44,23 +46,13 @@
 /// When a caller that was refused is to come back, in seconds: an owner is found within 3.
 const RETRY_AFTER: &str = "1";
 
-type Reply = Response<Full<Bytes>>;
-
 /// Takes the connections of consumers.
 pub async fn listen(node: Rc<Node>, listener: TcpListener) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                task::spawn_local(serve(Rc::clone(&node), stream));
-            }
-            Err(error) => {
-                warn!(%error, "no connection of a caller could be taken");
-                time::sleep(Duration::from_millis(20)).await;
-            }
-        }
-    }
+    let failed = |error| warn!(%error, "no connection of a caller could be taken");
+    accept_each(listener, failed, |stream| serve(Rc::clone(&node), stream)).await;
 }
 
+/// Serves a caller; when the process is to stop, the request under way is the last.
 async fn serve(node: Rc<Node>, stream: TcpStream) {
     // Without this, answers are only slower.
     let _ = stream.set_nodelay(true);
@@ -76,6 +68,7 @@
     let _ = connection.await;
 }
 
+/// Answers a request and counts it.
 async fn count(node: Rc<Node>, request: Request<Incoming>) -> Result<Reply, Infallible> {
     node.in_flight.set(node.in_flight.get() + 1);
     let began = Instant::now();
@@ -89,30 +82,25 @@
 
 /// Answers whether the entry takes callers.
 pub async fn listen_ready(node: Rc<Node>, listener: TcpListener) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            time::sleep(Duration::from_millis(20)).await;
-            continue;
-        };
+    let answer = |stream| {
         let node = Rc::clone(&node);
-        task::spawn_local(async move {
-            let service = service_fn(|_| async {
-                let ready = node.config().is_some() && !node.stopping.get();
-                let status = if ready {
-                    StatusCode::OK
-                } else {
-                    StatusCode::SERVICE_UNAVAILABLE
-                };
-                Ok::<_, Infallible>(reply(status, ""))
-            });
-            // The balancer asks again every second.
-            let _ = http1::Builder::new()
-                .serve_connection(TokioIo::new(stream), service)
-                .await;
-        });
-    }
+        listen::serve(stream, move |_| ready(Rc::clone(&node)))
+    };
+    // The balancer asks again every second.
+    accept_each(listener, drop, answer).await;
+}
+
+async fn ready(node: Rc<Node>) -> Reply {
+    let ready = node.config().is_some() && !node.stopping.get();
+    let status = if ready {
+        StatusCode::OK
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
+    };
+    reply(status, "")
 }
 
+/// A reply in JSON; one that asks the caller to come back says when.
 fn reply(status: StatusCode, body: impl Into<Bytes>) -> Reply {
     let body = body.into();
     let mut response = Response::new(Full::new(body));
@@ -126,6 +114,7 @@
     response
 }
 
+/// A header's text; empty if there is none.
 fn text<'a>(request: &'a Request<Incoming>, name: &str) -> &'a str {
     request
         .headers()
@@ -134,6 +123,7 @@
         .unwrap_or("")
 }
 
+/// Until when the caller waits, by its header; one that asks for too long is not believed.
 fn deadline(request: &Request<Incoming>, now: Instant) -> Instant {
     let ms = text(request, HEADER_DEADLINE)
         .parse()
@@ -141,6 +131,7 @@
     now + ms.min(DEADLINE * 20)
 }
 
+/// Answers a request, by its queue, method and job.
 async fn handle(node: &Rc<Node>, request: Request<Incoming>) -> Reply {
     let deadline = deadline(&request, Instant::now());
     let Some(config) = node.config() else {
@@ -163,29 +154,38 @@
     match *request.method() {
         Method::GET => ask(node, Ask::State(id), deadline).await,
         Method::DELETE => ask(node, Ask::Cancel(id), deadline).await,
-        Method::POST => {
-            let limited = Limited::new(request.into_body(), LONGEST).collect().await;
-            let Ok(body) = limited else {
-                return reply(StatusCode::PAYLOAD_TOO_LARGE, "");
-            };
-            match read_submission(queue, id, &body.to_bytes()) {
-                Ok(given) => ask(node, Ask::Submit(given), deadline).await,
-                Err(why) => {
-                    info!(job = format!("{id:016x}"), why, "not taken");
-                    let body = serde_json::json!({ "error": why }).to_string();
-                    reply(StatusCode::BAD_REQUEST, body)
-                }
-            }
-        }
+        Method::POST => submit(node, queue, id, request.into_body(), deadline).await,
         _ => reply(StatusCode::METHOD_NOT_ALLOWED, ""),
     }
 }
 
-fn read_submission(
-    queue: &adapter::operator::Queue,
+/// Reads a job and hands it to the owner.
+async fn submit(
+    node: &Rc<Node>,
+    queue: &Queue,
     id: JobId,
-    body: &[u8],
-) -> Result<Submission, String> {
+    body: Incoming,
+    deadline: Instant,
+) -> Reply {
+    let Ok(body) = Limited::new(body, LONGEST).collect().await else {
+        return reply(StatusCode::PAYLOAD_TOO_LARGE, "");
+    };
+    match read_submission(queue, id, &body.to_bytes()) {
+        Ok(given) => ask(node, Ask::Submit(given), deadline).await,
+        Err(why) => {
+            info!(job = format!("{id:016x}"), why, "not taken");
+            let body = serde_json::json!({ "error": why }).to_string();
+            reply(StatusCode::BAD_REQUEST, body)
+        }
+    }
+}
+
+/// Reads the body of a job for a queue.
+///
+/// # Errors
+///
+/// Says what is wrong with it, for its caller.
+fn read_submission(queue: &Queue, id: JobId, body: &[u8]) -> Result<Submission, String> {
     let spec = read_job(body).map_err(|error| error.to_string())?;
     spec.check().map_err(|error| error.to_string())?;
     Ok(Submission {
@@ -229,6 +229,7 @@
     }
 }
 
+/// Puts a question to the entry that owns the cell.
 async fn forward(node: &Rc<Node>, ask: &Ask, deadline: Instant) -> Tell {
     let lease = node.lease.borrow().clone();
     let Some(lease) = lease.filter(|lease| lease.life != node.life && !lease.released) else {
@@ -272,8 +273,10 @@
 /// A job that may have been kept is never said to be refused.
 fn refuse(ask: &Ask, sent: bool) -> Reply {
     info!(?ask, sent, "given up");
-    match sent {
-        true => reply(StatusCode::GATEWAY_TIMEOUT, ""),
-        false => reply(StatusCode::SERVICE_UNAVAILABLE, ""),
-    }
+    let status = if sent {
+        StatusCode::GATEWAY_TIMEOUT
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
+    };
+    reply(status, "")
 }
--- a/crates/havenladder/src/entry/inner.rs
+++ b/crates/havenladder/src/entry/inner.rs
@@ -1,17 +1,16 @@
 //! What entries ask of the cell's owner, over HTTP with MessagePack.
 
-use super::node::{Lease, Node};
+use super::{
+    listen::{self, Reply, accept_each},
+    node::{Lease, Node},
+};
 use adapter::http::{Call, CallError};
-use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::{
-    Method, Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
-};
-use hyper_util::rt::TokioIo;
+use hyper::{Method, Request, Response, StatusCode, body::Incoming};
 use jobs::{JobId, Phase, QueueId, Submission};
 use serde::{Deserialize, Serialize};
-use std::{convert::Infallible, rc::Rc, time::Instant};
-use tokio::{net::TcpListener, task};
+use std::{rc::Rc, time::Instant};
+use tokio::net::{TcpListener, TcpStream};
 use tracing::warn;
 
 /// The path of a question.
@@ -76,32 +75,18 @@
 
 /// Answers the questions of other entries.
 pub async fn listen(node: Rc<Node>, listener: TcpListener) {
-    loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                warn!(%error, "no connection of an entry could be taken");
-                tokio::time::sleep(std::time::Duration::from_millis(20)).await;
-                continue;
-            }
-        };
+    let failed = |error| warn!(%error, "no connection of an entry could be taken");
+    let serve = |stream: TcpStream| {
         // Without this, answers are only slower.
         let _ = stream.set_nodelay(true);
         let node = Rc::clone(&node);
-        task::spawn_local(async move {
-            let service = service_fn(|request| answer(Rc::clone(&node), request));
-            // An entry that breaks off asks again by itself.
-            let _ = http1::Builder::new()
-                .serve_connection(TokioIo::new(stream), service)
-                .await;
-        });
-    }
+        listen::serve(stream, move |request| answer(Rc::clone(&node), request))
+    };
+    accept_each(listener, failed, serve).await;
 }
 
-async fn answer(
-    node: Rc<Node>,
-    request: Request<Incoming>,
-) -> Result<Response<Full<Bytes>>, Infallible> {
+/// Answers a question of another entry.
+async fn answer(node: Rc<Node>, request: Request<Incoming>) -> Reply {
     let body = Limited::new(request.into_body(), LONGEST).collect().await;
     let ask = body
         .ok()
@@ -109,7 +94,7 @@
     let Some(ask) = ask else {
         let mut response = Response::new(Full::default());
         *response.status_mut() = StatusCode::BAD_REQUEST;
-        return Ok(response);
+        return response;
     };
     let tell = match (ask, node.own()) {
         (Ask::News { version, end }, _) => Tell::News(news(&node, version, end)),
@@ -117,9 +102,10 @@
         (_, None) => Tell::NotOwner,
     };
     let bytes = rmp_serde::to_vec(&tell).expect("plain data has a form in MessagePack");
-    Ok(Response::new(Full::new(bytes.into())))
+    Response::new(Full::new(bytes.into()))
 }
 
+/// What this entry knows beyond a version of the configuration and an end of the lease's log.
 fn news(node: &Node, version: u64, end: u64) -> News {
     let newer = node.config().is_some_and(|config| config.version > version);
     let raw = node.raw_config.borrow();
--- a/crates/havenladder/src/entry/metrics.rs
+++ b/crates/havenladder/src/entry/metrics.rs
@@ -1,17 +1,19 @@
 //! Counters and latencies of an entry on the users' machines, in the text form that scrapers read.
 
-use super::node::Node;
+use super::{
+    listen::{self, Reply, accept_each},
+    node::Node,
+};
 use http_body_util::Full;
-use hyper::{Response, server::conn::http1, service::service_fn};
-use hyper_util::rt::TokioIo;
+use hyper::Response;
 use opentelemetry::{
     KeyValue,
     metrics::{Counter, Histogram, MeterProvider},
 };
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
-use std::{convert::Infallible, rc::Rc, time::Duration};
-use tokio::{net::TcpListener, task, time};
+use std::{rc::Rc, time::Duration};
+use tokio::net::TcpListener;
 use tracing::warn;
 
 /// The port of the metrics, as deploy/system.toml names it.
@@ -107,21 +109,14 @@
 
 /// Tells the metrics to whoever asks.
 pub async fn listen(node: Rc<Node>, listener: TcpListener) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            time::sleep(Duration::from_millis(20)).await;
-            continue;
-        };
+    let serve = |stream| {
         let node = Rc::clone(&node);
-        task::spawn_local(async move {
-            let service = service_fn(|_| async {
-                let body = Full::new(bytes::Bytes::from(node.metrics.text()));
-                Ok::<_, Infallible>(Response::new(body))
-            });
-            // A scraper that breaks off asks again.
-            let _ = http1::Builder::new()
-                .serve_connection(TokioIo::new(stream), service)
-                .await;
-        });
-    }
+        listen::serve(stream, move |_| tell(Rc::clone(&node)))
+    };
+    // A scraper that found no connection asks again.
+    accept_each(listener, drop, serve).await;
+}
+
+async fn tell(node: Rc<Node>) -> Reply {
+    Response::new(Full::new(node.metrics.text().into()))
 }
--- a/crates/havenladder/src/entry/mod.rs
+++ b/crates/havenladder/src/entry/mod.rs
@@ -9,6 +9,7 @@
 mod follow;
 mod inner;
 mod lease;
+mod listen;
 mod logs;
 mod metrics;
 mod moves;
