--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -4,6 +4,7 @@
 //! same verdicts without asking another. Nothing in here knows a socket or a clock: time is what
 //! the records carry, or an argument.
 
+mod bound;
 mod budget;
 mod fold;
 mod grant;
@@ -17,6 +18,7 @@
 mod state;
 mod wave;
 
+pub use bound::{Whereabouts, room_to_go};
 pub use budget::{Count, Hold, holds};
 pub use moves::{Room, Wanted, least_moves, next_moves};
 pub use plan::{Action, Evidence, Sight, View, free_token, next_action, plan};
--- a/crates/havenladder/src/entry/upkeep.rs
+++ b/crates/havenladder/src/entry/upkeep.rs
@@ -6,6 +6,7 @@
     operator::{STATUS_TOPIC, WAVE_KEY, Wave, WaveState, write_wave},
     store::{Appended, Condition, frame_keyed},
 };
+use fleet::{Whereabouts, room_to_go};
 use jobs::Takeout;
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -109,7 +110,7 @@
     close_next(owner, wave, course, vms);
     let closing: Vec<String> = course.closing.keys().cloned().collect();
     for name in closing {
-        if course.down.len() >= wave.most {
+        if room(owner, wave, course, vms) == 0 {
             break;
         }
         if let Some(vm) = vms.get(&name) {
@@ -186,9 +187,20 @@
     }
 }
 
+/// How many more VMs of a wave may go down now.
+fn room(owner: &Owner, wave: &Wave, course: &Course, vms: &VmList) -> usize {
+    let whereabouts = |name: &String| match vms.get(name).map(|vm| vm.state) {
+        _ if course.down.contains_key(name) => Whereabouts::Told,
+        Some(VmState::Upkeep | VmState::Down) => Whereabouts::Down,
+        Some(VmState::Up) if owner.must_spare(name) => Whereabouts::Doubtful,
+        Some(VmState::Up | VmState::Moving) | None => Whereabouts::Up,
+    };
+    room_to_go(wave.most, wave.vms.iter().map(whereabouts))
+}
+
 /// Chooses the VMs to go next: those that carry the least, as many as the bound has room for.
 fn close_next(owner: &Owner, wave: &Wave, course: &mut Course, vms: &VmList) {
-    let room = wave.most.saturating_sub(course.down.len());
+    let room = room(owner, wave, course, vms);
     course
         .closing
         .retain(|name, _| vms.get(name).is_some_and(|vm| vm.state == VmState::Up));
