--- a/crates/havenladder/src/entry/callers.rs
+++ b/crates/havenladder/src/entry/callers.rs
@@ -272,7 +272,7 @@
 
 /// A job that may have been kept is never said to be refused.
 fn refuse(ask: &Ask, sent: bool) -> Reply {
-    info!(?ask, sent, "given up");
+    info!(ask = %ask, sent, "given up");
     let status = if sent {
         StatusCode::GATEWAY_TIMEOUT
     } else {
--- a/crates/havenladder/src/entry/inner.rs
+++ b/crates/havenladder/src/entry/inner.rs
@@ -9,7 +9,7 @@
 use hyper::{Method, Request, Response, StatusCode, body::Incoming};
 use jobs::{JobId, Phase, QueueId, Submission};
 use serde::{Deserialize, Serialize};
-use std::{rc::Rc, time::Instant};
+use std::{fmt, rc::Rc, time::Instant};
 use tokio::net::{TcpListener, TcpStream};
 use tracing::warn;
 
@@ -40,6 +40,18 @@
     },
 }
 
+impl fmt::Display for Ask {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Ask::Submit(given) => write!(f, "submit {:016x}", given.id),
+            Ask::Cancel(id) => write!(f, "cancel {id:016x}"),
+            Ask::State(id) => write!(f, "state {id:016x}"),
+            Ask::Pending(queue) => write!(f, "pending {queue}"),
+            Ask::News { version, end } => write!(f, "news since {version} and {end}"),
+        }
+    }
+}
+
 /// What an entry knows that another may not.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct News {
