refactor(jobs): shorter ends and placing; enums and a struct for bools and tuples

Cause: end_run and complete did three things each, a bool said whether the log was away, and a tuple of three stood for a gang's worker. Kept: order of the checks and of the stops, ties between workers, names and constants; take_worker and close_worker keep their bools, as tests call them. Now: note_end and close_tasks, Log, Host, may_join (stood three times) and Job::find_step (stood four times).

--- a/crates/jobs/src/cell/ends.rs
+++ b/crates/jobs/src/cell/ends.rs
@@ -1,6 +1,7 @@
 //! What the end of a run means for its task, and the end of a job for its runs.
 
-use crate::{Cell, How, JobId, Phase, Round, RunId, TaskId, TaskPhase, WorkerId};
+use crate::{Cell, How, Job, JobId, Phase, Round, RunId, Step, TaskId, TaskPhase, WorkerId};
+use std::{mem, ops::Range};
 
 impl Cell {
     /// Deals with the end of a run, once: `worker` has listed it.
@@ -13,26 +14,11 @@
         saved: &str,
     ) {
         let current = self.is_current(worker, task, run);
-        let Some(job) = self.jobs.get_mut(&task.job) else {
-            return;
-        };
-        if job.phase.is_over() {
-            return;
-        }
-        let Some(step) = job.given.spec.steps.get(task.step as usize) else {
+        let progress = if current { saved } else { "" };
+        let Some(step) = self.note_end(task, run, progress) else {
             return;
         };
         let (gang, lasting) = (step.gang, step.lasting);
-        let Some(state) = job.task_mut(task.round, task.step, task.index) else {
-            return;
-        };
-        if current && !saved.is_empty() {
-            state.saved = saved.to_owned();
-        }
-        if state.phase == TaskPhase::Waiting {
-            // An earlier owner may have started it without a record; numbers must go on rising.
-            state.run = state.run.max(run);
-        }
         self.mark_dirty(task.job);
         match how {
             How::Done if !lasting => return self.complete(task, gang),
@@ -46,6 +32,25 @@
         }
     }
 
+    /// Notes the number and the saved progress of a run that has ended. The step that it belongs to,
+    /// unless its job is over or has no such task.
+    fn note_end(&mut self, task: TaskId, run: RunId, saved: &str) -> Option<&Step> {
+        let job = self.jobs.get_mut(&task.job)?;
+        if job.phase.is_over() {
+            return None;
+        }
+        job.find_step(task)?;
+        let state = job.task_mut(task.round, task.step, task.index)?;
+        if !saved.is_empty() {
+            state.saved = saved.to_owned();
+        }
+        if state.phase == TaskPhase::Waiting {
+            // An earlier owner may have started it without a record; numbers must go on rising.
+            state.run = state.run.max(run);
+        }
+        job.find_step(task)
+    }
+
     /// Counts a failed run, once; true if it was the last that the task, or its gang, may have.
     fn count_failure(&mut self, task: TaskId, run: RunId, gang: bool) -> bool {
         let Some(job) = self.jobs.get_mut(&task.job) else {
@@ -73,19 +78,10 @@
         } else {
             task.index..task.index + 1
         };
-        let mut stops = Vec::new();
-        let mut closed = 0;
-        for index in members {
-            let Some(state) = job.task_mut(task.round, task.step, index) else {
-                continue;
-            };
-            match std::mem::replace(&mut state.phase, TaskPhase::Done) {
-                TaskPhase::Done => continue,
-                TaskPhase::Placed(on) => stops.push((on, TaskId { index, ..task }, state.run)),
-                TaskPhase::Waiting => {}
-            }
-            closed += 1;
-        }
+        let Closed {
+            count: closed,
+            placed,
+        } = close_tasks(job, task, members);
         let round = &mut job.rounds[task.round as usize];
         let open = &mut round.open[task.step as usize];
         *open = open.saturating_sub(closed);
@@ -93,7 +89,7 @@
         let over = job.rounds.iter().all(Round::is_done);
         if !gang {
             // A late end of an earlier run counts; the later run has nothing left to do.
-            stops
+            placed
                 .iter()
                 .for_each(|(on, task, run)| self.stop_run(on, *task, *run));
         }
@@ -143,3 +139,34 @@
         runs
     }
 }
+
+/// The tasks of a step that have just been marked as done.
+struct Closed {
+    /// How many were not done before.
+    count: u32,
+    /// The runs that they were placed with.
+    placed: Vec<(WorkerId, TaskId, RunId)>,
+}
+
+/// Marks tasks of the step of `task` as done.
+fn close_tasks(job: &mut Job, task: TaskId, members: Range<u32>) -> Closed {
+    let mut closed = Closed {
+        count: 0,
+        placed: Vec::new(),
+    };
+    for index in members {
+        let Some(state) = job.task_mut(task.round, task.step, index) else {
+            continue;
+        };
+        match mem::replace(&mut state.phase, TaskPhase::Done) {
+            TaskPhase::Done => continue,
+            TaskPhase::Placed(on) => {
+                let task = TaskId { index, ..task };
+                closed.placed.push((on, task, state.run));
+            }
+            TaskPhase::Waiting => {}
+        }
+        closed.count += 1;
+    }
+    closed
+}
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -159,7 +159,7 @@
 
 /// What a run of a task takes of a worker's room, and what it is like.
 pub(crate) fn load_of(job: &Job, task: TaskId) -> Load {
-    let Some(step) = job.given.spec.steps.get(task.step as usize) else {
+    let Some(step) = job.find_step(task) else {
         return Load {
             need: Need::default(),
             kind: RunKind::Finite,
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -1,6 +1,6 @@
 //! A job's state: its rounds, steps and tasks.
 
-use crate::{RunId, Step, Submission, WorkerId};
+use crate::{RunId, Step, Submission, TaskId, WorkerId};
 use serde::{Deserialize, Serialize};
 
 /// How far a job is.
@@ -141,6 +141,11 @@
         &self.given.spec.steps[step as usize]
     }
 
+    /// What the tasks of a task's step are, if the job has the step: one that is over may have lost it.
+    pub fn find_step(&self, task: TaskId) -> Option<&Step> {
+        self.given.spec.steps.get(task.step as usize)
+    }
+
     /// A task, if the job has it.
     pub fn task(&self, round: u32, step: u32, index: u32) -> Option<&Task> {
         self.rounds
--- a/crates/jobs/src/observe.rs
+++ b/crates/jobs/src/observe.rs
@@ -68,6 +68,7 @@
         }
     }
 
+    /// Takes in an end that a worker listed for the first time.
     fn take_end(&mut self, worker: &str, end: &EndRow, now: Instant) {
         let mut took = None;
         if let Some(host) = self.workers.get_mut(worker) {
@@ -94,7 +95,7 @@
         let Some(job) = self.jobs.get(&task.job) else {
             return;
         };
-        let Some(step) = job.given.spec.steps.get(task.step as usize) else {
+        let Some(step) = job.find_step(task) else {
             return;
         };
         if step.estimate == 0 || step.lasting {
@@ -130,6 +131,7 @@
         }
     }
 
+    /// Takes in what a worker said of a run that it has.
     fn take_row(&mut self, worker: &str, row: &RunRow, now: Instant) {
         if self.run_mut(worker, row.task, row.run).is_none() {
             self.adopt(worker, row, now);
@@ -185,6 +187,7 @@
         }
     }
 
+    /// Takes a run for the current one of its task.
     fn reclaim(&mut self, worker: &str, task: TaskId, run: RunId) {
         let job = self.jobs.get_mut(&task.job);
         let state = job.and_then(|job| job.task_mut(task.round, task.step, task.index));
@@ -231,7 +234,7 @@
             let Some(job) = self.jobs.get(&row.task.job) else {
                 continue;
             };
-            let Some(step) = job.given.spec.steps.get(row.task.step as usize) else {
+            let Some(step) = job.find_step(row.task) else {
                 continue;
             };
             if let Some(target) = step.target {
@@ -246,6 +249,7 @@
         }
     }
 
+    /// Sets the pace of a run by how tight the tightest task beside it is: 1 is at its target.
     fn pace_run(&mut self, worker: &str, task: TaskId, run: RunId, tightest: f64, now: Instant) {
         let Some(state) = self.run_mut(worker, task, run) else {
             return;
--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -31,27 +31,66 @@
 /// way round: they disturb each other.
 const DISTURBS: f64 = 1.0;
 
+/// Whether what is decided now can be recorded.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Log {
+    /// It can.
+    There,
+    /// It cannot, for the time being.
+    Away,
+}
+
+/// A worker while the members of a gang are placed, with those that it has got already.
+struct Host<'w> {
+    worker: &'w Worker,
+    used: Need,
+    /// How many tasks of the step it has.
+    siblings: u32,
+}
+
+impl<'w> Host<'w> {
+    /// A worker before members of the gang of `task` are placed there.
+    fn new(worker: &'w Worker, task: TaskId) -> Self {
+        Host {
+            worker,
+            used: worker.used,
+            siblings: worker.siblings(task),
+        }
+    }
+
+    /// The room that is left, in thousandths of a core.
+    fn free(&self) -> u64 {
+        self.worker.info.capacity.cpu.saturating_sub(self.used.cpu)
+    }
+
+    /// Whether one more member, which needs this room, finds it.
+    fn fits(&self, room: Need, step: &Step) -> bool {
+        room.fits(self.used, self.worker.info.capacity) && may_join(step, self.siblings)
+    }
+}
+
 impl Cell {
     /// Gives room to waiting tasks, in order, and notes the orders that follow.
     pub fn schedule(&mut self, now: Instant) {
-        self.schedule_all(now, false);
+        self.schedule_all(now, Log::There);
     }
 
     /// The same while the log is away. There may be a newer owner then, which may have met the workers
     /// that this one has lost from sight: what ran there is not tried again.
     pub fn schedule_unrecorded(&mut self, now: Instant) {
-        self.schedule_all(now, true);
+        self.schedule_all(now, Log::Away);
     }
 
-    fn schedule_all(&mut self, now: Instant, unrecorded: bool) {
+    fn schedule_all(&mut self, now: Instant, log: Log) {
         let services: Vec<_> = self.waiting.keys().cloned().collect();
         for service in services {
-            self.schedule_service(&service, now, unrecorded);
+            self.schedule_service(&service, now, log);
         }
         self.reserved.clear();
     }
 
-    fn schedule_service(&mut self, service: &str, now: Instant, unrecorded: bool) {
+    /// Gives room to the waiting tasks of a service, in order.
+    fn schedule_service(&mut self, service: &str, now: Instant, log: Log) {
         self.demote_late(service);
         let mut misfits = 0;
         let ranks: Vec<Rank> = self.waiting[service].iter().copied().collect();
@@ -60,7 +99,7 @@
                 break;
             }
             let task = rank.task();
-            let lost = unrecorded && self.lost.contains(&task);
+            let lost = log == Log::Away && self.lost.contains(&task);
             if lost || self.is_gated(rank.order(), service, now) || self.has_run(task) {
                 continue;
             }
@@ -100,7 +139,7 @@
         let may = |w: &&Worker| {
             self.takes(w, task, step, now)
                 && room.fits(Need::default(), w.info.capacity)
-                && step.apart.is_none_or(|most| w.siblings(task) < most)
+                && may_join(step, w.siblings(task))
         };
         let free = |w: &&Worker| w.info.capacity.cpu.saturating_sub(w.used.cpu);
         let freest = self.workers.values().filter(may).max_by_key(free);
@@ -145,12 +184,14 @@
         !step.copies && self.workers.values().any(there)
     }
 
+    /// Takes a task out of those that wait.
     fn drop_rank(&mut self, service: &str, rank: &Rank) {
         if let Some(queue) = self.waiting.get_mut(service) {
             queue.remove(rank);
         }
     }
 
+    /// Whether a task does not wait any more.
     fn is_stale(&self, task: TaskId) -> bool {
         let Some(job) = self.jobs.get(&task.job) else {
             return true;
@@ -185,6 +226,7 @@
         true
     }
 
+    /// Notes that a run of a task starts on a worker.
     fn order(&mut self, worker: WorkerId, task: TaskId, run: RunId, now: Instant) {
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
@@ -205,6 +247,7 @@
         self.starts.push(Order::Start { worker, task, run });
     }
 
+    /// The worker that suits a task best, of those that have room for it.
     fn best_worker(&self, task: TaskId, now: Instant) -> Option<WorkerId> {
         let job = self.jobs.get(&task.job)?;
         let step = job.step(task.step);
@@ -212,7 +255,7 @@
         let may = |w: &&Worker| {
             self.takes(w, task, step, now)
                 && room.fits(w.used, w.info.capacity)
-                && step.apart.is_none_or(|most| w.siblings(task) < most)
+                && may_join(step, w.siblings(task))
         };
         let racks = if step.lasting {
             self.racks_of(task)
@@ -255,6 +298,7 @@
         within.or_else(|| self.gang_places_in(task, None, now))
     }
 
+    /// The same within one rack, or anywhere.
     fn gang_places_in(
         &self,
         task: TaskId,
@@ -268,24 +312,19 @@
             let here = rack.is_none_or(|rack| w.info.rack() == rack);
             here && self.takes(w, task, step, now)
         };
-        let mut hosts: Vec<(&Worker, Need, u32)> = self
+        let mut hosts: Vec<Host<'_>> = self
             .workers
             .values()
             .filter(may)
-            .map(|w| (w, w.used, w.siblings(task)))
+            .map(|worker| Host::new(worker, task))
             .collect();
         let mut places = Vec::new();
         for _ in 0..step.count {
-            let fits = |(w, used, own): &&mut (&Worker, Need, u32)| {
-                room.fits(*used, w.info.capacity) && step.apart.is_none_or(|most| *own < most)
-            };
-            let freest = |host: &&mut (&Worker, Need, u32)| {
-                host.0.info.capacity.cpu.saturating_sub(host.1.cpu)
-            };
-            let host = hosts.iter_mut().filter(fits).max_by_key(freest)?;
-            host.1.add(room);
-            host.2 += 1;
-            places.push(host.0.info.id.clone());
+            let fitting = hosts.iter_mut().filter(|host| host.fits(room, step));
+            let freest = fitting.max_by_key(|host| host.free())?;
+            freest.used.add(room);
+            freest.siblings += 1;
+            places.push(freest.worker.info.id.clone());
         }
         Some(places)
     }
@@ -320,6 +359,12 @@
     }
 }
 
+/// Whether a worker that has this many tasks of a step may get one more.
+fn may_join(step: &Step, siblings: u32) -> bool {
+    step.apart.is_none_or(|most| siblings < most)
+}
+
+/// Whether a worker has the label that a step asks for.
 fn allows(worker: &Worker, step: &Step) -> bool {
     step.label
         .as_ref()
