refactor(entry): the watch of a worker and a start, one step a line

Cause: watch had 68 lines and a bool for silence, start had 51 and settled only its failures elsewhere. Kept: when a lease is extended, which answers end a watch, log lines and their fields; the time of an answer is taken after it is logged, as before within microseconds. Now: question, take_report and take_failure, Answers and Watch as enums, and one settle for every outcome of a start.

--- a/crates/havenladder/src/entry/orders.rs
+++ b/crates/havenladder/src/entry/orders.rs
@@ -6,7 +6,7 @@
 };
 use adapter::{
     http::CallError,
-    workers::{ClockMs, Start, WorkerError},
+    workers::{ClockMs, Start, Told, WorkerError},
 };
 use jobs::{Order, Refusal, RunId, TaskId, WorkerId, WorkerInfo};
 use std::{
@@ -44,7 +44,8 @@
     });
 }
 
-fn find(owner: &Owner, worker: &str) -> Option<WorkerInfo> {
+/// What the list says of a worker, if the cell has it.
+pub fn find(owner: &Owner, worker: &str) -> Option<WorkerInfo> {
     owner
         .cell
         .borrow()
@@ -64,6 +65,7 @@
     Some(clock + (now - read + lease).as_millis() as ClockMs)
 }
 
+/// Sends a start, unless what it follows from has changed since it was decided.
 async fn start(owner: &Rc<Owner>, worker: &str, task: TaskId, run: RunId) {
     if !owner.may_hold() || !owner.cell.borrow_mut().confirm_start(worker, task, run) {
         owner.wake();
@@ -72,12 +74,7 @@
     let Some(info) = find(owner, worker) else {
         return;
     };
-    let ticket = owner
-        .cell
-        .borrow()
-        .permit(task, worker)
-        .map(|permit| permit.ticket.clone());
-    let ticket = ticket.unwrap_or_default();
+    let ticket = ticket(owner, worker, task);
     let Some((spec, saved)) = words(owner, task) else {
         return;
     };
@@ -88,34 +85,33 @@
             .refused(worker, task, run, Refusal::Unwell, Instant::now());
         return owner.wake();
     };
-    let name = task.to_string();
-    let fence = owner.epoch;
     let order = Start {
-        task: name,
+        task: task.to_string(),
         run,
         spec: &spec,
         deadline,
-        fence,
+        fence: owner.epoch,
         saved: &saved,
         ticket: &ticket,
     };
     let outcome = owner.node.workers.start(&info, &order).await;
-    let now = Instant::now();
     owner.node.metrics.started(name_outcome(&outcome));
-    match outcome {
-        Ok(told) => {
-            info!(task = order.task, run, worker, deadline, "started");
-            watch::set_clock(owner, worker, told.clock, now);
-            owner.cell.borrow_mut().started(worker, task, run, now);
-        }
-        Err(error) => {
-            info!(task = order.task, run, worker, %error, "start failed");
-            settle(owner, worker, task, run, error, now);
-        }
+    match &outcome {
+        Ok(_) => info!(task = order.task, run, worker, deadline, "started"),
+        Err(error) => info!(task = order.task, run, worker, %error, "start failed"),
     }
+    settle(owner, worker, task, run, outcome);
     owner.wake();
 }
 
+/// The permit for a task on a worker; empty if none is needed.
+fn ticket(owner: &Owner, worker: &str, task: TaskId) -> String {
+    let cell = owner.cell.borrow();
+    let permit = cell.permit(task, worker);
+    permit.map_or_else(String::new, |permit| permit.ticket.clone())
+}
+
+/// The name of the outcome of a start in the metrics.
 fn name_outcome<T>(outcome: &Result<T, WorkerError>) -> &'static str {
     match outcome {
         Ok(_) => "started",
@@ -126,19 +122,30 @@
     }
 }
 
-/// Draws from a failed start what is certain about it.
-fn settle(owner: &Owner, worker: &str, task: TaskId, run: RunId, error: WorkerError, now: Instant) {
+/// Draws from the outcome of a start what is certain about it.
+fn settle(
+    owner: &Owner,
+    worker: &str,
+    task: TaskId,
+    run: RunId,
+    outcome: Result<Told<()>, WorkerError>,
+) {
+    let now = Instant::now();
     let mut cell = owner.cell.borrow_mut();
-    match error {
-        WorkerError::Refused(Refusal::Fenced) => owner.end("a worker has seen a newer owner"),
-        WorkerError::Refused(why) => cell.refused(worker, task, run, why, now),
-        WorkerError::Replaced => cell.lose_worker(worker),
-        WorkerError::Call(CallError::Refused | CallError::Unreachable) => {
+    match outcome {
+        Ok(told) => {
+            watch::set_clock(owner, worker, told.clock, now);
+            cell.started(worker, task, run, now);
+        }
+        Err(WorkerError::Refused(Refusal::Fenced)) => owner.end("a worker has seen a newer owner"),
+        Err(WorkerError::Refused(why)) => cell.refused(worker, task, run, why, now),
+        Err(WorkerError::Replaced) => cell.lose_worker(worker),
+        Err(WorkerError::Call(CallError::Refused | CallError::Unreachable)) => {
             // It gets nothing more until it has answered a question.
             cell.mute_worker(worker);
             cell.refused(worker, task, run, Refusal::Unwell, now);
         }
-        WorkerError::Call(CallError::Unanswered) | WorkerError::Odd(_) => {
+        Err(WorkerError::Call(CallError::Unanswered) | WorkerError::Odd(_)) => {
             cell.unsure(worker, task, run);
         }
     }
@@ -152,6 +159,7 @@
     Some((job.given.spec.text.clone(), saved))
 }
 
+/// Sends a stop until the worker has taken it, or it is not wanted any more.
 async fn stop(owner: &Rc<Owner>, worker: &str, task: TaskId, run: RunId) {
     while owner.may_hold() && owner.cell.borrow().wants_stop(worker, task, run) {
         let Some(info) = find(owner, worker) else {
@@ -178,6 +186,7 @@
     }
 }
 
+/// Sends a change of pace, once: one that is lost is not sent again.
 async fn pace(owner: &Rc<Owner>, worker: &str, task: TaskId, run: RunId, percent: u64) {
     let Some(info) = find(owner, worker) else {
         return;
@@ -192,6 +201,7 @@
     }
 }
 
+/// Asks the service outside which of some workers may run a step.
 async fn ask(owner: &Rc<Owner>, task: TaskId, workers: &[WorkerId]) {
     let answer = match &owner.node.advice {
         Some(advice) => advice.ask(task, workers).await,
--- a/crates/havenladder/src/entry/watch.rs
+++ b/crates/havenladder/src/entry/watch.rs
@@ -6,7 +6,7 @@
 };
 use adapter::{
     store::{Keyed, Offset, Read, split_keyed},
-    workers::{self, ClockMs, Hold, WorkerError},
+    workers::{self, ClockMs, Hold, Told, WorkerError},
 };
 use jobs::{How, Refusal, Report, WorkerId};
 use std::{
@@ -64,6 +64,7 @@
     }
 }
 
+/// Reads on until the records asked for are gone, or the owner ends.
 async fn read_on(owner: &Rc<Owner>, mut from: Offset) {
     while owner.is_alive() {
         match owner.node.store.read(workers::TOPIC, from, LIST_WAIT).await {
@@ -82,6 +83,7 @@
     }
 }
 
+/// Takes in what the list says of a worker, and watches it if it is new.
 fn apply(owner: &Rc<Owner>, record: Keyed) {
     let Some(value) = record.value else {
         return unlist(owner, &record.key);
@@ -91,25 +93,24 @@
         Err(error) => return warn!(%error, worker = record.key, "a worker's entry cannot be read"),
     };
     let id = entry.id.clone();
-    let known = owner.contacts.borrow().contains_key(&id);
-    if !known {
-        info!(
-            worker = id,
-            service = entry.service,
-            draining = entry.draining,
-            "worker listed"
-        );
-        let contact = Contact {
-            clock: None,
-            leased: owner.inherited,
-            noted: 0,
-        };
-        owner.contacts.borrow_mut().insert(id.clone(), contact);
+    if owner.contacts.borrow().contains_key(&id) {
         owner.cell.borrow_mut().see_worker(entry, Instant::now());
-        task::spawn_local(watch(Rc::clone(owner), id));
         return;
     }
+    info!(
+        worker = id,
+        service = entry.service,
+        draining = entry.draining,
+        "worker listed"
+    );
+    let contact = Contact {
+        clock: None,
+        leased: owner.inherited,
+        noted: 0,
+    };
+    owner.contacts.borrow_mut().insert(id.clone(), contact);
     owner.cell.borrow_mut().see_worker(entry, Instant::now());
+    task::spawn_local(watch(Rc::clone(owner), id));
 }
 
 /// A worker whose entry is gone gets no new runs; its own answers tell what becomes of the others.
@@ -120,6 +121,7 @@
     }
 }
 
+/// Deals with the workers that a whole list does not name.
 fn drop_unlisted(owner: &Rc<Owner>, listed: &HashSet<WorkerId>) {
     let ids: Vec<WorkerId> = owner.cell.borrow().workers.keys().cloned().collect();
     ids.iter()
@@ -134,65 +136,51 @@
     }
 }
 
+/// Whether a worker gave an answer to the last question.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Answers {
+    /// It did, or was not asked yet.
+    Given,
+    /// It did not.
+    Missing,
+}
+
+/// Whether a worker is asked again.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Watch {
+    /// It is.
+    GoesOn,
+    /// It is not: its life is over, or that of this owner.
+    Ends,
+}
+
 /// Asks a worker what it runs, again and again, and extends its lease by that.
 async fn watch(owner: Rc<Owner>, id: WorkerId) {
-    let mut silent = false;
+    let mut last = Answers::Given;
     while owner.is_alive() {
-        let info = owner.cell.borrow().workers.get(&id).map(|w| w.info.clone());
-        let Some(info) = info else { break };
+        let Some(info) = orders::find(&owner, &id) else {
+            break;
+        };
         if !owner.may_hold() {
             time::sleep(HOLD_AGAIN).await;
             continue;
         }
         let asked = Instant::now();
-        // A question without an answer may extend the lease all the same: a worker that is silent is
-        // asked without, so that its lease can run out.
-        let deadline = if silent {
-            None
-        } else {
-            orders::lease_end(&owner, &id)
-        };
-        let noted = owner.contacts.borrow().get(&id).map_or(0, |c| c.noted);
-        // The first question only tells the worker's clock and who owns the cell now.
-        let wait = if deadline.is_some() {
-            HOLD_WAIT.as_millis() as u64
-        } else {
-            0
-        };
-        let hold = Hold {
-            deadline,
-            fence: owner.epoch,
-            noted,
-            wait,
-        };
+        let hold = question(&owner, &id, last);
         match owner.node.workers.hold(&info, hold).await {
             Ok(told) => {
-                let now = Instant::now();
-                set_clock(&owner, &id, told.clock, now);
-                log_ends(&owner, &id, &told.value, noted);
-                owner.cell.borrow_mut().report(&id, &told.value, asked, now);
-                owner.wake();
-                silent = false;
-                if deadline.is_some() {
+                last = Answers::Given;
+                take_report(&owner, &id, &told, hold.noted, asked);
+                if hold.deadline.is_some() {
                     time::sleep(HOLD_GAP).await;
                     wait_noted(&owner, &id, &told.value).await;
                 }
             }
-            Err(WorkerError::Replaced) => {
-                info!(worker = id, "another worker has its address");
-                break;
-            }
-            Err(WorkerError::Refused(Refusal::Fenced)) => {
-                return owner.end("a worker has seen a newer owner");
-            }
             Err(error) => {
-                if !std::mem::replace(&mut silent, true) {
-                    info!(worker = id, %error, "worker does not answer");
-                    owner.cell.borrow_mut().mute_worker(&id);
-                }
-                if has_lapsed(&owner, &id) && release_lapsed(&owner, &id) {
+                if take_failure(&owner, &id, error, last) == Watch::Ends {
                     break;
                 }
+                last = Answers::Missing;
                 time::sleep(HOLD_AGAIN).await;
             }
         }
@@ -204,6 +192,56 @@
     }
 }
 
+/// The next question to a worker.
+fn question(owner: &Owner, id: &str, last: Answers) -> Hold {
+    // A question without an answer may extend the lease all the same: a worker that is silent is
+    // asked without, so that its lease can run out.
+    let deadline = match last {
+        Answers::Given => orders::lease_end(owner, id),
+        Answers::Missing => None,
+    };
+    // The first question only tells the worker's clock and who owns the cell now.
+    let wait = deadline.map_or(0, |_| HOLD_WAIT.as_millis() as u64);
+    Hold {
+        deadline,
+        fence: owner.epoch,
+        noted: owner.contacts.borrow().get(id).map_or(0, |c| c.noted),
+        wait,
+    }
+}
+
+/// Takes in the answer to a question that was sent at `asked`.
+fn take_report(owner: &Rc<Owner>, id: &str, told: &Told<Report>, noted: u64, asked: Instant) {
+    let now = Instant::now();
+    set_clock(owner, id, told.clock, now);
+    log_ends(owner, id, &told.value, noted);
+    owner.cell.borrow_mut().report(id, &told.value, asked, now);
+    owner.wake();
+}
+
+/// Draws from a question that failed what is certain about the worker.
+fn take_failure(owner: &Rc<Owner>, id: &str, error: WorkerError, last: Answers) -> Watch {
+    match error {
+        WorkerError::Replaced => {
+            info!(worker = id, "another worker has its address");
+            return Watch::Ends;
+        }
+        WorkerError::Refused(Refusal::Fenced) => {
+            owner.end("a worker has seen a newer owner");
+            return Watch::Ends;
+        }
+        WorkerError::Refused(_) | WorkerError::Call(_) | WorkerError::Odd(_) => {}
+    }
+    if last == Answers::Given {
+        info!(worker = id, %error, "worker does not answer");
+        owner.cell.borrow_mut().mute_worker(id);
+    }
+    if has_lapsed(owner, id) && release_lapsed(owner, id) {
+        return Watch::Ends;
+    }
+    Watch::GoesOn
+}
+
 /// Waits until the ends that a worker listed are durable: until then, it would list them again at
 /// once. Its lease must be extended meanwhile, so the wait is bounded.
 async fn wait_noted(owner: &Owner, worker: &str, report: &Report) {
@@ -225,6 +263,7 @@
     }
 }
 
+/// The name of an end in the metrics.
 fn name_end(how: How) -> &'static str {
     match how {
         How::Done => "done",
@@ -236,6 +275,7 @@
     }
 }
 
+/// Logs and counts the ends that a worker listed for the first time.
 fn log_ends(owner: &Owner, worker: &str, report: &Report, noted: u64) {
     for end in report.ended.iter().filter(|end| end.number > noted) {
         info!(task = %end.task, run = end.run, worker, number = end.number, how = ?end.how, "ended");
@@ -243,6 +283,7 @@
     }
 }
 
+/// Whether the lease of a worker has run out for certain.
 fn has_lapsed(owner: &Owner, id: &str) -> bool {
     let contacts = owner.contacts.borrow();
     contacts
