--- a/crates/havenladder/src/entry/fleet.rs
+++ b/crates/havenladder/src/entry/fleet.rs
@@ -22,6 +22,10 @@
 /// Age of the list at which it is read again in any case.
 const STALE: Duration = Duration::from_millis(3_000);
 
+/// How long an order without an answer, or with one that the list doesn't show, is waited for: orders
+/// may be carried out 12 s late.
+pub const LOST: Duration = Duration::from_millis(13_000);
+
 /// Runs until the owner ends.
 pub async fn run(owner: Rc<Owner>) {
     expect_workers(&owner).await;
--- a/crates/havenladder/src/entry/lease.rs
+++ b/crates/havenladder/src/entry/lease.rs
@@ -32,8 +32,13 @@
 /// Time until the store is asked again after it did not answer.
 const AGAIN: Duration = Duration::from_millis(100);
 
+/// For how long trouble of the store may have effects: entries of workers that lapsed are back 2 s
+/// after its end.
+const TROUBLE: Duration = Duration::from_millis(8_000);
+
 /// How far this entry has read the lease's records.
 struct Log {
+    /// The end of the log, as far as it was read.
     end: Offset,
     /// When the newest record was read, or the store last came back.
     fresh: Instant,
@@ -45,10 +50,6 @@
     before: Predecessor,
 }
 
-/// For how long trouble of the store may have effects: entries of workers that lapsed are back 2 s
-/// after its end.
-const TROUBLE: Duration = Duration::from_millis(8_000);
-
 /// Follows the lease, claims it where it has lapsed, and renews it while this entry has it.
 pub async fn run(node: Rc<Node>) {
     let mut log = Log {
@@ -69,12 +70,8 @@
             () = node.owner_refused.notified() => Seen::Records,
         };
         match seen {
-            Seen::Records | Seen::Failed => {}
-            Seen::Nothing => {
-                if is_vacant(&node, &log) {
-                    claim(&node, &mut log).await;
-                }
-            }
+            Seen::Nothing if is_vacant(&node, &log) => claim(&node, &mut log).await,
+            Seen::Records | Seen::Nothing | Seen::Failed => {}
         }
         if holds(&node) {
             own(&node, &mut log).await;
@@ -83,6 +80,7 @@
     }
 }
 
+/// What a read of the lease's records found.
 enum Seen {
     /// New records.
     Records,
@@ -92,6 +90,7 @@
     Failed,
 }
 
+/// Reads on and takes in what the newest record says.
 async fn read(node: &Node, log: &mut Log, wait: Duration) -> Seen {
     match node.store.read(TOPIC, log.end, wait).await {
         Ok(Read::Records(_, records)) if records.is_empty() => Seen::Nothing,
@@ -168,6 +167,7 @@
     left.max(Duration::from_millis(50))
 }
 
+/// The record with which this entry claims, renews or releases the lease.
 fn record(node: &Node, released: bool) -> Lease {
     Lease {
         node: node.settings.node.clone(),
@@ -177,6 +177,7 @@
     }
 }
 
+/// Appends a record, on the condition that the log ends at `at`; none if the store did not answer.
 async fn append(node: &Node, at: Offset, lease: &Lease) -> Option<Appended> {
     let bytes = rmp_serde::to_vec(lease).expect("plain data has a form in MessagePack");
     let body = frame_plain([bytes.as_slice()]);
@@ -195,6 +196,7 @@
     Predecessor { renewed, troubled }
 }
 
+/// Claims the lease, on the condition that nobody else has.
 async fn claim(node: &Node, log: &mut Log) {
     log.before = predecessor(node, log);
     let lease = record(node, false);
@@ -209,6 +211,7 @@
     }
 }
 
+/// Whether the newest record says that this life of the entry owns the cell.
 fn holds(node: &Node) -> bool {
     let lease = node.lease.borrow();
     lease
@@ -231,12 +234,7 @@
         }
         if node.stopping.get() && owner.is_alive() {
             owner.end("the process stops");
-            let released = record(node, true);
-            if let Some(Appended::Done(end)) = append(node, log.end, &released).await {
-                log.end = end;
-                set_lease(node, released, end);
-            }
-            return;
+            return release(node, log).await;
         }
         if !owner.is_alive() {
             info!("the cell was lost to a newer owner");
@@ -251,11 +249,21 @@
     }
 }
 
+/// Gives the cell up, so that nobody waits for the lease to run out. Without an answer, they do.
+async fn release(node: &Node, log: &mut Log) {
+    let released = record(node, true);
+    if let Some(Appended::Done(end)) = append(node, log.end, &released).await {
+        log.end = end;
+        set_lease(node, released, end);
+    }
+}
+
 /// A newer owner was met before its record was read.
 fn forget(node: &Node) {
     *node.lease.borrow_mut() = None;
 }
 
+/// Renews the lease, once.
 async fn renew(node: &Node, log: &mut Log, owner: &Owner) {
     let sent = Instant::now();
     match append(node, log.end, &record(node, false)).await {
--- a/crates/havenladder/src/entry/moves.rs
+++ b/crates/havenladder/src/entry/moves.rs
@@ -1,6 +1,10 @@
 //! Moves VMs between pools, by what the pools' jobs ask for.
 
-use super::{fleet::VmList, owner::Owner, upkeep::Waves};
+use super::{
+    fleet::{LOST, VmList},
+    owner::Owner,
+    upkeep::Waves,
+};
 use adapter::cloud::{Ordered, Vm, VmState};
 use fleet::{IdleVm, PoolDemand, Shift, SizingLimits, shifts};
 use jobs::Takeout;
@@ -14,25 +18,28 @@
 /// Over how long the highest use of a pool counts: about one run of the usual kind.
 const PEAK: Duration = Duration::from_millis(1_500);
 
-/// How long a move without an answer, or with one that the list doesn't show, is waited for: orders
-/// may be carried out 12 s late.
-const LOST: Duration = Duration::from_millis(13_000);
-
 /// The VMs on their way, and what the pools have used of late.
 #[derive(Default)]
 pub struct Moves {
+    /// The VMs on their way, by name.
     moving: BTreeMap<String, Moving>,
+    /// Since when VMs have been idle, by name.
     idle: BTreeMap<String, Instant>,
+    /// What the pools have used of late: when, and how many thousandths of a core.
     used: BTreeMap<String, VecDeque<(Instant, u64)>>,
-    /// Moves that the platform does not allow.
+    /// Moves that the platform does not allow: from which pool, to which.
     barred: BTreeSet<(String, String)>,
 }
 
+/// A VM on its way.
 struct Moving {
+    /// The pool that it is to be in.
     to: String,
+    /// The worker that it had.
     worker: Option<String>,
+    /// When the order was sent.
     since: Instant,
-    answered: bool,
+    /// Whether the list has shown that it left.
     confirmed: bool,
 }
 
@@ -49,7 +56,6 @@
             let left = vm.state != VmState::Up || vm.worker != moving.worker;
             if left && !moving.confirmed {
                 moving.confirmed = true;
-                moving.answered = true;
                 if let Some(id) = &moving.worker {
                     owner.cell.borrow_mut().lose_worker(id);
                     owner.wake();
@@ -83,6 +89,7 @@
         }
     }
 
+    /// What each pool needs, and which of its VMs are idle.
     fn demands(
         &mut self,
         owner: &Owner,
@@ -126,6 +133,7 @@
         used.iter().map(|(_, busy)| *busy).max().unwrap_or(0)
     }
 
+    /// Counts a VM for a pool, if it is there or on its way to it.
     fn count(
         &mut self,
         owner: &Owner,
@@ -146,14 +154,20 @@
         if vm.state != VmState::Up || waves.holds(&vm.name) {
             return;
         }
-        if pool.reserve {
-            pool.idle.push(IdleVm {
-                vm: vm.name.clone(),
-                since: now,
-            });
-            return;
-        }
-        let Some(id) = &vm.worker else { return };
+        let since = if pool.reserve {
+            Some(now)
+        } else {
+            self.idle_since(owner, vm, now)
+        };
+        pool.idle.extend(since.map(|since| IdleVm {
+            vm: vm.name.clone(),
+            since,
+        }));
+    }
+
+    /// Since when a VM has been idle; none if it is not.
+    fn idle_since(&mut self, owner: &Owner, vm: &Vm, now: Instant) -> Option<Instant> {
+        let id = vm.worker.as_ref()?;
         let cell = owner.cell.borrow();
         let idle = cell
             .workers
@@ -161,15 +175,12 @@
             .is_some_and(|w| w.runs.is_empty() && w.is_open(now));
         if !idle {
             self.idle.remove(&vm.name);
-            return;
+            return None;
         }
-        let since = *self.idle.entry(vm.name.clone()).or_insert(now);
-        pool.idle.push(IdleVm {
-            vm: vm.name.clone(),
-            since,
-        });
+        Some(*self.idle.entry(vm.name.clone()).or_insert(now))
     }
 
+    /// Orders a move, if the VM still carries nothing.
     async fn order(&mut self, owner: &Rc<Owner>, vm: &Vm, shift: &Shift) {
         let bar = (shift.from.clone(), shift.to.clone());
         if self.barred.contains(&bar) || !owner.is_certain() {
@@ -183,11 +194,10 @@
             cell.take_worker(id, true);
         }
         self.idle.remove(&vm.name);
-        let mut moving = Moving {
+        let moving = Moving {
             to: shift.to.clone(),
             worker: vm.worker.clone(),
             since: Instant::now(),
-            answered: false,
             confirmed: false,
         };
         let outcome = owner
@@ -203,20 +213,19 @@
             "move ordered"
         );
         match outcome {
-            Ok(Ordered::Done) => moving.answered = true,
-            Ok(Ordered::Fenced) => return owner.end("a newer owner gave orders for a VM"),
-            Ok(refused) => {
+            // Without an answer, it may be carried out at any moment; the list tells.
+            Ok(Ordered::Done) | Err(_) => {
+                self.moving.insert(vm.name.clone(), moving);
+            }
+            Ok(Ordered::Fenced) => owner.end("a newer owner gave orders for a VM"),
+            Ok(refused @ (Ordered::Busy | Ordered::Later | Ordered::Rejected)) => {
                 if refused == Ordered::Rejected {
                     self.barred.insert(bar);
                 }
                 if let Some(id) = &vm.worker {
                     owner.cell.borrow_mut().take_worker(id, false);
                 }
-                return;
             }
-            // It may be carried out at any moment; the list tells.
-            Err(_) => {}
         }
-        self.moving.insert(vm.name.clone(), moving);
     }
 }
--- a/crates/havenladder/src/entry/upkeep.rs
+++ b/crates/havenladder/src/entry/upkeep.rs
@@ -1,6 +1,9 @@
 //! Takes VMs through waves of upkeep, within their bounds and the budgets of lasting steps.
 
-use super::{fleet::VmList, owner::Owner};
+use super::{
+    fleet::{LOST, VmList},
+    owner::Owner,
+};
 use adapter::{
     cloud::{Ordered, Vm, VmState},
     operator::{STATUS_TOPIC, WAVE_KEY, Wave, WaveState, write_wave},
@@ -31,6 +34,7 @@
 /// How far one wave is.
 #[derive(Default)]
 struct Course {
+    /// When its first step was taken.
     began: Option<Instant>,
     /// VMs that have begun their upkeep, or have left.
     done: BTreeSet<String>,
@@ -44,9 +48,13 @@
     said: Option<WaveState>,
 }
 
+/// A VM that was told to go down.
 struct Down {
+    /// The worker that it had.
     worker: Option<String>,
+    /// When the order was sent.
     since: Instant,
+    /// Whether the platform said that the order is carried out.
     answered: bool,
     /// Whether the list has shown what became of the worker.
     confirmed: bool,
@@ -55,6 +63,7 @@
 /// The waves that are under way.
 #[derive(Default)]
 pub struct Waves {
+    /// How far each is, by its number.
     courses: BTreeMap<u64, Course>,
 }
 
@@ -91,6 +100,7 @@
     }
 }
 
+/// Takes the next steps of a wave; true if the list of VMs has changed by that.
 async fn advance(owner: &Rc<Owner>, wave: &Wave, course: &mut Course, vms: &VmList) -> bool {
     if course.began.is_none() {
         course.began = Some(Instant::now());
@@ -160,9 +170,8 @@
             return false;
         };
         let back = vm.state == VmState::Up && vm.worker != down.worker;
-        // An order without an answer that was not carried out shows nothing for this long.
-        let never =
-            !down.answered && vm.state == VmState::Up && down.since.elapsed().as_secs() >= 13;
+        // An order without an answer that shows nothing for so long was not carried out.
+        let never = !down.answered && vm.state == VmState::Up && down.since.elapsed() >= LOST;
         !back && !never
     });
 }
@@ -200,17 +209,11 @@
                 .get(name.as_str())
                 .is_some_and(|vm| vm.state == VmState::Up)
     };
-    let cell = owner.cell.borrow();
-    let cost = |name: &&String| match vms[*name].worker.as_deref().map(|id| cell.takeout(id)) {
-        None | Some(Takeout::Free) => 0,
-        Some(Takeout::Busy(runs)) => 1 + runs,
-        Some(Takeout::Guarded) => GUARDED,
-    };
     let mut next: Vec<(usize, &String)> = wave
         .vms
         .iter()
         .filter(waits)
-        .map(|name| (cost(&name), name))
+        .map(|name| (weight(cost(owner, &vms[name])), name))
         .collect();
     next.sort();
     let wanted = (room + 1).saturating_sub(course.closing.len());
@@ -219,7 +222,6 @@
         .take(wanted)
         .map(|(_, name)| name.clone())
         .collect();
-    drop(cell);
     for name in chosen {
         if let Some(id) = &vms[&name].worker {
             owner.cell.borrow_mut().close_worker(id, true);
@@ -228,6 +230,15 @@
     }
 }
 
+/// What a VM weighs in the order in which VMs go; the lowest goes first.
+fn weight(cost: Takeout) -> usize {
+    match cost {
+        Takeout::Free => 0,
+        Takeout::Busy(runs) => 1 + runs,
+        Takeout::Guarded => GUARDED,
+    }
+}
+
 /// Whether a VM with runs may wait for its pool to be quieter: in the first part of a wave's time, while
 /// jobs of its pool wait for room.
 fn may_wait(owner: &Owner, wave: &Wave, course: &Course, vm: &Vm) -> bool {
@@ -237,37 +248,45 @@
     early && owner.cell.borrow().demand(&vm.pool).waiting > 0
 }
 
+/// Takes a VM down, if what it carries may be away now.
 async fn take_down(owner: &Rc<Owner>, wave: &Wave, course: &mut Course, vm: &Vm) {
-    let since = course.closing[&vm.name];
-    let cost = vm
-        .worker
-        .as_deref()
-        .map_or(Takeout::Free, |id| owner.cell.borrow().takeout(id));
-    match cost {
+    let drained = course.closing[&vm.name].elapsed() >= DRAIN;
+    match cost(owner, vm) {
         Takeout::Free => {}
-        Takeout::Busy(_) if since.elapsed() >= DRAIN && !may_wait(owner, wave, course, vm) => {}
+        Takeout::Busy(_) if drained && !may_wait(owner, wave, course, vm) => {}
         Takeout::Busy(_) => return,
-        Takeout::Guarded => {
-            // Its lasting tasks are moved one by one where it has several of a step.
-            if let Some(id) = &vm.worker
-                && owner.cell.borrow_mut().shed(id) > 0
-            {
-                owner.wake();
-                return;
-            }
-            // Another VM may go first; this one is used meanwhile.
-            if since.elapsed() >= DRAIN {
-                course.closing.remove(&vm.name);
-                if let Some(id) = &vm.worker {
-                    owner.cell.borrow_mut().close_worker(id, false);
-                }
-            }
-            return;
-        }
+        Takeout::Guarded => return relieve(owner, course, vm, drained),
     }
-    if !owner.is_certain() {
-        return;
+    if owner.is_certain() {
+        order(owner, wave, course, vm).await;
     }
+}
+
+/// What it costs to take a VM down now.
+fn cost(owner: &Owner, vm: &Vm) -> Takeout {
+    let worker = vm.worker.as_deref();
+    worker.map_or(Takeout::Free, |id| owner.cell.borrow().takeout(id))
+}
+
+/// Deals with a VM whose lasting tasks cannot be away now.
+fn relieve(owner: &Rc<Owner>, course: &mut Course, vm: &Vm, drained: bool) {
+    // Its lasting tasks are moved one by one where it has several of a step.
+    if let Some(id) = &vm.worker
+        && owner.cell.borrow_mut().shed(id) > 0
+    {
+        return owner.wake();
+    }
+    // Another VM may go first; this one is used meanwhile.
+    if drained {
+        course.closing.remove(&vm.name);
+        if let Some(id) = &vm.worker {
+            owner.cell.borrow_mut().close_worker(id, false);
+        }
+    }
+}
+
+/// Tells the platform to take a VM down. Its worker gets nothing more from now on.
+async fn order(owner: &Rc<Owner>, wave: &Wave, course: &mut Course, vm: &Vm) {
     if let Some(id) = &vm.worker {
         owner.cell.borrow_mut().take_worker(id, true);
     }
@@ -294,6 +313,7 @@
     settle(owner, wave, course, vm, outcome.ok());
 }
 
+/// Draws from the answer to an order what is certain about the VM.
 fn settle(owner: &Rc<Owner>, wave: &Wave, course: &mut Course, vm: &Vm, outcome: Option<Ordered>) {
     match outcome {
         Some(Ordered::Done) => {
@@ -318,6 +338,7 @@
     }
 }
 
+/// Tells operators how far a wave is. An end that was not taken is told again with the next look.
 async fn say(owner: &Rc<Owner>, wave: &Wave, course: &mut Course, state: WaveState) {
     let key = format!("{WAVE_KEY}{}", wave.number);
     let value = write_wave(state);
