--- a/crates/havenladder/src/entry/watch.rs
+++ b/crates/havenladder/src/entry/watch.rs
@@ -170,7 +170,7 @@
         match owner.node.workers.hold(&info, hold).await {
             Ok(told) => {
                 last = Answers::Given;
-                take_report(&owner, &id, &told, hold.noted, asked);
+                take_report(&owner, &id, &told, asked);
                 if hold.deadline.is_some() {
                     time::sleep(HOLD_GAP).await;
                     wait_noted(&owner, &id, &told.value).await;
@@ -211,10 +211,10 @@
 }
 
 /// Takes in the answer to a question that was sent at `asked`.
-fn take_report(owner: &Rc<Owner>, id: &str, told: &Told<Report>, noted: u64, asked: Instant) {
+fn take_report(owner: &Rc<Owner>, id: &str, told: &Told<Report>, asked: Instant) {
     let now = Instant::now();
     set_clock(owner, id, told.clock, now);
-    log_ends(owner, id, &told.value, noted);
+    log_ends(owner, id, &told.value);
     owner.cell.borrow_mut().report(id, &told.value, asked, now);
     owner.wake();
 }
@@ -276,7 +276,13 @@
 }
 
 /// Logs and counts the ends that a worker listed for the first time.
-fn log_ends(owner: &Owner, worker: &str, report: &Report, noted: u64) {
+fn log_ends(owner: &Owner, worker: &str, report: &Report) {
+    let noted = owner
+        .cell
+        .borrow()
+        .workers
+        .get(worker)
+        .map_or(0, |w| w.noted);
     for end in report.ended.iter().filter(|end| end.number > noted) {
         info!(task = %end.task, run = end.run, worker, number = end.number, how = ?end.how, "ended");
         owner.node.metrics.ended(name_end(end.how));
--- a/crates/havenladder/src/metrics.rs
+++ b/crates/havenladder/src/metrics.rs
@@ -8,7 +8,7 @@
 use prometheus::{Encoder, Registry, TextEncoder};
 use std::time::Duration;
 
-/// All metrics of an entry; docs/OPERATING.md names them.
+/// All metrics of an entry; docs/OPERATIONS.md names them.
 pub struct Metrics {
     registry: Registry,
     requests: Counter<u64>,
