perf(fleet): a pool with a few tasks that wait still gives VMs away

Cause: one task that waited, for instance behind the gate of a new owner, kept a pool from giving away any VM. Test: a_pool_with_a_few_tasks_that_wait_still_gives_away_what_it_does_not_need.

--- a/crates/fleet/src/sizing.rs
+++ b/crates/fleet/src/sizing.rs
@@ -99,10 +99,8 @@
         if self.reserve {
             return self.vms;
         }
-        if self.waiting > 0 {
-            return 0;
-        }
-        let used = self.vms_for(self.busy.max(self.inflow), limits.spare);
+        let asked = self.inflow.max(self.busy + self.waiting);
+        let used = self.vms_for(asked, limits.spare);
         self.vms.saturating_sub(used.max(self.least).max(1))
     }
 }
--- a/crates/fleet/tests/sizing.rs
+++ b/crates/fleet/tests/sizing.rs
@@ -130,3 +130,14 @@
     let moves = shifts(&pools, later(start, 1), &SizingLimits::default());
     assert_eq!(moves, [shift("r1", "reserve", "a")]);
 }
+
+#[test]
+fn a_pool_with_a_few_tasks_that_wait_still_gives_away_what_it_does_not_need() {
+    let start = Instant::now();
+    let pools = [
+        pool("a", 1, 16_000, 20_000, &[], start),
+        pool("b", 5, 8_000, 1_000, &["b1", "b2"], start),
+    ];
+    let moves = shifts(&pools, later(start, 1_000), &SizingLimits::default());
+    assert_eq!(moves, [shift("b1", "b", "a"), shift("b2", "b", "a")]);
+}
