refactor(jobs,adapter): one rule for labels, apart and permits; leftovers out

Now: allows, may_join, Permit::is_valid and Permits::is_unknown serve all; moves settle in a function of their own; Worker.known says what it means.

--- a/crates/havenladder/src/entry/moves.rs
+++ b/crates/havenladder/src/entry/moves.rs
@@ -212,15 +212,20 @@
             ?outcome,
             "move ordered"
         );
+        self.settle(owner, vm, moving, outcome.ok());
+    }
+
+    /// Draws from the answer to an order what is certain about the move.
+    fn settle(&mut self, owner: &Rc<Owner>, vm: &Vm, moving: Moving, outcome: Option<Ordered>) {
         match outcome {
             // Without an answer, it may be carried out at any moment; the list tells.
-            Ok(Ordered::Done) | Err(_) => {
+            Some(Ordered::Done) | None => {
                 self.moving.insert(vm.name.clone(), moving);
             }
-            Ok(Ordered::Fenced) => owner.end("a newer owner gave orders for a VM"),
-            Ok(refused @ (Ordered::Busy | Ordered::Later | Ordered::Rejected)) => {
+            Some(Ordered::Fenced) => owner.end("a newer owner gave orders for a VM"),
+            Some(refused @ (Ordered::Busy | Ordered::Later | Ordered::Rejected)) => {
                 if refused == Ordered::Rejected {
-                    self.barred.insert(bar);
+                    self.barred.insert((vm.pool.clone(), moving.to));
                 }
                 if let Some(id) = &vm.worker {
                     owner.cell.borrow_mut().take_worker(id, false);
--- a/crates/jobs/src/cell/durable.rs
+++ b/crates/jobs/src/cell/durable.rs
@@ -7,11 +7,6 @@
 use std::collections::BTreeSet;
 
 impl Cell {
-    /// Whether something about a job is not durable yet.
-    pub fn is_dirty(&self, id: JobId) -> bool {
-        self.dirty.contains(&id)
-    }
-
     /// The state of a job has changed and is to be recorded.
     pub(crate) fn mark_dirty(&mut self, id: JobId) {
         self.dirty.insert(id);
--- a/crates/jobs/src/cell/queue.rs
+++ b/crates/jobs/src/cell/queue.rs
@@ -22,11 +22,6 @@
         }
     }
 
-    /// When the next round falls due, in ms since 1970.
-    pub fn next_due(&self) -> Option<u64> {
-        self.timed.first().map(|(at, ..)| *at)
-    }
-
     /// Whether a task can no longer be in time, even if it starts now: its room does more good where
     /// another one is.
     pub(crate) fn is_late(&self, task: TaskId) -> bool {
--- a/crates/jobs/src/explain.rs
+++ b/crates/jobs/src/explain.rs
@@ -1,6 +1,10 @@
 //! Why a task gets no room: what speaks against each worker of its service.
 
-use crate::{Cell, TaskId, Worker, cell::room_of};
+use crate::{
+    Cell, TaskId, Worker,
+    cell::room_of,
+    place::{allows, may_join},
+};
 use std::{collections::BTreeMap, time::Instant};
 
 /// What speaks against a worker.
@@ -46,6 +50,7 @@
         counts
     }
 
+    /// The first thing that speaks against a worker, in the order in which they are named.
     fn obstacle(&self, worker: &Worker, task: TaskId, now: Instant) -> Obstacle {
         let Some(job) = self.jobs.get(&task.job) else {
             return Obstacle::Nothing;
@@ -57,13 +62,9 @@
             Obstacle::Leaving
         } else if worker.aside.is_some_and(|until| until > now) {
             Obstacle::Aside
-        } else if step
-            .label
-            .as_ref()
-            .is_some_and(|label| !worker.info.has_label(label))
-        {
+        } else if !allows(worker, step) {
             Obstacle::Label
-        } else if step.apart.is_some_and(|most| worker.siblings(task) >= most) {
+        } else if !may_join(step, worker.siblings(task)) {
             Obstacle::Apart
         } else if !room_of(job, task).fits(worker.used, worker.info.capacity) {
             Obstacle::Room
--- a/crates/jobs/src/permit.rs
+++ b/crates/jobs/src/permit.rs
@@ -1,6 +1,6 @@
 //! Permits: queues whose policy allows only some workers to run a step, as a service outside tells.
 
-use crate::{Cell, JobId, Order, TaskId, WorkerId};
+use crate::{Cell, JobId, Order, TaskId, Worker, WorkerId};
 use std::{
     cmp::Reverse,
     collections::{HashMap, HashSet},
@@ -30,16 +30,36 @@
     pub expires: Instant,
 }
 
+impl Permit {
+    /// Whether a start that is ordered now reaches its worker while the permit holds.
+    fn is_valid(&self, now: Instant) -> bool {
+        now + RESERVE < self.expires
+    }
+}
+
 /// What is known of a step's permits.
 #[derive(Debug, Default)]
 pub(crate) struct Permits {
+    /// When it was last asked for.
     asked: Option<Instant>,
+    /// Whether an answer is waited for.
     pending: bool,
     /// The workers that were asked about; those without a permit never get one.
     named: HashSet<WorkerId>,
+    /// The permits, by worker; some may have run out.
     held: HashMap<WorkerId, Permit>,
 }
 
+impl Permits {
+    /// Whether a worker is to be asked about: one that never gets a permit is not, a second time.
+    fn is_unknown(&self, worker: &str, now: Instant) -> bool {
+        match self.held.get(worker) {
+            Some(permit) => !permit.is_valid(now),
+            None => !self.named.contains(worker),
+        }
+    }
+}
+
 impl Cell {
     /// The permit that a start on a worker has to carry; none if the queue needs none.
     pub fn permit(&self, task: TaskId, worker: &str) -> Option<&Permit> {
@@ -70,14 +90,14 @@
     }
 
     /// Whether a worker may run a task, as far as permits go.
-    pub(crate) fn permits(&self, task: TaskId, worker: &str, now: Instant) -> bool {
+    pub(crate) fn may_run(&self, task: TaskId, worker: &str, now: Instant) -> bool {
         let Some(job) = self.jobs.get(&task.job) else {
             return false;
         };
         !job.given.permits
             || self
                 .permit(task, worker)
-                .is_some_and(|p| now + RESERVE < p.expires)
+                .is_some_and(|permit| permit.is_valid(now))
     }
 
     /// Asks for permits of a step that found no room, where its queue needs them.
@@ -90,17 +110,9 @@
         if permits.pending || permits.asked.is_some_and(|at| now < at + AGAIN) {
             return;
         }
-        // Workers that never get a permit are not asked about again.
-        let held = |id: &WorkerId| permits.held.get(id).map(|p| now + RESERVE < p.expires);
-        let unknown = |id: &WorkerId| match held(id) {
-            Some(valid) => !valid,
-            None => !permits.named.contains(id),
-        };
-        let open = self
-            .workers
-            .values()
-            .filter(|w| w.info.service == service && w.is_open(now));
-        let mut asked: Vec<_> = open.filter(|w| unknown(&w.info.id)).collect();
+        let unknown = |w: &&Worker| permits.is_unknown(&w.info.id, now);
+        let open = |w: &&Worker| w.info.service == service && w.is_open(now);
+        let mut asked: Vec<_> = self.workers.values().filter(open).filter(unknown).collect();
         asked.sort_by_key(|w| Reverse(w.info.capacity.cpu.saturating_sub(w.used.cpu)));
         let workers: Vec<WorkerId> = asked
             .iter()
@@ -116,6 +128,7 @@
     }
 }
 
+/// The step of a task.
 fn step_of(task: TaskId) -> StepId {
     (task.job, task.round, task.step)
 }
--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -158,7 +158,7 @@
             && worker.is_open(now)
             && allows(worker, step)
             && !self.reserved.contains(&worker.info.id)
-            && self.permits(task, &worker.info.id, now)
+            && self.may_run(task, &worker.info.id, now)
     }
 
     /// Whether a worker may still have a run of a task of which there must not be two.
@@ -360,12 +360,12 @@
 }
 
 /// Whether a worker that has this many tasks of a step may get one more.
-fn may_join(step: &Step, siblings: u32) -> bool {
+pub(crate) fn may_join(step: &Step, siblings: u32) -> bool {
     step.apart.is_none_or(|most| siblings < most)
 }
 
 /// Whether a worker has the label that a step asks for.
-fn allows(worker: &Worker, step: &Step) -> bool {
+pub(crate) fn allows(worker: &Worker, step: &Step) -> bool {
     step.label
         .as_ref()
         .is_none_or(|label| worker.info.has_label(label))
--- a/crates/jobs/src/takeout.rs
+++ b/crates/jobs/src/takeout.rs
@@ -43,31 +43,24 @@
         }
     }
 
+    /// Whether a task runs until its job is cancelled.
     fn lasts(&self, task: TaskId) -> bool {
-        let Some(job) = self.jobs.get(&task.job) else {
-            return false;
-        };
-        job.given
-            .spec
-            .steps
-            .get(task.step as usize)
-            .is_some_and(|step| step.lasting)
+        let job = self.jobs.get(&task.job);
+        let step = job.and_then(|job| job.find_step(task));
+        step.is_some_and(|step| step.lasting)
     }
 
-    /// Stops lasting tasks on a worker that is to be taken out, where it has more of a step than the
+    /// Stops a lasting task on a worker that is to be taken out, where it has more of a step than the
     /// step's budget allows to go at once: they start again elsewhere, one after the other. Returns how
-    /// many were stopped.
+    /// many were stopped, 0 or 1.
     pub fn shed(&mut self, id: &str) -> usize {
         let Some(worker) = self.workers.get(id) else {
             return 0;
         };
-        let crowded = |task: &TaskId| {
-            let budget = self.budget(*task);
-            budget.is_some_and(|budget| worker.siblings(*task) > budget)
-        };
         let may_go = |task: &TaskId| {
-            let budget = self.budget(*task);
-            crowded(task) && budget.is_some_and(|budget| self.away(*task, None) < budget)
+            self.budget(*task).is_some_and(|budget| {
+                worker.siblings(*task) > budget && self.away(*task, None) < budget
+            })
         };
         let mut runs = worker.runs.iter();
         let chosen = runs.find(|((task, _), run)| run.phase == RunPhase::Running && may_go(task));
@@ -78,6 +71,7 @@
         usize::from(chosen.is_some())
     }
 
+    /// Whether too many of a task's step would be away if a worker that has it left.
     fn exceeds_budget(&self, worker: &Worker, task: TaskId) -> bool {
         let budget = self.budget(task);
         budget.is_some_and(|budget| self.away(task, Some(&worker.info.id)) >= budget)
@@ -89,7 +83,7 @@
             .jobs
             .get(&task.job)
             .filter(|job| !job.phase.is_over())?;
-        job.given.spec.steps.get(task.step as usize)?.budget
+        job.find_step(task)?.budget
     }
 
     /// How many other tasks of a task's step are not at work, or on the worker that leaves.
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -98,7 +98,7 @@
     /// When the worker last answered an order about it: a report that was asked for later and does
     /// not name the run proves that the run is not there.
     pub settled: Option<Instant>,
-    /// How much of its work is done.
+    /// How much of its work is done, 0 to 100.
     pub percent: u64,
     /// When that last changed.
     pub moved: Instant,
@@ -130,7 +130,8 @@
 pub struct Worker {
     /// What the platform's list says of it.
     pub info: WorkerInfo,
-    /// Whether it has answered this owner, and so refuses all earlier ones.
+    /// Whether it answered this owner when it was last asked; from its first answer on, it refuses all
+    /// earlier owners.
     pub known: bool,
     /// Whether it has answered this owner at any time, or was listed only after others had been met.
     pub met: bool,
@@ -192,6 +193,7 @@
         Some(state)
     }
 
+    /// Gives back what a run took.
     fn forget(&mut self, load: Load) {
         self.used.remove(load.need);
         self.anchors -= usize::from(load.kind.is_anchor());
