--- a/crates/jobs/tests/cell.rs
+++ b/crates/jobs/tests/cell.rs
@@ -105,47 +105,6 @@
     assert_eq!(world.run(), [("a1".to_owned(), first, run + 1)]);
 }
 
-#[test]
-fn a_new_owner_waits_for_the_workers_of_the_earlier_one() {
-    let mut world = World::new(&["a1"]);
-    world.cell.accept(job(1, vec![step(1)]));
-    let (_, first, run) = world.run().remove(0);
-    world.take_over();
-    world.join("b1");
-    assert!(world.run().is_empty(), "it may run on a1");
-    assert_eq!(world.cell.orphaned(), ["a1"]);
-    world.cell.see_worker(worker("a1"), world.now);
-    assert!(world.run().is_empty(), "a1 has not answered");
-    world.report(
-        "a1",
-        Report {
-            running: vec![row(first, run, 40)],
-            ended: vec![],
-        },
-    );
-    assert!(world.run().is_empty(), "it runs on a1");
-    world.report("a1", Report::default());
-    assert_eq!(world.run().len(), 1);
-}
-
-#[test]
-fn a_job_that_is_cancelled_before_its_worker_is_met_is_stopped_there() {
-    let mut world = World::new(&["a1"]);
-    world.cell.accept(job(1, vec![step(1)]));
-    let (_, first, run) = world.run().remove(0);
-    world.take_over();
-    assert_eq!(world.cell.cancel(1), Cancelled::Done);
-    world.cell.see_worker(worker("a1"), world.now);
-    world.report(
-        "a1",
-        Report {
-            running: vec![row(first, run, 40)],
-            ended: vec![],
-        },
-    );
-    assert_eq!(world.stops(), [("a1".to_owned(), first, run)]);
-}
-
 #[test]
 fn a_start_that_waits_for_its_record_is_not_sent_once_the_job_is_cancelled() {
     let mut world = World::new(&["a1"]);
@@ -248,15 +207,6 @@
     assert_eq!(world.cell.takeout(&first.0), Takeout::Guarded);
 }
 
-#[test]
-fn the_vms_of_a_wave_are_known_to_a_new_owner() {
-    let mut world = World::new(&["a1"]);
-    world.cell.note_upkeep(7, "vm-1");
-    world.run();
-    world.take_over();
-    assert!(world.cell.upkept(7).contains("vm-1"));
-}
-
 #[test]
 fn a_lasting_task_starts_again_however_it_ends() {
     let mut world = World::new(&["a1"]);
@@ -315,81 +265,6 @@
     assert_eq!(world.run()[0].1, task(2, 0, 0));
 }
 
-#[test]
-fn while_the_log_is_away_only_jobs_that_it_holds_go_on() {
-    let mut world = World::new(&["a1"]);
-    world.cell.accept(job(1, vec![step(5)]));
-    let started = world.run();
-    assert_eq!(started.len(), 4);
-    world.cell.accept(job(2, vec![step(1)]));
-    for (number, (id, task, run)) in (1..).zip(started.into_iter().take(2)) {
-        world.end(&id, number, task, run, How::Done);
-    }
-    world.cell.schedule(world.now);
-    let known = world.cell.take_unrecorded();
-    assert_eq!(known.len(), 1, "job 2 is not durable");
-    assert_eq!(world.run().len(), 1, "it starts once it is");
-}
-
-#[test]
-fn what_waited_under_an_earlier_owner_starts_once_all_workers_have_been_met() {
-    let mut world = World::new(&["a1", "b1"]);
-    world.cell.accept(job(1, vec![step(9)]));
-    assert_eq!(world.run().len(), 8);
-    world.take_over();
-    let expires = world.now + Duration::from_millis(10_000);
-    world.cell.close_gate(expires, false);
-    world.cell.see_worker(worker("a1"), world.now);
-    world.cell.see_worker(worker("b1"), world.now);
-    world.report("a1", Report::default());
-    assert!(world.run().is_empty(), "the list has not been read");
-    world.cell.mark_listed();
-    assert!(
-        world.run().is_empty(),
-        "b1 may run what was started without a record"
-    );
-    world.cell.accept(job(2, vec![step(1)]));
-    assert_eq!(
-        world.run()[0].1,
-        task(2, 0, 0),
-        "a new job cannot run there"
-    );
-    // The earlier owner had started the last task there after an unrecorded end.
-    let unrecorded = row(task(1, 0, 8), 1, 10);
-    world.report(
-        "b1",
-        Report {
-            running: vec![unrecorded],
-            ended: vec![],
-        },
-    );
-    let started: Vec<_> = world
-        .run()
-        .into_iter()
-        .map(|(_, task, _)| task.index)
-        .collect();
-    assert!(!started.contains(&8), "it runs: {started:?}");
-    assert!(!started.is_empty());
-}
-
-#[test]
-fn while_the_log_is_away_what_ran_on_a_lost_worker_is_not_tried_again() {
-    let mut world = World::new(&["a1", "b1"]);
-    world.cell.accept(job(1, vec![step(1)]));
-    let (lost, ..) = world.run().remove(0);
-    world.cell.lose_worker(&lost);
-    world.cell.schedule_unrecorded(world.now);
-    assert!(
-        world.cell.take_unrecorded().is_empty(),
-        "a newer owner may have met it"
-    );
-    assert_eq!(
-        world.run().len(),
-        1,
-        "a record shuts the newer owner out, or fails"
-    );
-}
-
 #[test]
 fn failed_runs_count_in_whatever_order_their_workers_list_them() {
     let mut world = World::new(&["a1", "b1"]);
@@ -402,18 +277,6 @@
     assert_eq!(world.cell.jobs[&1].phase, Phase::Failed);
 }
 
-#[test]
-fn the_numbers_of_runs_rise_beyond_those_that_were_not_recorded() {
-    let mut world = World::new(&[]);
-    world.cell.accept(job(1, vec![step(1)]));
-    assert!(world.run().is_empty());
-    world.take_over();
-    world.join("a1");
-    // The earlier owner had started the task without a record.
-    world.end("a1", 1, task(1, 0, 0), 1, How::Failed);
-    assert_eq!(world.run(), [("a1".to_owned(), task(1, 0, 0), 2)]);
-}
-
 #[test]
 fn lasting_tasks_of_one_step_leave_a_worker_one_after_the_other() {
     let mut world = World::new(&["a1"]);
@@ -464,30 +327,6 @@
     assert_eq!(world.cell.takeout("a1"), Takeout::Free);
 }
 
-#[test]
-fn a_run_that_was_not_recorded_replaces_the_recorded_one() {
-    let mut world = World::new(&["a1", "b1"]);
-    world.cell.accept(job(1, vec![step(1)]));
-    let (first, id, _) = world.run().remove(0);
-    let second = if first == "a1" { "b1" } else { "a1" };
-    world.take_over();
-    world.cell.see_worker(worker("a1"), world.now);
-    world.cell.see_worker(worker("b1"), world.now);
-    world.cell.mark_listed();
-    // The earlier owner had seen run 1 fail and had started run 2 without a record.
-    world.report(
-        second,
-        Report {
-            running: vec![row(id, 2, 30)],
-            ended: vec![],
-        },
-    );
-    world.end(&first, 1, id, 1, How::Failed);
-    assert!(world.run().is_empty(), "run 2 goes on");
-    assert!(world.stops().is_empty());
-    assert_eq!(world.cell.jobs[&1].task(0, 0, 0).unwrap().failed, [1]);
-}
-
 #[test]
 fn a_task_does_not_start_again_while_an_unwanted_run_of_it_is_being_stopped() {
     let mut world = World::new(&["a1", "b1"]);
@@ -509,27 +348,6 @@
     assert_eq!(world.run().len(), 1);
 }
 
-#[test]
-fn workers_that_the_list_lost_with_the_log_are_known_by_their_vms() {
-    let mut world = World::new(&["a1", "b1"]);
-    world.cell.accept(job(1, vec![step(9)]));
-    assert_eq!(world.run().len(), 8);
-    world.take_over();
-    let expires = world.now + Duration::from_millis(10_000);
-    world.cell.close_gate(expires, true);
-    world.join("a1");
-    world.cell.mark_listed();
-    assert!(world.run().is_empty(), "the list of VMs has not been read");
-    let on_vms = [
-        ("a1".to_owned(), "s".to_owned()),
-        ("b1".to_owned(), "s".to_owned()),
-    ];
-    world.cell.expect_workers(on_vms);
-    assert!(world.run().is_empty(), "b1 is not listed, but its VM is up");
-    world.pass(10_000);
-    assert!(!world.run().is_empty(), "its lease has run out");
-}
-
 #[test]
 fn a_job_whose_queue_needs_permits_starts_only_where_it_has_one() {
     let mut world = World::new(&["a1", "b1"]);
--- /dev/null
+++ b/crates/jobs/tests/history/calls.rs
@@ -0,0 +1,161 @@
+//! Calls to workers, which may be lost, or be carried out late.
+
+use super::{GRACE, History, LEASE, host::tell};
+use crate::fixture::worker;
+use havenladder_jobs::{EndRow, How, Order, Refusal, WorkerId};
+use rand::Rng;
+
+/// An order that is carried out late.
+pub(super) struct Late {
+    pub(super) at: u64,
+    /// Until when a worker takes a start: each carries the end of the lease that it was sent with.
+    pub(super) deadline: u64,
+    pub(super) fence: u64,
+    pub(super) order: Order,
+}
+
+impl History {
+    /// Asks each worker what it runs, which also extends its lease.
+    pub(super) fn ask_hosts(&mut self) {
+        if self.now > self.began + GRACE + LEASE {
+            let orphans = self.cell.orphaned();
+            orphans.iter().for_each(|id| self.cell.lose_worker(id));
+        }
+        let ids: Vec<WorkerId> = self.cell.workers.keys().cloned().collect();
+        for id in ids {
+            if self.rng.random_bool(0.5) {
+                continue;
+            }
+            let asked = self.instant();
+            let (now, fence) = (self.now, self.fence);
+            let noted = self.noted.get(&id).copied().unwrap_or(0);
+            let lost = self.chance(20);
+            let Some(host) = self.hosts.get_mut(&id) else {
+                if self.leased.get(&id).is_none_or(|until| *until < now) {
+                    self.cell.lose_worker(&id);
+                }
+                continue;
+            };
+            if host.cut > now {
+                let lapsed = self.leased.get(&id).is_none_or(|until| *until < now);
+                if lapsed {
+                    self.cell.lose_worker(&id);
+                    self.cell.see_worker(worker(&id), asked);
+                }
+                continue;
+            }
+            host.fence = host.fence.max(fence);
+            host.leased = host.leased.max(now + LEASE);
+            let leased = self.leased.entry(id.clone()).or_default();
+            *leased = (*leased).max(now + LEASE);
+            if noted > host.noted {
+                host.noted = noted;
+                let counts = |end: &&EndRow| end.number <= noted && end.number > host.void;
+                for end in host.ended.iter().filter(counts) {
+                    match end.how {
+                        How::Done => drop(self.done.insert(end.task)),
+                        How::Failed => *self.failed.entry(end.task).or_default() += 1,
+                        _ => {}
+                    }
+                }
+                host.ended.retain(|end| end.number > noted);
+            }
+            if !lost {
+                let report = tell(host, now);
+                self.cell.report(&id, &report, asked, asked);
+            }
+        }
+    }
+
+    pub(super) fn send(&mut self, orders: Vec<Order>) {
+        for order in orders {
+            if let Order::Start { worker, task, run } = &order
+                && !self.cell.confirm_start(worker, *task, *run)
+            {
+                continue;
+            }
+            self.deliver(order);
+        }
+    }
+
+    /// Sends one order: it may be lost, or be carried out late without an answer.
+    fn deliver(&mut self, order: Order) {
+        let (Order::Start { worker: id, .. } | Order::Stop { worker: id, .. }) = &order else {
+            return;
+        };
+        let cut = self.hosts.get(id).is_none_or(|host| host.cut > self.now);
+        let late = self.chance(15);
+        if late && !cut {
+            let at = self.now + self.rng.random_range(100..4_000);
+            self.late.push(Late {
+                at,
+                deadline: self.now + LEASE,
+                fence: self.fence,
+                order: order.clone(),
+            });
+        }
+        let now = self.instant();
+        match (&order, cut, late) {
+            (Order::Start { worker, task, run }, true, _) => {
+                self.cell.refused(worker, *task, *run, Refusal::Unwell, now);
+            }
+            (Order::Start { worker, task, run }, _, true) => self.cell.unsure(worker, *task, *run),
+            (Order::Start { worker, task, run }, ..) => {
+                match self.carry_out(self.fence, &order) {
+                    Ok(()) => self.cell.started(worker, *task, *run, now),
+                    Err(why) => self.cell.refused(worker, *task, *run, why, now),
+                }
+                let leased = self.leased.entry(worker.clone()).or_default();
+                *leased = (*leased).max(self.now + LEASE);
+            }
+            (Order::Stop { worker, task, run }, false, false) => {
+                let _ = self.carry_out(self.fence, &order);
+                self.cell.stop_answered(worker, *task, *run, now);
+            }
+            // A stop without an answer is sent again at the next step.
+            (Order::Stop { worker, task, run }, ..)
+                if self.cell.wants_stop(worker, *task, *run) =>
+            {
+                self.late.push(Late {
+                    at: self.now + 250,
+                    deadline: u64::MAX,
+                    fence: self.fence,
+                    order: order.clone(),
+                });
+            }
+            _ => {}
+        }
+    }
+
+    pub(super) fn deliver_late(&mut self) {
+        let (due, rest) = std::mem::take(&mut self.late)
+            .into_iter()
+            .partition(|late| late.at <= self.now);
+        self.late = rest;
+        let due: Vec<Late> = due;
+        for late in due {
+            let cut = match &late.order {
+                Order::Start { worker, .. } | Order::Stop { worker, .. } => self
+                    .hosts
+                    .get(worker)
+                    .is_none_or(|host| host.cut > self.now),
+                _ => true,
+            };
+            if !cut && late.deadline >= self.now {
+                let _ = self.carry_out(late.fence, &late.order);
+            }
+            if let Order::Stop { worker, task, run } = &late.order
+                && late.fence == self.fence
+                && self.cell.wants_stop(worker, *task, *run)
+            {
+                match cut {
+                    true => self.late.push(Late {
+                        at: self.now + 250,
+                        ..late
+                    }),
+                    false => self.cell.stop_answered(worker, *task, *run, self.instant()),
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/jobs/tests/history/mod.rs
@@ -0,0 +1,236 @@
+//! A random history of owners, workers and a log that misbehave, played step by step.
+
+#![expect(clippy::unwrap_used, reason = "a test stops where it fails")]
+
+mod calls;
+mod host;
+
+use crate::fixture::{job, step, worker};
+use calls::Late;
+use havenladder_jobs::{Batch, Cell, Decoded, Entry, Limits, Step, TaskId, WorkerId, decode_entry};
+use host::Host;
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::{Duration, Instant},
+};
+
+/// Length of a step of the history, in ms.
+const TICK: u64 = 20;
+
+/// How long a lease holds, in ms.
+const LEASE: u64 = 1_000;
+
+/// How long an owner without a log goes on.
+const GRACE: u64 = 1_500;
+
+/// When the troubles end, in ms.
+const CALM: u64 = 12_000;
+
+/// When all must be done, in ms.
+const END: u64 = 60_000;
+
+/// The history so far.
+struct History {
+    rng: StdRng,
+    start: Instant,
+    now: u64,
+    cell: Cell,
+    fence: u64,
+    began: u64,
+    log: BTreeMap<String, Vec<u8>>,
+    away: u64,
+    /// What an append that has not been answered is to keep, and what follows from it.
+    pending: Option<Batch>,
+    hosts: BTreeMap<WorkerId, Host>,
+    leased: BTreeMap<WorkerId, u64>,
+    noted: BTreeMap<WorkerId, u64>,
+    late: Vec<Late>,
+    lives: u32,
+    done: BTreeSet<TaskId>,
+    failed: BTreeMap<TaskId, u32>,
+}
+
+impl History {
+    fn new(seed: u64) -> Self {
+        let mut history = History {
+            rng: StdRng::seed_from_u64(seed),
+            start: Instant::now(),
+            now: 0,
+            cell: Cell::new(Limits {
+                stop: Duration::from_millis(100),
+                ..Limits::default()
+            }),
+            fence: 1,
+            began: 0,
+            log: BTreeMap::new(),
+            away: 0,
+            pending: None,
+            hosts: BTreeMap::new(),
+            leased: BTreeMap::new(),
+            noted: BTreeMap::new(),
+            late: Vec::new(),
+            lives: 0,
+            done: BTreeSet::new(),
+            failed: BTreeMap::new(),
+        };
+        (0..4).for_each(|_| history.boot());
+        history
+    }
+
+    fn instant(&self) -> Instant {
+        self.start + Duration::from_millis(self.now)
+    }
+
+    fn chance(&mut self, one_in: u32) -> bool {
+        self.now < CALM && self.rng.random_ratio(1, one_in)
+    }
+
+    fn boot(&mut self) {
+        self.lives += 1;
+        let id = format!("w{:03}", self.lives);
+        self.hosts.insert(id.clone(), Host::default());
+        let now = self.instant();
+        self.cell.see_worker(worker(&id), now);
+    }
+
+    fn step(&mut self) {
+        self.now += TICK;
+        self.run_hosts();
+        self.trouble();
+        self.deliver_late();
+        self.ask_hosts();
+        self.decide();
+    }
+
+    fn trouble(&mut self) {
+        if self.chance(300) {
+            self.away = self.now + self.rng.random_range(200..3_000);
+        }
+        if self.chance(400) {
+            self.take_over();
+        }
+        if self.chance(200) {
+            let place = self.rng.random_range(0..self.hosts.len());
+            let until = self.now + self.rng.random_range(200..3_000);
+            self.hosts.values_mut().nth(place).unwrap().cut = until;
+        }
+        if self.chance(300) && self.hosts.len() > 2 {
+            let id = self.hosts.keys().next().unwrap().clone();
+            self.hosts.remove(&id);
+            self.cell.see_worker(
+                havenladder_jobs::WorkerInfo {
+                    draining: true,
+                    ..worker(&id)
+                },
+                self.instant(),
+            );
+            self.boot();
+        }
+        if self.chance(15) {
+            self.submit();
+        }
+    }
+
+    fn submit(&mut self) {
+        let id = self.rng.random();
+        let mut steps = Vec::new();
+        for number in 0..self.rng.random_range(1..4u32) {
+            let after = if number > 0 {
+                vec![number - 1]
+            } else {
+                Vec::new()
+            };
+            let count = self.rng.random_range(1..4);
+            steps.push(Step {
+                after,
+                ..step(count)
+            });
+        }
+        self.cell.accept(havenladder_jobs::Submission {
+            attempts: 50,
+            ..job(id, steps)
+        });
+    }
+
+    /// The owner ends, and another takes what the log holds. An append that was under way may have been
+    /// done or not.
+    fn take_over(&mut self) {
+        if let Some(batch) = self.pending.take()
+            && self.rng.random_bool(0.5)
+        {
+            self.keep(&batch.entries);
+        }
+        self.fence += 1;
+        self.began = self.now;
+        self.away = 0;
+        let decoded: Vec<Decoded> = self
+            .log
+            .iter()
+            .map(|(key, value)| decode_entry(key, value).unwrap())
+            .collect();
+        let limits = self.cell.limits.clone();
+        self.cell = Cell::new(limits);
+        self.cell.load(decoded);
+        let expires = self.instant() + Duration::from_millis(GRACE + LEASE);
+        self.cell.close_gate(expires, false);
+        self.leased.clear();
+        self.noted.clear();
+        let now = self.instant();
+        // The list still names workers that have ended a moment ago, and all that live.
+        for id in self.hosts.keys() {
+            self.leased.insert(id.clone(), self.now + GRACE + LEASE);
+            self.cell.see_worker(worker(id), now);
+        }
+        self.cell.mark_listed();
+    }
+
+    fn keep(&mut self, entries: &[Entry]) {
+        for entry in entries {
+            match &entry.value {
+                Some(value) => self.log.insert(entry.key.clone(), value.clone()),
+                None => self.log.remove(&entry.key),
+            };
+        }
+    }
+
+    fn decide(&mut self) {
+        let now = self.instant();
+        if self.now < self.away {
+            self.cell.schedule_unrecorded(now);
+        } else {
+            self.cell.schedule(now);
+        }
+        if self.now < self.away {
+            // The log is away: only what it holds goes on.
+            let starts = self.cell.take_unrecorded();
+            self.send(starts);
+        } else if let Some(batch) = self.pending.take() {
+            self.keep(&batch.entries);
+            self.cell.confirm(&batch.shown);
+            self.noted.extend(batch.noted);
+            self.send(batch.starts);
+        } else {
+            self.pending = Some(self.cell.take_batch());
+        }
+        let urgent = self.cell.take_urgent();
+        self.send(urgent);
+    }
+}
+
+/// Plays a history to its end.
+pub fn play(seed: u64) {
+    let mut history = History::new(seed);
+    while history.now < END {
+        history.step();
+    }
+    let open = history
+        .cell
+        .jobs
+        .values()
+        .filter(|job| !job.phase.is_over())
+        .count();
+    let stuck = history.cell.jobs.values().find(|job| !job.phase.is_over());
+    assert_eq!(open, 0, "seed {seed}: jobs are not over, such as {stuck:?}");
+    assert!(!history.cell.jobs.is_empty());
+}
