perf(entry): work without records only where others confirm that the store is away; no gate where it was not

Cause: each takeover held back all that waited until every worker had answered, for up to 10 s where a data centre was cut off, since the earlier owner might have gone on without records. It now does so only where an entry of another data centre says that the store is silent for it and none says the contrary, or where it has renewed its lease meanwhile; a new owner that saw no trouble needs no gate.

--- a/crates/havenladder/src/entry/inner.rs
+++ b/crates/havenladder/src/entry/inner.rs
@@ -3,6 +3,7 @@
 use super::{
     listen::{self, Reply, accept_each},
     node::{Lease, Node},
+    outage,
 };
 use adapter::http::{Call, CallError};
 use http_body_util::{BodyExt, Full, Limited};
@@ -30,6 +31,8 @@
     State(JobId),
     /// How many jobs of this queue have not begun?
     Pending(QueueId),
+    /// Does the platform's store answer you? Any entry answers this.
+    Outage,
     /// What is newer than this version of the configuration and this end of the lease's log? Any
     /// entry answers this, for one that the platform turns away.
     News {
@@ -47,6 +50,7 @@
             Ask::Cancel(id) => write!(f, "cancel {id:016x}"),
             Ask::State(id) => write!(f, "state {id:016x}"),
             Ask::Pending(queue) => write!(f, "pending {queue}"),
+            Ask::Outage => write!(f, "outage"),
             Ask::News { version, end } => write!(f, "news since {version} and {end}"),
         }
     }
@@ -81,6 +85,13 @@
     NotOwner,
     /// What is newer.
     News(News),
+    /// Whether the store is silent for an entry, and in which data centre that entry is.
+    Outage {
+        /// The entry's data centre.
+        zone: String,
+        /// Whether the store does not answer it.
+        silent: bool,
+    },
     /// It may have been done, or may not.
     Unsure,
 }
@@ -110,6 +121,7 @@
     };
     let tell = match (ask, node.own()) {
         (Ask::News { version, end }, _) => Tell::News(news(&node, version, end)),
+        (Ask::Outage, _) => outage::tell(&node).await,
         (ask, Some(owner)) => owner.answer(ask).await,
         (_, None) => Tell::NotOwner,
     };
--- a/crates/havenladder/src/entry/lease.rs
+++ b/crates/havenladder/src/entry/lease.rs
@@ -6,7 +6,7 @@
 
 use super::{
     node::{Lease, Node},
-    owner::{Owner, Predecessor},
+    owner::{Owner, Predecessor, Trouble},
 };
 use adapter::store::{Appended, Condition, Offset, Read, frame_plain};
 use std::{
@@ -59,7 +59,7 @@
         trouble: None,
         before: Predecessor {
             renewed: None,
-            troubled: false,
+            trouble: Trouble::None,
         },
     };
     // The first read needs no wait: where there is no record yet, the first to claim has it.
@@ -191,9 +191,13 @@
     let ended = lease
         .as_ref()
         .is_none_or(|lease| lease.released || lease.node == node.settings.node);
-    let troubled = log.trouble.is_some_and(|at| at.elapsed() < TROUBLE);
+    let trouble = match log.trouble {
+        Some(at) if at.elapsed() < TROUBLE => Trouble::Seen,
+        _ if node.began.elapsed() < TROUBLE => Trouble::Unknown,
+        _ => Trouble::None,
+    };
     let renewed = log.renewed.filter(|_| !ended);
-    Predecessor { renewed, troubled }
+    Predecessor { renewed, trouble }
 }
 
 /// Claims the lease, on the condition that nobody else has.
--- a/crates/havenladder/src/entry/mod.rs
+++ b/crates/havenladder/src/entry/mod.rs
@@ -15,6 +15,7 @@
 mod moves;
 mod node;
 mod orders;
+mod outage;
 mod owner;
 mod stop;
 mod upkeep;
--- a/crates/havenladder/src/entry/node.rs
+++ b/crates/havenladder/src/entry/node.rs
@@ -16,7 +16,7 @@
     cell::{Cell, RefCell},
     collections::BTreeMap,
     rc::Rc,
-    time::{SystemTime, UNIX_EPOCH},
+    time::{Instant, SystemTime, UNIX_EPOCH},
 };
 use tokio::sync::Notify;
 
@@ -42,6 +42,8 @@
     pub settings: Settings,
     /// This life of the process.
     pub life: LifeId,
+    /// When the process began.
+    pub began: Instant,
     /// What the entry counts.
     pub metrics: Metrics,
     /// Calls to anybody.
@@ -88,6 +90,7 @@
         let client = Client::default();
         Rc::new(Node {
             life: rand::random(),
+            began: Instant::now(),
             metrics: Metrics::new(),
             store: Store::new(client.clone(), &settings.store),
             workers: Workers::new(client.clone()),
--- /dev/null
+++ b/crates/havenladder/src/entry/outage.rs
@@ -0,0 +1,103 @@
+//! Whether the store is away for all, or this entry is cut off from it.
+//!
+//! An owner whose appends stall asks entries that it knows whether the store answers them. Only where one
+//! in another data centre says that it does not, and none says that it does, nobody can have taken over.
+
+use super::{
+    inner::{self, Ask, Tell},
+    node::Node,
+    owner::Owner,
+};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+use tokio::{task, time};
+use tracing::info;
+
+/// How long the store may take to answer a question that needs no waiting: 60 times what it takes.
+const PROBE: Duration = Duration::from_millis(250);
+
+/// How long an entry may take to tell, with its own question to the store.
+const ANSWER: Duration = Duration::from_millis(400);
+
+/// For how long it is relied on that the store is away.
+const TRUSTED: Duration = Duration::from_millis(900);
+
+/// Time between two rounds of questions.
+const AGAIN: Duration = Duration::from_millis(300);
+
+/// Tells another entry whether the store answers this one.
+pub async fn tell(node: &Node) -> Tell {
+    let probe = node.store.probe();
+    let answered = time::timeout(PROBE, probe).await.unwrap_or(false);
+    Tell::Outage {
+        zone: node.settings.zone.clone(),
+        silent: !answered,
+    }
+}
+
+/// What the last round of questions showed.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Outage {
+    asked: Option<Instant>,
+    confirmed: Option<Instant>,
+}
+
+impl Outage {
+    /// Whether the store is away for all, as far as is known.
+    pub fn is_confirmed(self) -> bool {
+        self.confirmed.is_some_and(|at| at.elapsed() < TRUSTED)
+    }
+
+    fn is_due(self) -> bool {
+        self.asked.is_none_or(|at| at.elapsed() >= AGAIN)
+    }
+}
+
+/// Begins a round of questions, unless one was begun a moment ago.
+pub fn ask(owner: &Rc<Owner>) {
+    let last = owner.outage.get();
+    if !last.is_due() {
+        return;
+    }
+    owner.outage.set(Outage {
+        asked: Some(Instant::now()),
+        ..last
+    });
+    let owner = Rc::clone(owner);
+    task::spawn_local(async move { ask_all(&owner).await });
+}
+
+async fn ask_all(owner: &Rc<Owner>) {
+    let deadline = Instant::now() + ANSWER;
+    let peers = owner.node.peers();
+    let asks: Vec<_> = peers
+        .into_iter()
+        .map(|peer| {
+            let node = Rc::clone(&owner.node);
+            task::spawn_local(async move { inner::ask(&node, &peer, &Ask::Outage, deadline).await })
+        })
+        .collect();
+    let mut away = false;
+    for ask in asks {
+        // An entry that does not answer tells nothing.
+        let Ok(Ok(Tell::Outage { zone, silent })) = ask.await else {
+            continue;
+        };
+        if !silent {
+            return;
+        }
+        away |= zone != owner.node.settings.zone;
+    }
+    if away {
+        let last = owner.outage.get();
+        if !last.is_confirmed() {
+            info!(epoch = owner.epoch, "the store is away for others, too");
+        }
+        owner.outage.set(Outage {
+            confirmed: Some(Instant::now()),
+            ..last
+        });
+    }
+}
--- a/crates/havenladder/src/entry/owner/answer.rs
+++ b/crates/havenladder/src/entry/owner/answer.rs
@@ -22,7 +22,7 @@
             Ask::Submit(given) => self.submit(given).await,
             Ask::Cancel(id) => self.cancel(id).await,
             Ask::State(id) => self.state(id).await,
-            Ask::News { .. } => Tell::News(News::default()),
+            Ask::News { .. } | Ask::Outage => Tell::News(News::default()),
             Ask::Pending(queue) => Tell::Pending(self.cell.borrow().pending(&queue)),
         }
     }
--- a/crates/havenladder/src/entry/owner/append.rs
+++ b/crates/havenladder/src/entry/owner/append.rs
@@ -1,7 +1,7 @@
 //! Makes records durable, and goes on meanwhile with what needs none.
 
 use super::Owner;
-use crate::entry::{node::wall_ms, orders};
+use crate::entry::{node::wall_ms, orders, outage};
 use adapter::store::{Appended, Condition, frame_keyed};
 use jobs::{Entry, Order};
 use std::{
@@ -89,11 +89,22 @@
             return outcome;
         }
         if owner.has_waited(SLOW) && owner.loaded.get() && owner.may_hold() {
-            go_on(owner, starts);
+            outage::ask(owner);
+            if may_go_on(owner) {
+                go_on(owner, starts);
+            }
         }
     }
 }
 
+/// Whether no newer owner can have taken over though appends stall: the store is away for all, or this
+/// owner has renewed its lease since.
+fn may_go_on(owner: &Owner) -> bool {
+    let stalled = owner.appending.get();
+    let renewed = stalled.is_some_and(|since| owner.renewed.get() > since);
+    owner.outage.get().is_confirmed() || (renewed && owner.is_certain())
+}
+
 /// Starts what is due of jobs that the log holds, though the starts themselves are not recorded: a
 /// new owner meets all workers before it starts what waited.
 fn go_on(owner: &Rc<Owner>, starts: &mut Vec<Order>) {
--- a/crates/havenladder/src/entry/owner/mod.rs
+++ b/crates/havenladder/src/entry/owner/mod.rs
@@ -9,7 +9,9 @@
     fleet,
     lease::TRUST,
     node::{Node, wall_ms},
-    orders, watch,
+    orders,
+    outage::Outage,
+    watch,
 };
 use adapter::workers::ClockMs;
 use append::append;
@@ -71,9 +73,24 @@
     /// When its last renewal was read; none if its process has ended for certain.
     pub renewed: Option<Instant>,
     /// Whether the store was in trouble of late.
-    pub troubled: bool,
+    pub trouble: Trouble,
 }
 
+/// Whether the store was in trouble of late, so that the earlier owner may have started runs that it
+/// could not record.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Trouble {
+    /// It was not.
+    None,
+    /// This entry has not run for long enough to know.
+    Unknown,
+    /// It was.
+    Seen,
+}
+
+/// How long a takeover may take before the store counts as troubled: it takes 50 ms as a rule.
+const LOADED: Duration = Duration::from_millis(300);
+
 /// The owner of the cell.
 pub struct Owner {
     /// Shared state of the entry.
@@ -91,6 +108,8 @@
     /// From when on this owner may give orders about VMs that the earlier one gave orders about: it did
     /// so as long as it trusted its lease, and two holders must not act in turn.
     pub duties: Instant,
+    /// What other entries say of the store.
+    pub outage: Cell<Outage>,
     /// Since when an append is under way.
     appending: Cell<Option<Instant>>,
     /// Whether it may still decide.
@@ -123,6 +142,7 @@
             renewed: Cell::new(now),
             inherited: extended + longest(LEASE),
             duties: before.renewed.map_or(now, |at| at + TRUST) + node.settings.lease,
+            outage: Cell::default(),
             appending: Cell::new(None),
             alive: Cell::new(true),
             loaded: Cell::new(false),
@@ -132,7 +152,7 @@
         node.metrics.owned("gained");
         info!(epoch, ?before, "owns the cell");
         *node.owner.borrow_mut() = Some(Rc::clone(&owner));
-        task::spawn_local(run(Rc::clone(&owner), before.troubled));
+        task::spawn_local(run(Rc::clone(&owner), before.trouble));
         owner
     }
 
@@ -182,14 +202,18 @@
 }
 
 /// Takes the cell over, then decides, records and acts in turn until the owner ends.
-async fn run(owner: Rc<Owner>, troubled: bool) {
+async fn run(owner: Rc<Owner>, trouble: Trouble) {
+    let began = Instant::now();
     if !load(&owner).await {
         return;
     }
-    owner
-        .cell
-        .borrow_mut()
-        .close_gate(owner.inherited, troubled);
+    if trouble != Trouble::None || began.elapsed() >= LOADED {
+        let troubled = trouble != Trouble::Unknown;
+        owner
+            .cell
+            .borrow_mut()
+            .close_gate(owner.inherited, troubled);
+    }
     owner.loaded.set(true);
     owner.settled.notify_waiters();
     task::spawn_local(watch::run(Rc::clone(&owner)));
