--- a/crates/fleet/src/sizing.rs
+++ b/crates/fleet/src/sizing.rs
@@ -78,6 +78,7 @@
 }
 
 impl PoolDemand {
+    /// How many VMs hold so much, in thousandths of a core, if a part of their room is used.
     fn vms_for(&self, cpu: u64, part: f64) -> usize {
         (cpu as f64 / (self.room.max(1) as f64 * part)).ceil() as usize
     }
@@ -143,6 +144,7 @@
     shifts
 }
 
+/// The idle VMs that a pool can do without, those idle for the longest time first.
 fn spare_vms<'p>(pool: &'p PoolDemand, limits: &SizingLimits) -> Vec<&'p IdleVm> {
     pool.idle.iter().take(pool.surplus(limits)).collect()
 }
--- a/crates/havenladder/src/entry/callers.rs
+++ b/crates/havenladder/src/entry/callers.rs
@@ -90,6 +90,7 @@
     accept_each(listener, drop, answer).await;
 }
 
+/// Whether the entry takes callers: it has a configuration and is not to stop.
 async fn ready(node: Rc<Node>) -> Reply {
     let ready = node.config().is_some() && !node.stopping.get();
     let status = if ready {
--- a/crates/havenladder/src/entry/follow.rs
+++ b/crates/havenladder/src/entry/follow.rs
@@ -92,6 +92,7 @@
     }
 }
 
+/// Takes in a record of operators.
 fn apply(node: &Node, record: Keyed) {
     let Some(value) = record.value else { return };
     if record.key == CONFIG_KEY {
--- a/crates/havenladder/src/entry/lease.rs
+++ b/crates/havenladder/src/entry/lease.rs
@@ -32,6 +32,12 @@
 /// Time until the store is asked again after it did not answer.
 const AGAIN: Duration = Duration::from_millis(100);
 
+/// How long a read waits at the least: one that comes back at once would be repeated at once.
+const LEAST_WAIT: Duration = Duration::from_millis(50);
+
+/// Time until the log is read again after a claim that was not confirmed.
+const CLAIM_AGAIN: Duration = Duration::from_millis(20);
+
 /// For how long trouble of the store may have effects: entries of workers that lapsed are back 2 s
 /// after its end.
 const TROUBLE: Duration = Duration::from_millis(8_000);
@@ -164,7 +170,7 @@
         return Duration::ZERO;
     }
     let left = EXPIRY.saturating_sub(log.fresh.elapsed());
-    left.max(Duration::from_millis(50))
+    left.max(LEAST_WAIT)
 }
 
 /// The record with which this entry claims, renews or releases the lease.
@@ -207,7 +213,7 @@
             set_lease(node, lease, end);
         }
         // Another was first, or the answer was lost: the next read tells.
-        Some(_) | None => time::sleep(Duration::from_millis(20)).await,
+        Some(_) | None => time::sleep(CLAIM_AGAIN).await,
     }
 }
 
--- a/crates/havenladder/src/entry/logs.rs
+++ b/crates/havenladder/src/entry/logs.rs
@@ -80,6 +80,7 @@
     }
 }
 
+/// Writes the lines that wait, gathered, until nobody can send any more or `out` is closed.
 fn write_all(waiting: &Receiver<Vec<u8>>, left_out: &AtomicU64, mut out: impl Write) {
     while let Ok(mut text) = waiting.recv() {
         thread::sleep(GATHER);
--- a/crates/havenladder/src/entry/metrics.rs
+++ b/crates/havenladder/src/entry/metrics.rs
@@ -117,6 +117,7 @@
     accept_each(listener, drop, serve).await;
 }
 
+/// The metrics, as a reply.
 async fn tell(node: Rc<Node>) -> Reply {
     Response::new(Full::new(node.metrics.text().into()))
 }
--- a/crates/havenladder/src/entry/mod.rs
+++ b/crates/havenladder/src/entry/mod.rs
@@ -53,6 +53,11 @@
     }
 }
 
+/// Starts the duties and waits for the stop.
+///
+/// # Errors
+///
+/// Fails when a port that the entry cannot do without is not free.
 async fn serve(node: Rc<Node>) -> io::Result<()> {
     let settings = &node.settings;
     let callers = TcpListener::bind(&settings.callers).await?;
--- a/crates/havenladder/src/entry/upkeep.rs
+++ b/crates/havenladder/src/entry/upkeep.rs
@@ -80,6 +80,7 @@
         self.courses.values().any(busy)
     }
 
+    /// Whether operators have been told that a wave has succeeded.
     fn has_succeeded(&self, number: u64) -> bool {
         let course = self.courses.get(&number);
         course.is_some_and(|c| c.said == Some(WaveState::Succeeded))
@@ -198,35 +199,26 @@
 /// Chooses the VMs to go next: those that carry the least, as many as the bound has room for.
 fn close_next(owner: &Owner, wave: &Wave, course: &mut Course, vms: &VmList) {
     let room = wave.most.saturating_sub(course.down.len());
-    course
-        .closing
-        .retain(|name, _| vms.get(name).is_some_and(|vm| vm.state == VmState::Up));
+    let is_up = |name: &String| vms.get(name).is_some_and(|vm| vm.state == VmState::Up);
+    course.closing.retain(|name, _| is_up(name));
     let waits = |name: &&String| {
         !course.done.contains(*name)
             && !course.closing.contains_key(*name)
             && !course.down.contains_key(*name)
-            && vms
-                .get(name.as_str())
-                .is_some_and(|vm| vm.state == VmState::Up)
+            && is_up(name)
     };
-    let mut next: Vec<(usize, &String)> = wave
-        .vms
-        .iter()
-        .filter(waits)
+    let waiting = wave.vms.iter().filter(waits);
+    let mut next: Vec<(usize, &String)> = waiting
         .map(|name| (weight(cost(owner, &vms[name])), name))
         .collect();
     next.sort();
+    // One more than there is room for drains already.
     let wanted = (room + 1).saturating_sub(course.closing.len());
-    let chosen: Vec<String> = next
-        .into_iter()
-        .take(wanted)
-        .map(|(_, name)| name.clone())
-        .collect();
-    for name in chosen {
-        if let Some(id) = &vms[&name].worker {
+    for (_, name) in next.into_iter().take(wanted) {
+        if let Some(id) = &vms[name].worker {
             owner.cell.borrow_mut().close_worker(id, true);
         }
-        course.closing.insert(name, Instant::now());
+        course.closing.insert(name.clone(), Instant::now());
     }
 }
 
--- a/crates/jobs/src/cell/runs.rs
+++ b/crates/jobs/src/cell/runs.rs
@@ -3,6 +3,14 @@
 use crate::{Cell, Order, Refusal, RunId, RunPhase, TaskId, worker::RunState};
 use std::time::{Duration, Instant};
 
+/// For how long a worker gets no new runs after it refused one for want of room: its own count of its
+/// room is ahead of ours by one report at the most.
+const FULL: Duration = Duration::from_millis(200);
+
+/// For how long a worker gets no new runs after it was not well, took no connection, or has not told
+/// its clock.
+const UNWELL: Duration = Duration::from_millis(1_000);
+
 impl Cell {
     /// Whether a start whose record is durable is still to be sent. One that is not is taken back.
     pub fn confirm_start(&mut self, worker: &str, task: TaskId, run: RunId) -> bool {
@@ -43,9 +51,8 @@
             return;
         }
         match why {
-            // The worker's own count of its room is ahead of ours by one report at the most.
-            Refusal::Room => host.aside = Some(now + Duration::from_millis(200)),
-            Refusal::Unwell => host.aside = Some(now + Duration::from_millis(1_000)),
+            Refusal::Room => host.aside = Some(now + FULL),
+            Refusal::Unwell => host.aside = Some(now + UNWELL),
             Refusal::Ticket => self.drop_permit(task, worker),
             Refusal::Fenced | Refusal::Old | Refusal::Late | Refusal::Invalid => {}
         }
--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -81,6 +81,7 @@
         self.schedule_all(now, Log::Away);
     }
 
+    /// Gives room to the waiting tasks of all services.
     fn schedule_all(&mut self, now: Instant, log: Log) {
         let services: Vec<_> = self.waiting.keys().cloned().collect();
         for service in services {
--- a/crates/jobs/src/spec.rs
+++ b/crates/jobs/src/spec.rs
@@ -162,6 +162,7 @@
     }
 }
 
+/// Checks a step: it has tasks, and waits only for steps before it.
 fn check_step(number: usize, step: &Step) -> Result<(), SpecError> {
     if step.count == 0 {
         return Err(SpecError::NoTasks(number));
