--- a/crates/jobs/src/cell/takeover.rs
+++ b/crates/jobs/src/cell/takeover.rs
@@ -37,8 +37,12 @@
                 job.rounds = state.rounds;
             }
         }
-        // What was handed in is written in one call with its state; one without is not there yet.
-        self.jobs.retain(|_, job| job.shown.is_some());
+        // What was handed in is written in one call with its state: one without the other is a record
+        // that was lost or never complete, and must not stop the takeover.
+        self.jobs.retain(|_, job| {
+            let known = job.phase.is_over() || !job.given.spec.steps.is_empty();
+            job.shown.is_some() && known
+        });
         let ids: Vec<JobId> = self.jobs.keys().copied().collect();
         ids.into_iter().for_each(|id| self.restore(id));
     }
--- a/crates/jobs/tests/takeover.rs
+++ b/crates/jobs/tests/takeover.rs
@@ -191,3 +191,17 @@
     world.pass(10_000);
     assert!(!world.run().is_empty(), "its lease has run out");
 }
+
+#[test]
+fn a_record_without_its_counterpart_does_not_stop_a_takeover() {
+    let mut world = World::new(&["a1"]);
+    world.cell.accept(job(1, vec![step(1)]));
+    world.cell.accept(job(2, vec![step(1)]));
+    world.run();
+    let id = |number: u64| format!("{number:016x}");
+    world
+        .log
+        .retain(|entry| entry.key != format!("g{}", id(1)) && entry.key != format!("s{}", id(2)));
+    world.take_over();
+    assert!(world.cell.jobs.is_empty());
+}
