refactor(entry): the verdict on an outage is pure and tested; a data centre is a hall everywhere

The rule stood in a loop of calls; it is now crates/fleet/src/silence.rs with a test of five cases. The wire's word for a data centre stays in platform/.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -13,6 +13,7 @@
 mod plan;
 mod publish;
 mod record;
+mod silence;
 mod sizing;
 mod snapshot;
 mod state;
@@ -26,6 +27,7 @@
     Change, Errand, GrantRequest, LeaseRequest, Observation, Outcome, PathChange, Reason, Record,
     Seen, WaveChange,
 };
+pub use silence::{Hearing, is_away};
 pub use sizing::{IdleVm, PoolDemand, Shift, SizingLimits, shifts};
 pub use snapshot::{Chunk, SnapshotError, assemble, chunks, decode_snapshot, encode_snapshot};
 pub use state::{Fleet, Grant, Health, Mark, SPARE, Step, Vm, Wave, WaveId, WaveState};
--- /dev/null
+++ b/crates/fleet/tests/silence.rs
@@ -0,0 +1,26 @@
+//! Whether a service is away for all.
+
+use havenladder_fleet::{Hearing, is_away};
+use yare::parameterized;
+
+fn told(rows: &[(&str, bool)]) -> Vec<Hearing> {
+    let hearing = |(hall, silent): &(&str, bool)| Hearing {
+        hall: (*hall).to_owned(),
+        silent: *silent,
+    };
+    rows.iter().map(hearing).collect()
+}
+
+#[parameterized(
+    nobody = { &[], false },
+    own_hall_only = { &[("a", true), ("a", true)], false },
+    another_hall = { &[("a", true), ("b", true)], true },
+    somebody_hears_it = { &[("b", true), ("c", false)], false },
+    own_hall_hears_it = { &[("a", false), ("b", true)], false },
+)]
+fn a_service_is_away_if_another_hall_says_so_and_none_the_contrary(
+    rows: &[(&str, bool)],
+    away: bool,
+) {
+    assert_eq!(is_away("a", &told(rows)), away);
+}
--- a/crates/havenladder/src/entry/inner.rs
+++ b/crates/havenladder/src/entry/inner.rs
@@ -88,7 +88,7 @@
     /// Whether the store is silent for an entry, and in which data centre that entry is.
     Outage {
         /// The entry's data centre.
-        zone: String,
+        hall: String,
         /// Whether the store does not answer it.
         silent: bool,
     },
--- a/crates/havenladder/src/entry/mod.rs
+++ b/crates/havenladder/src/entry/mod.rs
@@ -66,7 +66,7 @@
     let inner = TcpListener::bind((settings.ip.as_str(), settings.inner_port)).await?;
     info!(
         node = settings.node,
-        zone = settings.zone,
+        hall = settings.hall,
         life = node.life,
         "entry starts"
     );
--- a/crates/havenladder/src/entry/outage.rs
+++ b/crates/havenladder/src/entry/outage.rs
@@ -8,6 +8,7 @@
     node::Node,
     owner::Owner,
 };
+use fleet::{Hearing, is_away};
 use std::{
     rc::Rc,
     time::{Duration, Instant},
@@ -32,7 +33,7 @@
     let probe = node.store.probe();
     let answered = time::timeout(PROBE, probe).await.unwrap_or(false);
     Tell::Outage {
-        zone: node.settings.zone.clone(),
+        hall: node.settings.hall.clone(),
         silent: !answered,
     }
 }
@@ -79,18 +80,14 @@
             task::spawn_local(async move { inner::ask(&node, &peer, &Ask::Outage, deadline).await })
         })
         .collect();
-    let mut away = false;
+    let mut told = Vec::new();
     for ask in asks {
         // An entry that does not answer tells nothing.
-        let Ok(Ok(Tell::Outage { zone, silent })) = ask.await else {
-            continue;
-        };
-        if !silent {
-            return;
+        if let Ok(Ok(Tell::Outage { hall, silent })) = ask.await {
+            told.push(Hearing { hall, silent });
         }
-        away |= zone != owner.node.settings.zone;
     }
-    if away {
+    if is_away(&owner.node.settings.hall, &told) {
         let last = owner.outage.get();
         if !last.is_confirmed() {
             info!(epoch = owner.epoch, "the store is away for others, too");
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -13,7 +13,7 @@
     /// Where it takes orders, as IP and port.
     pub address: String,
     /// Its data centre.
-    pub zone: String,
+    pub hall: String,
     /// What tasks may require of it; its rack is one of these.
     pub labels: Vec<String>,
     /// Its room.
