fix(entry): leases of all earlier owners are waited out

Also: a port that refused connections behind a cut is forgotten once its owner is heard of, which had changed the owner without need as a cut healed.

--- a/crates/havenladder/src/entry/lease.rs
+++ b/crates/havenladder/src/entry/lease.rs
@@ -104,6 +104,9 @@
             log.end += records.len() as Offset;
             log.fresh = Instant::now();
             log.renewed = Some(log.fresh);
+            // Whoever writes here lives, whatever its port did behind a cut.
+            node.refused.set(None);
+            node.suspect.set(None);
             match records
                 .last()
                 .map(|record| rmp_serde::from_slice::<Lease>(record))
@@ -192,18 +195,17 @@
 
 /// What is known of the owner before the one that claims now.
 fn predecessor(node: &Node, log: &Log) -> Predecessor {
-    let lease = node.lease.borrow();
-    // A port that refuses connections proves nothing here: a cut may refuse them, too.
-    let ended = lease
-        .as_ref()
-        .is_none_or(|lease| lease.released || lease.node == node.settings.node);
     let trouble = match log.trouble {
         Some(at) if at.elapsed() < TROUBLE => Trouble::Seen,
         _ if node.began.elapsed() < TROUBLE => Trouble::Unknown,
         _ => Trouble::None,
     };
-    let renewed = log.renewed.filter(|_| !ended);
-    Predecessor { renewed, trouble }
+    // Not even an owner that gave the cell up counts as the end of all leases: the one before it may
+    // be cut off and go on.
+    Predecessor {
+        renewed: log.renewed,
+        trouble,
+    }
 }
 
 /// Claims the lease, on the condition that nobody else has.
--- a/crates/havenladder/src/entry/owner/mod.rs
+++ b/crates/havenladder/src/entry/owner/mod.rs
@@ -70,7 +70,7 @@
 /// What is known of the owner before.
 #[derive(Clone, Copy, Debug)]
 pub struct Predecessor {
-    /// When its last renewal was read; none if its process has ended for certain.
+    /// When its last record was read; none if there was no owner before.
     pub renewed: Option<Instant>,
     /// Whether the store was in trouble of late.
     pub trouble: Trouble,
