fix(entry): an owner that gives the cell up tells for how long earlier leases may hold; orders wait for the lease

The record that gives the cell up now carries what is left of earlier leases. Also, by reading: a start or stop that met an owner without its lease ended there, and its task waited for ever; a start is now taken back, a stop goes on trying.

--- a/crates/havenladder/src/entry/lease.rs
+++ b/crates/havenladder/src/entry/lease.rs
@@ -65,6 +65,7 @@
         trouble: None,
         before: Predecessor {
             renewed: None,
+            waits: Duration::ZERO,
             trouble: Trouble::None,
         },
     };
@@ -177,12 +178,13 @@
 }
 
 /// The record with which this entry claims, renews or releases the lease.
-fn record(node: &Node, released: bool) -> Lease {
+fn record(node: &Node, released: Option<Duration>) -> Lease {
     Lease {
         node: node.settings.node.clone(),
         life: node.life,
         address: node.inner_address(),
-        released,
+        released: released.is_some(),
+        waits: released.map_or(0, |waits| waits.as_millis() as u64),
     }
 }
 
@@ -200,10 +202,13 @@
         _ if node.began.elapsed() < TROUBLE => Trouble::Unknown,
         _ => Trouble::None,
     };
-    // Not even an owner that gave the cell up counts as the end of all leases: the one before it may
-    // be cut off and go on.
+    let lease = node.lease.borrow();
+    let released = lease.as_ref().filter(|lease| lease.released);
     Predecessor {
-        renewed: log.renewed,
+        // An owner that gave the cell up extends no more leases, but the one before it may be cut off
+        // and go on: it has told for how long.
+        renewed: log.renewed.filter(|_| released.is_none()),
+        waits: Duration::from_millis(released.map_or(0, |lease| lease.waits)),
         trouble,
     }
 }
@@ -211,7 +216,7 @@
 /// Claims the lease, on the condition that nobody else has.
 async fn claim(node: &Node, log: &mut Log) {
     log.before = predecessor(node, log);
-    let lease = record(node, false);
+    let lease = record(node, None);
     match append(node, log.end, &lease).await {
         Some(Appended::Done(end)) => {
             log.end = end;
@@ -246,7 +251,7 @@
         }
         if node.stopping.get() && owner.is_alive() {
             owner.end("the process stops");
-            return release(node, log).await;
+            return release(node, log, owner.inherited_for()).await;
         }
         if !owner.is_alive() {
             info!("the cell was lost to a newer owner");
@@ -262,8 +267,8 @@
 }
 
 /// Gives the cell up, so that nobody waits for the lease to run out. Without an answer, they do.
-async fn release(node: &Node, log: &mut Log) {
-    let released = record(node, true);
+async fn release(node: &Node, log: &mut Log, waits: Duration) {
+    let released = record(node, Some(waits));
     if let Some(Appended::Done(end)) = append(node, log.end, &released).await {
         log.end = end;
         set_lease(node, released, end);
@@ -278,7 +283,7 @@
 /// Renews the lease, once.
 async fn renew(node: &Node, log: &mut Log, owner: &Owner) {
     let sent = Instant::now();
-    match append(node, log.end, &record(node, false)).await {
+    match append(node, log.end, &record(node, None)).await {
         Some(Appended::Done(end)) => {
             log.end = end;
             log.fresh = Instant::now();
--- a/crates/havenladder/src/entry/node.rs
+++ b/crates/havenladder/src/entry/node.rs
@@ -34,6 +34,8 @@
     pub address: String,
     /// Whether it has given the cell up.
     pub released: bool,
+    /// When it has: for how many ms more leases of owners before it may hold.
+    pub waits: u64,
 }
 
 /// What the duties of an entry share.
--- a/crates/havenladder/src/entry/orders.rs
+++ b/crates/havenladder/src/entry/orders.rs
@@ -67,10 +67,16 @@
 
 /// Sends a start, unless what it follows from has changed since it was decided.
 async fn start(owner: &Rc<Owner>, worker: &str, task: TaskId, run: RunId) {
-    if !owner.may_hold() || !owner.cell.borrow_mut().confirm_start(worker, task, run) {
+    if !owner.cell.borrow_mut().confirm_start(worker, task, run) {
         owner.wake();
         return;
     }
+    if !owner.may_hold() {
+        // It is not sent, and waits until this owner has renewed its lease.
+        let now = Instant::now();
+        let mut cell = owner.cell.borrow_mut();
+        return cell.refused(worker, task, run, Refusal::Late, now);
+    }
     let Some(info) = find(owner, worker) else {
         return;
     };
@@ -161,7 +167,7 @@
 
 /// Sends a stop until the worker has taken it, or it is not wanted any more.
 async fn stop(owner: &Rc<Owner>, worker: &str, task: TaskId, run: RunId) {
-    while owner.may_hold() && owner.cell.borrow().wants_stop(worker, task, run) {
+    while owner.is_alive() && owner.cell.borrow().wants_stop(worker, task, run) {
         let Some(info) = find(owner, worker) else {
             return;
         };
--- a/crates/havenladder/src/entry/owner/mod.rs
+++ b/crates/havenladder/src/entry/owner/mod.rs
@@ -70,8 +70,10 @@
 /// What is known of the owner before.
 #[derive(Clone, Copy, Debug)]
 pub struct Predecessor {
-    /// When its last record was read; none if there was no owner before.
+    /// When its last record was read; none if there was no owner before, or it gave the cell up.
     pub renewed: Option<Instant>,
+    /// How long leases of owners before it may hold.
+    pub waits: Duration,
     /// Whether the store was in trouble of late.
     pub trouble: Trouble,
 }
@@ -140,7 +142,7 @@
             cell: RefCell::new(JobCell::new(limits)),
             contacts: RefCell::default(),
             renewed: Cell::new(now),
-            inherited: extended + longest(LEASE),
+            inherited: (extended + longest(LEASE)).max(now + before.waits),
             duties: before.renewed.map_or(now, |at| at + TRUST) + node.settings.lease,
             outage: Cell::default(),
             appending: Cell::new(None),
@@ -171,6 +173,11 @@
         self.is_alive() && self.renewed.get().elapsed() < TRUST
     }
 
+    /// For how long leases of earlier owners may still hold.
+    pub fn inherited_for(&self) -> Duration {
+        self.inherited.saturating_duration_since(Instant::now())
+    }
+
     /// Ends it: it decides and orders nothing any more.
     pub fn end(&self, why: &str) {
         if self.alive.replace(false) {
