--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -12,17 +12,20 @@
 mod moves;
 mod plan;
 mod publish;
+mod rate;
 mod record;
 mod silence;
 mod sizing;
 mod snapshot;
 mod state;
+mod tenure;
 mod wave;
 
 pub use bound::{Whereabouts, room_to_go};
 pub use budget::{Count, Hold, holds};
 pub use moves::{Room, Wanted, least_moves, next_moves};
 pub use plan::{Action, Evidence, Sight, View, free_token, next_action, plan};
+pub use rate::RateLimit;
 pub use record::{
     Change, Errand, GrantRequest, LeaseRequest, Observation, Outcome, PathChange, Reason, Record,
     Seen, WaveChange,
@@ -31,6 +34,7 @@
 pub use sizing::{IdleVm, PoolDemand, Shift, SizingLimits, shifts};
 pub use snapshot::{Chunk, SnapshotError, assemble, chunks, decode_snapshot, encode_snapshot};
 pub use state::{Fleet, Grant, Health, Mark, SPARE, Step, Vm, Wave, WaveId, WaveState};
+pub use tenure::{Claim, DEFERENCE, EXPIRY, Holder, MilliCpu, SETTLED, Tenure, outranks};
 pub use wave::{Progress, next_reboots, progress};
 
 use std::time::Duration;
--- a/crates/havenladder/src/entry/callers.rs
+++ b/crates/havenladder/src/entry/callers.rs
@@ -267,7 +267,12 @@
         Tell::Unknown => Some(reply(StatusCode::GONE, "")),
         Tell::State(phase) => Some(reply(StatusCode::OK, write_state(*phase))),
         Tell::Pending(count) => Some(reply(StatusCode::OK, write_pending(*count))),
-        Tell::NotOwner | Tell::Refused | Tell::Outage { .. } | Tell::News(_) | Tell::Unsure => None,
+        Tell::NotOwner
+        | Tell::HandedOver
+        | Tell::Refused
+        | Tell::Outage { .. }
+        | Tell::News(_)
+        | Tell::Unsure => None,
     }
 }
 
--- a/crates/havenladder/src/entry/inner.rs
+++ b/crates/havenladder/src/entry/inner.rs
@@ -6,6 +6,7 @@
     outage,
 };
 use adapter::http::{Call, CallError};
+use fleet::MilliCpu;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{Method, Request, Response, StatusCode, body::Incoming};
 use jobs::{JobId, Phase, QueueId, Submission};
@@ -31,6 +32,11 @@
     State(JobId),
     /// How many jobs of this queue have not begun?
     Pending(QueueId),
+    /// Will you hand the cell over to this entry, which has so much of a core?
+    HandOver {
+        /// Its part of a core.
+        cpu: MilliCpu,
+    },
     /// Does the platform's store answer you? Any entry answers this.
     Outage,
     /// What is newer than this version of the configuration and this end of the lease's log? Any
@@ -50,6 +56,7 @@
             Ask::Cancel(id) => write!(f, "cancel {id:016x}"),
             Ask::State(id) => write!(f, "state {id:016x}"),
             Ask::Pending(queue) => write!(f, "pending {queue}"),
+            Ask::HandOver { cpu } => write!(f, "hand over to {cpu}"),
             Ask::Outage => write!(f, "outage"),
             Ask::News { version, end } => write!(f, "news since {version} and {end}"),
         }
@@ -83,6 +90,8 @@
     Pending(usize),
     /// The entry that was asked owns nothing; nothing was done.
     NotOwner,
+    /// The cell is handed over.
+    HandedOver,
     /// What is newer.
     News(News),
     /// Whether the store is silent for an entry, and in which data centre that entry is.
@@ -122,6 +131,7 @@
     let tell = match (ask, node.own()) {
         (Ask::News { version, end }, _) => Tell::News(news(&node, version, end)),
         (Ask::Outage, _) => outage::tell(&node).await,
+        (Ask::HandOver { cpu }, Some(owner)) => owner.hand_over(cpu),
         (ask, Some(owner)) => owner.answer(ask).await,
         (_, None) => Tell::NotOwner,
     };
--- a/crates/havenladder/src/entry/lease.rs
+++ b/crates/havenladder/src/entry/lease.rs
@@ -1,32 +1,32 @@
 //! Who owns the cell: a lease in the log.
 //!
 //! The owner appends a record every [`RENEW`]; each entry reads them. One that has read none for
-//! [`EXPIRY`], while the store answered, appends its own on the condition that nobody else has. The
-//! record's offset is the new owner's epoch, which fences its appends and its orders.
+//! [`fleet::EXPIRY`], while the store answered, appends its own on the condition that nobody else has.
+//! The record's offset is the new owner's epoch, which fences its appends and its orders. When to claim
+//! is decided in [`Tenure`]; this module reads, claims, renews and releases.
 
 use super::{
+    inner::{self, Ask},
     node::{Lease, Node},
     owner::{Owner, Predecessor, Trouble},
 };
 use adapter::store::{Appended, Condition, Offset, Read, frame_plain};
+use fleet::{Claim, Holder, MilliCpu, Tenure};
 use std::{
     rc::Rc,
     time::{Duration, Instant},
 };
-use tokio::time;
+use tokio::{task, time};
 use tracing::{info, warn};
 
 /// The topic with the lease's records.
 const TOPIC: &str = "owner";
 
-/// How often the owner renews. Three renewals fit into [`EXPIRY`], so that two may be lost.
+/// How often the owner renews. Three renewals fit into [`fleet::EXPIRY`], so that two may be lost.
 const RENEW: Duration = Duration::from_millis(400);
 
-/// How long the log must have been without a renewal before another entry claims the cell.
-const EXPIRY: Duration = Duration::from_millis(1_500);
-
 /// How long an owner may believe in its last renewal where two owners must not act in turn. Shorter
-/// than [`EXPIRY`] by what clocks and answers may be late.
+/// than [`fleet::EXPIRY`] by what clocks and answers may be late.
 pub const TRUST: Duration = Duration::from_millis(1_100);
 
 /// Time until the store is asked again after it did not answer.
@@ -38,6 +38,9 @@
 /// Time until the log is read again after a claim that was not confirmed.
 const CLAIM_AGAIN: Duration = Duration::from_millis(20);
 
+/// How long an owner may take to answer whether it hands the cell over; it takes some ms.
+const HAND_OVER: Duration = Duration::from_millis(500);
+
 /// For how long trouble of the store may have effects: entries of workers that lapsed are back 2 s
 /// after its end.
 const TROUBLE: Duration = Duration::from_millis(8_000);
@@ -46,8 +49,8 @@
 struct Log {
     /// The end of the log, as far as it was read.
     end: Offset,
-    /// When the newest record was read, or the store last came back.
-    fresh: Instant,
+    /// When this entry may claim, and from whom it should.
+    tenure: Tenure,
     /// When a renewal of the current owner was last read.
     renewed: Option<Instant>,
     /// When the store last did not answer.
@@ -60,7 +63,7 @@
 pub async fn run(node: Rc<Node>) {
     let mut log = Log {
         end: 0,
-        fresh: Instant::now(),
+        tenure: Tenure::new(node.settings.cpu, Instant::now()),
         renewed: None,
         trouble: None,
         before: Predecessor {
@@ -77,13 +80,14 @@
             () = node.owner_refused.notified() => Seen::Records,
         };
         match seen {
-            Seen::Nothing if is_vacant(&node, &log) => claim(&node, &mut log).await,
-            Seen::Records | Seen::Nothing | Seen::Failed => {}
+            Seen::Nothing if next(&node, &mut log) == Claim::Now => claim(&node, &mut log).await,
+            Seen::Records => ask_for(&node, &log),
+            Seen::Nothing | Seen::Failed => {}
         }
         if holds(&node) {
             own(&node, &mut log).await;
         }
-        wait = next_wait(&node, &log);
+        wait = next_wait(&node, &mut log);
     }
 }
 
@@ -102,9 +106,9 @@
     match node.store.read(TOPIC, log.end, wait).await {
         Ok(Read::Records(_, records)) if records.is_empty() => Seen::Nothing,
         Ok(Read::Records(_, records)) => {
+            let now = Instant::now();
             log.end += records.len() as Offset;
-            log.fresh = Instant::now();
-            log.renewed = Some(log.fresh);
+            log.renewed = Some(now);
             // Whoever writes here lives, whatever its port did behind a cut.
             node.refused.set(None);
             node.suspect.set(None);
@@ -112,7 +116,7 @@
                 .last()
                 .map(|record| rmp_serde::from_slice::<Lease>(record))
             {
-                Some(Ok(lease)) => set_lease(node, lease, log.end),
+                Some(Ok(lease)) => note_lease(node, log, lease, now),
                 Some(Err(error)) => warn!(%error, "a record of the lease cannot be read"),
                 None => {}
             }
@@ -123,9 +127,9 @@
             Seen::Records
         }
         Ok(Read::Busy) | Err(_) => {
-            // The owner may not have reached the store either: its time counts from the return.
-            log.fresh = Instant::now();
-            log.trouble = Some(log.fresh);
+            let now = Instant::now();
+            log.tenure.note_trouble(now);
+            log.trouble = Some(now);
             time::sleep(AGAIN).await;
             Seen::Failed
         }
@@ -152,29 +156,75 @@
     node.lease_changed.notify_waiters();
 }
 
-/// Whether the lease may be claimed now, if the log has nothing newer.
-fn is_vacant(node: &Node, log: &Log) -> bool {
-    if node.stopping.get() {
-        return false;
+/// Takes in a record of the lease, read or appended at `now`.
+fn note_lease(node: &Node, log: &mut Log, lease: Lease, now: Instant) {
+    log.tenure.note_record(lease.cpu, now);
+    let same = node
+        .lease
+        .borrow()
+        .as_ref()
+        .is_some_and(|known| known.life == lease.life && known.released == lease.released);
+    if !same {
+        log.tenure.note_change(now);
     }
+    set_lease(node, lease, log.end);
+}
+
+/// Who holds the lease, as this entry sees it.
+fn holder(node: &Node, log: &Log) -> Holder {
     match node.lease.borrow().as_ref() {
-        None => log.end == 0 || log.fresh.elapsed() >= EXPIRY,
-        Some(lease) if lease.released => true,
-        // An earlier life of this entry has ended.
-        Some(lease) if lease.node == node.settings.node && lease.life != node.life => true,
+        None if log.end == 0 => Holder::Nobody,
+        None => Holder::Unknown,
+        Some(lease) if lease.released => Holder::Released,
+        Some(lease) if lease.node == node.settings.node && lease.life != node.life => {
+            Holder::EarlierLife
+        }
         // Its port refuses connections: its process has ended.
-        Some(lease) if node.refused.get() == Some(lease.life) => true,
-        Some(_) => log.fresh.elapsed() >= EXPIRY,
+        Some(lease) if node.refused.get() == Some(lease.life) => Holder::Ended,
+        Some(_) => Holder::Other,
+    }
+}
+
+/// When this entry may claim the lease; one that is to stop does not.
+fn next(node: &Node, log: &mut Log) -> Claim {
+    let now = Instant::now();
+    if node.stopping.get() {
+        return Claim::At(now + fleet::EXPIRY);
     }
+    let holder = holder(node, log);
+    log.tenure.next(holder, now)
 }
 
 /// How long the next read waits: not at all where only the log has to be asked before a claim.
-fn next_wait(node: &Node, log: &Log) -> Duration {
-    if is_vacant(node, log) {
-        return Duration::ZERO;
+fn next_wait(node: &Node, log: &mut Log) -> Duration {
+    match next(node, log) {
+        Claim::Now => Duration::ZERO,
+        Claim::At(at) => at.saturating_duration_since(Instant::now()).max(LEAST_WAIT),
     }
-    let left = EXPIRY.saturating_sub(log.fresh.elapsed());
-    left.max(LEAST_WAIT)
+}
+
+/// Asks an owner that is much weaker than this entry to hand the cell over. Whether it does shows in
+/// the log.
+fn ask_for(node: &Rc<Node>, log: &Log) {
+    let now = Instant::now();
+    let lease = node.lease.borrow().clone();
+    let other = lease.filter(|lease| lease.life != node.life && !lease.released);
+    let Some(other) = other.filter(|lease| log.tenure.should_ask(lease.cpu, now)) else {
+        return;
+    };
+    let ask = Ask::HandOver {
+        cpu: node.settings.cpu,
+    };
+    let node = Rc::clone(node);
+    task::spawn_local(async move {
+        let answer = inner::ask(&node, &other.address, &ask, now + HAND_OVER).await;
+        info!(
+            owner = other.node,
+            cpu = other.cpu,
+            ?answer,
+            "asked a weaker owner to hand over"
+        );
+    });
 }
 
 /// The record with which this entry claims, renews or releases the lease.
@@ -183,6 +233,7 @@
         node: node.settings.node.clone(),
         life: node.life,
         address: node.inner_address(),
+        cpu: node.settings.cpu,
         released: released.is_some(),
         waits: released.map_or(0, |waits| waits.as_millis() as u64),
     }
@@ -220,8 +271,7 @@
     match append(node, log.end, &lease).await {
         Some(Appended::Done(end)) => {
             log.end = end;
-            log.fresh = Instant::now();
-            set_lease(node, lease, end);
+            note_lease(node, log, lease, Instant::now());
         }
         // Another was first, or the answer was lost: the next read tells.
         Some(_) | None => time::sleep(CLAIM_AGAIN).await,
@@ -248,10 +298,15 @@
         tokio::select! {
             () = time::sleep(wait) => {}
             () = node.stop.notified() => {}
+            () = owner.handing_over.notified() => {}
         }
         if node.stopping.get() && owner.is_alive() {
             owner.end("the process stops");
-            return release(node, log, owner.inherited_for()).await;
+            return release(node, log, owner.inherited_for(), node.settings.cpu).await;
+        }
+        if let Some(cpu) = owner.successor.get().filter(|_| owner.is_alive()) {
+            owner.end("a stronger entry asks for the cell");
+            return release(node, log, owner.inherited_for(), cpu).await;
         }
         if !owner.is_alive() {
             info!("the cell was lost to a newer owner");
@@ -266,12 +321,16 @@
     }
 }
 
-/// Gives the cell up, so that nobody waits for the lease to run out. Without an answer, they do.
-async fn release(node: &Node, log: &mut Log, waits: Duration) {
-    let released = record(node, Some(waits));
+/// Gives the cell up, so that nobody waits for the lease to run out. Without an answer, they do. Entries
+/// that are much weaker than `cpu` leave it to others for a moment.
+async fn release(node: &Node, log: &mut Log, waits: Duration, cpu: MilliCpu) {
+    let released = Lease {
+        cpu,
+        ..record(node, Some(waits))
+    };
     if let Some(Appended::Done(end)) = append(node, log.end, &released).await {
         log.end = end;
-        set_lease(node, released, end);
+        note_lease(node, log, released, Instant::now());
     }
 }
 
@@ -286,7 +345,7 @@
     match append(node, log.end, &record(node, None)).await {
         Some(Appended::Done(end)) => {
             log.end = end;
-            log.fresh = Instant::now();
+            log.tenure.note_record(node.settings.cpu, Instant::now());
             owner.renewed.set(sent);
         }
         Some(Appended::Moved(_)) => {
--- a/crates/havenladder/src/entry/mod.rs
+++ b/crates/havenladder/src/entry/mod.rs
@@ -19,6 +19,7 @@
 mod owner;
 mod stop;
 mod upkeep;
+mod vm_orders;
 mod watch;
 
 use adapter::settings;
--- a/crates/havenladder/src/entry/moves.rs
+++ b/crates/havenladder/src/entry/moves.rs
@@ -4,6 +4,7 @@
     fleet::{LOST, VmList},
     owner::Owner,
     upkeep::Waves,
+    vm_orders::{self, Errand, VmOrder},
 };
 use adapter::cloud::{Ordered, Vm, VmState};
 use fleet::{IdleVm, PoolDemand, Shift, SizingLimits, shifts};
@@ -13,7 +14,6 @@
     rc::Rc,
     time::{Duration, Instant},
 };
-use tracing::info;
 
 /// Over how long the highest use of a pool counts: about one run of the usual kind.
 const PEAK: Duration = Duration::from_millis(1_500);
@@ -82,22 +82,31 @@
         }
         let now = Instant::now();
         let pools = self.demands(owner, list, waves, now);
-        let wanted = shifts(&pools, now, &SizingLimits::default());
-        let wanted: Vec<Shift> = wanted
-            .into_iter()
-            .filter(|shift| !owner.must_spare(&shift.vm))
-            .collect();
+        let mut wanted = shifts(&pools, now, &SizingLimits::default());
+        wanted.retain(|shift| !owner.must_spare(&shift.vm) && !self.is_barred(shift));
+        wanted.truncate(vm_orders::available(owner));
         let vms: Vec<&str> = wanted.iter().map(|shift| shift.vm.as_str()).collect();
         if vms.is_empty() || !owner.claim_vms(&vms).await {
             return;
         }
-        for shift in &wanted {
-            if let Some(vm) = list.get(&shift.vm) {
-                self.order(owner, vm, shift).await;
-            }
+        let begun: Vec<(&Vm, VmOrder)> = wanted
+            .iter()
+            .filter_map(|shift| Some((shift, list.get(&shift.vm)?)))
+            .filter_map(|(shift, vm)| Some((vm, self.begin(owner, vm, shift)?)))
+            .collect();
+        let orders = begun.iter().map(|(_, order)| order.clone()).collect();
+        let outcomes = vm_orders::give_all(owner, orders).await;
+        for ((vm, _), outcome) in begun.into_iter().zip(outcomes) {
+            self.settle(owner, vm, outcome);
         }
     }
 
+    /// Whether the platform does not allow a move.
+    fn is_barred(&self, shift: &Shift) -> bool {
+        let bar = (shift.from.clone(), shift.to.clone());
+        self.barred.contains(&bar)
+    }
+
     /// What each pool needs, and which of its VMs are idle.
     fn demands(
         &mut self,
@@ -189,16 +198,12 @@
         Some(*self.idle.entry(vm.name.clone()).or_insert(now))
     }
 
-    /// Orders a move, if the VM still carries nothing.
-    async fn order(&mut self, owner: &Rc<Owner>, vm: &Vm, shift: &Shift) {
-        let bar = (shift.from.clone(), shift.to.clone());
-        if self.barred.contains(&bar) || !owner.is_certain() {
-            return;
-        }
+    /// Begins a move, if the VM still carries nothing: its worker gets nothing more from now on.
+    fn begin(&mut self, owner: &Owner, vm: &Vm, shift: &Shift) -> Option<VmOrder> {
         if let Some(id) = &vm.worker {
             let mut cell = owner.cell.borrow_mut();
             if cell.takeout(id) != Takeout::Free {
-                return;
+                return None;
             }
             cell.take_worker(id, true);
         }
@@ -209,32 +214,24 @@
             since: Instant::now(),
             confirmed: false,
         };
-        let outcome = owner
-            .node
-            .cloud
-            .move_vm(&vm.name, &shift.to, owner.epoch)
-            .await;
-        info!(
-            vm = vm.name,
-            from = shift.from,
-            to = shift.to,
-            ?outcome,
-            "move ordered"
-        );
-        self.settle(owner, vm, moving, outcome.ok());
+        self.moving.insert(vm.name.clone(), moving);
+        Some(VmOrder {
+            vm: vm.name.clone(),
+            errand: Errand::Move(shift.to.clone()),
+        })
     }
 
     /// Draws from the answer to an order what is certain about the move.
-    fn settle(&mut self, owner: &Rc<Owner>, vm: &Vm, moving: Moving, outcome: Option<Ordered>) {
+    fn settle(&mut self, owner: &Owner, vm: &Vm, outcome: Option<Ordered>) {
         match outcome {
             // Without an answer, it may be carried out at any moment; the list tells.
-            Some(Ordered::Done) | None => {
-                self.moving.insert(vm.name.clone(), moving);
-            }
+            Some(Ordered::Done) | None => {}
             Some(Ordered::Fenced) => owner.end("a newer owner gave orders for a VM"),
             Some(refused @ (Ordered::Busy | Ordered::Later | Ordered::Rejected)) => {
+                let moving = self.moving.remove(&vm.name);
                 if refused == Ordered::Rejected {
-                    self.barred.insert((vm.pool.clone(), moving.to));
+                    let bars = moving.map(|moving| (vm.pool.clone(), moving.to));
+                    self.barred.extend(bars);
                 }
                 if let Some(id) = &vm.worker {
                     owner.cell.borrow_mut().take_worker(id, false);
--- a/crates/havenladder/src/entry/node.rs
+++ b/crates/havenladder/src/entry/node.rs
@@ -11,6 +11,7 @@
     workers::Workers,
 };
 use bytes::Bytes;
+use fleet::MilliCpu;
 use serde::{Deserialize, Serialize};
 use std::{
     cell::{Cell, RefCell},
@@ -36,6 +37,9 @@
     pub released: bool,
     /// When it has: for how many ms more leases of owners before it may hold.
     pub waits: u64,
+    /// The owner's part of a core; when it gave the cell up for a stronger entry, that one's.
+    #[serde(default)]
+    pub cpu: MilliCpu,
 }
 
 /// What the duties of an entry share.
--- a/crates/havenladder/src/entry/owner/answer.rs
+++ b/crates/havenladder/src/entry/owner/answer.rs
@@ -2,6 +2,7 @@
 
 use super::Owner;
 use crate::entry::inner::{Ask, News, Tell};
+use fleet::{MilliCpu, outranks};
 use jobs::{Accepted, Cancelled, JobId, Phase, Submission};
 use std::{rc::Rc, time::Duration};
 use tracing::info;
@@ -22,11 +23,23 @@
             Ask::Submit(given) => self.submit(given).await,
             Ask::Cancel(id) => self.cancel(id).await,
             Ask::State(id) => self.state(id).await,
-            Ask::News { .. } | Ask::Outage => Tell::News(News::default()),
+            Ask::News { .. } | Ask::Outage | Ask::HandOver { .. } => Tell::News(News::default()),
             Ask::Pending(queue) => Tell::Pending(self.cell.borrow().pending(&queue)),
         }
     }
 
+    /// Hands the cell over to an entry that is much stronger, unless there is trouble: the lease's duty
+    /// releases it.
+    pub fn hand_over(&self, cpu: MilliCpu) -> Tell {
+        let calm = self.loaded.get() && self.is_certain() && !self.has_waited(AWAY);
+        if !calm || !outranks(cpu, self.node.settings.cpu) {
+            return Tell::Refused;
+        }
+        self.successor.set(Some(cpu));
+        self.handing_over.notify_one();
+        Tell::HandedOver
+    }
+
     /// Takes a job in; one that it has is not refused, also while the store is away.
     async fn submit(self: &Rc<Self>, given: Submission) -> Tell {
         let id = given.id;
--- a/crates/havenladder/src/entry/owner/mod.rs
+++ b/crates/havenladder/src/entry/owner/mod.rs
@@ -13,6 +13,7 @@
     outage::Outage,
     watch,
 };
+use ::fleet::{MilliCpu, RateLimit};
 use adapter::workers::ClockMs;
 use append::append;
 use jobs::{Batch, Cell as JobCell, Limits, WorkerId};
@@ -112,6 +113,8 @@
     /// From when on this owner may give orders about VMs that the earlier one gave orders about: it did
     /// so as long as it trusted its lease, and two holders must not act in turn.
     pub duties: Instant,
+    /// How many orders about VMs may be given now.
+    pub vm_rate: RefCell<RateLimit>,
     /// What other entries say of the store.
     pub outage: Cell<Outage>,
     /// Since when an append is under way.
@@ -120,6 +123,10 @@
     alive: Cell<bool>,
     /// Whether what earlier owners recorded has been taken in.
     loaded: Cell<bool>,
+    /// The part of a core of a stronger entry that has asked for the cell.
+    pub successor: Cell<Option<MilliCpu>>,
+    /// Told when one has.
+    pub handing_over: Notify,
     /// Told when something has changed in the cell.
     wake: Notify,
     /// Told after each append, and when the owner ends.
@@ -146,10 +153,13 @@
             renewed: Cell::new(now),
             inherited: (extended + longest(LEASE)).max(now + before.waits),
             duties: before.renewed.map_or(now, |at| at + TRUST) + node.settings.lease,
+            vm_rate: RefCell::new(RateLimit::new(node.settings.vm_orders, now)),
             outage: Cell::default(),
             appending: Cell::new(None),
             alive: Cell::new(true),
             loaded: Cell::new(false),
+            successor: Cell::new(None),
+            handing_over: Notify::new(),
             wake: Notify::new(),
             settled: Notify::new(),
         });
--- a/crates/havenladder/src/entry/upkeep.rs
+++ b/crates/havenladder/src/entry/upkeep.rs
@@ -3,6 +3,7 @@
 use super::{
     fleet::{LOST, VmList},
     owner::Owner,
+    vm_orders::{self, Errand, VmOrder},
 };
 use adapter::{
     cloud::{Ordered, Vm, VmState},
@@ -119,15 +120,7 @@
     }
     complain(owner, wave, course, vms);
     close_next(owner, wave, course, vms);
-    let closing: Vec<String> = course.closing.keys().cloned().collect();
-    for name in closing {
-        if room(owner, wave, course, vms) == 0 {
-            break;
-        }
-        if let Some(vm) = vms.get(&name) {
-            take_down(owner, wave, course, vm).await;
-        }
-    }
+    take_down(owner, wave, course, vms).await;
     // A wave that is over is not looked at again: what its last VM carried must be dealt with first.
     let all = wave.vms.iter().all(|name| course.done.contains(name));
     if all && course.down.values().all(|down| down.confirmed) {
@@ -252,21 +245,45 @@
     early && owner.cell.borrow().demand(&vm.pool).waiting > 0
 }
 
-/// Takes a VM down, if what it carries may be away now.
-async fn take_down(owner: &Rc<Owner>, wave: &Wave, course: &mut Course, vm: &Vm) {
-    let drained = course.closing[&vm.name].elapsed() >= DRAIN;
-    match cost(owner, vm) {
-        Takeout::Free => {}
-        Takeout::Busy(_) if drained && !may_wait(owner, wave, course, vm) => {}
-        Takeout::Busy(_) => return,
-        Takeout::Guarded => return relieve(owner, course, vm, drained),
+/// Takes VMs down, as many as the bound has room for, where what they carry may be away now.
+async fn take_down(owner: &Rc<Owner>, wave: &Wave, course: &mut Course, vms: &VmList) {
+    let most = room(owner, wave, course, vms).min(vm_orders::available(owner));
+    let closing: Vec<String> = course.closing.keys().cloned().collect();
+    let mut ready: Vec<&Vm> = Vec::new();
+    for vm in closing.iter().filter_map(|name| vms.get(name)) {
+        if ready.len() < most && may_go(owner, wave, course, vm) {
+            ready.push(vm);
+        }
     }
-    if owner.must_spare(&vm.name) || !owner.claim_vms(&[vm.name.as_str()]).await {
+    let names: Vec<&str> = ready.iter().map(|vm| vm.name.as_str()).collect();
+    if names.is_empty() || !owner.claim_vms(&names).await {
         return;
     }
-    // What it carries may have changed while the record was written.
-    if cost(owner, vm) != Takeout::Guarded {
-        order(owner, wave, course, vm).await;
+    // What they carry may have changed while the record was written, and each that goes uses up budgets.
+    let mut orders = Vec::new();
+    for vm in &ready {
+        if cost(owner, vm) != Takeout::Guarded {
+            orders.push(begin(owner, wave, course, vm));
+        }
+    }
+    ready.retain(|vm| course.down.contains_key(&vm.name));
+    let outcomes = vm_orders::give_all(owner, orders).await;
+    for (vm, outcome) in ready.into_iter().zip(outcomes) {
+        settle(owner, wave, course, vm, outcome);
+    }
+}
+
+/// Whether a VM may go down now; one whose lasting tasks cannot be away is relieved of them.
+fn may_go(owner: &Rc<Owner>, wave: &Wave, course: &mut Course, vm: &Vm) -> bool {
+    let drained = course.closing[&vm.name].elapsed() >= DRAIN;
+    match cost(owner, vm) {
+        _ if owner.must_spare(&vm.name) => false,
+        Takeout::Free => true,
+        Takeout::Busy(_) => drained && !may_wait(owner, wave, course, vm),
+        Takeout::Guarded => {
+            relieve(owner, course, vm, drained);
+            false
+        }
     }
 }
 
@@ -293,8 +310,8 @@
     }
 }
 
-/// Tells the platform to take a VM down. Its worker gets nothing more from now on.
-async fn order(owner: &Rc<Owner>, wave: &Wave, course: &mut Course, vm: &Vm) {
+/// Begins to take a VM down. Its worker gets nothing more from now on.
+fn begin(owner: &Owner, wave: &Wave, course: &mut Course, vm: &Vm) -> VmOrder {
     if let Some(id) = &vm.worker {
         owner.cell.borrow_mut().take_worker(id, true);
     }
@@ -306,19 +323,10 @@
     };
     course.down.insert(vm.name.clone(), down);
     course.closing.remove(&vm.name);
-    let outcome = owner
-        .node
-        .cloud
-        .upkeep(&vm.name, wave.number, owner.epoch)
-        .await;
-    info!(
-        wave = wave.number,
-        vm = vm.name,
-        worker = vm.worker,
-        ?outcome,
-        "upkeep ordered"
-    );
-    settle(owner, wave, course, vm, outcome.ok());
+    VmOrder {
+        vm: vm.name.clone(),
+        errand: Errand::Upkeep(wave.number),
+    }
 }
 
 /// Draws from the answer to an order what is certain about the VM.
