--- a/crates/havenladder/src/entry/moves.rs
+++ b/crates/havenladder/src/entry/moves.rs
@@ -14,10 +14,14 @@
     rc::Rc,
     time::{Duration, Instant},
 };
+use tracing::info;
 
 /// Over how long the highest use of a pool counts: about one run of the usual kind.
 const PEAK: Duration = Duration::from_millis(1_500);
 
+/// Time between two logs of what the pools have and need.
+const TELLING: Duration = Duration::from_millis(1_000);
+
 /// The VMs on their way, and what the pools have used of late.
 #[derive(Default)]
 pub struct Moves {
@@ -27,6 +31,8 @@
     idle: BTreeMap<String, Instant>,
     /// What the pools have used of late: when, and how many thousandths of a core.
     used: BTreeMap<String, VecDeque<(Instant, u64)>>,
+    /// When the pools were last logged.
+    told: Option<Instant>,
     /// Moves that the platform does not allow: from which pool, to which.
     barred: BTreeSet<(String, String)>,
 }
@@ -82,6 +88,7 @@
         }
         let now = Instant::now();
         let pools = self.demands(owner, list, waves, now);
+        self.tell(&pools, now);
         let mut wanted = shifts(&pools, now, &SizingLimits::default());
         wanted.retain(|shift| !owner.must_spare(&shift.vm) && !self.is_barred(shift));
         wanted.truncate(vm_orders::available(owner));
@@ -101,6 +108,26 @@
         }
     }
 
+    /// Logs now and then what each pool has and needs.
+    fn tell(&mut self, pools: &[PoolDemand], now: Instant) {
+        if self.told.is_some_and(|at| now < at + TELLING) {
+            return;
+        }
+        self.told = Some(now);
+        for pool in pools {
+            info!(
+                pool = pool.pool,
+                vms = pool.vms,
+                idle = pool.idle.len(),
+                least = pool.least,
+                busy = pool.busy,
+                waiting = pool.waiting,
+                inflow = pool.inflow,
+                "pool"
+            );
+        }
+    }
+
     /// Whether the platform does not allow a move.
     fn is_barred(&self, shift: &Shift) -> bool {
         let bar = (shift.from.clone(), shift.to.clone());
