feat(fleet): VMs of pools with more than their part are emptied for pools whose jobs wait

Cause: only idle VMs changed pools. Now what all pools can use decides each one's part; idle VMs above it go first, then VMs that are foreseen free within 2 s (by the progress of their runs) get nothing new. Work that is late already or only expected does not take VMs from others.

--- a/crates/fleet/src/sizing.rs
+++ b/crates/fleet/src/sizing.rs
@@ -1,11 +1,16 @@
 //! Which VMs change their pool, by what the pools' jobs ask for.
 //!
 //! A VM in a pool costs money each second, and so does each move; a VM that is on its way does no
-//! work. A pool whose jobs wait gets idle VMs of pools that have more than they need, then VMs of
-//! the reserve; an idle VM that nobody needs goes to the reserve once it has cost as much as the way
-//! there and back.
+//! work. A pool whose jobs wait gets idle VMs of pools that have more than they are likely to need, then
+//! VMs of the reserve, then idle VMs of pools that have more than their part of what all need. Where that
+//! does not do, VMs of such pools are emptied. An idle VM that nobody needs goes to the reserve once it
+//! has cost as much as the way there and back.
 
-use std::time::{Duration, Instant};
+use std::{
+    cmp::Reverse,
+    collections::VecDeque,
+    time::{Duration, Instant},
+};
 
 /// The figures that sizing depends on.
 #[derive(Clone, Debug)]
@@ -41,6 +46,17 @@
     pub since: Instant,
 }
 
+/// A VM that carries only work that ends by itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LooseVm {
+    /// The VM.
+    pub vm: String,
+    /// When its runs will have ended, as far as can be foreseen.
+    pub free: Instant,
+    /// Whether it is being emptied.
+    pub draining: bool,
+}
+
 /// A pool, as sizing sees it.
 #[derive(Clone, Debug, Default)]
 pub struct PoolDemand {
@@ -56,6 +72,8 @@
     pub busy: u64,
     /// What waits for room, in thousandths of a core.
     pub waiting: u64,
+    /// The part of it that cannot be in time any more.
+    pub late: u64,
     /// What the jobs that come will use as long as as many come, in thousandths of a core.
     pub inflow: u64,
     /// Whether its idle VMs stay out of the reserve: what its jobs ask for is not known yet.
@@ -64,6 +82,8 @@
     pub least: usize,
     /// Its idle VMs, those idle for the longest time first.
     pub idle: Vec<IdleVm>,
+    /// Its VMs that carry only work that ends by itself.
+    pub loose: Vec<LooseVm>,
 }
 
 /// A VM that is to change its pool.
@@ -95,6 +115,17 @@
         wanted.max(self.least).saturating_sub(self.vms)
     }
 
+    /// How many VMs its jobs can use now. What can only come too late does not count, nor what is
+    /// merely expected: VMs are taken from other pools for this.
+    fn needed(&self, limits: &SizingLimits) -> usize {
+        if self.reserve {
+            return 0;
+        }
+        let timely = self.waiting.saturating_sub(self.late);
+        self.vms_for(self.busy + timely, limits.fill)
+            .max(self.least)
+    }
+
     /// How many VMs it can do without.
     fn surplus(&self, limits: &SizingLimits) -> usize {
         if self.reserve {
@@ -106,64 +137,193 @@
     }
 }
 
-/// Chooses the moves that are worth making now.
-pub fn shifts(pools: &[PoolDemand], now: Instant, limits: &SizingLimits) -> Vec<Shift> {
-    let mut left: Vec<Vec<&IdleVm>> = pools.iter().map(|pool| spare_vms(pool, limits)).collect();
-    let mut shifts = Vec::new();
-    let mut needy: Vec<&PoolDemand> = pools.iter().filter(|p| p.short(limits) > 0).collect();
-    needy.sort_by_key(|pool| std::cmp::Reverse(pool.short(limits)));
-    for pool in needy {
-        for _ in 0..pool.short(limits) {
-            let Some((from, vm)) = take_donor(pools, &mut left, now, limits) else {
-                return shifts;
-            };
-            shifts.push(Shift {
-                vm,
-                from,
-                to: pool.pool.clone(),
-            });
-        }
-    }
-    let Some(reserve) = pools.iter().find(|pool| pool.reserve) else {
-        return shifts;
-    };
-    for (pool, idle) in pools
-        .iter()
-        .zip(left)
-        .filter(|(pool, _)| !pool.reserve && !pool.fixed)
-    {
-        let rested = idle.into_iter().filter(|vm| now >= vm.since + limits.rest);
-        shifts.extend(rested.map(|vm| Shift {
-            vm: vm.vm.clone(),
-            from: pool.pool.clone(),
-            to: reserve.pool.clone(),
-        }));
+/// What is worth doing about the pools now.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Resize {
+    /// VMs that are to change their pool at once.
+    pub shifts: Vec<Shift>,
+    /// VMs that are to get nothing new, so that another pool can have them soon.
+    pub drains: Vec<String>,
+}
+
+/// Chooses the moves that are worth making now, and the VMs to be emptied for later ones.
+pub fn resize(pools: &[PoolDemand], now: Instant, limits: &SizingLimits) -> Resize {
+    let mut books = Books::new(pools, limits);
+    let mut resize = Resize::default();
+    for source in [Source::Surplus, Source::Reserve, Source::Fair] {
+        fill(&mut books, source, now, &mut resize);
     }
-    shifts
+    resize.drains = drains(&books);
+    rest(&mut books, now, &mut resize);
+    resize
 }
 
-/// The idle VMs that a pool can do without, those idle for the longest time first.
-fn spare_vms<'p>(pool: &'p PoolDemand, limits: &SizingLimits) -> Vec<&'p IdleVm> {
-    pool.idle.iter().take(pool.surplus(limits)).collect()
+/// Where a pool in need gets VMs from, in this order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Source {
+    /// Pools that have more than they are likely to need.
+    Surplus,
+    /// The reserve.
+    Reserve,
+    /// Pools that have more than their part of what all need.
+    Fair,
 }
 
-/// An idle VM for a pool in need: of a pool that pays for it before one of the reserve.
-fn take_donor(
-    pools: &[PoolDemand],
-    left: &mut [Vec<&IdleVm>],
-    now: Instant,
-    limits: &SizingLimits,
-) -> Option<(String, String)> {
-    for reserve in [false, true] {
-        for (pool, idle) in pools.iter().zip(left.iter_mut()) {
-            if pool.reserve != reserve {
+/// The pools, and how many VMs each has left to give while moves are chosen.
+struct Books<'p> {
+    pools: &'p [PoolDemand],
+    limits: &'p SizingLimits,
+    /// How many VMs each pool should have if all share what there is by what they need now.
+    fair: Vec<usize>,
+    /// The idle VMs that are left, those idle for the longest time first.
+    idle: Vec<VecDeque<&'p IdleVm>>,
+    /// How many VMs each pool has given away.
+    given: Vec<usize>,
+    /// How many VMs each pool still lacks.
+    short: Vec<usize>,
+}
+
+impl<'p> Books<'p> {
+    fn new(pools: &'p [PoolDemand], limits: &'p SizingLimits) -> Self {
+        Books {
+            pools,
+            limits,
+            fair: fair_shares(pools, limits),
+            idle: pools
+                .iter()
+                .map(|pool| pool.idle.iter().collect())
+                .collect(),
+            given: vec![0; pools.len()],
+            short: pools.iter().map(|pool| pool.short(limits)).collect(),
+        }
+    }
+
+    /// How many more VMs a pool can give to those in need.
+    fn can_give(&self, place: usize, source: Source) -> usize {
+        let pool = &self.pools[place];
+        let most = match source {
+            Source::Surplus if !pool.reserve => pool.surplus(self.limits),
+            Source::Reserve if pool.reserve => pool.vms,
+            Source::Fair if !pool.reserve && self.short[place] == 0 => {
+                pool.vms.saturating_sub(self.fair[place])
+            }
+            Source::Surplus | Source::Reserve | Source::Fair => 0,
+        };
+        most.saturating_sub(self.given[place])
+    }
+
+    /// An idle VM for a pool in need.
+    fn take(&mut self, source: Source, now: Instant) -> Option<(usize, &'p IdleVm)> {
+        for place in 0..self.pools.len() {
+            if self.can_give(place, source) == 0 {
                 continue;
             }
-            let ready = |vm: &&IdleVm| reserve || now >= vm.since + limits.pause;
-            if let Some(place) = idle.iter().position(ready) {
-                return Some((pool.pool.clone(), idle.remove(place).vm.clone()));
+            let ready =
+                |vm: &&IdleVm| source == Source::Reserve || now >= vm.since + self.limits.pause;
+            let found = self.idle[place].iter().position(ready);
+            if let Some(vm) = found.and_then(|index| self.idle[place].remove(index)) {
+                self.given[place] += 1;
+                return Some((place, vm));
             }
         }
+        None
+    }
+
+    /// The pools in need, the neediest first. What is taken from pools that use it goes only to pools
+    /// that have less than their part.
+    fn needy(&self, source: Source) -> Vec<(usize, usize)> {
+        let lacks = |place: usize| match source {
+            Source::Surplus | Source::Reserve => self.short[place],
+            Source::Fair => {
+                let pool = &self.pools[place];
+                self.short[place].min(self.fair[place].saturating_sub(pool.vms))
+            }
+        };
+        let mut needy: Vec<(usize, usize)> = (0..self.pools.len())
+            .map(|place| (place, lacks(place)))
+            .filter(|(_, lacks)| *lacks > 0)
+            .collect();
+        needy.sort_by_key(|(_, lacks)| Reverse(*lacks));
+        needy
+    }
+}
+
+/// How many VMs each pool should have: what its jobs can use now, or a proportional part of it where all
+/// together need more than there is.
+fn fair_shares(pools: &[PoolDemand], limits: &SizingLimits) -> Vec<usize> {
+    let needs: Vec<usize> = pools.iter().map(|pool| pool.needed(limits)).collect();
+    let needed: usize = needs.iter().sum();
+    let there: usize = pools.iter().map(|pool| pool.vms).sum();
+    let part = (there as f64 / needed.max(1) as f64).min(1.0);
+    let share = |(pool, need): (&PoolDemand, usize)| {
+        let fair = (need as f64 * part).ceil() as usize;
+        fair.max(pool.least).max(usize::from(!pool.reserve))
+    };
+    pools.iter().zip(needs).map(share).collect()
+}
+
+/// Gives idle VMs of one source to the pools in need.
+fn fill(books: &mut Books<'_>, source: Source, now: Instant, resize: &mut Resize) {
+    for (to, lacks) in books.needy(source) {
+        for _ in 0..lacks {
+            let Some((from, vm)) = books.take(source, now) else {
+                return;
+            };
+            books.short[to] -= 1;
+            resize.shifts.push(Shift {
+                vm: vm.vm.clone(),
+                from: books.pools[from].pool.clone(),
+                to: books.pools[to].pool.clone(),
+            });
+        }
+    }
+}
+
+/// The VMs to be emptied for pools that still lack some: of pools that have more than their part, the VMs
+/// that are free first, those that are being emptied already before others.
+fn drains(books: &Books<'_>) -> Vec<String> {
+    let mut lacks: usize = books
+        .needy(Source::Fair)
+        .iter()
+        .map(|(_, lacks)| lacks)
+        .sum();
+    let mut loose: Vec<(&LooseVm, usize)> = Vec::new();
+    for (place, pool) in books.pools.iter().enumerate() {
+        loose.extend(pool.loose.iter().map(|vm| (vm, place)));
+    }
+    loose.sort_by_key(|(vm, _)| (!vm.draining, vm.free));
+    let mut left: Vec<usize> = (0..books.pools.len())
+        .map(|place| books.can_give(place, Source::Fair))
+        .collect();
+    let mut drains = Vec::new();
+    for (vm, place) in loose {
+        if lacks > 0 && left[place] > 0 {
+            lacks -= 1;
+            left[place] -= 1;
+            drains.push(vm.vm.clone());
+        }
+    }
+    drains
+}
+
+/// Sends VMs to the reserve that have been idle for long and that no pool needs.
+fn rest(books: &mut Books<'_>, now: Instant, resize: &mut Resize) {
+    let Some(reserve) = books.pools.iter().find(|pool| pool.reserve) else {
+        return;
+    };
+    for (place, pool) in books.pools.iter().enumerate() {
+        if pool.reserve || pool.fixed {
+            continue;
+        }
+        let most = books.can_give(place, Source::Surplus);
+        let rested = books.idle[place]
+            .iter()
+            .take(most)
+            .filter(|vm| now >= vm.since + books.limits.rest);
+        resize.shifts.extend(rested.map(|vm| Shift {
+            vm: vm.vm.clone(),
+            from: pool.pool.clone(),
+            to: reserve.pool.clone(),
+        }));
     }
-    None
 }
--- a/crates/havenladder/src/entry/moves.rs
+++ b/crates/havenladder/src/entry/moves.rs
@@ -7,7 +7,7 @@
     vm_orders::{self, Errand, VmOrder},
 };
 use adapter::cloud::{Ordered, Vm, VmState};
-use fleet::{IdleVm, PoolDemand, Shift, SizingLimits, shifts};
+use fleet::{IdleVm, LooseVm, PoolDemand, Shift, SizingLimits, resize};
 use jobs::Takeout;
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
@@ -19,6 +19,13 @@
 /// Over how long the highest use of a pool counts: about one run of the usual kind.
 const PEAK: Duration = Duration::from_millis(1_500);
 
+/// How long a VM may take to be emptied, as foreseen and in fact: a VM's way to another pool takes 1.5 s,
+/// and room that stands empty for longer does more good where it is.
+const EMPTYING: Duration = Duration::from_millis(2_000);
+
+/// How long a VM that took longer is left alone.
+const UNSTUCK: Duration = Duration::from_millis(4_000);
+
 /// Time between two logs of what the pools have and need.
 const TELLING: Duration = Duration::from_millis(1_000);
 
@@ -29,6 +36,10 @@
     moving: BTreeMap<String, Moving>,
     /// Since when VMs have been idle, by name.
     idle: BTreeMap<String, Instant>,
+    /// The VMs that are being emptied, and since when.
+    draining: BTreeMap<String, Instant>,
+    /// VMs that took too long to be emptied, and until when they are left alone.
+    stuck: BTreeMap<String, Instant>,
     /// What the pools have used of late: when, and how many thousandths of a core.
     used: BTreeMap<String, VecDeque<(Instant, u64)>>,
     /// When the pools were last logged.
@@ -89,7 +100,9 @@
         let now = Instant::now();
         let pools = self.demands(owner, list, waves, now);
         self.tell(&pools, now);
-        let mut wanted = shifts(&pools, now, &SizingLimits::default());
+        let plan = resize(&pools, now, &SizingLimits::default());
+        self.drain(owner, list, waves, &plan.drains, now);
+        let mut wanted = plan.shifts;
         wanted.retain(|shift| !owner.must_spare(&shift.vm) && !self.is_barred(shift));
         wanted.truncate(vm_orders::available(owner));
         let vms: Vec<&str> = wanted.iter().map(|shift| shift.vm.as_str()).collect();
@@ -122,6 +135,7 @@
                 least = pool.least,
                 busy = pool.busy,
                 waiting = pool.waiting,
+                late = pool.late,
                 inflow = pool.inflow,
                 "pool"
             );
@@ -154,6 +168,7 @@
                 reserve: service.reserve,
                 busy,
                 waiting: asked.waiting,
+                late: asked.late,
                 inflow: asked.inflow,
                 least: asked.spread,
                 fixed: !asked.begun,
@@ -204,10 +219,65 @@
         } else {
             self.idle_since(owner, vm, now)
         };
-        pool.idle.extend(since.map(|since| IdleVm {
+        match since {
+            Some(since) => pool.idle.push(IdleVm {
+                vm: vm.name.clone(),
+                since,
+            }),
+            None => pool.loose.extend(self.loose(owner, vm, now)),
+        }
+    }
+
+    /// What a VM carries, if all of it ends by itself and the VM may be emptied.
+    fn loose(&self, owner: &Owner, vm: &Vm, now: Instant) -> Option<LooseVm> {
+        if self.stuck.get(&vm.name).is_some_and(|until| now < *until) {
+            return None;
+        }
+        let cell = owner.cell.borrow();
+        let worker = cell.workers.get(vm.worker.as_ref()?)?;
+        let draining = self.draining.contains_key(&vm.name);
+        if worker.anchors > 0 || !(draining || worker.is_open(now)) {
+            return None;
+        }
+        let free = now + cell.time_left(&worker.info.id, now);
+        (draining || free <= now + EMPTYING).then(|| LooseVm {
             vm: vm.name.clone(),
-            since,
-        }));
+            free,
+            draining,
+        })
+    }
+
+    /// Keeps new runs off the VMs that are to be emptied, and lets them come again to the others.
+    fn drain(
+        &mut self,
+        owner: &Owner,
+        list: &VmList,
+        waves: &Waves,
+        wanted: &[String],
+        now: Instant,
+    ) {
+        let stuck = |since: &Instant| now >= *since + EMPTYING;
+        let late = self.draining.iter().filter(|(_, since)| stuck(since));
+        let late: Vec<String> = late.map(|(vm, _)| vm.clone()).collect();
+        self.stuck.retain(|_, until| now < *until);
+        self.stuck
+            .extend(late.iter().map(|vm| (vm.clone(), now + UNSTUCK)));
+        let worker = |name: &str| list.get(name).and_then(|vm| vm.worker.as_deref());
+        let mut cell = owner.cell.borrow_mut();
+        let ends = |name: &String| !wanted.contains(name) || late.contains(name);
+        let ended: Vec<String> = self.draining.keys().filter(|n| ends(n)).cloned().collect();
+        for name in ended {
+            self.draining.remove(&name);
+            if let Some(id) = worker(&name).filter(|_| !waves.holds(&name)) {
+                cell.close_worker(id, false);
+            }
+        }
+        for name in wanted.iter().filter(|name| !late.contains(name)) {
+            if let Some(id) = worker(name) {
+                cell.close_worker(id, true);
+                self.draining.entry(name.clone()).or_insert(now);
+            }
+        }
     }
 
     /// Since when a VM has been idle; none if it is not.
--- a/crates/jobs/src/cell/demand.rs
+++ b/crates/jobs/src/cell/demand.rs
@@ -14,6 +14,8 @@
     pub busy: u64,
     /// What waits for room.
     pub waiting: u64,
+    /// The part of it that cannot be in time any more.
+    pub late: u64,
     /// What the jobs that came of late will take, as long as as many come.
     pub inflow: u64,
     /// Whether the service has had a job that ends by itself.
@@ -38,11 +40,12 @@
             let members = if step.gang { u64::from(step.count) } else { 1 };
             Some(room_of(job, task).cpu * members)
         };
-        let waiting = self.waiting.get(service);
-        let waiting = waiting.map_or(0, |queue| queue.iter().filter_map(needs).sum());
+        let queue = || self.waiting.get(service).into_iter().flatten();
+        let late = queue().filter(|rank| rank.is_late()).filter_map(needs);
         Demand {
             busy,
-            waiting,
+            waiting: queue().filter_map(needs).sum(),
+            late: late.sum(),
             inflow: self.inflow(service),
             begun: self.begun.contains(service),
             spread: self.spread(service),
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -154,7 +154,7 @@
 
     /// How long the runs of a queue take, as a multiple of what their callers estimate: 1 until some
     /// have ended.
-    fn pace_of(&self, queue: &str) -> f64 {
+    pub(crate) fn pace_of(&self, queue: &str) -> f64 {
         self.pace.get(queue).copied().unwrap_or(1.0)
     }
 }
