feat(jobs): a VM that is to go is emptied by moving runs that save their progress

Cause: a VM with one long run was not free for seconds, and a wave threw away what ran after 1.5 s. Runs that save, will take longer than a move, and find room beside others of their pool are stopped and go on there from what they saved; the rest runs out.

--- a/crates/havenladder/src/entry/moves.rs
+++ b/crates/havenladder/src/entry/moves.rs
@@ -102,6 +102,7 @@
         self.tell(&pools, now);
         let plan = resize(&pools, now, &SizingLimits::default());
         self.drain(owner, list, waves, &plan.drains, now);
+        owner.wake();
         let mut wanted = plan.shifts;
         wanted.retain(|shift| !owner.must_spare(&shift.vm) && !self.is_barred(shift));
         wanted.truncate(vm_orders::available(owner));
@@ -273,9 +274,11 @@
             }
         }
         for name in wanted.iter().filter(|name| !late.contains(name)) {
-            if let Some(id) = worker(name) {
+            if let Some(id) = worker(name).filter(|_| !self.draining.contains_key(name)) {
                 cell.close_worker(id, true);
-                self.draining.entry(name.clone()).or_insert(now);
+                let moved = cell.evacuate(id, now);
+                info!(vm = name, worker = id, moved, "VM is emptied");
+                self.draining.insert(name.clone(), now);
             }
         }
     }
--- a/crates/havenladder/src/entry/upkeep.rs
+++ b/crates/havenladder/src/entry/upkeep.rs
@@ -120,6 +120,7 @@
     }
     complain(owner, wave, course, vms);
     close_next(owner, wave, course, vms);
+    owner.wake();
     take_down(owner, wave, course, vms).await;
     // A wave that is over is not looked at again: what its last VM carried must be dealt with first.
     let all = wave.vms.iter().all(|name| course.done.contains(name));
@@ -221,7 +222,9 @@
     let wanted = (room + 1).saturating_sub(course.closing.len());
     for (_, name) in next.into_iter().take(wanted) {
         if let Some(id) = &vms[name].worker {
-            owner.cell.borrow_mut().close_worker(id, true);
+            let mut cell = owner.cell.borrow_mut();
+            cell.close_worker(id, true);
+            cell.evacuate(id, Instant::now());
         }
         course.closing.insert(name.clone(), Instant::now());
     }
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod cell;
 mod duty;
+mod evacuate;
 mod explain;
 mod job;
 mod need;
--- a/crates/jobs/src/takeout.rs
+++ b/crates/jobs/src/takeout.rs
@@ -1,11 +1,6 @@
 //! Whether a worker's VM may be taken out for upkeep or a move without breaking a budget.
 
-use crate::{Cell, RunPhase, Task, TaskId, TaskPhase, Worker, worker::RunState};
-use std::time::{Duration, Instant};
-
-/// From how much of a run's work on, in hundredths, its progress foretells its end better than estimates
-/// do, which are off by up to ten times.
-const TELLING: u64 = 10;
+use crate::{Cell, RunPhase, Task, TaskId, TaskPhase, Worker};
 
 /// Whether a worker may be taken out now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -34,31 +29,6 @@
         }
     }
 
-    /// How long the runs on a worker that end by themselves will still take, by their progress, or by
-    /// what runs of their queues have taken against their estimates.
-    pub fn time_left(&self, id: &str, now: Instant) -> Duration {
-        let runs = self.workers.get(id).into_iter().flat_map(|w| &w.runs);
-        let left = runs.map(|((task, _), run)| self.run_left(*task, run, now));
-        left.max().unwrap_or(Duration::ZERO)
-    }
-
-    /// How long one run will still take.
-    fn run_left(&self, task: TaskId, run: &RunState, now: Instant) -> Duration {
-        let elapsed = now.saturating_duration_since(run.since);
-        if run.percent >= TELLING {
-            // The figure is as old as the last change of it.
-            let worked = run.moved.saturating_duration_since(run.since);
-            let whole = worked.mul_f64(100.0 / run.percent as f64);
-            return whole.saturating_sub(elapsed);
-        }
-        let expected = self.jobs.get(&task.job).and_then(|job| {
-            let estimate = job.find_step(task)?.estimate as f64;
-            let pace = self.pace_of(&job.given.queue);
-            Some(Duration::from_secs_f64(estimate * pace / 1_000.0))
-        });
-        expected.unwrap_or_default().saturating_sub(elapsed)
-    }
-
     /// Keeps new runs off a worker, or lets them come again.
     pub fn close_worker(&mut self, id: &str, closed: bool) {
         if let Some(worker) = self.workers.get_mut(id) {
