perf(entry): VMs of earlier owners that have ended need not be spared

Besides, the record named VMs long after their orders mattered, and what was inherited was passed on for ever. Now the record says in which life's name each order was given; the new owner asks at that address which life answers, and spares only VMs of owners that may still run. Old orders are taken out of the record. Ruled out: ports that refuse as a proof of an end (a cut refuses as well).

--- a/crates/havenladder/src/entry/callers.rs
+++ b/crates/havenladder/src/entry/callers.rs
@@ -269,6 +269,7 @@
         Tell::Pending(count) => Some(reply(StatusCode::OK, write_pending(*count))),
         Tell::NotOwner
         | Tell::HandedOver
+        | Tell::Life(_)
         | Tell::Refused
         | Tell::Outage { .. }
         | Tell::News(_)
--- a/crates/havenladder/src/entry/inner.rs
+++ b/crates/havenladder/src/entry/inner.rs
@@ -2,7 +2,7 @@
 
 use super::{
     listen::{self, Reply, accept_each},
-    node::{Lease, Node},
+    node::{Lease, LifeId, Node},
     outage,
 };
 use adapter::http::{Call, CallError};
@@ -37,6 +37,8 @@
         /// Its part of a core.
         cpu: MilliCpu,
     },
+    /// Which life of the process are you? Any entry answers this.
+    Life,
     /// Does the platform's store answer you? Any entry answers this.
     Outage,
     /// What is newer than this version of the configuration and this end of the lease's log? Any
@@ -57,6 +59,7 @@
             Ask::State(id) => write!(f, "state {id:016x}"),
             Ask::Pending(queue) => write!(f, "pending {queue}"),
             Ask::HandOver { cpu } => write!(f, "hand over to {cpu}"),
+            Ask::Life => write!(f, "life"),
             Ask::Outage => write!(f, "outage"),
             Ask::News { version, end } => write!(f, "news since {version} and {end}"),
         }
@@ -90,6 +93,8 @@
     Pending(usize),
     /// The entry that was asked owns nothing; nothing was done.
     NotOwner,
+    /// This life of the process answers.
+    Life(LifeId),
     /// The cell is handed over.
     HandedOver,
     /// What is newer.
@@ -130,6 +135,7 @@
     };
     let tell = match (ask, node.own()) {
         (Ask::News { version, end }, _) => Tell::News(news(&node, version, end)),
+        (Ask::Life, _) => Tell::Life(node.life),
         (Ask::Outage, _) => outage::tell(&node).await,
         (Ask::HandOver { cpu }, Some(owner)) => owner.hand_over(cpu),
         (ask, Some(owner)) => owner.answer(ask).await,
--- a/crates/havenladder/src/entry/owner/answer.rs
+++ b/crates/havenladder/src/entry/owner/answer.rs
@@ -23,7 +23,9 @@
             Ask::Submit(given) => self.submit(given).await,
             Ask::Cancel(id) => self.cancel(id).await,
             Ask::State(id) => self.state(id).await,
-            Ask::News { .. } | Ask::Outage | Ask::HandOver { .. } => Tell::News(News::default()),
+            Ask::News { .. } | Ask::Outage | Ask::Life | Ask::HandOver { .. } => {
+                Tell::News(News::default())
+            }
             Ask::Pending(queue) => Tell::Pending(self.cell.borrow().pending(&queue)),
         }
     }
--- a/crates/havenladder/src/entry/owner/mod.rs
+++ b/crates/havenladder/src/entry/owner/mod.rs
@@ -8,7 +8,7 @@
 use super::{
     fleet,
     lease::TRUST,
-    node::{Node, wall_ms},
+    node::{LifeId, Node, wall_ms},
     orders,
     outage::Outage,
     watch,
@@ -20,7 +20,7 @@
 use load::load;
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -113,6 +113,8 @@
     /// From when on this owner may give orders about VMs that the earlier one gave orders about: it did
     /// so as long as it trusted its lease, and two holders must not act in turn.
     pub duties: Instant,
+    /// The earlier owners that are known to have ended.
+    pub ended: RefCell<HashSet<LifeId>>,
     /// How many orders about VMs may be given now.
     pub vm_rate: RefCell<RateLimit>,
     /// What other entries say of the store.
@@ -153,6 +155,7 @@
             renewed: Cell::new(now),
             inherited: (extended + longest(LEASE)).max(now + before.waits),
             duties: before.renewed.map_or(now, |at| at + TRUST) + node.settings.lease,
+            ended: RefCell::default(),
             vm_rate: RefCell::new(RateLimit::new(node.settings.vm_orders, now)),
             outage: Cell::default(),
             appending: Cell::new(None),
@@ -237,6 +240,7 @@
     owner.settled.notify_waiters();
     task::spawn_local(watch::run(Rc::clone(&owner)));
     task::spawn_local(fleet::run(Rc::clone(&owner)));
+    task::spawn_local(duties::watch_holders(Rc::clone(&owner)));
     task::spawn_local(complain(Rc::clone(&owner)));
     let mut sequence = 1;
     while owner.is_alive() {
--- a/crates/jobs/src/duty.rs
+++ b/crates/jobs/src/duty.rs
@@ -2,21 +2,32 @@
 //! within a short time.
 //!
 //! An owner records the VMs that it is about to give orders about, and gives the orders once that is
-//! durable. A new owner reads them: for a while it leaves those VMs alone, and only those.
+//! durable. A new owner reads them: for a while it leaves those VMs alone, and only those, unless the
+//! process that gave the orders is known to have ended.
 
 use crate::Cell;
+use serde::{Deserialize, Serialize};
 use std::{
     collections::{BTreeMap, BTreeSet},
     time::{Duration, Instant},
 };
 
+/// The process that gave an order about a VM.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Holder {
+    /// This life of the process.
+    pub life: u64,
+    /// Where it took the calls of other entries.
+    pub address: String,
+}
+
 /// What an owner remembers of its orders.
 #[derive(Debug, Default)]
 pub(crate) struct Duty {
-    /// The VMs that it gave orders about of late, and until when that matters.
-    recent: BTreeMap<String, Instant>,
-    /// The VMs that the earlier owner may have given orders about.
-    pub(crate) inherited: BTreeSet<String>,
+    /// The VMs that it gave orders about of late, in whose name, and until when that matters.
+    recent: BTreeMap<String, (Holder, Instant)>,
+    /// The VMs that earlier owners may have given orders about.
+    pub(crate) inherited: BTreeMap<String, Holder>,
     /// How often the record has changed.
     pub(crate) version: u64,
     /// The version that was last put into a batch.
@@ -27,31 +38,60 @@
 
 impl Duty {
     /// The VMs to be recorded, if the record has changed.
-    pub(crate) fn take_change(&mut self) -> Option<BTreeSet<String>> {
+    pub(crate) fn take_change(&mut self) -> Option<BTreeMap<String, Holder>> {
         if self.taken == self.version {
             return None;
         }
         self.taken = self.version;
         // Owners may follow each other within moments: what one inherited is passed on.
-        Some(self.recent.keys().chain(&self.inherited).cloned().collect())
+        let mut vms = self.inherited.clone();
+        let own = self.recent.iter();
+        vms.extend(own.map(|(vm, (holder, _))| (vm.clone(), holder.clone())));
+        Some(vms)
+    }
+
+    /// Forgets the orders that do not matter any more, so that the next owner need not spare their VMs.
+    pub(crate) fn forget_old(&mut self, now: Instant) {
+        let before = self.recent.len();
+        self.recent.retain(|_, (_, until)| now < *until);
+        if self.recent.len() < before {
+            self.version += 1;
+        }
     }
 }
 
 impl Cell {
-    /// Whether an earlier owner may have given orders about a VM shortly before it ended.
-    pub fn was_ordered(&self, vm: &str) -> bool {
-        self.duty.inherited.contains(vm)
+    /// The earlier owner that may have given orders about a VM shortly before it ended.
+    pub fn earlier_holder(&self, vm: &str) -> Option<&Holder> {
+        self.duty.inherited.get(vm)
+    }
+
+    /// All earlier owners that may have given orders about VMs shortly before they ended.
+    pub fn earlier_holders(&self) -> BTreeSet<Holder> {
+        self.duty.inherited.values().cloned().collect()
+    }
+
+    /// The orders of earlier owners do not matter any more.
+    pub fn forget_holders(&mut self) {
+        if !self.duty.inherited.is_empty() {
+            self.duty.inherited.clear();
+            self.duty.version += 1;
+        }
     }
 
     /// Notes the VMs that orders are to be given about; returns what has to be durable before.
     pub fn note_orders<'a>(
         &mut self,
         vms: impl IntoIterator<Item = &'a str>,
+        holder: &Holder,
         now: Instant,
         matters: Duration,
     ) -> u64 {
-        self.duty.recent.retain(|_, until| now < *until);
-        let noted = vms.into_iter().map(|vm| (vm.to_owned(), now + matters));
+        self.duty.forget_old(now);
+        let until = now + matters;
+        let noted = vms
+            .into_iter()
+            .map(|vm| (vm.to_owned(), (holder.clone(), until)));
         self.duty.recent.extend(noted);
         self.duty.version += 1;
         self.duty.version
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -23,6 +23,7 @@
 mod worker;
 
 pub use cell::{Accepted, Cancelled, Cell, Demand, Limits};
+pub use duty::Holder;
 pub use explain::Obstacle;
 pub use job::{Job, Phase, Round, Task, TaskPhase};
 pub use need::Need;
--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -83,6 +83,7 @@
 
     /// Gives room to the waiting tasks of all services.
     fn schedule_all(&mut self, now: Instant, log: Log) {
+        self.duty.forget_old(now);
         let services: Vec<_> = self.waiting.keys().cloned().collect();
         for service in services {
             self.schedule_service(&service, now, log);
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -1,9 +1,9 @@
 //! The form in which jobs are kept in the log: for each job what was handed in, written once, and
 //! its state, written at each change.
 
-use crate::{Job, JobId, Phase, Round, Submission};
+use crate::{Holder, Job, JobId, Phase, Round, Submission};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// A record of the log by its key; without a value it removes the key's earlier records.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -40,7 +40,7 @@
     /// Which VMs have had their upkeep in a wave.
     Upkept(u64, BTreeSet<String>),
     /// Which VMs an owner may have given orders about.
-    Ordered(BTreeSet<String>),
+    Ordered(BTreeMap<String, Holder>),
 }
 
 /// How far a job is, as it is kept.
@@ -106,7 +106,7 @@
 }
 
 /// The record of the VMs that an owner is about to give orders about.
-pub fn encode_ordered(vms: &BTreeSet<String>) -> Entry {
+pub fn encode_ordered(vms: &BTreeMap<String, Holder>) -> Entry {
     let value = rmp_serde::to_vec(vms).expect("plain data has a form in MessagePack");
     Entry {
         key: encode_key(ORDERED, 0),
