perf(fleet): a pool without jobs yet keeps seven tenths of an equal share of the VMs

Cause: all VMs stood in pools for the 10 to 14 s before the first jobs (18 idle of 48, 190 of 349 on the grown site), each for what a move costs in 1.2 s.

--- a/crates/fleet/src/sizing.rs
+++ b/crates/fleet/src/sizing.rs
@@ -22,6 +22,9 @@
     /// How long a VM must have been idle before it goes to the reserve. Two moves cost as much as a
     /// VM in a pool does in 2.3 s.
     pub rest: Duration,
+    /// What a pool keeps whose demand is not known, as a part of an equal share of all VMs: enough for
+    /// the first second of a peak, after which VMs of the reserve come.
+    pub start: f64,
     /// How long a VM must have been idle before another pool gets it: runs come in bursts.
     pub pause: Duration,
 }
@@ -32,6 +35,7 @@
             fill: 0.9,
             spare: 0.75,
             rest: Duration::from_millis(2_500),
+            start: 0.7,
             pause: Duration::from_millis(150),
         }
     }
@@ -76,8 +80,8 @@
     pub late: u64,
     /// What the jobs that come will use as long as as many come, in thousandths of a core.
     pub inflow: u64,
-    /// Whether its idle VMs stay out of the reserve: what its jobs ask for is not known yet.
-    pub fixed: bool,
+    /// Whether it has had no jobs yet that tell what it needs: it keeps [`SizingLimits::start`].
+    pub unknown: bool,
     /// How many VMs it needs whatever its jobs use: tasks that must be apart, and a spare one.
     pub least: usize,
     /// Its idle VMs, those idle for the longest time first.
@@ -306,16 +310,27 @@
     drains
 }
 
+/// How many VMs a pool keeps whose demand is not known.
+fn start_size(pools: &[PoolDemand], limits: &SizingLimits) -> usize {
+    let there: usize = pools.iter().map(|pool| pool.vms).sum();
+    let served = pools.iter().filter(|pool| !pool.reserve).count();
+    (there as f64 / served.max(1) as f64 * limits.start).ceil() as usize
+}
+
 /// Sends VMs to the reserve that have been idle for long and that no pool needs.
 fn rest(books: &mut Books<'_>, now: Instant, resize: &mut Resize) {
     let Some(reserve) = books.pools.iter().find(|pool| pool.reserve) else {
         return;
     };
+    let start = start_size(books.pools, books.limits);
     for (place, pool) in books.pools.iter().enumerate() {
-        if pool.reserve || pool.fixed {
+        if pool.reserve {
             continue;
         }
-        let most = books.can_give(place, Source::Surplus);
+        let mut most = books.can_give(place, Source::Surplus);
+        if pool.unknown {
+            most = most.min(pool.vms.saturating_sub(start));
+        }
         let rested = books.idle[place]
             .iter()
             .take(most)
--- a/crates/havenladder/src/entry/moves.rs
+++ b/crates/havenladder/src/entry/moves.rs
@@ -172,7 +172,7 @@
                 late: asked.late,
                 inflow: asked.inflow,
                 least: asked.spread,
-                fixed: !asked.begun,
+                unknown: !asked.begun,
                 ..PoolDemand::default()
             };
             for vm in list.values() {
