perf(fleet): what a pool needs against others is what runs and waits now

Cause: its highest use within 1.5 s counted, so that a pool past its peak kept VMs from one at its peak.

--- a/crates/fleet/src/sizing.rs
+++ b/crates/fleet/src/sizing.rs
@@ -74,6 +74,8 @@
     pub room: u64,
     /// What runs, at its highest of late, in thousandths of a core.
     pub busy: u64,
+    /// What runs now, in thousandths of a core.
+    pub running: u64,
     /// What waits for room, in thousandths of a core.
     pub waiting: u64,
     /// The part of it that cannot be in time any more.
@@ -126,7 +128,7 @@
             return 0;
         }
         let timely = self.waiting.saturating_sub(self.late);
-        self.vms_for(self.busy + timely, limits.fill)
+        self.vms_for(self.running + timely, limits.fill)
             .max(self.least)
     }
 
--- a/crates/havenladder/src/entry/moves.rs
+++ b/crates/havenladder/src/entry/moves.rs
@@ -168,6 +168,7 @@
                 pool: service.name.clone(),
                 reserve: service.reserve,
                 busy,
+                running: asked.busy,
                 waiting: asked.waiting,
                 late: asked.late,
                 inflow: asked.inflow,
