test(jobs): a new owner goes on with a move that the earlier one began

Cause: what happens to a run that was told to leave when its owner ends was covered by no test. Conclusion: it resumes from what it saved, with the next number.

--- a/crates/jobs/tests/evacuate.rs
+++ b/crates/jobs/tests/evacuate.rs
@@ -1,10 +1,12 @@
 //! Which runs leave a worker whose VM is to go.
 
+#![expect(clippy::unwrap_used, reason = "a test stops where it fails")]
+
 mod fixture;
 mod world;
 
 use fixture::{job, step};
-use havenladder_jobs::{How, Report, Step};
+use havenladder_jobs::{EndRow, How, Report, Step};
 use std::time::Duration;
 use world::{World, row, task};
 use yare::parameterized;
@@ -69,3 +71,27 @@
     assert_eq!(world.cell.evacuate("a1", world.now), 3);
     assert!(world.cell.time_left("a1", world.now) > Duration::from_secs(4));
 }
+
+#[test]
+fn a_new_owner_goes_on_with_a_move_that_the_earlier_one_began() {
+    let mut world = busy(long(1));
+    let moved = task(1, 0, 0);
+    world.cell.close_worker("a1", true);
+    assert_eq!(world.cell.evacuate("a1", world.now), 1);
+    world.run();
+    world.take_over();
+    world.join("b1");
+    world.cell.see_worker(fixture::worker("a1"), world.now);
+    let mut stopped = Report::default();
+    stopped.ended.push(EndRow {
+        number: 1,
+        task: moved,
+        run: 1,
+        how: How::Stopped,
+        saved: "half".to_owned(),
+    });
+    world.report("a1", stopped);
+    assert_eq!(world.cell.jobs[&1].task(0, 0, 0).unwrap().saved, "half");
+    let started = world.run();
+    assert!(started.iter().any(|(_, id, run)| (*id, *run) == (moved, 2)));
+}
