feat(jobs): a task waits for room near its data where that costs less than running elsewhere

Now such a task waits as long as the rack's work, with what waits before it, is shorter than what the way costs, 1.5 s at the most, and holds up no others; far runs no longer teach that a queue is slow. Ruled out: lack of VMs (34 of 48 stood in the pool). Not done: VMs are not yet chosen by the racks that a pool's tasks ask for.

--- a/crates/havenladder/src/entry/owner/mod.rs
+++ b/crates/havenladder/src/entry/owner/mod.rs
@@ -145,6 +145,7 @@
         };
         let limits = Limits {
             stop: node.settings.stop,
+            far: node.settings.far,
             ..Limits::default()
         };
         let owner = Rc::new(Owner {
--- a/crates/jobs/src/cell/limits.rs
+++ b/crates/jobs/src/cell/limits.rs
@@ -13,6 +13,8 @@
     pub failures: u32,
     /// For how long a worker is set aside.
     pub aside: Duration,
+    /// How many times as long a task takes on a worker that is not near its data.
+    pub far: f64,
 }
 
 impl Default for Limits {
@@ -26,6 +28,8 @@
             failures: 3,
             // Twice the mean time of a run, so that a worker that is well again is soon back.
             aside: Duration::from_millis(3_000),
+            // The platform tells its own figure; this is the lower of the two that it has told.
+            far: 2.0,
         }
     }
 }
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -17,6 +17,7 @@
     Job, JobId, Need, Order, Phase, QueueId, RunId, ServiceId, Submission, TaskId, TaskPhase,
     Worker, WorkerId,
     duty::Duty,
+    near::Near,
     permit::{Permits, StepId},
     rank::Rank,
     worker::{Load, RunKind},
@@ -85,6 +86,8 @@
     begun: HashSet<ServiceId>,
     /// How long the runs of a queue take, as a multiple of what their callers estimate.
     pub(crate) pace: HashMap<QueueId, f64>,
+    /// The tasks that wait for room near their data.
+    pub(crate) near: Near,
     /// The workers that are kept free, in this pass, for tasks that fit nowhere.
     pub(crate) reserved: HashSet<WorkerId>,
     /// The VMs that have had their upkeep, by wave.
--- a/crates/jobs/src/evacuate.rs
+++ b/crates/jobs/src/evacuate.rs
@@ -106,7 +106,7 @@
 
     /// How long one run will still take: by its progress, or by what runs of its queue have taken against
     /// their estimates.
-    fn run_left(&self, task: TaskId, run: &RunState, now: Instant) -> Duration {
+    pub(crate) fn run_left(&self, task: TaskId, run: &RunState, now: Instant) -> Duration {
         let elapsed = now.saturating_duration_since(run.since);
         if run.percent >= TELLING {
             // The figure is as old as the last change of it.
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -10,6 +10,7 @@
 mod evacuate;
 mod explain;
 mod job;
+mod near;
 mod need;
 mod observe;
 mod outbox;
@@ -43,6 +44,9 @@
 /// One life of a worker.
 pub type WorkerId = String;
 
+/// A rack, by the label that its workers have.
+pub type RackId = String;
+
 /// A queue of jobs.
 pub type QueueId = String;
 
--- a/crates/jobs/src/observe.rs
+++ b/crates/jobs/src/observe.rs
@@ -81,7 +81,7 @@
             }
         }
         if let (Some(took), How::Done) = (took, end.how) {
-            self.learn_pace(end.task, took);
+            self.learn_pace(worker, end.task, took);
         }
         if end.how == How::Failed {
             self.blame(worker, now);
@@ -91,7 +91,7 @@
     }
 
     /// Learns how long the runs of a queue take, against what their callers estimate.
-    fn learn_pace(&mut self, task: TaskId, took: Duration) {
+    fn learn_pace(&mut self, worker: &str, task: TaskId, took: Duration) {
         let Some(job) = self.jobs.get(&task.job) else {
             return;
         };
@@ -101,7 +101,8 @@
         if step.estimate == 0 || step.lasting {
             return;
         }
-        let seen = took.as_millis() as f64 / step.estimate as f64;
+        let near = took.as_millis() as f64 / self.far_factor(worker, step);
+        let seen = near / step.estimate as f64;
         let pace = self.pace.entry(job.given.queue.clone()).or_insert(1.0);
         *pace += (seen.min(10.0) - *pace) * LEARNING;
     }
--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -12,6 +12,10 @@
 /// next: enough to find small ones behind large ones, few enough to bound a pass in an overload.
 const MISFITS: usize = 32;
 
+/// How many tasks that wait for room near their data are passed over in one pass; beyond that, they count
+/// as tasks that find no room.
+const MOST_LATER: usize = 256;
+
 /// What placing a task elsewhere than near its data weighs against a worker's free share, which
 /// lies between 0 and 1: data that is near always goes first.
 const FAR: f64 = 4.0;
@@ -31,6 +35,17 @@
 /// way round: they disturb each other.
 const DISTURBS: f64 = 1.0;
 
+/// What became of a waiting task in a pass.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Placing {
+    /// It has got room, or does not wait any more.
+    Done,
+    /// It has room only far from its data, and waits for better.
+    Later,
+    /// There is no room.
+    NoRoom,
+}
+
 /// Whether what is decided now can be recorded.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Log {
@@ -94,7 +109,9 @@
     /// Gives room to the waiting tasks of a service, in order.
     fn schedule_service(&mut self, service: &str, now: Instant, log: Log) {
         self.demote_late(service);
+        self.near.begin_pass();
         let mut misfits = 0;
+        let mut later = 0;
         let ranks: Vec<Rank> = self.waiting[service].iter().copied().collect();
         for rank in ranks {
             if misfits >= MISFITS {
@@ -105,9 +122,22 @@
             if lost || self.is_gated(rank.order(), service, now) || self.has_run(task) {
                 continue;
             }
-            if self.is_stale(task) || self.place(task, now) {
-                self.drop_rank(service, &rank);
-                continue;
+            let placing = if self.is_stale(task) {
+                Placing::Done
+            } else {
+                self.place(task, now)
+            };
+            match placing {
+                Placing::Done => {
+                    self.near.forget(task);
+                    self.drop_rank(service, &rank);
+                    continue;
+                }
+                Placing::Later if later < MOST_LATER => {
+                    later += 1;
+                    continue;
+                }
+                Placing::Later | Placing::NoRoom => {}
             }
             misfits += 1;
             self.ask_permits(task, now);
@@ -202,30 +232,37 @@
         job.phase.is_over() || state.is_none_or(|s| s.phase != TaskPhase::Waiting)
     }
 
-    /// Places a task, or the whole gang that it stands for; false if there is no room.
-    fn place(&mut self, task: TaskId, now: Instant) -> bool {
+    /// Places a task, or the whole gang that it stands for.
+    fn place(&mut self, task: TaskId, now: Instant) -> Placing {
         let Some(job) = self.jobs.get(&task.job) else {
-            return true;
+            return Placing::Done;
         };
         if !job.step(task.step).gang {
             let Some(worker) = self.best_worker(task, now) else {
-                return false;
+                return Placing::NoRoom;
+            };
+            let step = job.step(task.step);
+            if self.far_factor(&worker, step) > 1.0 && self.waits_for_near(task, now) {
+                return Placing::Later;
+            }
+            let Some(job) = self.jobs.get(&task.job) else {
+                return Placing::Done;
             };
             let run = job
                 .task(task.round, task.step, task.index)
                 .map_or(1, Task::next_run);
             self.order(worker, task, run, now);
-            return true;
+            return Placing::Done;
         }
         let Some(places) = self.gang_places(task, now) else {
-            return false;
+            return Placing::NoRoom;
         };
         let tasks = &job.rounds[task.round as usize].steps[task.step as usize];
         let run = tasks.iter().map(Task::next_run).max().unwrap_or(1);
         for (index, worker) in (0..).zip(places) {
             self.order(worker, TaskId { index, ..task }, run, now);
         }
-        true
+        Placing::Done
     }
 
     /// Notes that a run of a task starts on a worker.
