feat(soak): a randomized soak of real entries under faults, and stand-ins of the users' machines

The soak starts entries on loopback addresses, each with a proxy before the log, and workers behind proxies; it kills, stops, pauses and revives them, cuts, mutes and slows links, crashes VMs, changes configurations and asks for waves, in series that overlap; callers keep their connections; six promises are checked from what callers and workers saw. A seed gives the same faults. Tests of the checks themselves: crates/soak/tests/promises.rs.

--- /dev/null
+++ b/crates/havenladder/tests/soak.rs
@@ -0,0 +1,32 @@
+//! A short soak with a fixed seed, and the seeds that ever failed: entries as processes under faults, with
+//! the promises checked from outside. `soak --help` says how to run more of it by hand.
+
+#![expect(clippy::unwrap_used, reason = "a test stops where it fails")]
+
+use havenladder_soak::{Plan, run};
+use std::{path::PathBuf, time::Duration};
+
+#[test]
+fn a_short_soak_breaks_no_promise() {
+    let seed = 4;
+    let plan = Plan {
+        program: PathBuf::from(env!("CARGO_BIN_EXE_havenladder")),
+        seed,
+        span: Duration::from_secs(10),
+        entries: 3,
+        vms: 6,
+        logs: PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{seed}")),
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    let report = runtime.block_on(run(&plan)).unwrap();
+    assert!(report.accepted > 0, "{report:?}");
+    assert!(
+        report.breaches.is_empty(),
+        "{:?}, logs in {}",
+        report,
+        plan.logs.display()
+    );
+}
--- /dev/null
+++ b/crates/soak/src/faults.rs
@@ -0,0 +1,160 @@
+//! What goes wrong in a soak: series of faults that overlap, by signals, by the proxies in front of the
+//! log, by VMs that end, and by what operators change.
+
+use crate::site::Site;
+use rand::{Rng, rngs::StdRng};
+use rustix::process::Signal;
+use standin::proxy::Faults;
+use std::{
+    io,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+use tokio::time;
+
+/// The least and the longest time between two faults, in ms.
+const PAUSE: (u64, u64) = (150, 1_500);
+
+/// The least and the longest time for which a fault lasts, in ms: some end before a lease of 1.5 s does,
+/// some after the 6 s for which an owner goes on without the log.
+const LASTS: (u64, u64) = (100, 8_000);
+
+/// A kind of fault.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Kind {
+    /// An entry is killed.
+    Kill,
+    /// An entry is told to stop.
+    Stop,
+    /// An entry stands still.
+    Pause,
+    /// All entries are killed.
+    KillAll,
+    /// An entry's way to the log is cut: connections break.
+    Cut,
+    /// An entry's calls to the log are held back, and come late.
+    MuteRequests,
+    /// The log's answers to an entry are held back.
+    MuteAnswers,
+    /// An entry's calls to the log take long.
+    Slow,
+    /// The log's next answers to an entry are lost.
+    Lose,
+    /// Nobody reaches the log.
+    Outage,
+    /// Nobody reaches a VM's worker, which runs on.
+    Dark,
+    /// Calls to a VM's worker are held back, and carried out late.
+    Late,
+    /// A VM's worker ends without notice.
+    Crash,
+    /// The configuration changes.
+    Configure,
+    /// A wave of upkeep is asked for.
+    Wave,
+}
+
+const KINDS: [Kind; 15] = [
+    Kind::Kill,
+    Kind::Stop,
+    Kind::Pause,
+    Kind::KillAll,
+    Kind::Cut,
+    Kind::MuteRequests,
+    Kind::MuteAnswers,
+    Kind::Slow,
+    Kind::Lose,
+    Kind::Outage,
+    Kind::Dark,
+    Kind::Late,
+    Kind::Crash,
+    Kind::Configure,
+    Kind::Wave,
+];
+
+/// A fault that is to end.
+struct Open {
+    ends: Instant,
+    kind: Kind,
+    entry: usize,
+    /// The faults of the way to the worker that the chosen VM has.
+    worker: Arc<Faults>,
+}
+
+/// Injects faults for a time, and returns what was done when.
+///
+/// # Errors
+///
+/// Fails when a process cannot be started again.
+pub async fn inject(site: &mut Site, rng: &mut StdRng, span: Duration) -> io::Result<Vec<String>> {
+    let began = Instant::now();
+    let mut open: Vec<Open> = Vec::new();
+    let mut told = Vec::new();
+    let mut next = began;
+    while began.elapsed() < span {
+        time::sleep(Duration::from_millis(20)).await;
+        for fault in open.extract_if(.., |fault| fault.ends <= Instant::now()) {
+            end(site, &fault)?;
+        }
+        if Instant::now() < next {
+            continue;
+        }
+        next = Instant::now() + Duration::from_millis(rng.random_range(PAUSE.0..PAUSE.1));
+        let kind = KINDS[rng.random_range(0..KINDS.len())];
+        let entry = rng.random_range(0..site.entries.len());
+        let names = site.cloud.names();
+        let vm = &names[rng.random_range(0..names.len())];
+        let lasts = Duration::from_millis(rng.random_range(LASTS.0..LASTS.1));
+        told.push(format!(
+            "{:.2} s: {kind:?} entry-{entry} {vm} for {lasts:?}",
+            began.elapsed().as_secs_f64()
+        ));
+        let fault = Open {
+            ends: Instant::now() + lasts,
+            kind,
+            entry,
+            worker: site.cloud.link(vm).unwrap_or_default(),
+        };
+        begin(site, &fault, vm);
+        open.push(fault);
+    }
+    Ok(told)
+}
+
+fn begin(site: &mut Site, fault: &Open, vm: &str) {
+    let entry = fault.entry;
+    let link = &site.links[entry];
+    match fault.kind {
+        Kind::Kill => site.entries[entry].signal(Signal::KILL),
+        Kind::Stop => site.entries[entry].signal(Signal::TERM),
+        Kind::Pause => site.entries[entry].signal(Signal::STOP),
+        Kind::KillAll => site.entries.iter_mut().for_each(|e| e.signal(Signal::KILL)),
+        Kind::Cut => link.cut(true),
+        Kind::MuteRequests => link.mute(true, false),
+        Kind::MuteAnswers => link.mute(false, true),
+        Kind::Slow => link.delay(Duration::from_millis(240)),
+        Kind::Lose => link.lose_answers(5),
+        Kind::Outage => site.links.iter().for_each(|link| link.cut(true)),
+        Kind::Dark => fault.worker.cut(true),
+        Kind::Late => fault.worker.mute(true, false),
+        Kind::Crash => site.cloud.crash(vm),
+        Kind::Configure => site.configure(),
+        Kind::Wave => site.ask_wave(),
+    }
+}
+
+fn end(site: &mut Site, fault: &Open) -> io::Result<()> {
+    let link = &site.links[fault.entry];
+    match fault.kind {
+        Kind::Kill | Kind::Stop | Kind::Pause => site.entries[fault.entry].revive()?,
+        Kind::KillAll => site.entries.iter_mut().try_for_each(|e| e.revive())?,
+        Kind::Cut => link.cut(false),
+        Kind::MuteRequests | Kind::MuteAnswers => link.mute(false, false),
+        Kind::Slow => link.delay(Duration::ZERO),
+        Kind::Outage => site.links.iter().for_each(|link| link.cut(false)),
+        Kind::Dark => fault.worker.cut(false),
+        Kind::Late => fault.worker.mute(false, false),
+        Kind::Lose | Kind::Crash | Kind::Configure | Kind::Wave => {}
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/soak/src/main.rs
@@ -0,0 +1,73 @@
+//! Runs the soak by hand: `soak --program target/release/havenladder --seeds 50`.
+
+use clap::Parser;
+use havenladder_soak::{Plan, run};
+use std::{io, path::PathBuf, process::ExitCode, time::Duration};
+
+#[derive(Parser)]
+#[command(about = "Runs entries under random faults and checks what callers and workers see")]
+struct Args {
+    /// The program under test.
+    #[arg(long)]
+    program: PathBuf,
+    /// The first seed.
+    #[arg(long, default_value_t = 1)]
+    first: u64,
+    /// How many seeds to run, one after the other.
+    #[arg(long, default_value_t = 50)]
+    seeds: u64,
+    /// For how long faults come, in seconds.
+    #[arg(long, default_value_t = 20)]
+    seconds: u64,
+    /// How many entries run.
+    #[arg(long, default_value_t = 4)]
+    entries: usize,
+    /// How many VMs there are.
+    #[arg(long, default_value_t = 8)]
+    vms: usize,
+    /// Where the entries' logs go, a folder for each seed; those of seeds that hold are removed.
+    #[arg(long, default_value = "target/soak")]
+    logs: PathBuf,
+}
+
+fn main() -> io::Result<ExitCode> {
+    let args = Args::parse();
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let mut red = 0;
+    for seed in args.first..args.first + args.seeds {
+        let plan = Plan {
+            program: args.program.clone(),
+            seed,
+            span: Duration::from_secs(args.seconds),
+            entries: args.entries,
+            vms: args.vms,
+            logs: args.logs.join(seed.to_string()),
+        };
+        let report = runtime.block_on(run(&plan))?;
+        println!(
+            "seed {seed}: {} jobs, {} accepted, {} succeeded, {} faults, {} promises broken",
+            report.jobs,
+            report.accepted,
+            report.succeeded,
+            report.faults.len(),
+            report.breaches.len()
+        );
+        if report.breaches.is_empty() {
+            std::fs::remove_dir_all(&plan.logs)?;
+            continue;
+        }
+        red += 1;
+        report
+            .breaches
+            .iter()
+            .for_each(|breach| println!("  {breach}"));
+        report.faults.iter().for_each(|fault| println!("  {fault}"));
+    }
+    Ok(if red == 0 {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    })
+}
--- /dev/null
+++ b/crates/soak/src/promises.rs
@@ -0,0 +1,177 @@
+//! What must hold, whatever went wrong, as callers and workers see it.
+
+use crate::caller::Job;
+use standin::users::events::{Event, RunEvent};
+use std::{
+    collections::{BTreeMap, HashMap, HashSet},
+    fmt,
+    time::{Duration, Instant},
+};
+
+/// How long after a cancel was told a start may still come: it may have been on its way.
+const CANCEL: Duration = Duration::from_millis(3_000);
+
+/// A promise that was broken.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Breach {
+    /// Which.
+    pub promise: Promise,
+    /// The job, and the task if it is about one.
+    pub about: String,
+}
+
+/// A promise.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Promise {
+    /// No two runs of a task at once, and none after an end that was acknowledged.
+    RunsOnce,
+    /// Nothing runs of a job that every answer refused, or that nobody handed in.
+    RefusedIsTrue,
+    /// A step begins only after the steps before it.
+    InOrder,
+    /// A job that was accepted is known, and is done or fails for a cause.
+    Kept,
+    /// Nothing starts of a job after its cancelling was told.
+    CancelHolds,
+    /// A job is shown as done only when all its tasks are.
+    DoneIsTrue,
+}
+
+impl fmt::Display for Breach {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:?}: {}", self.promise, self.about)
+    }
+}
+
+/// Checks all promises.
+pub fn check(jobs: &BTreeMap<u64, Job>, events: &[Event]) -> Vec<Breach> {
+    let mut breaches = Vec::new();
+    check_runs(events, &mut breaches);
+    check_order(events, &mut breaches);
+    for (id, job) in jobs {
+        check_job(*id, job, events, &mut breaches);
+    }
+    let unasked = events.iter().find(|e| !jobs.contains_key(&job_of(&e.task)));
+    breaches.extend(unasked.map(|event| breach(Promise::RefusedIsTrue, &event.task)));
+    breaches
+}
+
+fn breach(promise: Promise, about: impl fmt::Display) -> Breach {
+    Breach {
+        promise,
+        about: about.to_string(),
+    }
+}
+
+/// The job of a task, by the task's name.
+fn job_of(task: &str) -> u64 {
+    let name = task.split('.').next().unwrap_or_default();
+    u64::from_str_radix(name, 16).unwrap_or(0)
+}
+
+/// The step of a task, by the task's name.
+fn step_of(task: &str) -> &str {
+    task.split('.').nth(2).unwrap_or_default()
+}
+
+fn check_runs(events: &[Event], breaches: &mut Vec<Breach>) {
+    let mut running: HashMap<&str, (&str, u64)> = HashMap::new();
+    let mut noted: HashSet<&str> = HashSet::new();
+    for event in events {
+        let run = (event.worker.as_str(), event.run);
+        match event.what {
+            RunEvent::Started => {
+                if running.insert(&event.task, run).is_some() || noted.contains(event.task.as_str())
+                {
+                    breaches.push(breach(Promise::RunsOnce, &event.task));
+                }
+            }
+            RunEvent::Done | RunEvent::Ended => {
+                if running.get(event.task.as_str()) == Some(&run) {
+                    running.remove(event.task.as_str());
+                }
+            }
+            RunEvent::Noted => {
+                noted.insert(&event.task);
+            }
+        }
+    }
+}
+
+/// Tasks of the second step must start after the last end of the first step's tasks.
+fn check_order(events: &[Event], breaches: &mut Vec<Breach>) {
+    let mut open: HashMap<u64, HashSet<&str>> = HashMap::new();
+    for event in events {
+        let first = step_of(&event.task) == "0";
+        let waiting = open.entry(job_of(&event.task)).or_default();
+        match event.what {
+            RunEvent::Started if first => {
+                waiting.insert(&event.task);
+            }
+            RunEvent::Done if first => {
+                waiting.remove(event.task.as_str());
+            }
+            RunEvent::Started if !waiting.is_empty() => {
+                breaches.push(breach(Promise::InOrder, &event.task));
+            }
+            _ => {}
+        }
+    }
+}
+
+fn check_job(id: u64, job: &Job, events: &[Event], breaches: &mut Vec<Breach>) {
+    let name = format!("{id:016x}");
+    let own = || events.iter().filter(|event| event.task.starts_with(&name));
+    let started = |event: &&Event| event.what == RunEvent::Started;
+    if job.refused && job.accepted.is_none() && own().any(|event| started(&event)) {
+        breaches.push(breach(Promise::RefusedIsTrue, &name));
+    }
+    if job.denied.is_some() && job.cancelling.is_none() {
+        breaches.push(breach(Promise::Kept, format!("{name} is denied")));
+    }
+    if job.is_open() {
+        breaches.push(breach(Promise::Kept, format!("{name} is not over")));
+    }
+    if job.failed {
+        breaches.push(breach(
+            Promise::Kept,
+            format!("{name} failed without a cause"),
+        ));
+    }
+    if let Some(told) = job.cancelled {
+        let late = |event: &&Event| started(event) && event.at > told + CANCEL;
+        breaches.extend(
+            own()
+                .find(late)
+                .map(|e| breach(Promise::CancelHolds, &e.task)),
+        );
+    }
+    if let Some(shown) = job.succeeded {
+        check_done(&name, shown, own(), breaches);
+    }
+}
+
+/// All tasks that ever started of a job must have ended well before it was shown as done.
+fn check_done<'e>(
+    name: &str,
+    shown: Instant,
+    own: impl Iterator<Item = &'e Event>,
+    breaches: &mut Vec<Breach>,
+) {
+    let mut open: HashSet<&str> = HashSet::new();
+    let mut done: HashSet<&str> = HashSet::new();
+    for event in own.filter(|event| event.at < shown) {
+        match event.what {
+            RunEvent::Started => {
+                open.insert(&event.task);
+            }
+            RunEvent::Done => {
+                done.insert(&event.task);
+            }
+            RunEvent::Ended | RunEvent::Noted => {}
+        }
+    }
+    if open.is_empty() || open.iter().any(|task| !done.contains(task)) {
+        breaches.push(breach(Promise::DoneIsTrue, name));
+    }
+}
--- /dev/null
+++ b/crates/soak/src/site.rs
@@ -0,0 +1,145 @@
+//! What runs in a soak: stand-ins, proxies in front of the log, and entries.
+
+use crate::{
+    Plan,
+    entries::{Entry, Ports},
+};
+use serde_json::json;
+use standin::{
+    proxy::{Faults, Proxy},
+    users::{cloud::Cloud, events::Events, listen, log::Log},
+};
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+
+/// The pool whose workers run the jobs.
+const POOL: &str = "renders";
+
+/// The pool of VMs that are off.
+const RESERVE: &str = "spare";
+
+/// The host and the path under which jobs are handed in.
+pub const HOST: &str = "soak.example";
+/// See [`HOST`].
+pub const PREFIX: &str = "/render/";
+
+/// All that runs.
+pub struct Site {
+    /// The entries.
+    pub entries: Vec<Entry>,
+    /// The faults of each entry's way to the log.
+    pub links: Vec<Arc<Faults>>,
+    /// The VMs.
+    pub cloud: Cloud,
+    /// The log.
+    pub log: Log,
+    /// What the workers ran.
+    pub events: Events,
+    /// The version of the newest configuration.
+    version: u64,
+    /// How many waves were asked for.
+    waves: u64,
+}
+
+impl Site {
+    /// Starts everything.
+    ///
+    /// # Errors
+    ///
+    /// Fails when processes or ports are not to be had.
+    pub async fn start(plan: &Plan) -> io::Result<Self> {
+        let (log, events) = (Log::default(), Events::default());
+        let cloud = Cloud::new(log.clone(), events.clone());
+        for number in 0..plan.vms {
+            cloud.add(&format!("vm-{number}"), POOL).await?;
+        }
+        let log_at = serve_log(&log).await?;
+        let cloud_at = serve_cloud(&cloud).await?;
+        let mut site = Site {
+            entries: Vec::new(),
+            links: Vec::new(),
+            cloud,
+            log,
+            events,
+            version: 0,
+            waves: 0,
+        };
+        site.configure();
+        let ports = Ports::pick(plan.seed);
+        for number in 0..plan.entries {
+            let proxy = Proxy::start(log_at).await?;
+            site.links.push(Arc::clone(&proxy.faults));
+            let entry = Entry::start(plan, number, &ports, proxy.addr, cloud_at)?;
+            site.entries.push(entry);
+        }
+        Ok(site)
+    }
+
+    /// Writes another version of the configuration; only its version and time-out differ.
+    pub fn configure(&mut self) {
+        self.version += 3;
+        let config = json!({
+            "version": self.version,
+            "routes": [{
+                "name": "r-1", "host": HOST, "path-prefix": PREFIX, "type": "unsafe",
+                "timeout-ms": 3_000 + self.version, "target-latency-ms": 600, "priority": 0,
+                "service": POOL, "max-attempts": 50, "stretch": 2.0,
+            }],
+            "services": [
+                { "name": POOL, "admission-check": true, "headroom": false },
+                { "name": RESERVE, "admission-check": true, "headroom": true },
+            ],
+            "limits": {},
+        });
+        self.log
+            .put("keyed.op", "config", config.to_string().as_bytes());
+    }
+
+    /// Asks for the upkeep of all VMs, one at a time.
+    pub fn ask_wave(&mut self) {
+        self.waves += 1;
+        let wave = json!({
+            "wave": self.waves, "machines": self.cloud.names(), "duration-s": 20, "upper-bound": 1,
+        });
+        let key = format!("wave/{}", self.waves);
+        self.log.put("keyed.op", &key, wave.to_string().as_bytes());
+    }
+
+    /// Ends all faults: every process runs, every link is whole.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a process cannot be started.
+    pub fn heal(&mut self) -> io::Result<()> {
+        for link in &self.links {
+            link.cut(false);
+            link.mute(false, false);
+            link.delay(Duration::ZERO);
+            link.lose_answers(0);
+        }
+        for name in self.cloud.names() {
+            if let Some(link) = self.cloud.link(&name) {
+                link.cut(false);
+                link.mute(false, false);
+            }
+        }
+        self.entries.iter_mut().try_for_each(Entry::revive)
+    }
+}
+
+async fn serve_log(log: &Log) -> io::Result<SocketAddr> {
+    let log = log.clone();
+    listen(move |call| {
+        let log = log.clone();
+        async move { log.handle(call).await }
+    })
+    .await
+}
+
+async fn serve_cloud(cloud: &Cloud) -> io::Result<SocketAddr> {
+    let cloud = cloud.clone();
+    listen(move |call| {
+        let cloud = cloud.clone();
+        async move { cloud.handle(call).await }
+    })
+    .await
+}
--- /dev/null
+++ b/crates/soak/tests/promises.rs
@@ -0,0 +1,151 @@
+//! The checks of the promises find what they are for.
+
+use havenladder_soak::{
+    caller::Job,
+    promises::{Promise, check},
+};
+use standin::users::events::{Event, RunEvent};
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+use yare::parameterized;
+
+/// The job of all events here.
+const ID: u64 = 7;
+
+/// Events at 1 s each from the first: worker, step and index of the task, run, what happened.
+fn events(from: Instant, rows: &[(&str, &str, u64, RunEvent)]) -> Vec<Event> {
+    let event = |(second, (worker, task, run, what)): (u64, &(&str, &str, u64, RunEvent))| Event {
+        at: from + Duration::from_secs(second),
+        worker: (*worker).to_owned(),
+        task: format!("{ID:016x}.0.{task}"),
+        run: *run,
+        what: *what,
+    };
+    (0..).zip(rows).map(event).collect()
+}
+
+/// A job that was accepted before all events and shown as done long after them.
+fn done(from: Instant) -> Job {
+    Job {
+        accepted: Some(from),
+        succeeded: Some(from + Duration::from_secs(60)),
+        ..Job::default()
+    }
+}
+
+fn promises(job: Job, events: &[Event]) -> Vec<Promise> {
+    let jobs = BTreeMap::from([(ID, job)]);
+    let found = check(&jobs, events);
+    found.into_iter().map(|breach| breach.promise).collect()
+}
+
+use RunEvent::{Done, Ended, Noted, Started};
+
+#[test]
+fn a_job_that_runs_as_it_should_breaks_nothing() {
+    let from = Instant::now();
+    let rows = [
+        ("w1", "0.0", 1, Started),
+        ("w1", "0.0", 1, Ended),
+        ("w2", "0.0", 2, Started),
+        ("w2", "0.0", 2, Done),
+        ("w2", "0.0", 2, Noted),
+        ("w1", "1.0", 1, Started),
+        ("w1", "1.0", 1, Done),
+    ];
+    assert_eq!(promises(done(from), &events(from, &rows)), []);
+}
+
+#[parameterized(
+    two_at_once = { &[("w1", "0.0", 1, Started), ("w2", "0.0", 2, Started), ("w1", "0.0", 1, Done)] },
+    after_an_acknowledged_end = { &[("w1", "0.0", 1, Started), ("w1", "0.0", 1, Done),
+        ("w1", "0.0", 1, Noted), ("w2", "0.0", 2, Started)] },
+)]
+fn a_task_that_runs_twice_is_found(rows: &[(&str, &str, u64, RunEvent)]) {
+    let from = Instant::now();
+    assert_eq!(
+        promises(done(from), &events(from, rows)),
+        [Promise::RunsOnce]
+    );
+}
+
+#[test]
+fn a_step_that_begins_too_early_is_found() {
+    let from = Instant::now();
+    let rows = [
+        ("w1", "0.0", 1, Started),
+        ("w1", "1.0", 1, Started),
+        ("w1", "0.0", 1, Done),
+        ("w1", "1.0", 1, Done),
+    ];
+    assert_eq!(
+        promises(done(from), &events(from, &rows)),
+        [Promise::InOrder]
+    );
+}
+
+#[test]
+fn a_job_that_was_refused_and_runs_is_found() {
+    let from = Instant::now();
+    let job = Job {
+        refused: true,
+        ..Job::default()
+    };
+    let rows = [("w1", "0.0", 1, Started)];
+    assert_eq!(
+        promises(job, &events(from, &rows)),
+        [Promise::RefusedIsTrue]
+    );
+}
+
+#[test]
+fn a_job_that_nobody_handed_in_is_found() {
+    let from = Instant::now();
+    let found = check(
+        &BTreeMap::new(),
+        &events(from, &[("w1", "0.0", 1, Started)]),
+    );
+    assert_eq!(found[0].promise, Promise::RefusedIsTrue);
+}
+
+#[parameterized(
+    not_over = { Job { accepted: Some(Instant::now()), ..Job::default() } },
+    failed = { Job { accepted: Some(Instant::now()), failed: true, ..Job::default() } },
+    denied = { Job { denied: Some(Instant::now()), ..Job::default() } },
+)]
+fn a_job_that_was_not_kept_is_found(job: Job) {
+    assert_eq!(promises(job, &[]), [Promise::Kept]);
+}
+
+#[test]
+fn a_start_long_after_a_cancel_is_found() {
+    let from = Instant::now();
+    let job = Job {
+        accepted: Some(from),
+        cancelling: Some(from),
+        cancelled: Some(from),
+        ..Job::default()
+    };
+    let rows = [
+        ("w1", "0.0", 1, Started),
+        ("w1", "0.0", 1, Ended),
+        ("w1", "0.1", 1, Started),
+        ("w1", "0.1", 1, Ended),
+        ("w1", "0.2", 1, Started),
+    ];
+    assert_eq!(promises(job, &events(from, &rows)), [Promise::CancelHolds]);
+}
+
+#[parameterized(
+    nothing_ran = { &[] },
+    one_still_runs = { &[("w1", "0.0", 1, Started), ("w1", "0.0", 1, Done), ("w1", "0.1", 1, Started)] },
+)]
+fn a_job_that_is_shown_as_done_too_early_is_found(rows: &[(&str, &str, u64, RunEvent)]) {
+    let from = Instant::now();
+    assert_eq!(
+        promises(done(from), &events(from, rows)),
+        [Promise::DoneIsTrue]
+    );
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod log;
 pub mod platform;
 pub mod proxy;
+pub mod users;
 pub mod vm;
 pub mod worker;
--- a/crates/standin/src/proxy.rs
+++ b/crates/standin/src/proxy.rs
@@ -31,6 +31,8 @@
     lose: AtomicU64,
     short: AtomicU64,
     duplicate: AtomicBool,
+    mute_requests: AtomicBool,
+    mute_answers: AtomicBool,
     connections: AtomicU64,
     bytes: AtomicU64,
 }
@@ -62,6 +64,12 @@
         self.duplicate.store(duplicate, Relaxed);
     }
 
+    /// Holds back all requests, all answers, or both, and lets them go again: connections stay open.
+    pub fn mute(&self, requests: bool, answers: bool) {
+        self.mute_requests.store(requests, Relaxed);
+        self.mute_answers.store(answers, Relaxed);
+    }
+
     /// Connections that were taken.
     pub fn connections(&self) -> u64 {
         self.connections.load(Relaxed)
@@ -147,6 +155,7 @@
     let mut buffer = vec![0; BUFFER];
     while let Ok(read @ 1..) = from.read(&mut buffer).await {
         faults.bytes.fetch_add(read as u64, Relaxed);
+        until_heard(&faults.mute_requests).await;
         hold(faults).await;
         if let Some(second) = &mut second {
             let _ = second.write_all(&buffer[..read]).await;
@@ -161,6 +170,7 @@
     let mut buffer = vec![0; BUFFER];
     while let Ok(read @ 1..) = from.read(&mut buffer).await {
         faults.bytes.fetch_add(read as u64, Relaxed);
+        until_heard(&faults.mute_answers).await;
         hold(faults).await;
         if Faults::take(&faults.lose) {
             return;
@@ -175,6 +185,12 @@
     }
 }
 
+async fn until_heard(mute: &AtomicBool) {
+    while mute.load(Relaxed) {
+        sleep(ROUND).await;
+    }
+}
+
 async fn hold(faults: &Faults) {
     let delay = faults.delay_ms.load(Relaxed);
     if delay > 0 {
--- /dev/null
+++ b/crates/standin/src/users/cloud.rs
@@ -0,0 +1,231 @@
+//! The users' VMs: their list, moves between pools and upkeep.
+
+use super::{events::Events, log::Log, worker::Worker};
+use crate::{
+    http::{Answer, Call, answer, json},
+    proxy::{Faults, Proxy},
+};
+use serde_json::{Value, json as value};
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
+};
+use tokio::time;
+
+/// How long a VM is away for a move or an upkeep.
+const AWAY: Duration = Duration::from_millis(800);
+
+/// The topic with the workers' entries.
+const WORKERS: &str = "keyed.servers";
+
+struct Machine {
+    pool: String,
+    state: &'static str,
+    fence: u64,
+    waves: Vec<u64>,
+    worker: Option<Arc<Worker>>,
+    /// The faults of the way to its worker.
+    link: Arc<Faults>,
+}
+
+/// All VMs; clones share them.
+#[derive(Clone)]
+pub struct Cloud {
+    log: Log,
+    events: Events,
+    machines: Arc<Mutex<BTreeMap<String, Machine>>>,
+    lives: Arc<Mutex<u64>>,
+}
+
+impl Cloud {
+    /// A cloud without VMs, whose workers are listed in this log.
+    pub fn new(log: Log, events: Events) -> Self {
+        Cloud {
+            log,
+            events,
+            machines: Arc::default(),
+            lives: Arc::default(),
+        }
+    }
+
+    /// Adds a VM to a pool.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no port is free.
+    pub async fn add(&self, name: &str, pool: &str) -> std::io::Result<()> {
+        let machine = Machine {
+            pool: pool.to_owned(),
+            state: "down",
+            fence: 0,
+            waves: Vec::new(),
+            worker: None,
+            link: Arc::default(),
+        };
+        self.machines().insert(name.to_owned(), machine);
+        self.boot(name).await
+    }
+
+    /// The names of all VMs.
+    pub fn names(&self) -> Vec<String> {
+        self.machines().keys().cloned().collect()
+    }
+
+    /// Crashes a VM's worker without notice; another life of it comes a little later.
+    pub fn crash(&self, name: &str) {
+        self.take_down(name, "down");
+    }
+
+    /// The faults of the way to the worker that a VM has now.
+    pub fn link(&self, name: &str) -> Option<Arc<Faults>> {
+        self.machines().get(name).map(|m| Arc::clone(&m.link))
+    }
+
+    /// Answers a call.
+    pub async fn handle(&self, call: Call) -> Answer {
+        let body: Value = serde_json::from_slice(&call.body).unwrap_or_default();
+        let name = body["machine"].as_str().unwrap_or_default();
+        let fence = call
+            .headers
+            .get("fencing-token")
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(0);
+        let status = match (call.method.as_str(), call.path.as_str()) {
+            ("GET", "/machines") => return Some(json(&self.list())),
+            ("POST", "/machine-move") => {
+                self.move_to(name, body["pool"].as_str().unwrap_or_default(), fence)
+            }
+            ("POST", "/machine-upkeep") => {
+                self.upkeep(name, body["wave"].as_u64().unwrap_or(0), fence)
+            }
+            _ => Err("call"),
+        };
+        Some(match status {
+            Ok(()) => answer(200, "application/json", "{}"),
+            Err(reason) => answer(
+                409,
+                "application/json",
+                value!({ "reason": reason }).to_string(),
+            ),
+        })
+    }
+
+    fn machines(&self) -> MutexGuard<'_, BTreeMap<String, Machine>> {
+        self.machines.lock().expect("no thread panics here")
+    }
+
+    fn list(&self) -> Value {
+        let machines = self.machines();
+        let row = |(name, machine): (&String, &Machine)| {
+            value!({
+                "machine": name,
+                "pool": machine.pool,
+                "state": machine.state,
+                "zone": "a",
+                "labels": ["k", "r1"],
+                "capacity": capacity(),
+                "id": machine.worker.as_ref().map(|worker| worker.id.clone()),
+            })
+        };
+        let rows: Vec<Value> = machines.iter().map(row).collect();
+        value!({ "machines": rows, "next-page-token": null })
+    }
+
+    fn move_to(&self, name: &str, pool: &str, fence: u64) -> Result<(), &'static str> {
+        self.admit(name, fence)?;
+        if self.machines().get(name).is_some_and(|m| m.pool == pool) {
+            return Ok(());
+        }
+        self.check_up(name)?;
+        if let Some(machine) = self.machines().get_mut(name) {
+            machine.pool = pool.to_owned();
+        }
+        self.take_down(name, "moving");
+        Ok(())
+    }
+
+    fn upkeep(&self, name: &str, wave: u64, fence: u64) -> Result<(), &'static str> {
+        self.admit(name, fence)?;
+        if self
+            .machines()
+            .get(name)
+            .is_some_and(|m| m.waves.contains(&wave))
+        {
+            return Ok(());
+        }
+        self.check_up(name)?;
+        if let Some(machine) = self.machines().get_mut(name) {
+            machine.waves.push(wave);
+        }
+        self.take_down(name, "upkeep");
+        Ok(())
+    }
+
+    /// Refuses a lower fence than one seen for the VM.
+    fn admit(&self, name: &str, fence: u64) -> Result<(), &'static str> {
+        let mut machines = self.machines();
+        let machine = machines.get_mut(name).ok_or("busy")?;
+        if fence < machine.fence {
+            return Err("fence");
+        }
+        machine.fence = fence;
+        Ok(())
+    }
+
+    fn check_up(&self, name: &str) -> Result<(), &'static str> {
+        let up = self.machines().get(name).is_some_and(|m| m.state == "up");
+        up.then_some(()).ok_or("busy")
+    }
+
+    /// Ends the worker of a VM and starts another life of it later.
+    fn take_down(&self, name: &str, state: &'static str) {
+        let worker = self.machines().get_mut(name).and_then(|machine| {
+            machine.state = state;
+            machine.worker.take()
+        });
+        let Some(worker) = worker else { return };
+        worker.kill();
+        self.log.put(WORKERS, &worker.id, b"");
+        let (cloud, name) = (self.clone(), name.to_owned());
+        tokio::spawn(async move {
+            time::sleep(AWAY).await;
+            cloud.boot(&name).await.expect("a port is free");
+        });
+    }
+
+    /// Starts a new life of a VM's worker and lists it.
+    async fn boot(&self, name: &str) -> std::io::Result<()> {
+        let number = {
+            let mut lives = self.lives.lock().expect("no thread panics here");
+            *lives += 1;
+            *lives
+        };
+        let worker = Worker::start(format!("i-{number:04}"), self.events.clone()).await?;
+        let address = *worker.address.lock().expect("no thread panics here");
+        let Some(address) = address else {
+            return Ok(());
+        };
+        let proxy = Proxy::start(address).await?;
+        let id = worker.id.clone();
+        let mut pool = String::new();
+        if let Some(machine) = self.machines().get_mut(name) {
+            machine.state = "up";
+            machine.worker = Some(worker);
+            machine.link = Arc::clone(&proxy.faults);
+            pool.clone_from(&machine.pool);
+        }
+        let entry = value!({
+            "service": pool, "address": proxy.addr.to_string(), "zone": "a", "version": "v1",
+            "slots": 8, "state": "ready", "cold-remaining-ms": 0, "capacity": capacity(),
+            "labels": ["k", "r1"], "sequence": 1,
+        });
+        self.log.put(WORKERS, &id, entry.to_string().as_bytes());
+        Ok(())
+    }
+}
+
+/// The room of a VM: eight tasks of one core.
+fn capacity() -> Value {
+    value!({ "cpu": 8_000, "mem-mb": 8_000, "gpu": 0 })
+}
--- /dev/null
+++ b/crates/standin/src/users/log.rs
@@ -0,0 +1,193 @@
+//! The users' log: topics with one partition, appends on conditions, long polls, and the newest record of
+//! each key.
+
+use crate::http::{Answer, Call, answer, json};
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use serde_json::{Value, json as value};
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+use tokio::{sync::Notify, time};
+
+/// The beginning of the names of topics that keep the newest record of each key.
+const KEYED: &str = "keyed.";
+
+/// Answers to the last calls of a producer that are given again.
+const ANSWERS: usize = 5;
+
+/// What a producer has appended of late.
+#[derive(Debug, Default)]
+struct Producer {
+    epoch: u64,
+    /// The numbers of its last calls in this epoch, and the ends that they were told.
+    last: Vec<(u64, u64)>,
+}
+
+/// One topic.
+#[derive(Debug, Default)]
+struct Topic {
+    records: Vec<Bytes>,
+    newest: BTreeMap<String, (u64, Bytes)>,
+    producers: HashMap<String, Producer>,
+}
+
+/// The log; clones share it.
+#[derive(Clone, Debug, Default)]
+pub struct Log {
+    topics: Arc<Mutex<HashMap<String, Topic>>>,
+    changed: Arc<Notify>,
+}
+
+impl Log {
+    /// Answers a call.
+    pub async fn handle(&self, call: Call) -> Answer {
+        let topic = call.query.get("topic").cloned().unwrap_or_default();
+        match (call.method.as_str(), call.path.as_str()) {
+            ("POST", "/log-append") => Some(self.append(&topic, &call)),
+            ("GET", "/log-read") => Some(self.read(&topic, &call).await),
+            ("GET", "/log-newest") => Some(self.newest(&topic)),
+            _ => Some(answer(404, "text/plain", "")),
+        }
+    }
+
+    /// Writes a record with a key; an empty value drops the key.
+    pub fn put(&self, topic: &str, key: &str, value: &[u8]) {
+        let mut record = BytesMut::new();
+        record.put_u8(key.len() as u8);
+        record.put_slice(key.as_bytes());
+        record.put_slice(value);
+        self.with(topic, |log| log.push(topic, record.freeze()));
+        self.changed.notify_waiters();
+    }
+
+    /// The newest record of a key.
+    pub fn get(&self, topic: &str, key: &str) -> Option<Bytes> {
+        self.with(topic, |log| log.newest.get(key).map(|(_, v)| v.clone()))
+    }
+
+    fn with<T>(&self, topic: &str, work: impl FnOnce(&mut Topic) -> T) -> T {
+        let mut topics = self.topics.lock().expect("no thread panics here");
+        work(topics.entry(topic.to_owned()).or_default())
+    }
+
+    fn append(&self, name: &str, call: &Call) -> hyper::Response<http_body_util::Full<Bytes>> {
+        let outcome = self.with(name, |topic| topic.append(name, call));
+        self.changed.notify_waiters();
+        let (status, body) = outcome;
+        answer(status, "application/json", body.to_string())
+    }
+
+    async fn read(&self, name: &str, call: &Call) -> hyper::Response<http_body_util::Full<Bytes>> {
+        let from = call.number("from").unwrap_or(0) as usize;
+        let wait = Duration::from_millis(call.number("wait-ms").unwrap_or(0));
+        let until = time::Instant::now() + wait;
+        loop {
+            let changed = self.changed.notified();
+            let body = self.with(name, |topic| topic.slice(from));
+            if body.len() > 16 || time::Instant::now() >= until {
+                return answer(200, "application/octet-stream", body);
+            }
+            // The end of the wait is an answer without records.
+            let _ = time::timeout_at(until, changed).await;
+        }
+    }
+
+    fn newest(&self, name: &str) -> hyper::Response<http_body_util::Full<Bytes>> {
+        let page = self.with(name, |topic| {
+            let item = |(key, (offset, bytes)): (&String, &(u64, Bytes))| {
+                value!({ "key": key, "value": base64(bytes), "offset": offset })
+            };
+            let items: Vec<Value> = topic.newest.iter().map(item).collect();
+            value!({ "items": items, "more": false, "end": topic.records.len() })
+        });
+        json(&page)
+    }
+}
+
+impl Topic {
+    fn push(&mut self, name: &str, record: Bytes) {
+        if name.starts_with(KEYED) {
+            let mut rest = record.clone();
+            let length = usize::from(rest.get_u8());
+            let key = String::from_utf8_lossy(&rest.split_to(length)).into_owned();
+            if rest.is_empty() {
+                self.newest.remove(&key);
+            } else {
+                self.newest.insert(key, (self.records.len() as u64, rest));
+            }
+        }
+        self.records.push(record);
+    }
+
+    fn append(&mut self, name: &str, call: &Call) -> (u16, Value) {
+        let end = self.records.len() as u64;
+        if call.number("at").is_some_and(|at| at != end) {
+            return (412, value!({ "end": end }));
+        }
+        if let Some(refusal) = self.check_producer(call) {
+            return refusal;
+        }
+        let mut body = call.body.clone();
+        while body.len() >= 4 {
+            let length = body.get_u32() as usize;
+            let record = body.split_to(length.min(body.len()));
+            self.push(name, record);
+        }
+        let end = self.records.len() as u64;
+        self.note_producer(call, end);
+        (200, value!({ "end": end }))
+    }
+
+    /// What a producer is told that may not append now.
+    fn check_producer(&mut self, call: &Call) -> Option<(u16, Value)> {
+        let name = call.query.get("producer")?;
+        let (epoch, number) = (call.number("epoch")?, call.number("sequence")?);
+        let known = self.producers.entry(name.clone()).or_default();
+        if epoch < known.epoch {
+            return Some((409, value!({ "reason": "fenced" })));
+        }
+        if epoch > known.epoch {
+            return None;
+        }
+        if let Some((_, end)) = known.last.iter().find(|(n, _)| *n == number) {
+            return Some((200, value!({ "end": end })));
+        }
+        let next = known.last.last().map_or(number, |(n, _)| n + 1);
+        (number != next).then(|| (409, value!({ "reason": "seq", "sequence": next })))
+    }
+
+    fn note_producer(&mut self, call: &Call, end: u64) {
+        let Some(name) = call.query.get("producer") else {
+            return;
+        };
+        let epoch = call.number("epoch").unwrap_or(0);
+        let number = call.number("sequence").unwrap_or(0);
+        let known = self.producers.entry(name.clone()).or_default();
+        if epoch > known.epoch {
+            known.last.clear();
+        }
+        known.epoch = epoch;
+        known.last.push((number, end));
+        let drop = known.last.len().saturating_sub(ANSWERS);
+        known.last.drain(..drop);
+    }
+
+    /// The records from an offset on, as an answer to a read.
+    fn slice(&self, from: usize) -> Bytes {
+        let mut body = BytesMut::new();
+        body.put_u64(self.records.len() as u64);
+        body.put_u64(0);
+        for record in self.records.iter().skip(from) {
+            body.put_u32(record.len() as u32);
+            body.put_slice(record);
+        }
+        body.freeze()
+    }
+}
+
+fn base64(bytes: &[u8]) -> String {
+    use base64::{Engine, engine::general_purpose::STANDARD};
+    STANDARD.encode(bytes)
+}
--- /dev/null
+++ b/crates/standin/src/users/mod.rs
@@ -0,0 +1,34 @@
+//! Stand-ins for the users' machines, by their published pages: the log, the workers and the list of VMs.
+//! Their words stand here and in `platform/` only.
+
+pub mod cloud;
+pub mod events;
+pub mod log;
+pub mod worker;
+
+use std::{net::SocketAddr, sync::Arc};
+use tokio::net::TcpListener;
+
+use crate::http::{Answer, Call, serve};
+
+/// Serves calls at a free port of the loopback interface, and returns the address.
+///
+/// # Errors
+///
+/// Fails when no port is free.
+pub async fn listen<H, A>(handle: H) -> std::io::Result<SocketAddr>
+where
+    H: Fn(Call) -> A + Send + Sync + 'static,
+    A: Future<Output = Answer> + Send + 'static,
+{
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let addr = listener.local_addr()?;
+    let handle = Arc::new(handle);
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let handle = Arc::clone(&handle);
+            tokio::spawn(serve(stream, move |call| handle(call)));
+        }
+    });
+    Ok(addr)
+}
--- /dev/null
+++ b/crates/standin/src/users/worker.rs
@@ -0,0 +1,315 @@
+//! A worker: runs tasks under a lease, refuses lower fences, and lists ends until they are acknowledged.
+
+use super::{
+    events::{Events, RunEvent},
+    listen,
+};
+use crate::http::{Answer, Call, answer};
+use serde::Deserialize;
+use serde_json::{Value, json};
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicBool, Ordering::Relaxed},
+    },
+    time::{Duration, Instant},
+};
+use tokio::{sync::Notify, time};
+
+/// Time between two looks at runs that end and at the lease.
+const TICK: Duration = Duration::from_millis(5);
+
+/// The clock at a worker's start, in ms: no other clock shows the same.
+const CLOCK: u64 = 100_000;
+
+/// How many tasks fit, each of the size that the soak hands in.
+const ROOM: usize = 8;
+
+/// The run time of a task whose text does not give one.
+const RUN: Duration = Duration::from_millis(200);
+
+/// The body of any call.
+#[derive(Default, Deserialize)]
+#[serde(rename_all = "kebab-case", default)]
+struct Body {
+    task: String,
+    run: u64,
+    spec: String,
+    deadline_ms: Option<u64>,
+    fencing_token: u64,
+    last_seen: u64,
+    wait_ms: u64,
+}
+
+struct Run {
+    number: u64,
+    ends: Instant,
+}
+
+struct End {
+    number: u64,
+    task: String,
+    run: u64,
+    how: &'static str,
+}
+
+#[derive(Default)]
+struct State {
+    fence: u64,
+    deadline: u64,
+    runs: BTreeMap<String, Run>,
+    ended: Vec<End>,
+    last_end: u64,
+    /// The highest run of each task that was stopped or has ended.
+    closed: HashMap<String, u64>,
+}
+
+/// One life of a worker.
+pub struct Worker {
+    /// This life.
+    pub id: String,
+    /// Where it takes calls.
+    pub address: Mutex<Option<SocketAddr>>,
+    began: Instant,
+    dead: AtomicBool,
+    state: Mutex<State>,
+    changed: Notify,
+    events: Events,
+}
+
+impl Worker {
+    /// Starts a worker.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no port is free.
+    pub async fn start(id: String, events: Events) -> std::io::Result<Arc<Self>> {
+        let worker = Arc::new(Worker {
+            id,
+            address: Mutex::new(None),
+            began: Instant::now(),
+            dead: AtomicBool::new(false),
+            state: Mutex::default(),
+            changed: Notify::new(),
+            events,
+        });
+        let served = Arc::clone(&worker);
+        let address = listen(move |call| {
+            let worker = Arc::clone(&served);
+            async move { worker.handle(call).await }
+        })
+        .await?;
+        *worker.address.lock().expect("no thread panics here") = Some(address);
+        tokio::spawn(tick(Arc::clone(&worker)));
+        Ok(worker)
+    }
+
+    /// Ends this life; all that it runs ends with it.
+    pub fn kill(&self) {
+        self.dead.store(true, Relaxed);
+        let mut state = self.state();
+        for (task, run) in std::mem::take(&mut state.runs) {
+            self.events
+                .note(&self.id, &task, run.number, RunEvent::Ended);
+        }
+    }
+
+    /// How many tasks it runs.
+    pub fn running(&self) -> usize {
+        self.state().runs.len()
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no thread panics here")
+    }
+
+    fn clock(&self) -> u64 {
+        CLOCK + self.began.elapsed().as_millis() as u64
+    }
+
+    async fn handle(self: Arc<Self>, call: Call) -> Answer {
+        if self.dead.load(Relaxed) {
+            return None;
+        }
+        if call
+            .headers
+            .get("expect-instance")
+            .is_some_and(|life| *life != self.id)
+        {
+            return Some(answer(421, "application/json", "{}"));
+        }
+        let body: Body = serde_json::from_slice(&call.body).unwrap_or_default();
+        match call.path.as_str() {
+            "/run-start" => Some(self.start_run(&body)),
+            "/run-stop" => Some(self.stop_run(&body)),
+            "/hold" => Some(self.hold(&body).await),
+            _ => Some(answer(400, "application/json", "{}")),
+        }
+    }
+
+    fn reply(
+        &self,
+        status: u16,
+        reason: &str,
+    ) -> hyper::Response<http_body_util::Full<bytes::Bytes>> {
+        let mut body = json!({ "clock-ms": self.clock() });
+        if !reason.is_empty() {
+            body["reason"] = reason.into();
+        }
+        answer(status, "application/json", body.to_string())
+    }
+
+    fn start_run(&self, body: &Body) -> hyper::Response<http_body_util::Full<bytes::Bytes>> {
+        let mut state = self.state();
+        if body.fencing_token < state.fence {
+            return self.reply(409, "fence");
+        }
+        state.fence = body.fencing_token;
+        let deadline = body.deadline_ms.unwrap_or(0);
+        if deadline < self.clock() {
+            return self.reply(409, "late");
+        }
+        state.deadline = state.deadline.max(deadline);
+        if state
+            .runs
+            .get(&body.task)
+            .is_some_and(|run| run.number == body.run)
+        {
+            return self.reply(200, "");
+        }
+        let closed = state
+            .closed
+            .get(&body.task)
+            .is_some_and(|top| body.run <= *top);
+        if closed || state.runs.contains_key(&body.task) {
+            return self.reply(409, "old");
+        }
+        if state.runs.len() >= ROOM {
+            return self.reply(409, "room");
+        }
+        let took = body.spec.parse().map_or(RUN, Duration::from_millis);
+        let run = Run {
+            number: body.run,
+            ends: Instant::now() + took,
+        };
+        state.runs.insert(body.task.clone(), run);
+        self.events
+            .note(&self.id, &body.task, body.run, RunEvent::Started);
+        self.reply(200, "")
+    }
+
+    fn stop_run(&self, body: &Body) -> hyper::Response<http_body_util::Full<bytes::Bytes>> {
+        let mut state = self.state();
+        if body.fencing_token < state.fence {
+            return self.reply(409, "fence");
+        }
+        state.fence = body.fencing_token;
+        let top = state.closed.entry(body.task.clone()).or_insert(0);
+        *top = (*top).max(body.run);
+        if state
+            .runs
+            .get(&body.task)
+            .is_some_and(|run| run.number <= body.run)
+        {
+            self.end(&mut state, &body.task, "stopped");
+        }
+        self.reply(200, "")
+    }
+
+    async fn hold(&self, body: &Body) -> hyper::Response<http_body_util::Full<bytes::Bytes>> {
+        {
+            let mut state = self.state();
+            if body.fencing_token < state.fence {
+                return self.reply(409, "fence");
+            }
+            state.fence = body.fencing_token;
+            state.deadline = state.deadline.max(body.deadline_ms.unwrap_or(0));
+            self.forget(&mut state, body.last_seen);
+        }
+        let until = time::Instant::now() + Duration::from_millis(body.wait_ms.min(2_000));
+        loop {
+            let changed = self.changed.notified();
+            if !self.state().ended.is_empty() || time::Instant::now() >= until {
+                break;
+            }
+            // The end of the wait is an answer without ends.
+            let _ = time::timeout_at(until, changed).await;
+        }
+        let state = self.state();
+        let running: Vec<Value> = state
+            .runs
+            .iter()
+            .map(|(task, run)| json!([task, run.number, "", progress(run)]))
+            .collect();
+        let ended: Vec<Value> = state
+            .ended
+            .iter()
+            .map(|end| json!([end.number, end.task, end.run, end.how, ""]))
+            .collect();
+        let body = json!({ "clock-ms": self.clock(), "running": running, "ended-at": ended });
+        answer(200, "application/json", body.to_string())
+    }
+
+    /// Forgets the ends up to a number, which the caller has made durable.
+    fn forget(&self, state: &mut State, noted: u64) {
+        for end in state
+            .ended
+            .iter()
+            .filter(|end| end.number <= noted && end.how == "done")
+        {
+            self.events
+                .note(&self.id, &end.task, end.run, RunEvent::Noted);
+        }
+        state.ended.retain(|end| end.number > noted);
+    }
+
+    fn end(&self, state: &mut State, task: &str, how: &'static str) {
+        let Some(run) = state.runs.remove(task) else {
+            return;
+        };
+        state.last_end += 1;
+        let what = match how {
+            "done" => RunEvent::Done,
+            _ => RunEvent::Ended,
+        };
+        self.events.note(&self.id, task, run.number, what);
+        let top = state.closed.entry(task.to_owned()).or_insert(0);
+        *top = (*top).max(run.number);
+        let end = End {
+            number: state.last_end,
+            task: task.to_owned(),
+            run: run.number,
+            how,
+        };
+        state.ended.push(end);
+        self.changed.notify_waiters();
+    }
+}
+
+/// A figure that changes as long as the run goes on.
+fn progress(run: &Run) -> u128 {
+    let left = run.ends.saturating_duration_since(Instant::now());
+    100_u128.saturating_sub(left.as_millis() / 10)
+}
+
+/// Ends runs whose time is over, and all of them when the lease is.
+async fn tick(worker: Arc<Worker>) {
+    while !worker.dead.load(Relaxed) {
+        time::sleep(TICK).await;
+        let now = Instant::now();
+        let lapsed = worker.clock();
+        let mut state = worker.state();
+        let over = state.deadline < lapsed;
+        let due: Vec<(String, bool)> = state
+            .runs
+            .iter()
+            .filter(|(_, run)| over || run.ends <= now)
+            .map(|(task, run)| (task.clone(), run.ends <= now))
+            .collect();
+        for (task, done) in due {
+            worker.end(&mut state, &task, if done { "done" } else { "lapsed" });
+        }
+    }
+}
