fix(entry): an owner tells in its lease before it starts runs without records

Answers of the store to writes were lost and appends came late; the owner went on without records because its renewals still succeeded; the next one had read the lease all the while, saw no trouble, did not wait for the workers and had no record of run 1. Now renewals say whether runs may be unrecorded, an owner goes on only once such a renewal is durable, and the next one then meets the workers first. Both decisions are pure, in crates/fleet/src/unrecorded.rs.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -19,6 +19,7 @@
 mod snapshot;
 mod state;
 mod tenure;
+mod unrecorded;
 mod wave;
 
 pub use bound::{Whereabouts, room_to_go};
@@ -35,6 +36,7 @@
 pub use snapshot::{Chunk, SnapshotError, assemble, chunks, decode_snapshot, encode_snapshot};
 pub use state::{Fleet, Grant, Health, Mark, SPARE, Step, Vm, Wave, WaveId, WaveState};
 pub use tenure::{Claim, DEFERENCE, EXPIRY, Holder, MilliCpu, SETTLED, Tenure, outranks};
+pub use unrecorded::{Stall, TROUBLE, Trouble, trouble};
 pub use wave::{Progress, next_reboots, progress};
 
 use std::time::Duration;
--- a/crates/havenladder/src/entry/fleet.rs
+++ b/crates/havenladder/src/entry/fleet.rs
@@ -2,12 +2,14 @@
 
 use super::{moves::Moves, owner::Owner, upkeep::Waves};
 use adapter::cloud::{Vm, VmState};
+use jobs::WorkerId;
 use std::{
     collections::BTreeMap,
     rc::Rc,
     time::{Duration, Instant},
 };
 use tokio::time;
+use tracing::info;
 
 /// The VMs by name.
 pub type VmList = BTreeMap<String, Vm>;
@@ -22,6 +24,10 @@
 /// Age of the list at which it is read again in any case.
 const STALE: Duration = Duration::from_millis(3_000);
 
+/// How long neither list must have named a worker until what ran there has ended for certain: entries that
+/// lapsed with the store are back 2 s after it, and the list of VMs may be some 100 ms old.
+const ABSENT: Duration = Duration::from_millis(2_500);
+
 /// How long an order without an answer, or with one that the list doesn't show, is waited for: orders
 /// may be carried out 12 s late.
 pub const LOST: Duration = Duration::from_millis(13_000);
@@ -33,14 +39,16 @@
     let mut moves = Moves::default();
     let mut list = VmList::new();
     let mut read: Option<Instant> = None;
+    let mut absences = Absences::default();
     while owner.is_alive() {
-        let busy = waves.is_open(&owner) || moves.is_open();
+        let busy = waves.is_open(&owner) || moves.is_open() || !absences.is_settled(&owner);
         let age = if busy { FRESH } else { STALE };
         if read.is_none_or(|at| at.elapsed() >= age)
             && let Ok(Some(vms)) = owner.node.cloud.vms().await
         {
             list = vms.into_iter().map(|vm| (vm.name.clone(), vm)).collect();
             read = Some(Instant::now());
+            absences.see(&owner, &list);
             moves.see(&owner, &list);
             if waves.advance(&owner, &list).await {
                 read = None;
@@ -54,6 +62,41 @@
     }
 }
 
+/// Workers of earlier owners that neither the list of workers nor that of VMs names.
+#[derive(Default)]
+struct Absences {
+    /// Since when the list of VMs has named none with each of them.
+    since: BTreeMap<WorkerId, Instant>,
+}
+
+impl Absences {
+    /// Whether no worker of an earlier owner is missing.
+    fn is_settled(&self, owner: &Owner) -> bool {
+        owner.cell.borrow().orphaned().is_empty()
+    }
+
+    /// Gives up the workers that a new list of VMs does not name, as earlier ones did not: a worker is a
+    /// life of its VM, so that what ran there has ended.
+    fn see(&mut self, owner: &Rc<Owner>, list: &VmList) {
+        let orphans = owner.cell.borrow().orphaned();
+        let named = |id: &WorkerId| list.values().any(|vm| vm.worker.as_ref() == Some(id));
+        let now = Instant::now();
+        self.since
+            .retain(|id, _| orphans.contains(id) && !named(id));
+        for id in orphans.into_iter().filter(|id| !named(id)) {
+            let since = *self.since.entry(id.clone()).or_insert(now);
+            if now >= since + ABSENT {
+                info!(
+                    worker = id,
+                    "worker of an earlier owner is on no VM any more"
+                );
+                owner.cell.borrow_mut().lose_worker(&id);
+                owner.wake();
+            }
+        }
+    }
+}
+
 /// Tells the cell, once, which workers run on the VMs that are up.
 async fn expect_workers(owner: &Rc<Owner>) {
     while owner.is_alive() {
--- a/crates/havenladder/src/entry/lease.rs
+++ b/crates/havenladder/src/entry/lease.rs
@@ -8,10 +8,10 @@
 use super::{
     inner::{self, Ask},
     node::{Lease, Node},
-    owner::{Owner, Predecessor, Trouble},
+    owner::{Owner, Predecessor},
 };
 use adapter::store::{Appended, Condition, Offset, Read, frame_plain};
-use fleet::{Claim, Holder, MilliCpu, Tenure};
+use fleet::{Claim, Holder, MilliCpu, Tenure, Trouble};
 use std::{
     rc::Rc,
     time::{Duration, Instant},
@@ -41,10 +41,6 @@
 /// How long an owner may take to answer whether it hands the cell over; it takes some ms.
 const HAND_OVER: Duration = Duration::from_millis(500);
 
-/// For how long trouble of the store may have effects: entries of workers that lapsed are back 2 s
-/// after its end.
-const TROUBLE: Duration = Duration::from_millis(8_000);
-
 /// How far this entry has read the lease's records.
 struct Log {
     /// The end of the log, as far as it was read.
@@ -142,7 +138,8 @@
         return;
     }
     let mut current = node.lease.borrow_mut();
-    if current.as_ref() == Some(&lease) {
+    let known = current.replace(lease.clone());
+    if known.is_some_and(|known| known.is_same(&lease)) {
         return;
     }
     info!(
@@ -152,7 +149,6 @@
         released = lease.released,
         "owner seen"
     );
-    *current = Some(lease);
     node.lease_changed.notify_waiters();
 }
 
@@ -163,7 +159,7 @@
         .lease
         .borrow()
         .as_ref()
-        .is_some_and(|known| known.life == lease.life && known.released == lease.released);
+        .is_some_and(|known| known.is_same(&lease));
     if !same {
         log.tenure.note_change(now);
     }
@@ -234,6 +230,7 @@
         life: node.life,
         address: node.inner_address(),
         cpu: node.settings.cpu,
+        unrecorded: node.own().is_some_and(|owner| owner.may_be_unrecorded()),
         released: released.is_some(),
         waits: released.map_or(0, |waits| waits.as_millis() as u64),
     }
@@ -248,12 +245,9 @@
 
 /// What is known of the owner before the one that claims now.
 fn predecessor(node: &Node, log: &Log) -> Predecessor {
-    let trouble = match log.trouble {
-        Some(at) if at.elapsed() < TROUBLE => Trouble::Seen,
-        _ if node.began.elapsed() < TROUBLE => Trouble::Unknown,
-        _ => Trouble::None,
-    };
     let lease = node.lease.borrow();
+    let told = lease.as_ref().is_some_and(|lease| lease.unrecorded);
+    let trouble = fleet::trouble(told, log.trouble, node.began, Instant::now());
     let released = lease.as_ref().filter(|lease| lease.released);
     Predecessor {
         // An owner that gave the cell up extends no more leases, but the one before it may be cut off
@@ -298,7 +292,7 @@
         tokio::select! {
             () = time::sleep(wait) => {}
             () = node.stop.notified() => {}
-            () = owner.handing_over.notified() => {}
+            () = owner.lease_due.notified() => {}
         }
         if node.stopping.get() && owner.is_alive() {
             owner.end("the process stops");
@@ -342,11 +336,12 @@
 /// Renews the lease, once.
 async fn renew(node: &Node, log: &mut Log, owner: &Owner) {
     let sent = Instant::now();
-    match append(node, log.end, &record(node, None)).await {
+    let lease = record(node, None);
+    match append(node, log.end, &lease).await {
         Some(Appended::Done(end)) => {
             log.end = end;
             log.tenure.note_record(node.settings.cpu, Instant::now());
-            owner.renewed.set(sent);
+            owner.note_renewal(sent, lease.unrecorded);
         }
         Some(Appended::Moved(_)) => {
             read(node, log, Duration::ZERO).await;
--- a/crates/havenladder/src/entry/node.rs
+++ b/crates/havenladder/src/entry/node.rs
@@ -40,6 +40,16 @@
     /// The owner's part of a core; when it gave the cell up for a stronger entry, that one's.
     #[serde(default)]
     pub cpu: MilliCpu,
+    /// Whether the owner may have started runs that it has not recorded.
+    #[serde(default)]
+    pub unrecorded: bool,
+}
+
+impl Lease {
+    /// Whether another record says the same of who owns the cell.
+    pub fn is_same(&self, other: &Lease) -> bool {
+        self.life == other.life && self.released == other.released
+    }
 }
 
 /// What the duties of an entry share.
--- a/crates/havenladder/src/entry/owner/answer.rs
+++ b/crates/havenladder/src/entry/owner/answer.rs
@@ -38,7 +38,7 @@
             return Tell::Refused;
         }
         self.successor.set(Some(cpu));
-        self.handing_over.notify_one();
+        self.lease_due.notify_one();
         Tell::HandedOver
     }
 
--- a/crates/havenladder/src/entry/owner/append.rs
+++ b/crates/havenladder/src/entry/owner/append.rs
@@ -19,7 +19,7 @@
 const PRODUCER: &str = "owner";
 
 /// How long an append may take before work goes on without it: ten times what it takes as a rule.
-const SLOW: Duration = Duration::from_millis(150);
+pub(super) const SLOW: Duration = Duration::from_millis(150);
 
 /// Time between two looks at what can be done while an append is under way.
 const MEANWHILE: Duration = Duration::from_millis(50);
@@ -90,21 +90,17 @@
         }
         if owner.has_waited(SLOW) && owner.loaded.get() && owner.may_hold() {
             outage::ask(owner);
-            if may_go_on(owner) {
+            if owner.stall().may_go_on() {
+                owner.unrecorded.set(Some(Instant::now()));
                 go_on(owner, starts);
+            } else {
+                // A renewal tells the next owner first.
+                owner.lease_due.notify_one();
             }
         }
     }
 }
 
-/// Whether no newer owner can have taken over though appends stall: the store is away for all, or this
-/// owner has renewed its lease since.
-fn may_go_on(owner: &Owner) -> bool {
-    let stalled = owner.appending.get();
-    let renewed = stalled.is_some_and(|since| owner.renewed.get() > since);
-    owner.outage.get().is_confirmed() || (renewed && owner.is_certain())
-}
-
 /// Starts what is due of jobs that the log holds, though the starts themselves are not recorded: a
 /// new owner meets all workers before it starts what waited.
 fn go_on(owner: &Rc<Owner>, starts: &mut Vec<Order>) {
--- a/crates/havenladder/src/entry/owner/mod.rs
+++ b/crates/havenladder/src/entry/owner/mod.rs
@@ -13,9 +13,9 @@
     outage::Outage,
     watch,
 };
-use ::fleet::{MilliCpu, RateLimit};
+use ::fleet::{MilliCpu, RateLimit, Stall, TROUBLE, Trouble};
 use adapter::workers::ClockMs;
-use append::append;
+use append::{SLOW, append};
 use jobs::{Batch, Cell as JobCell, Limits, WorkerId};
 use load::load;
 use std::{
@@ -81,18 +81,6 @@
     pub trouble: Trouble,
 }
 
-/// Whether the store was in trouble of late, so that the earlier owner may have started runs that it
-/// could not record.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Trouble {
-    /// It was not.
-    None,
-    /// This entry has not run for long enough to know.
-    Unknown,
-    /// It was.
-    Seen,
-}
-
 /// How long a takeover may take before the store counts as troubled: it takes 50 ms as a rule.
 const LOADED: Duration = Duration::from_millis(300);
 
@@ -119,6 +107,10 @@
     pub vm_rate: RefCell<RateLimit>,
     /// What other entries say of the store.
     pub outage: Cell<Outage>,
+    /// When the renewal was sent that last told that runs may be started without a record.
+    announced: Cell<Option<Instant>>,
+    /// When runs were last started without a record.
+    unrecorded: Cell<Option<Instant>>,
     /// Since when an append is under way.
     appending: Cell<Option<Instant>>,
     /// Whether it may still decide.
@@ -127,8 +119,8 @@
     loaded: Cell<bool>,
     /// The part of a core of a stronger entry that has asked for the cell.
     pub successor: Cell<Option<MilliCpu>>,
-    /// Told when one has.
-    pub handing_over: Notify,
+    /// Told when the lease is to be looked at before its next renewal is due.
+    pub lease_due: Notify,
     /// Told when something has changed in the cell.
     wake: Notify,
     /// Told after each append, and when the owner ends.
@@ -163,7 +155,9 @@
             alive: Cell::new(true),
             loaded: Cell::new(false),
             successor: Cell::new(None),
-            handing_over: Notify::new(),
+            lease_due: Notify::new(),
+            announced: Cell::new(None),
+            unrecorded: Cell::new(None),
             wake: Notify::new(),
             settled: Notify::new(),
         });
@@ -204,6 +198,20 @@
         }
     }
 
+    /// A renewal that was sent at `sent` is durable.
+    pub fn note_renewal(&self, sent: Instant, unrecorded: bool) {
+        self.renewed.set(sent);
+        if unrecorded {
+            self.announced.set(Some(sent));
+        }
+    }
+
+    /// Whether runs may have been started without a record, or may be soon: the next owner is to know.
+    pub fn may_be_unrecorded(&self) -> bool {
+        let recent = self.unrecorded.get();
+        self.has_waited(SLOW) || recent.is_some_and(|at| at.elapsed() < TROUBLE)
+    }
+
     /// Something has changed in the cell: what follows is to be decided and done.
     pub fn wake(self: &Rc<Self>) {
         self.send_urgent();
@@ -216,6 +224,16 @@
         orders::send_all(self, urgent);
     }
 
+    /// What is known of an append that is under way.
+    fn stall(&self) -> Stall {
+        Stall {
+            since: self.appending.get(),
+            announced: self.announced.get(),
+            confirmed: self.outage.get().is_confirmed(),
+            certain: self.is_certain(),
+        }
+    }
+
     /// Whether an append is under way that has taken at least this long.
     fn has_waited(&self, least: Duration) -> bool {
         self.appending
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -109,12 +109,12 @@
     Callers(stop)
 }
 
-/// Asks once for each job that may still go on.
-pub async fn ask_open(site: &Site, ledger: &Ledger) {
+/// Asks once for each job that may still go on, in each round at another entry.
+pub async fn ask_open(site: &Site, ledger: &Ledger, round: usize) {
     let mut lines: Vec<Line> = site.entries.iter().map(|e| Line::new(e.address)).collect();
     for (number, (id, job)) in ledger.all().into_iter().enumerate() {
         if job.is_open() {
-            let line = number % lines.len();
+            let line = (number + round) % lines.len();
             ask(&mut lines[line], ledger, id).await;
         }
     }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -80,8 +80,7 @@
     let faults = faults::inject(&mut site, &mut rng, plan.span).await?;
     callers.stop();
     let calm = Instant::now();
-    site.heal()?;
-    wait_for_jobs(&site, &ledger, calm + SETTLE).await;
+    wait_for_jobs(&mut site, &ledger, calm + SETTLE).await?;
     let breaches = promises::check(&ledger.all(), &site.events.all());
     Ok(Report {
         jobs: ledger.all().len(),
@@ -93,9 +92,18 @@
 }
 
 /// Asks for the jobs that are not over until all are, or the time is.
-async fn wait_for_jobs(site: &Site, ledger: &Ledger, until: Instant) {
+///
+/// # Errors
+///
+/// Fails when a process cannot be started again.
+async fn wait_for_jobs(site: &mut Site, ledger: &Ledger, until: Instant) -> io::Result<()> {
+    let mut round = 0;
     while Instant::now() < until && ledger.is_open() {
-        caller::ask_open(site, ledger).await;
+        // A process that was told to stop may end only now.
+        site.heal()?;
+        caller::ask_open(site, ledger, round).await;
+        round += 1;
         time::sleep(Duration::from_millis(200)).await;
     }
+    Ok(())
 }
