fix(entry): an owner that ends before it has met the workers leaves the doubt to the next one

An owner claimed the cell knowing that its predecessor may have started runs without records, and lost it before it had read the log; the next one read 'none' in its lease. Now the claim itself, and every renewal until the inherited leases have run out, passes the doubt on.

--- a/crates/havenladder/src/entry/lease.rs
+++ b/crates/havenladder/src/entry/lease.rs
@@ -261,7 +261,11 @@
 /// Claims the lease, on the condition that nobody else has.
 async fn claim(node: &Node, log: &mut Log) {
     log.before = predecessor(node, log);
-    let lease = record(node, None);
+    // An owner that ends before it has met the workers leaves them to the next one.
+    let lease = Lease {
+        unrecorded: log.before.trouble != Trouble::None,
+        ..record(node, None)
+    };
     match append(node, log.end, &lease).await {
         Some(Appended::Done(end)) => {
             log.end = end;
--- a/crates/havenladder/src/entry/owner/mod.rs
+++ b/crates/havenladder/src/entry/owner/mod.rs
@@ -98,6 +98,8 @@
     pub renewed: Cell<Instant>,
     /// Until when an earlier owner's leases may hold.
     pub inherited: Instant,
+    /// Whether the store was in trouble when this owner began.
+    trouble: Trouble,
     /// From when on this owner may give orders about VMs that the earlier one gave orders about: it did
     /// so as long as it trusted its lease, and two holders must not act in turn.
     pub duties: Instant,
@@ -147,6 +149,7 @@
             contacts: RefCell::default(),
             renewed: Cell::new(now),
             inherited: (extended + longest(LEASE)).max(now + before.waits),
+            trouble: before.trouble,
             duties: before.renewed.map_or(now, |at| at + TRUST) + node.settings.lease,
             ended: RefCell::default(),
             vm_rate: RefCell::new(RateLimit::new(node.settings.vm_orders, now)),
@@ -164,7 +167,7 @@
         node.metrics.owned("gained");
         info!(epoch, ?before, "owns the cell");
         *node.owner.borrow_mut() = Some(Rc::clone(&owner));
-        task::spawn_local(run(Rc::clone(&owner), before.trouble));
+        task::spawn_local(run(Rc::clone(&owner)));
         owner
     }
 
@@ -209,7 +212,9 @@
     /// Whether runs may have been started without a record, or may be soon: the next owner is to know.
     pub fn may_be_unrecorded(&self) -> bool {
         let recent = self.unrecorded.get();
-        self.has_waited(SLOW) || recent.is_some_and(|at| at.elapsed() < TROUBLE)
+        // What an earlier owner started so may still run until its leases have run out.
+        let inherited = self.trouble != Trouble::None && Instant::now() < self.inherited;
+        inherited || self.has_waited(SLOW) || recent.is_some_and(|at| at.elapsed() < TROUBLE)
     }
 
     /// Something has changed in the cell: what follows is to be decided and done.
@@ -243,11 +248,12 @@
 }
 
 /// Takes the cell over, then decides, records and acts in turn until the owner ends.
-async fn run(owner: Rc<Owner>, trouble: Trouble) {
+async fn run(owner: Rc<Owner>) {
     let began = Instant::now();
     if !load(&owner).await {
         return;
     }
+    let trouble = owner.trouble;
     if trouble != Trouble::None || began.elapsed() >= LOADED {
         let troubled = trouble != Trouble::Unknown;
         owner
