fix(jobs): a job whose starts were only ordered has not begun; silent workers' tasks count as away

Now a job has begun once a worker has spoken of a run, and only workers that answer count for budgets. Tests that failed first: crates/jobs/tests/unseen.rs (the third, on takeover, held before).

--- a/crates/jobs/src/cell/ends.rs
+++ b/crates/jobs/src/cell/ends.rs
@@ -13,6 +13,7 @@
         how: How,
         saved: &str,
     ) {
+        self.note_begun(task.job);
         let current = self.is_current(worker, task, run);
         let progress = if current { saved } else { "" };
         let Some(step) = self.note_end(task, run, progress) else {
@@ -105,6 +106,7 @@
         };
         job.phase = phase;
         job.rounds = Vec::new();
+        self.running.remove(&id);
         self.permits.retain(|(job, ..), _| *job != id);
         self.dirty.insert(id);
         self.timed.retain(|(_, job, _)| *job != id);
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -82,6 +82,8 @@
     /// The jobs that came of late: when, in ms since 1970, and their work in thousandths of a core
     /// times seconds.
     came: HashMap<ServiceId, VecDeque<(u64, f64)>>,
+    /// The jobs that are not over and of which a worker has run a task.
+    running: HashSet<JobId>,
     /// The services that have had a job that ends by itself.
     begun: HashSet<ServiceId>,
     /// How long the runs of a queue take, as a multiple of what their callers estimate.
@@ -137,12 +139,24 @@
         }
     }
 
-    /// How many jobs of a queue have not begun.
+    /// How many jobs of a queue have not begun: of none of their tasks a worker has said that it runs. A
+    /// start that was ordered may be lost on its way.
     pub fn pending(&self, queue: &str) -> usize {
-        let waits = |job: &&Job| job.given.queue == queue && job.phase == Phase::Pending;
+        let waits = |job: &&Job| {
+            job.given.queue == queue
+                && !job.phase.is_over()
+                && !self.running.contains(&job.given.id)
+        };
         self.jobs.values().filter(waits).count()
     }
 
+    /// A worker has said that it runs, or has run, a task of this job.
+    pub(crate) fn note_begun(&mut self, id: JobId) {
+        if self.jobs.get(&id).is_some_and(|job| !job.phase.is_over()) {
+            self.running.insert(id);
+        }
+    }
+
     /// Whether this run is the one that the task's state names.
     pub fn is_current(&self, worker: &str, task: TaskId, run: RunId) -> bool {
         let Some(job) = self.jobs.get(&task.job) else {
--- a/crates/jobs/src/cell/runs.rs
+++ b/crates/jobs/src/cell/runs.rs
@@ -40,6 +40,7 @@
         if state.phase == RunPhase::Ordered {
             state.phase = RunPhase::Running;
         }
+        self.note_begun(task.job);
     }
 
     /// The worker has refused a start; nothing runs there because of it.
--- a/crates/jobs/src/observe.rs
+++ b/crates/jobs/src/observe.rs
@@ -134,6 +134,7 @@
 
     /// Takes in what a worker said of a run that it has.
     fn take_row(&mut self, worker: &str, row: &RunRow, now: Instant) {
+        self.note_begun(row.task.job);
         if self.run_mut(worker, row.task, row.run).is_none() {
             self.adopt(worker, row, now);
         } else if !self.is_current(worker, row.task, row.run) {
--- a/crates/jobs/src/takeout.rs
+++ b/crates/jobs/src/takeout.rs
@@ -114,7 +114,9 @@
             .workers
             .get(on)
             .filter(|_| Some(on.as_str()) != leaving);
-        let Some(host) = host.filter(|host| !host.taken && !host.info.draining) else {
+        // One that does not answer may be gone.
+        let stays = |host: &&Worker| host.known && !host.taken && !host.info.draining;
+        let Some(host) = host.filter(stays) else {
             return false;
         };
         let run = host.runs.get(&(task, state.run));
--- /dev/null
+++ b/crates/jobs/tests/unseen.rs
@@ -0,0 +1,66 @@
+//! What is not taken for granted of runs that no worker has spoken of, or of workers that are silent.
+
+mod fixture;
+mod world;
+
+use fixture::{job, step, worker};
+use havenladder_jobs::{How, Report, Step, Takeout};
+use world::{World, row, task};
+
+#[test]
+fn a_job_whose_starts_are_under_way_has_not_begun() {
+    let mut world = World::new(&["a1"]);
+    world.cell.accept(job(1, vec![step(1)]));
+    world.cell.schedule(world.now);
+    assert_eq!(world.cell.pending("q"), 1, "an ordered start may be lost");
+    let batch = world.cell.take_batch();
+    world.cell.confirm(&batch);
+    let started = Report {
+        running: vec![row(task(1, 0, 0), 1, 0)],
+        ended: Vec::new(),
+    };
+    world.report("a1", started);
+    assert_eq!(world.cell.pending("q"), 0);
+    world.end("a1", 1, task(1, 0, 0), 1, How::Done);
+    assert_eq!(world.cell.pending("q"), 0);
+}
+
+#[test]
+fn tasks_on_a_worker_that_does_not_answer_count_as_away() {
+    let mut world = World::new(&["a1", "b1"]);
+    let lasting = Step {
+        lasting: true,
+        apart: Some(1),
+        budget: Some(1),
+        ..step(2)
+    };
+    world.cell.accept(job(1, vec![lasting]));
+    for (id, task, run) in world.run() {
+        let report = Report {
+            running: vec![row(task, run, 100)],
+            ended: Vec::new(),
+        };
+        world.report(&id, report);
+    }
+    assert_eq!(world.cell.takeout("a1"), Takeout::Free);
+    world.cell.mute_worker("b1");
+    assert_eq!(world.cell.takeout("a1"), Takeout::Guarded);
+}
+
+#[test]
+fn a_new_owner_takes_no_vm_out_before_its_workers_have_answered() {
+    let mut world = World::new(&["a1", "b1"]);
+    let lasting = Step {
+        lasting: true,
+        apart: Some(1),
+        budget: Some(1),
+        ..step(2)
+    };
+    world.cell.accept(job(1, vec![lasting]));
+    world.run();
+    world.take_over();
+    for id in ["a1", "b1"] {
+        world.cell.see_worker(worker(id), world.now);
+    }
+    assert_eq!(world.cell.takeout("a1"), Takeout::Guarded);
+}
