fix(jobs): a worker that is not known is not taken out before the list of workers is read

Traced in the logs of one: with a slow store, a new owner gave 8 upkeep orders at 16.50 s before it had read the list of workers; a worker that it did not know counted as free, so that two tasks of one step went at once. Ruled out: an order of the earlier owner that was still under way (its records show none for these VMs). That was mended beside it, by reading: bounds and budgets count VMs that an earlier owner may have told to go also when its process has ended since. Tests that failed first: unseen.rs a_worker_that_is_not_known_*, tasks_on_a_worker_that_is_*.

--- a/crates/havenladder/src/entry/fleet.rs
+++ b/crates/havenladder/src/entry/fleet.rs
@@ -49,6 +49,7 @@
             list = vms.into_iter().map(|vm| (vm.name.clone(), vm)).collect();
             read = Some(Instant::now());
             absences.see(&owner, &list);
+            doubt_workers(&owner, &list);
             moves.see(&owner, &list);
             if waves.advance(&owner, &list).await {
                 read = None;
@@ -94,6 +95,16 @@
     }
 }
 
+/// Tells the cell which workers' VMs may be about to go by an order of an earlier owner.
+fn doubt_workers(owner: &Owner, list: &VmList) {
+    for vm in list.values() {
+        if let Some(worker) = &vm.worker {
+            let doubted = owner.is_doubtful(&vm.name);
+            owner.cell.borrow_mut().doubt_worker(worker, doubted);
+        }
+    }
+}
+
 /// Tells the cell, once, which workers run on the VMs that are up.
 async fn expect_workers(owner: &Rc<Owner>) {
     while owner.is_alive() {
--- a/crates/havenladder/src/entry/owner/duties.rs
+++ b/crates/havenladder/src/entry/owner/duties.rs
@@ -45,6 +45,12 @@
         }
     }
 
+    /// Whether an earlier owner may have given an order about a VM that is still under way, also if its
+    /// process has ended since: bounds and budgets count such a VM as one that goes.
+    pub fn is_doubtful(&self, vm: &str) -> bool {
+        Instant::now() < self.duties && self.cell.borrow().earlier_holder(vm).is_some()
+    }
+
     /// Whether a VM is to be left alone because an earlier owner that may still run may have just given
     /// an order about it.
     pub fn must_spare(&self, vm: &str) -> bool {
--- a/crates/havenladder/src/entry/upkeep.rs
+++ b/crates/havenladder/src/entry/upkeep.rs
@@ -196,7 +196,7 @@
     let whereabouts = |name: &String| match vms.get(name).map(|vm| vm.state) {
         _ if course.down.contains_key(name) => Whereabouts::Told,
         Some(VmState::Upkeep | VmState::Down) => Whereabouts::Down,
-        Some(VmState::Up) if owner.must_spare(name) => Whereabouts::Doubtful,
+        Some(VmState::Up) if owner.is_doubtful(name) => Whereabouts::Doubtful,
         Some(VmState::Up | VmState::Moving) | None => Whereabouts::Up,
     };
     room_to_go(wave.most, wave.vms.iter().map(whereabouts))
--- a/crates/jobs/src/cell/gate.rs
+++ b/crates/jobs/src/cell/gate.rs
@@ -11,7 +11,7 @@
     /// When nothing of the earlier owner can run any more.
     expires: Option<Instant>,
     /// Whether the list of workers has been read.
-    pub(super) listed: bool,
+    pub(crate) listed: bool,
     /// Whether the list of VMs is to be read, too.
     wants_vms: bool,
     /// Workers of VMs that have not been met.
--- a/crates/jobs/src/cell/hosts.rs
+++ b/crates/jobs/src/cell/hosts.rs
@@ -25,6 +25,11 @@
         self.workers.insert(worker.info.id.clone(), worker);
     }
 
+    /// Whether an earlier owner had placed runs on a worker that no list has named since.
+    pub(crate) fn is_orphan(&self, id: &str) -> bool {
+        self.orphans.contains_key(id)
+    }
+
     /// The workers that an earlier owner had placed runs on and that no list has named since.
     pub fn orphaned(&self) -> Vec<WorkerId> {
         self.orphans.keys().cloned().collect()
--- a/crates/jobs/src/takeout.rs
+++ b/crates/jobs/src/takeout.rs
@@ -17,7 +17,7 @@
     /// What taking a worker out would cost now.
     pub fn takeout(&self, id: &str) -> Takeout {
         let Some(worker) = self.workers.get(id) else {
-            return Takeout::Free;
+            return self.takeout_unknown(id);
         };
         let tasks = || worker.runs.keys().map(|(task, _)| *task);
         if tasks().any(|task| self.exceeds_budget(worker, task)) {
@@ -29,6 +29,16 @@
         }
     }
 
+    /// What taking out a worker would cost that no list of workers has named: nothing is known of what it
+    /// runs before the list has been read, or where an earlier owner has used it.
+    fn takeout_unknown(&self, id: &str) -> Takeout {
+        if self.gate.listed && !self.is_orphan(id) {
+            Takeout::Free
+        } else {
+            Takeout::Guarded
+        }
+    }
+
     /// Keeps new runs off a worker, or lets them come again.
     pub fn close_worker(&mut self, id: &str, closed: bool) {
         if let Some(worker) = self.workers.get_mut(id) {
@@ -43,6 +53,13 @@
         }
     }
 
+    /// Whether an earlier owner may have told the worker's VM to go, and the order may still be under way.
+    pub fn doubt_worker(&mut self, id: &str, doubted: bool) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.doubted = doubted;
+        }
+    }
+
     /// Whether a task runs until its job is cancelled.
     fn lasts(&self, task: TaskId) -> bool {
         let job = self.jobs.get(&task.job);
@@ -114,8 +131,9 @@
             .workers
             .get(on)
             .filter(|_| Some(on.as_str()) != leaving);
-        // One that does not answer may be gone.
-        let stays = |host: &&Worker| host.known && !host.taken && !host.info.draining;
+        // One that does not answer may be gone, and one that is doubted may go at any moment.
+        let stays =
+            |host: &&Worker| host.known && !host.taken && !host.doubted && !host.info.draining;
         let Some(host) = host.filter(stays) else {
             return false;
         };
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -139,6 +139,8 @@
     pub closed: bool,
     /// Whether its VM has been told to go down or to move.
     pub taken: bool,
+    /// Whether an earlier owner may have told its VM so, and the order may still be under way.
+    pub doubted: bool,
     /// What its runs take of its room.
     pub used: Need,
     /// How many of its runs last and serve.
@@ -162,6 +164,7 @@
             met: false,
             closed: false,
             taken: false,
+            doubted: false,
             used: Need::default(),
             anchors: 0,
             runs: BTreeMap::new(),
--- a/crates/jobs/tests/unseen.rs
+++ b/crates/jobs/tests/unseen.rs
@@ -26,7 +26,7 @@
 }
 
 #[test]
-fn tasks_on_a_worker_that_does_not_answer_count_as_away() {
+fn tasks_on_a_worker_that_is_silent_or_may_be_told_to_go_count_as_away() {
     let mut world = World::new(&["a1", "b1"]);
     let lasting = Step {
         lasting: true,
@@ -43,6 +43,14 @@
         world.report(&id, report);
     }
     assert_eq!(world.cell.takeout("a1"), Takeout::Free);
+    world.cell.doubt_worker("b1", true);
+    assert_eq!(
+        world.cell.takeout("a1"),
+        Takeout::Guarded,
+        "an earlier owner may have told its VM to go"
+    );
+    world.cell.doubt_worker("b1", false);
+    assert_eq!(world.cell.takeout("a1"), Takeout::Free);
     world.cell.mute_worker("b1");
     assert_eq!(world.cell.takeout("a1"), Takeout::Guarded);
 }
@@ -82,3 +90,20 @@
     world.cell.lose_worker(&used);
     assert!(world.cell.silent_workers().is_empty());
 }
+
+#[test]
+fn a_worker_that_is_not_known_is_not_taken_out_before_the_list_of_workers_is_read() {
+    let mut world = World::new(&["a1"]);
+    world.cell.accept(job(1, vec![step(1)]));
+    world.run();
+    world.take_over();
+    assert_eq!(world.cell.takeout("a1"), Takeout::Guarded);
+    assert_eq!(world.cell.takeout("new"), Takeout::Guarded);
+    world.cell.mark_listed();
+    assert_eq!(
+        world.cell.takeout("a1"),
+        Takeout::Guarded,
+        "the records say that it has a run"
+    );
+    assert_eq!(world.cell.takeout("new"), Takeout::Free);
+}
