fix(entry): answers at two fifths of the caller's time; an owner that gives the cell up tells what it knows

Besides, a lease that was given up always said that no run was unrecorded, since its owner had ended by then (by reading). Now entry and owner give up at 0.4 of the time; an owner tells in its last record whether runs may be unrecorded, and where it says no its successor trusts it. Test: crates/fleet/tests/unrecorded.rs given_up_with_none, just_begun.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -36,7 +36,7 @@
 pub use snapshot::{Chunk, SnapshotError, assemble, chunks, decode_snapshot, encode_snapshot};
 pub use state::{Fleet, Grant, Health, Mark, SPARE, Step, Vm, Wave, WaveId, WaveState};
 pub use tenure::{Claim, DEFERENCE, EXPIRY, Holder, MilliCpu, SETTLED, Tenure, outranks};
-pub use unrecorded::{Stall, TROUBLE, Trouble, trouble};
+pub use unrecorded::{Stall, TROUBLE, Told, Trouble, trouble};
 pub use wave::{Progress, next_reboots, progress};
 
 use std::time::Duration;
--- a/crates/fleet/src/unrecorded.rs
+++ b/crates/fleet/src/unrecorded.rs
@@ -22,15 +22,27 @@
     Seen,
 }
 
-/// What a new owner has to assume: `told` is what the lease's last record says, `seen` when the store last
-/// did not answer this entry, `began` when this entry's process began.
-pub fn trouble(told: bool, seen: Option<Instant>, began: Instant, now: Instant) -> Trouble {
+/// What the lease's last record says of runs without records.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Told {
+    /// There may be some.
+    Unrecorded,
+    /// There are none: its owner gave the cell up and knew.
+    None,
+    /// There were none then; its owner went on for a while.
+    NoneThen,
+}
+
+/// What a new owner has to assume: `seen` is when the store last did not answer this entry, `began` when
+/// this entry's process began.
+pub fn trouble(told: Told, seen: Option<Instant>, began: Instant, now: Instant) -> Trouble {
     let recent = |at: Instant| now.saturating_duration_since(at) < TROUBLE;
-    match seen {
-        _ if told => Trouble::Seen,
-        Some(at) if recent(at) => Trouble::Seen,
-        _ if recent(began) => Trouble::Unknown,
-        _ => Trouble::None,
+    match (told, seen) {
+        (Told::Unrecorded, _) => Trouble::Seen,
+        (Told::None, _) => Trouble::None,
+        (Told::NoneThen, Some(at)) if recent(at) => Trouble::Seen,
+        (Told::NoneThen, _) if recent(began) => Trouble::Unknown,
+        (Told::NoneThen, _) => Trouble::None,
     }
 }
 
--- a/crates/fleet/tests/unrecorded.rs
+++ b/crates/fleet/tests/unrecorded.rs
@@ -1,20 +1,21 @@
 //! When runs may be started without a record, and what the next owner assumes.
 
-use havenladder_fleet::{Stall, TROUBLE, Trouble, trouble};
+use havenladder_fleet::{Stall, TROUBLE, Told, Trouble, trouble};
 use std::time::{Duration, Instant};
 use yare::parameterized;
 
 const MS: Duration = Duration::from_millis(1);
 
 #[parameterized(
-    told = { true, None, true, Trouble::Seen },
-    seen = { false, Some(TROUBLE - MS), true, Trouble::Seen },
-    seen_long_ago = { false, Some(TROUBLE), true, Trouble::None },
-    just_begun = { false, None, false, Trouble::Unknown },
-    calm = { false, None, true, Trouble::None },
+    told = { Told::Unrecorded, None, true, Trouble::Seen },
+    given_up_with_none = { Told::None, Some(MS), false, Trouble::None },
+    seen = { Told::NoneThen, Some(TROUBLE - MS), true, Trouble::Seen },
+    seen_long_ago = { Told::NoneThen, Some(TROUBLE), true, Trouble::None },
+    just_begun = { Told::NoneThen, None, false, Trouble::Unknown },
+    calm = { Told::NoneThen, None, true, Trouble::None },
 )]
 fn a_new_owner_assumes_trouble_that_it_saw_or_was_told_of(
-    told: bool,
+    told: Told,
     ago: Option<Duration>,
     old: bool,
     expected: Trouble,
--- a/crates/havenladder/src/entry/callers.rs
+++ b/crates/havenladder/src/entry/callers.rs
@@ -36,9 +36,9 @@
 /// How long a caller waits if it does not say.
 const DEADLINE: Duration = Duration::from_millis(3_000);
 
-/// Part of the caller's time after which an entry that found no owner gives up: the rest is for the
-/// way back, and for another try at another entry.
-const PATIENCE: f64 = 0.5;
+/// Part of the caller's time after which an entry gives a request up that no owner has answered: the rest
+/// is for the way back, and for another try at another entry. Under half, so that one more try fits.
+const PATIENCE: f64 = 0.4;
 
 /// Time until an owner that was not there is looked for again.
 const AGAIN: Duration = Duration::from_millis(40);
@@ -211,10 +211,10 @@
     loop {
         let tell = match node.own() {
             Some(owner) => {
-                let answer = time::timeout_at(deadline.into(), owner.answer(ask.clone())).await;
+                let answer = time::timeout_at(give_up.into(), owner.answer(ask.clone())).await;
                 answer.unwrap_or(Tell::Unsure)
             }
-            None => forward(node, &ask, deadline).await,
+            None => forward(node, &ask, give_up).await,
         };
         sent |= tell == Tell::Unsure;
         if tell == Tell::Refused {
--- a/crates/havenladder/src/entry/lease.rs
+++ b/crates/havenladder/src/entry/lease.rs
@@ -11,7 +11,7 @@
     owner::{Owner, Predecessor},
 };
 use adapter::store::{Appended, Condition, Offset, Read, frame_plain};
-use fleet::{Claim, Holder, MilliCpu, Tenure, Trouble};
+use fleet::{Claim, Holder, Tenure, Told, Trouble};
 use std::{
     rc::Rc,
     time::{Duration, Instant},
@@ -246,7 +246,11 @@
 /// What is known of the owner before the one that claims now.
 fn predecessor(node: &Node, log: &Log) -> Predecessor {
     let lease = node.lease.borrow();
-    let told = lease.as_ref().is_some_and(|lease| lease.unrecorded);
+    let told = match lease.as_ref() {
+        Some(lease) if lease.unrecorded => Told::Unrecorded,
+        Some(lease) if lease.released => Told::None,
+        Some(_) | None => Told::NoneThen,
+    };
     let trouble = fleet::trouble(told, log.trouble, node.began, Instant::now());
     let released = lease.as_ref().filter(|lease| lease.released);
     Predecessor {
@@ -299,12 +303,10 @@
             () = owner.lease_due.notified() => {}
         }
         if node.stopping.get() && owner.is_alive() {
-            owner.end("the process stops");
-            return release(node, log, owner.inherited_for(), node.settings.cpu).await;
+            return release(node, log, &owner, "the process stops").await;
         }
-        if let Some(cpu) = owner.successor.get().filter(|_| owner.is_alive()) {
-            owner.end("a stronger entry asks for the cell");
-            return release(node, log, owner.inherited_for(), cpu).await;
+        if owner.successor.get().is_some() && owner.is_alive() {
+            return release(node, log, &owner, "a stronger entry asks for the cell").await;
         }
         if !owner.is_alive() {
             info!("the cell was lost to a newer owner");
@@ -321,11 +323,14 @@
 
 /// Gives the cell up, so that nobody waits for the lease to run out. Without an answer, they do. Entries
 /// that are much weaker than `cpu` leave it to others for a moment.
-async fn release(node: &Node, log: &mut Log, waits: Duration, cpu: MilliCpu) {
+async fn release(node: &Node, log: &mut Log, owner: &Owner, why: &str) {
+    // What is known of its runs is told as of now: an owner that has ended knows nothing.
     let released = Lease {
-        cpu,
-        ..record(node, Some(waits))
+        cpu: owner.successor.get().unwrap_or(node.settings.cpu),
+        unrecorded: owner.may_be_unrecorded(),
+        ..record(node, Some(owner.inherited_for()))
     };
+    owner.end(why);
     if let Some(Appended::Done(end)) = append(node, log.end, &released).await {
         log.end = end;
         note_lease(node, log, released, Instant::now());
