fix(upkeep): a wave that has succeeded holds no VM any more

The last VMs of a wave counted as held by it for ever, since a wave that has succeeded is not looked at again; since orders go out together, these are up to 9 where it was one. Ruled out: VMs left closed after emptying (none of the 13), the lists (all up). No test without the bench: the waves' duty lives in the program, not in a pure crate.

--- a/crates/havenladder/src/entry/upkeep.rs
+++ b/crates/havenladder/src/entry/upkeep.rs
@@ -79,7 +79,9 @@
     /// Whether a VM is about to go down, or is down.
     pub fn holds(&self, vm: &str) -> bool {
         let busy = |c: &Course| c.closing.contains_key(vm) || c.down.contains_key(vm);
-        self.courses.values().any(busy)
+        // A wave that has succeeded is not looked at again, and would hold its last VMs for ever.
+        let open = |c: &&Course| c.said != Some(WaveState::Succeeded);
+        self.courses.values().filter(open).any(busy)
     }
 
     /// Whether operators have been told that a wave has succeeded.
