refactor(soak): the users' wire words stand in the stand-ins only

Cause: the soak wrote configurations and waves into the users' topic itself, and named the settings file's keys and the callers' deadline header; only platform/ and the stand-ins are to know those words. Looked at: the settings file that the new code writes, key by key against the text before; the form in which callers write jobs stays in the soak: it is havenladder's own. Conclusion: kept; the figures of the configuration and the wave are constants with their reasons.

--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -8,6 +8,7 @@
 use hyper_util::rt::TokioIo;
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use serde_json::{Value, json};
+use standin::users;
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
@@ -28,9 +29,6 @@
 /// How often a job is handed in until its caller gives it up.
 const TRIES: usize = 5;
 
-/// The header that tells how long a caller waits.
-const HEADER_DEADLINE: &str = "request-deadline-ms";
-
 /// One job, as its caller knows it.
 #[derive(Clone, Debug, Default)]
 pub struct Job {
@@ -241,7 +239,7 @@
             .method(method)
             .uri(format!("{PREFIX}{id:016x}"))
             .header("host", HOST)
-            .header(HEADER_DEADLINE, PATIENCE.as_millis() as u64)
+            .header(users::DEADLINE, PATIENCE.as_millis() as u64)
             .body(Full::from(body.to_owned()))
             .ok()?;
         let response = sender.send_request(request).await.ok()?;
--- a/crates/soak/src/entries.rs
+++ b/crates/soak/src/entries.rs
@@ -2,6 +2,7 @@
 
 use crate::Plan;
 use rustix::process::{Pid, Signal, kill_process};
+use standin::users::settings::Settings;
 use std::{
     fs::{self, File, OpenOptions},
     io,
@@ -16,6 +17,12 @@
 /// How many sets of ports there are.
 const SETS: u64 = 1_000;
 
+/// The data centres in which the entries are in turn: two, so that one can tell the other of an outage.
+const HALLS: [&str; 2] = ["a", "b"];
+
+/// How many entries all others know from the start: two are left when one of them is killed.
+const SEEDS: usize = 3;
+
 /// The ports of a run, the same on all entries.
 #[derive(Clone, Copy, Debug)]
 pub struct Ports(u16);
@@ -51,15 +58,16 @@
         cloud: SocketAddr,
     ) -> io::Result<Self> {
         fs::create_dir_all(&plan.logs)?;
-        let settings = plan.logs.join(format!("entry-{number}.toml"));
-        fs::write(&settings, write_settings(plan, number, ports, store, cloud))?;
+        let path = plan.logs.join(format!("entry-{number}.toml"));
+        let text = settings(plan, number, ports, store, cloud).write();
+        fs::write(&path, text)?;
         let log = plan.logs.join(format!("entry-{number}.log"));
         let address = format!("{}:{}", ip(number), ports.0);
-        let child = spawn(&plan.program, &settings, &log)?;
+        let child = spawn(&plan.program, &path, &log)?;
         Ok(Entry {
             address: address.parse().expect("an address of our own making"),
             program: plan.program.clone(),
-            settings,
+            settings: path,
             log,
             child,
         })
@@ -117,28 +125,20 @@
         .spawn()
 }
 
-fn write_settings(
+fn settings(
     plan: &Plan,
     number: usize,
     ports: &Ports,
-    store: SocketAddr,
+    log: SocketAddr,
     cloud: SocketAddr,
-) -> String {
-    let (own, port) = (ip(number), ports.0);
-    let seeds: Vec<String> = (0..plan.entries.min(3))
-        .map(|seed| format!("\"{}:{}\"", ip(seed), port + 2))
-        .collect();
-    // Two data centres, so that one can tell the other of an outage.
-    let hall = if number.is_multiple_of(2) { "a" } else { "b" };
-    format!(
-        "node = \"entry-{number}\"\nip = \"{own}\"\nzone = \"{hall}\"\ninternal-ports = [{}, {}]\n\
-         seeds = [{}]\n[listen]\nfront = \"{own}:{port}\"\nready = \"{own}:{}\"\n\
-         [limits]\ncpu-share = 0.25\n\
-         [bounds]\nstop_ms = 400\nmax-hold-ms = 10000\nlease-ms = 3000\ngrace-s = 6\nfar_x = 2\n\
-         [platform]\naddress = \"{store}\"\n[cloud]\naddress = \"{cloud}\"\nduty-per-s = 64.0\n",
-        port + 4,
-        port + 9,
-        seeds.join(", "),
-        port + 1,
-    )
+) -> Settings {
+    Settings {
+        node: format!("entry-{number}"),
+        ip: ip(number),
+        hall: HALLS[number % HALLS.len()].to_owned(),
+        port: ports.0,
+        seeds: (0..plan.entries.min(SEEDS)).map(ip).collect(),
+        log,
+        cloud,
+    }
 }
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -4,10 +4,15 @@
     Plan,
     entries::{Entry, Ports},
 };
-use serde_json::json;
 use standin::{
     proxy::{Faults, Proxy},
-    users::{cloud::Cloud, events::Events, listen, log::Log},
+    users::{
+        cloud::Cloud,
+        events::Events,
+        listen,
+        log::Log,
+        operator::{self, Config},
+    },
 };
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
@@ -22,6 +27,18 @@
 /// See [`HOST`].
 pub const PREFIX: &str = "/render/";
 
+/// The configuration, in all its versions.
+const CONFIG: Config<'_> = Config {
+    host: HOST,
+    prefix: PREFIX,
+    pool: POOL,
+    reserve: RESERVE,
+};
+
+/// How much higher each version of the configuration is than the one before: versions need not follow on
+/// each other.
+const VERSION_STEP: u64 = 3;
+
 /// All that runs.
 pub struct Site {
     /// The entries.
@@ -76,32 +93,14 @@
 
     /// Writes another version of the configuration; only its version and time-out differ.
     pub fn configure(&mut self) {
-        self.version += 3;
-        let config = json!({
-            "version": self.version,
-            "routes": [{
-                "name": "r-1", "host": HOST, "path-prefix": PREFIX, "type": "unsafe",
-                "timeout-ms": 3_000 + self.version, "target-latency-ms": 600, "priority": 0,
-                "service": POOL, "max-attempts": 50, "stretch": 2.0,
-            }],
-            "services": [
-                { "name": POOL, "admission-check": true, "headroom": false },
-                { "name": RESERVE, "admission-check": true, "headroom": true },
-            ],
-            "limits": {},
-        });
-        self.log
-            .put("keyed.op", "config", config.to_string().as_bytes());
+        self.version += VERSION_STEP;
+        operator::write_config(&self.log, self.version, &CONFIG);
     }
 
     /// Asks for the upkeep of all VMs, one at a time.
     pub fn ask_wave(&mut self) {
         self.waves += 1;
-        let wave = json!({
-            "wave": self.waves, "machines": self.cloud.names(), "duration-s": 20, "upper-bound": 1,
-        });
-        let key = format!("wave/{}", self.waves);
-        self.log.put("keyed.op", &key, wave.to_string().as_bytes());
+        operator::write_wave(&self.log, self.waves, &self.cloud.names());
     }
 
     /// Ends all faults: every process runs, every link is whole.
--- a/crates/standin/src/users/mod.rs
+++ b/crates/standin/src/users/mod.rs
@@ -4,12 +4,16 @@
 pub mod cloud;
 pub mod events;
 pub mod log;
+pub mod operator;
+pub mod settings;
 pub mod worker;
 
+use crate::http::{Answer, Call, serve};
 use std::{net::SocketAddr, sync::Arc};
 use tokio::net::TcpListener;
 
-use crate::http::{Answer, Call, serve};
+/// The header of a call that tells for how many ms its caller waits.
+pub const DEADLINE: &str = "request-deadline-ms";
 
 /// Serves calls at a free port of the loopback interface, and returns the address.
 ///
--- /dev/null
+++ b/crates/standin/src/users/operator.rs
@@ -0,0 +1,60 @@
+//! What the users' operators write into the log: configurations and waves of upkeep.
+
+use super::log::Log;
+use serde_json::json;
+
+/// The topic with what operators ask for.
+const TOPIC: &str = "keyed.op";
+
+/// The time-out of calls in ms, before the version is added to it: as long as the soak's callers wait.
+const TIMEOUT: u64 = 3_000;
+
+/// The latency in ms that the route is meant to have: three times what the soak's jobs are estimated at.
+const LATENCY: u64 = 600;
+
+/// How often a task may be started: far more often than the faults of one soak end it.
+const ATTEMPTS: u64 = 50;
+
+/// How long an upkeep of a VM takes in seconds, as the wave tells: far longer than the stand-in's VMs are
+/// away, so that none counts as overdue.
+const UPKEEP: u64 = 20;
+
+/// What a configuration says: one route for jobs, the pool that runs them, and the reserve.
+#[derive(Clone, Copy, Debug)]
+pub struct Config<'c> {
+    /// The host under which jobs are handed in.
+    pub host: &'c str,
+    /// The path under which jobs are handed in.
+    pub prefix: &'c str,
+    /// The pool whose workers run the jobs.
+    pub pool: &'c str,
+    /// The pool of VMs that are off.
+    pub reserve: &'c str,
+}
+
+/// Writes a version of the configuration. The time-out differs with the version, so that each version
+/// changes something.
+pub fn write_config(log: &Log, version: u64, config: &Config<'_>) {
+    let text = json!({
+        "version": version,
+        "routes": [{
+            "name": "r-1", "host": config.host, "path-prefix": config.prefix, "type": "unsafe",
+            "timeout-ms": TIMEOUT + version, "target-latency-ms": LATENCY, "priority": 0,
+            "service": config.pool, "max-attempts": ATTEMPTS, "stretch": 2.0,
+        }],
+        "services": [
+            { "name": config.pool, "admission-check": true, "headroom": false },
+            { "name": config.reserve, "admission-check": true, "headroom": true },
+        ],
+        "limits": {},
+    });
+    log.put(TOPIC, "config", text.to_string().as_bytes());
+}
+
+/// Asks for the upkeep of these VMs, one at a time.
+pub fn write_wave(log: &Log, wave: u64, vms: &[String]) {
+    let text = json!({
+        "wave": wave, "machines": vms, "duration-s": UPKEEP, "upper-bound": 1,
+    });
+    log.put(TOPIC, &format!("wave/{wave}"), text.to_string().as_bytes());
+}
