refactor(entry): an owner's lease, start and draining of VMs in small steps

Cause: functions of 33 to 39 lines that decided and acted at once: the loop around an owner's lease, the start of an owner, its main loop, and what is drained of the pools; five arguments were passed from call to call for one round of moves. Now a step of the lease is an enum, a round's inputs are one value, and the gate of a takeover has a name. Ruled out: a file of its own for draining; moves.rs has 369 lines.

--- a/crates/havenladder/src/entry/lease.rs
+++ b/crates/havenladder/src/entry/lease.rs
@@ -11,6 +11,7 @@
     owner::{Owner, Predecessor},
 };
 use adapter::store::{Appended, Condition, Offset, Read, frame_plain};
+use bytes::Bytes;
 use fleet::{Claim, Holder, MilliCpu, Tenure, Trouble};
 use std::{
     rc::Rc,
@@ -102,20 +103,7 @@
     match node.store.read(TOPIC, log.end, wait).await {
         Ok(Read::Records(_, records)) if records.is_empty() => Seen::Nothing,
         Ok(Read::Records(_, records)) => {
-            let now = Instant::now();
-            log.end += records.len() as Offset;
-            log.renewed = Some(now);
-            // Whoever writes here lives, whatever its port did behind a cut.
-            node.refused.set(None);
-            node.suspect.set(None);
-            match records
-                .last()
-                .map(|record| rmp_serde::from_slice::<Lease>(record))
-            {
-                Some(Ok(lease)) => note_lease(node, log, lease, now),
-                Some(Err(error)) => warn!(%error, "a record of the lease cannot be read"),
-                None => {}
-            }
+            take_records(node, log, &records);
             Seen::Records
         }
         Ok(Read::Gone(first)) => {
@@ -132,6 +120,24 @@
     }
 }
 
+/// Takes in new records, of which the last one counts.
+fn take_records(node: &Node, log: &mut Log, records: &[Bytes]) {
+    let now = Instant::now();
+    log.end += records.len() as Offset;
+    log.renewed = Some(now);
+    // Whoever writes here lives, whatever its port did behind a cut.
+    node.refused.set(None);
+    node.suspect.set(None);
+    match records
+        .last()
+        .map(|record| rmp_serde::from_slice::<Lease>(record))
+    {
+        Some(Ok(lease)) => note_lease(node, log, lease, now),
+        Some(Err(error)) => warn!(%error, "a record of the lease cannot be read"),
+        None => {}
+    }
+}
+
 /// Takes in who owns the cell, unless something newer is known.
 pub fn set_lease(node: &Node, lease: Lease, end: Offset) {
     if end < node.lease_end.replace(end.max(node.lease_end.get())) {
@@ -284,34 +290,60 @@
         .is_some_and(|lease| lease.life == node.life && !lease.released)
 }
 
+/// What an owner does about its lease next.
+enum Step {
+    /// It renews it.
+    Renew,
+    /// It gives the cell up: why, and the part of a core of the entry that should have it.
+    Release(&'static str, MilliCpu),
+    /// It has met a newer owner.
+    Lost,
+}
+
+/// Chooses what an owner does about its lease now.
+fn next_step(node: &Node, owner: &Owner) -> Step {
+    if !owner.is_alive() {
+        return Step::Lost;
+    }
+    if node.stopping.get() {
+        return Step::Release("the process stops", node.settings.cpu);
+    }
+    match owner.successor.get() {
+        Some(cpu) => Step::Release("a stronger entry asks for the cell", cpu),
+        None => Step::Renew,
+    }
+}
+
+/// Waits until an owner is to look at its lease: a renewal is due, or something has come up before.
+async fn wait_for_turn(node: &Node, owner: &Owner) {
+    let wait = if owner.is_alive() {
+        RENEW
+    } else {
+        Duration::ZERO
+    };
+    tokio::select! {
+        () = time::sleep(wait) => {}
+        () = node.stop.notified() => {}
+        () = owner.lease_due.notified() => {}
+    }
+}
+
 /// Owns the cell until the lease is lost or given up.
 async fn own(node: &Rc<Node>, log: &mut Log) {
     let owner = Owner::start(node, log.end, log.before);
     loop {
-        let wait = if owner.is_alive() {
-            RENEW
-        } else {
-            Duration::ZERO
-        };
-        tokio::select! {
-            () = time::sleep(wait) => {}
-            () = node.stop.notified() => {}
-            () = owner.lease_due.notified() => {}
-        }
-        if node.stopping.get() && owner.is_alive() {
-            owner.end("the process stops");
-            return release(node, log, owner.inherited_for(), node.settings.cpu).await;
-        }
-        if let Some(cpu) = owner.successor.get().filter(|_| owner.is_alive()) {
-            owner.end("a stronger entry asks for the cell");
-            return release(node, log, owner.inherited_for(), cpu).await;
-        }
-        if !owner.is_alive() {
-            info!("the cell was lost to a newer owner");
-            forget(node);
-            return;
+        wait_for_turn(node, &owner).await;
+        match next_step(node, &owner) {
+            Step::Renew => renew(node, log, &owner).await,
+            Step::Release(why, cpu) => {
+                owner.end(why);
+                return release(node, log, owner.inherited_for(), cpu).await;
+            }
+            Step::Lost => {
+                info!("the cell was lost to a newer owner");
+                return forget(node);
+            }
         }
-        renew(node, log, &owner).await;
         if !holds(node) {
             owner.end("another entry has the lease");
             return;
--- a/crates/havenladder/src/entry/moves.rs
+++ b/crates/havenladder/src/entry/moves.rs
@@ -8,7 +8,7 @@
 };
 use adapter::cloud::{Ordered, Vm, VmState};
 use fleet::{IdleVm, LooseVm, PoolDemand, Shift, SizingLimits, resize};
-use jobs::Takeout;
+use jobs::{Demand, Takeout};
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
     rc::Rc,
@@ -48,6 +48,22 @@
     barred: BTreeSet<(String, String)>,
 }
 
+/// What one round of decisions about VMs looks at.
+#[derive(Clone, Copy)]
+struct Round<'r> {
+    owner: &'r Owner,
+    list: &'r VmList,
+    waves: &'r Waves,
+    now: Instant,
+}
+
+impl Round<'_> {
+    /// The worker that a VM has.
+    fn worker(&self, name: &str) -> Option<&str> {
+        self.list.get(name).and_then(|vm| vm.worker.as_deref())
+    }
+}
+
 /// A VM on its way.
 struct Moving {
     /// The pool that it is to be in.
@@ -98,10 +114,16 @@
             return;
         }
         let now = Instant::now();
-        let pools = self.demands(owner, list, waves, now);
+        let round = Round {
+            owner,
+            list,
+            waves,
+            now,
+        };
+        let pools = self.demands(round);
         self.tell(&pools, now);
         let plan = resize(&pools, now, &SizingLimits::default());
-        self.drain(owner, list, waves, &plan.drains, now);
+        self.drain(round, &plan.drains);
         owner.wake();
         let mut wanted = plan.shifts;
         wanted.retain(|shift| !owner.must_spare(&shift.vm) && !self.is_barred(shift));
@@ -150,34 +172,21 @@
     }
 
     /// What each pool needs, and which of its VMs are idle.
-    fn demands(
-        &mut self,
-        owner: &Owner,
-        list: &VmList,
-        waves: &Waves,
-        now: Instant,
-    ) -> Vec<PoolDemand> {
-        let Some(config) = owner.node.config() else {
+    fn demands(&mut self, round: Round<'_>) -> Vec<PoolDemand> {
+        let Some(config) = round.owner.node.config() else {
             return Vec::new();
         };
         let mut pools = Vec::new();
         for service in &config.services {
-            let asked = owner.cell.borrow().demand(&service.name);
-            let busy = self.peak(&service.name, asked.busy, now);
+            let asked = round.owner.cell.borrow().demand(&service.name);
             let mut pool = PoolDemand {
                 pool: service.name.clone(),
                 reserve: service.reserve,
-                busy,
-                running: asked.busy,
-                waiting: asked.waiting,
-                late: asked.late,
-                inflow: asked.inflow,
-                least: asked.spread,
-                unknown: !asked.begun,
-                ..PoolDemand::default()
+                busy: self.peak(&service.name, asked.busy, round.now),
+                ..pool_demand(&asked)
             };
-            for vm in list.values() {
-                self.count(owner, &mut pool, vm, waves, now);
+            for vm in round.list.values() {
+                self.count(round, &mut pool, vm);
             }
             pool.idle.sort_by_key(|vm| vm.since);
             pools.push(pool);
@@ -196,14 +205,7 @@
     }
 
     /// Counts a VM for a pool, if it is there or on its way to it.
-    fn count(
-        &mut self,
-        owner: &Owner,
-        pool: &mut PoolDemand,
-        vm: &Vm,
-        waves: &Waves,
-        now: Instant,
-    ) {
+    fn count(&mut self, round: Round<'_>, pool: &mut PoolDemand, vm: &Vm) {
         if let Some(moving) = self.moving.get(&vm.name) {
             pool.vms += usize::from(moving.to == pool.pool);
             return;
@@ -213,20 +215,20 @@
         }
         pool.vms += 1;
         pool.room = pool.room.max(vm.capacity.cpu);
-        if vm.state != VmState::Up || waves.holds(&vm.name) {
+        if vm.state != VmState::Up || round.waves.holds(&vm.name) {
             return;
         }
         let since = if pool.reserve {
-            Some(now)
+            Some(round.now)
         } else {
-            self.idle_since(owner, vm, now)
+            self.idle_since(round.owner, vm, round.now)
         };
         match since {
             Some(since) => pool.idle.push(IdleVm {
                 vm: vm.name.clone(),
                 since,
             }),
-            None => pool.loose.extend(self.loose(owner, vm, now)),
+            None => pool.loose.extend(self.loose(round.owner, vm, round.now)),
         }
     }
 
@@ -250,36 +252,47 @@
     }
 
     /// Keeps new runs off the VMs that are to be emptied, and lets them come again to the others.
-    fn drain(
-        &mut self,
-        owner: &Owner,
-        list: &VmList,
-        waves: &Waves,
-        wanted: &[String],
-        now: Instant,
-    ) {
+    fn drain(&mut self, round: Round<'_>, wanted: &[String]) {
+        let late = self.leave_late(round.now);
+        let wanted: Vec<&String> = wanted.iter().filter(|name| !late.contains(name)).collect();
+        self.reopen_others(round, &wanted);
+        self.empty(round, &wanted);
+    }
+
+    /// Leaves the VMs alone for a while that took too long to be emptied, and returns them.
+    fn leave_late(&mut self, now: Instant) -> Vec<String> {
         let stuck = |since: &Instant| now >= *since + EMPTYING;
         let late = self.draining.iter().filter(|(_, since)| stuck(since));
         let late: Vec<String> = late.map(|(vm, _)| vm.clone()).collect();
         self.stuck.retain(|_, until| now < *until);
         self.stuck
             .extend(late.iter().map(|vm| (vm.clone(), now + UNSTUCK)));
-        let worker = |name: &str| list.get(name).and_then(|vm| vm.worker.as_deref());
-        let mut cell = owner.cell.borrow_mut();
-        let ends = |name: &String| !wanted.contains(name) || late.contains(name);
-        let ended: Vec<String> = self.draining.keys().filter(|n| ends(n)).cloned().collect();
+        late
+    }
+
+    /// Lets runs come again to the VMs that are not to be emptied any more; those of a wave stay closed.
+    fn reopen_others(&mut self, round: Round<'_>, wanted: &[&String]) {
+        let mut cell = round.owner.cell.borrow_mut();
+        let others = self.draining.keys().filter(|name| !wanted.contains(name));
+        let ended: Vec<String> = others.cloned().collect();
         for name in ended {
             self.draining.remove(&name);
-            if let Some(id) = worker(&name).filter(|_| !waves.holds(&name)) {
+            if let Some(id) = round.worker(&name).filter(|_| !round.waves.holds(&name)) {
                 cell.close_worker(id, false);
             }
         }
-        for name in wanted.iter().filter(|name| !late.contains(name)) {
-            if let Some(id) = worker(name).filter(|_| !self.draining.contains_key(name)) {
+    }
+
+    /// Begins to empty the VMs among these that are not being emptied yet.
+    fn empty(&mut self, round: Round<'_>, wanted: &[&String]) {
+        let mut cell = round.owner.cell.borrow_mut();
+        for &name in wanted {
+            let id = round.worker(name);
+            if let Some(id) = id.filter(|_| !self.draining.contains_key(name)) {
                 cell.close_worker(id, true);
-                let moved = cell.evacuate(id, now);
+                let moved = cell.evacuate(id, round.now);
                 info!(vm = name, worker = id, moved, "VM is emptied");
-                self.draining.insert(name.clone(), now);
+                self.draining.insert(name.clone(), round.now);
             }
         }
     }
@@ -341,3 +354,16 @@
         }
     }
 }
+
+/// What a service's jobs ask for, as sizing takes it.
+fn pool_demand(asked: &Demand) -> PoolDemand {
+    PoolDemand {
+        running: asked.busy,
+        waiting: asked.waiting,
+        late: asked.late,
+        inflow: asked.inflow,
+        least: asked.spread,
+        unknown: !asked.begun,
+        ..PoolDemand::default()
+    }
+}
--- a/crates/havenladder/src/entry/owner/mod.rs
+++ b/crates/havenladder/src/entry/owner/mod.rs
@@ -14,7 +14,7 @@
     watch,
 };
 use ::fleet::{MilliCpu, RateLimit, Stall, TROUBLE, Trouble};
-use adapter::workers::ClockMs;
+use adapter::{settings::Settings, workers::ClockMs};
 use append::{SLOW, append};
 use jobs::{Batch, Cell as JobCell, Limits, WorkerId};
 use load::load;
@@ -54,6 +54,9 @@
 /// Time between two lines about lasting tasks that wait for room.
 const COMPLAINT: Duration = Duration::from_millis(2_000);
 
+/// How long a takeover may take before the store counts as troubled: it takes 50 ms as a rule.
+const LOADED: Duration = Duration::from_millis(300);
+
 /// How long a lease of this length may hold at the most, after it was given.
 pub fn longest(lease: Duration) -> Duration {
     lease.mul_f64(SLOWNESS) + DRIFT
@@ -81,9 +84,6 @@
     pub trouble: Trouble,
 }
 
-/// How long a takeover may take before the store counts as troubled: it takes 50 ms as a rule.
-const LOADED: Duration = Duration::from_millis(300);
-
 /// The owner of the cell.
 pub struct Owner {
     /// Shared state of the entry.
@@ -132,20 +132,25 @@
 impl Owner {
     /// Begins to own the cell.
     pub fn start(node: &Rc<Node>, epoch: u64, before: Predecessor) -> Rc<Self> {
+        let owner = Rc::new(Owner::new(node, epoch, before));
+        node.metrics.owned("gained");
+        info!(epoch, ?before, "owns the cell");
+        *node.owner.borrow_mut() = Some(Rc::clone(&owner));
+        task::spawn_local(run(Rc::clone(&owner)));
+        owner
+    }
+
+    /// An owner that knows nothing yet but its predecessor.
+    fn new(node: &Rc<Node>, epoch: u64, before: Predecessor) -> Self {
         let now = Instant::now();
         let extended = match before.renewed {
             Some(at) => at + GRACE,
             None => now,
         };
-        let limits = Limits {
-            stop: node.settings.stop,
-            far: node.settings.far,
-            ..Limits::default()
-        };
-        let owner = Rc::new(Owner {
+        Owner {
             node: Rc::clone(node),
             epoch,
-            cell: RefCell::new(JobCell::new(limits)),
+            cell: RefCell::new(JobCell::new(limits(&node.settings))),
             contacts: RefCell::default(),
             renewed: Cell::new(now),
             inherited: (extended + longest(LEASE)).max(now + before.waits),
@@ -163,12 +168,7 @@
             unrecorded: Cell::new(None),
             wake: Notify::new(),
             settled: Notify::new(),
-        });
-        node.metrics.owned("gained");
-        info!(epoch, ?before, "owns the cell");
-        *node.owner.borrow_mut() = Some(Rc::clone(&owner));
-        task::spawn_local(run(Rc::clone(&owner)));
-        owner
+        }
     }
 
     /// Whether it may still decide.
@@ -247,43 +247,63 @@
     }
 }
 
-/// Takes the cell over, then decides, records and acts in turn until the owner ends.
+/// The limits of a cell's decisions that the platform tells, with the others as they are.
+fn limits(settings: &Settings) -> Limits {
+    Limits {
+        stop: settings.stop,
+        far: settings.far,
+        ..Limits::default()
+    }
+}
+
+/// Takes the cell over, then works until the owner ends.
 async fn run(owner: Rc<Owner>) {
     let began = Instant::now();
     if !load(&owner).await {
         return;
     }
+    close_gate(&owner, began.elapsed());
+    owner.loaded.set(true);
+    owner.settled.notify_waiters();
+    task::spawn_local(watch::run(Rc::clone(&owner)));
+    task::spawn_local(fleet::run(Rc::clone(&owner)));
+    task::spawn_local(duties::watch_holders(Rc::clone(&owner)));
+    task::spawn_local(complain(Rc::clone(&owner)));
+    work(&owner).await;
+    owner.end("the loop ends");
+}
+
+/// Holds back what waited until all workers are met, if the earlier owner may have started some of it
+/// without a record: a takeover that took long counts as trouble of the store as well.
+fn close_gate(owner: &Owner, took: Duration) {
     let trouble = owner.trouble;
-    if trouble != Trouble::None || began.elapsed() >= LOADED {
+    if trouble != Trouble::None || took >= LOADED {
         let troubled = trouble != Trouble::Unknown;
         owner
             .cell
             .borrow_mut()
             .close_gate(owner.inherited, troubled);
     }
-    owner.loaded.set(true);
-    owner.settled.notify_waiters();
-    task::spawn_local(watch::run(Rc::clone(&owner)));
-    task::spawn_local(fleet::run(Rc::clone(&owner)));
-    task::spawn_local(duties::watch_holders(Rc::clone(&owner)));
-    task::spawn_local(complain(Rc::clone(&owner)));
+}
+
+/// Decides, records and acts in turn until the owner ends.
+async fn work(owner: &Rc<Owner>) {
     let mut sequence = 1;
     while owner.is_alive() {
         let _ = time::timeout(TICK, owner.wake.notified()).await;
-        let mut batch = decide(&owner);
+        let mut batch = decide(owner);
         owner.send_urgent();
         if !batch.entries.is_empty() {
-            if !append(&owner, &batch.entries, sequence, &mut batch.starts).await {
+            if !append(owner, &batch.entries, sequence, &mut batch.starts).await {
                 break;
             }
             sequence += 1;
         }
         if !batch.is_empty() {
-            carry_out(&owner, batch);
+            carry_out(owner, batch);
         }
         time::sleep(GAP).await;
     }
-    owner.end("the loop ends");
 }
 
 /// Tells for a lasting task that waits what keeps it from the workers.
