refactor(jobs): placing one task, a gang and a misfit are functions of their own

Now each task of a pass ends in one of four outcomes, and near.rs alone knows when a worker is far. Looked at: the order of the checks, so that no decision changes; MOST_LATER is left without a source for its figure, as none is known.

--- a/crates/jobs/src/evacuate.rs
+++ b/crates/jobs/src/evacuate.rs
@@ -85,13 +85,9 @@
         let job = self.jobs.get(&task.job)?;
         let step = job.find_step(task)?;
         let fits = |host: &&Worker| {
+            let id = host.info.id.as_str();
             let mut used = host.used;
-            used.add(
-                taken
-                    .get(host.info.id.as_str())
-                    .copied()
-                    .unwrap_or_default(),
-            );
+            used.add(taken.get(id).copied().unwrap_or_default());
             host.info.id != from.info.id
                 && host.info.service == from.info.service
                 && host.is_open(now)
@@ -100,8 +96,8 @@
                 && may_join(step, host.siblings(task))
         };
         // One that is empty might be moved itself.
-        let candidates = self.workers.values().filter(|host| !host.runs.is_empty());
-        candidates.into_iter().find(fits)
+        let mut candidates = self.workers.values().filter(|host| !host.runs.is_empty());
+        candidates.find(fits)
     }
 
     /// How long one run will still take: by its progress, or by what runs of its queue have taken against
--- a/crates/jobs/src/near.rs
+++ b/crates/jobs/src/near.rs
@@ -35,9 +35,10 @@
 }
 
 impl Cell {
-    /// Whether a task that has room only far from its data waits for room near it.
-    pub(crate) fn waits_for_near(&mut self, task: TaskId, now: Instant) -> bool {
-        let Some((rack, work, cost)) = self.far_cost(task) else {
+    /// Whether a task waits for room near its data rather than run on this worker, the best one that has
+    /// room now.
+    pub(crate) fn waits_for_near(&mut self, task: TaskId, worker: &str, now: Instant) -> bool {
+        let Some((rack, work, cost)) = self.far_cost(task, worker) else {
             return false;
         };
         let Some(wait) = self.near_wait(task, &rack, now) else {
@@ -51,11 +52,14 @@
         true
     }
 
-    /// The rack of a task's data, the task's work in thousandths of a core times ms, and by how many ms
-    /// it takes longer elsewhere.
-    fn far_cost(&self, task: TaskId) -> Option<(RackId, f64, f64)> {
+    /// If a worker is far from a task's data: the rack of the data, the task's work in thousandths of a
+    /// core times ms, and by how many ms it takes longer elsewhere.
+    fn far_cost(&self, task: TaskId, worker: &str) -> Option<(RackId, f64, f64)> {
         let job = self.jobs.get(&task.job)?;
         let step = job.find_step(task)?;
+        if self.far_factor(worker, step) <= 1.0 {
+            return None;
+        }
         let rack = step.near.clone()?;
         let expected = step.estimate as f64 * self.pace_of(&job.given.queue);
         let work = expected * step.need.cpu as f64;
--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -44,6 +44,8 @@
     Later,
     /// There is no room.
     NoRoom,
+    /// Its turn has not come: it may run somewhere, or must not start yet.
+    Held,
 }
 
 /// Whether what is decided now can be recorded.
@@ -117,36 +119,42 @@
             if misfits >= MISFITS {
                 break;
             }
-            let task = rank.task();
-            let lost = log == Log::Away && self.lost.contains(&task);
-            if lost || self.is_gated(rank.order(), service, now) || self.has_run(task) {
-                continue;
-            }
-            let placing = if self.is_stale(task) {
-                Placing::Done
-            } else {
-                self.place(task, now)
-            };
-            match placing {
+            match self.try_rank(service, &rank, now, log) {
+                Placing::Held => {}
                 Placing::Done => {
-                    self.near.forget(task);
+                    self.near.forget(rank.task());
                     self.drop_rank(service, &rank);
-                    continue;
                 }
-                Placing::Later if later < MOST_LATER => {
-                    later += 1;
-                    continue;
+                Placing::Later if later < MOST_LATER => later += 1,
+                Placing::Later | Placing::NoRoom => {
+                    misfits += 1;
+                    self.note_misfit(&rank, now);
                 }
-                Placing::Later | Placing::NoRoom => {}
-            }
-            misfits += 1;
-            self.ask_permits(task, now);
-            if rank.is_lasting() {
-                self.reserve(task, now);
             }
         }
     }
 
+    /// Places a waiting task if its turn has come.
+    fn try_rank(&mut self, service: &str, rank: &Rank, now: Instant, log: Log) -> Placing {
+        let task = rank.task();
+        let lost = log == Log::Away && self.lost.contains(&task);
+        if lost || self.is_gated(rank.order(), service, now) || self.has_run(task) {
+            Placing::Held
+        } else if self.is_stale(task) {
+            Placing::Done
+        } else {
+            self.place(task, now)
+        }
+    }
+
+    /// Does what brings a task that finds no room nearer to some.
+    fn note_misfit(&mut self, rank: &Rank, now: Instant) {
+        self.ask_permits(rank.task(), now);
+        if rank.is_lasting() {
+            self.reserve(rank.task(), now);
+        }
+    }
+
     /// Puts the tasks that cannot be in time any more behind those that can.
     fn demote_late(&mut self, service: &str) {
         let late =
@@ -235,29 +243,39 @@
 
     /// Places a task, or the whole gang that it stands for.
     fn place(&mut self, task: TaskId, now: Instant) -> Placing {
+        match self.jobs.get(&task.job) {
+            None => Placing::Done,
+            Some(job) if job.step(task.step).gang => self.place_gang(task, now),
+            Some(_) => self.place_one(task, now),
+        }
+    }
+
+    /// Places a task that is none of a gang.
+    fn place_one(&mut self, task: TaskId, now: Instant) -> Placing {
+        let Some(worker) = self.best_worker(task, now) else {
+            return Placing::NoRoom;
+        };
+        if self.waits_for_near(task, &worker, now) {
+            return Placing::Later;
+        }
         let Some(job) = self.jobs.get(&task.job) else {
             return Placing::Done;
         };
-        if !job.step(task.step).gang {
-            let Some(worker) = self.best_worker(task, now) else {
-                return Placing::NoRoom;
-            };
-            let step = job.step(task.step);
-            if self.far_factor(&worker, step) > 1.0 && self.waits_for_near(task, now) {
-                return Placing::Later;
-            }
-            let Some(job) = self.jobs.get(&task.job) else {
-                return Placing::Done;
-            };
-            let run = job
-                .task(task.round, task.step, task.index)
-                .map_or(1, Task::next_run);
-            self.order(worker, task, run, now);
-            return Placing::Done;
-        }
+        let run = job
+            .task(task.round, task.step, task.index)
+            .map_or(1, Task::next_run);
+        self.order(worker, task, run, now);
+        Placing::Done
+    }
+
+    /// Places all tasks of a gang at once; one of them stands for all in the queue.
+    fn place_gang(&mut self, task: TaskId, now: Instant) -> Placing {
         let Some(places) = self.gang_places(task, now) else {
             return Placing::NoRoom;
         };
+        let Some(job) = self.jobs.get(&task.job) else {
+            return Placing::Done;
+        };
         let tasks = &job.rounds[task.round as usize].steps[task.step as usize];
         let run = tasks.iter().map(Task::next_run).max().unwrap_or(1);
         for (index, worker) in (0..).zip(places) {
