refactor(soak): stand-ins and the soak in smaller functions; figures have names

Cause: the users' worker checked its fence in three places and closed runs in two, the soak served the log and the VMs by two equal functions, and some figures of the faults stood as plain numbers. Looked at: the order in which a seed draws what goes wrong, which is as before; the answers' types have one import instead of a full path each; VMs are called so in the code, the users' words stay in the calls. Conclusion: kept; the program soak was compiled, not run by hand.

--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -19,6 +19,16 @@
 /// some after the 6 s for which an owner goes on without the log.
 const LASTS: (u64, u64) = (100, 8_000);
 
+/// Time between two looks at faults that are to begin or end: short against [`PAUSE`].
+const LOOK: Duration = Duration::from_millis(20);
+
+/// How much longer a slow call to the log takes: as long as a slow answer of the users' log, and longer than
+/// the 150 ms after which an owner goes on without.
+const SLOW: Duration = Duration::from_millis(240);
+
+/// How many of the log's answers are lost in a row: a call that is tried again loses its answer as well.
+const LOST: u64 = 5;
+
 /// A kind of fault.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Kind {
@@ -92,7 +102,7 @@
     let mut told = Vec::new();
     let mut next = began;
     while began.elapsed() < span {
-        time::sleep(Duration::from_millis(20)).await;
+        time::sleep(LOOK).await;
         for fault in open.extract_if(.., |fault| fault.ends <= Instant::now()) {
             end(site, &fault)?;
         }
@@ -100,27 +110,35 @@
             continue;
         }
         next = Instant::now() + Duration::from_millis(rng.random_range(PAUSE.0..PAUSE.1));
-        let kind = KINDS[rng.random_range(0..KINDS.len())];
-        let entry = rng.random_range(0..site.entries.len());
-        let names = site.cloud.names();
-        let vm = &names[rng.random_range(0..names.len())];
-        let lasts = Duration::from_millis(rng.random_range(LASTS.0..LASTS.1));
+        let (fault, vm, lasts) = pick(site, rng);
         told.push(format!(
-            "{:.2} s: {kind:?} entry-{entry} {vm} for {lasts:?}",
-            began.elapsed().as_secs_f64()
+            "{:.2} s: {:?} entry-{} {vm} for {lasts:?}",
+            began.elapsed().as_secs_f64(),
+            fault.kind,
+            fault.entry,
         ));
-        let fault = Open {
-            ends: Instant::now() + lasts,
-            kind,
-            entry,
-            worker: site.cloud.link(vm).unwrap_or_default(),
-        };
-        begin(site, &fault, vm);
+        begin(site, &fault, &vm);
         open.push(fault);
     }
     Ok(told)
 }
 
+/// Draws a fault: what, at which entry and VM, and for how long.
+fn pick(site: &Site, rng: &mut StdRng) -> (Open, String, Duration) {
+    let kind = KINDS[rng.random_range(0..KINDS.len())];
+    let entry = rng.random_range(0..site.entries.len());
+    let mut names = site.cloud.names();
+    let vm = names.swap_remove(rng.random_range(0..names.len()));
+    let lasts = Duration::from_millis(rng.random_range(LASTS.0..LASTS.1));
+    let fault = Open {
+        ends: Instant::now() + lasts,
+        kind,
+        entry,
+        worker: site.cloud.link(&vm).unwrap_or_default(),
+    };
+    (fault, vm, lasts)
+}
+
 fn begin(site: &mut Site, fault: &Open, vm: &str) {
     let entry = fault.entry;
     let link = &site.links[entry];
@@ -132,8 +150,8 @@
         Kind::Cut => link.cut(true),
         Kind::MuteRequests => link.mute(true, false),
         Kind::MuteAnswers => link.mute(false, true),
-        Kind::Slow => link.delay(Duration::from_millis(240)),
-        Kind::Lose => link.lose_answers(5),
+        Kind::Slow => link.delay(SLOW),
+        Kind::Lose => link.lose_answers(LOST),
         Kind::Outage => site.links.iter().for_each(|link| link.cut(true)),
         Kind::Dark => fault.worker.cut(true),
         Kind::Late => fault.worker.mute(true, false),
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -1,8 +1,8 @@
 //! Runs the soak by hand: `soak --program target/release/havenladder --seeds 50`.
 
 use clap::Parser;
-use havenladder_soak::{Plan, run};
-use std::{io, path::PathBuf, process::ExitCode, time::Duration};
+use havenladder_soak::{Plan, Report, run};
+use std::{fs, io, path::PathBuf, process::ExitCode, time::Duration};
 
 #[derive(Parser)]
 #[command(about = "Runs entries under random faults and checks what callers and workers see")]
@@ -37,33 +37,14 @@
         .build()?;
     let mut red = 0;
     for seed in args.first..args.first + args.seeds {
-        let plan = Plan {
-            program: args.program.clone(),
-            seed,
-            span: Duration::from_secs(args.seconds),
-            entries: args.entries,
-            vms: args.vms,
-            logs: args.logs.join(seed.to_string()),
-        };
+        let plan = plan(&args, seed);
         let report = runtime.block_on(run(&plan))?;
-        println!(
-            "seed {seed}: {} jobs, {} accepted, {} succeeded, {} faults, {} promises broken",
-            report.jobs,
-            report.accepted,
-            report.succeeded,
-            report.faults.len(),
-            report.breaches.len()
-        );
+        print(seed, &report);
         if report.breaches.is_empty() {
-            std::fs::remove_dir_all(&plan.logs)?;
-            continue;
+            fs::remove_dir_all(&plan.logs)?;
+        } else {
+            red += 1;
         }
-        red += 1;
-        report
-            .breaches
-            .iter()
-            .for_each(|breach| println!("  {breach}"));
-        report.faults.iter().for_each(|fault| println!("  {fault}"));
     }
     Ok(if red == 0 {
         ExitCode::SUCCESS
@@ -71,3 +52,36 @@
         ExitCode::FAILURE
     })
 }
+
+/// What the run with a seed does.
+fn plan(args: &Args, seed: u64) -> Plan {
+    Plan {
+        program: args.program.clone(),
+        seed,
+        span: Duration::from_secs(args.seconds),
+        entries: args.entries,
+        vms: args.vms,
+        logs: args.logs.join(seed.to_string()),
+    }
+}
+
+/// Prints what a run showed, and its faults if it broke a promise.
+fn print(seed: u64, report: &Report) {
+    println!(
+        "seed {seed}: {} jobs, {} accepted, {} succeeded, {} faults, {} promises broken",
+        report.jobs,
+        report.accepted,
+        report.succeeded,
+        report.faults.len(),
+        report.breaches.len()
+    );
+    if report.breaches.is_empty() {
+        return;
+    }
+    for breach in &report.breaches {
+        println!("  {breach}");
+    }
+    for fault in &report.faults {
+        println!("  {fault}");
+    }
+}
--- a/crates/soak/src/promises.rs
+++ b/crates/soak/src/promises.rs
@@ -126,6 +126,22 @@
     if job.refused && job.accepted.is_none() && own().any(|event| started(&event)) {
         breaches.push(breach(Promise::RefusedIsTrue, &name));
     }
+    check_kept(&name, job, breaches);
+    if let Some(told) = job.cancelled {
+        let late = |event: &&Event| started(event) && event.at > told + CANCEL;
+        breaches.extend(
+            own()
+                .find(late)
+                .map(|e| breach(Promise::CancelHolds, &e.task)),
+        );
+    }
+    if let Some(shown) = job.succeeded {
+        check_done(&name, shown, own(), breaches);
+    }
+}
+
+/// A job that was accepted must be known until its end, which must not be a failure.
+fn check_kept(name: &str, job: &Job, breaches: &mut Vec<Breach>) {
     if job.denied.is_some() && job.cancelling.is_none() {
         breaches.push(breach(Promise::Kept, format!("{name} is denied")));
     }
@@ -138,17 +154,6 @@
             format!("{name} failed without a cause"),
         ));
     }
-    if let Some(told) = job.cancelled {
-        let late = |event: &&Event| started(event) && event.at > told + CANCEL;
-        breaches.extend(
-            own()
-                .find(late)
-                .map(|e| breach(Promise::CancelHolds, &e.task)),
-        );
-    }
-    if let Some(shown) = job.succeeded {
-        check_done(&name, shown, own(), breaches);
-    }
 }
 
 /// All tasks that ever started of a job must have ended well before it was shown as done.
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -14,7 +14,7 @@
         operator::{self, Config},
     },
 };
-use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{io, sync::Arc, time::Duration};
 
 /// The pool whose workers run the jobs.
 const POOL: &str = "renders";
@@ -69,8 +69,12 @@
         for number in 0..plan.vms {
             cloud.add(&format!("vm-{number}"), POOL).await?;
         }
-        let log_at = serve_log(&log).await?;
-        let cloud_at = serve_cloud(&cloud).await?;
+        let log_at = listen(&log, |log, call| async move { log.handle(call).await }).await?;
+        let cloud_at = listen(
+            &cloud,
+            |cloud, call| async move { cloud.handle(call).await },
+        )
+        .await?;
         let mut site = Site {
             entries: Vec::new(),
             links: Vec::new(),
@@ -124,21 +128,3 @@
         self.entries.iter_mut().try_for_each(Entry::revive)
     }
 }
-
-async fn serve_log(log: &Log) -> io::Result<SocketAddr> {
-    let log = log.clone();
-    listen(move |call| {
-        let log = log.clone();
-        async move { log.handle(call).await }
-    })
-    .await
-}
-
-async fn serve_cloud(cloud: &Cloud) -> io::Result<SocketAddr> {
-    let cloud = cloud.clone();
-    listen(move |call| {
-        let cloud = cloud.clone();
-        async move { cloud.handle(call).await }
-    })
-    .await
-}
--- a/crates/standin/src/users/cloud.rs
+++ b/crates/standin/src/users/cloud.rs
@@ -19,11 +19,16 @@
 /// The topic with the workers' entries.
 const WORKERS: &str = "keyed.servers";
 
-struct Machine {
+/// A VM.
+struct Vm {
     pool: String,
+    /// Its state, in the words of the list.
     state: &'static str,
+    /// The highest fence that an order about it had.
     fence: u64,
+    /// The waves in which it has had its upkeep.
     waves: Vec<u64>,
+    /// The life of its worker, while it is up.
     worker: Option<Arc<Worker>>,
     /// The faults of the way to its worker.
     link: Arc<Faults>,
@@ -34,7 +39,8 @@
 pub struct Cloud {
     log: Log,
     events: Events,
-    machines: Arc<Mutex<BTreeMap<String, Machine>>>,
+    vms: Arc<Mutex<BTreeMap<String, Vm>>>,
+    /// How many lives of workers there have been.
     lives: Arc<Mutex<u64>>,
 }
 
@@ -44,7 +50,7 @@
         Cloud {
             log,
             events,
-            machines: Arc::default(),
+            vms: Arc::default(),
             lives: Arc::default(),
         }
     }
@@ -55,7 +61,7 @@
     ///
     /// Fails when no port is free.
     pub async fn add(&self, name: &str, pool: &str) -> std::io::Result<()> {
-        let machine = Machine {
+        let vm = Vm {
             pool: pool.to_owned(),
             state: "down",
             fence: 0,
@@ -63,13 +69,13 @@
             worker: None,
             link: Arc::default(),
         };
-        self.machines().insert(name.to_owned(), machine);
+        self.vms().insert(name.to_owned(), vm);
         self.boot(name).await
     }
 
     /// The names of all VMs.
     pub fn names(&self) -> Vec<String> {
-        self.machines().keys().cloned().collect()
+        self.vms().keys().cloned().collect()
     }
 
     /// Crashes a VM's worker without notice; another life of it comes a little later.
@@ -79,7 +85,7 @@
 
     /// The faults of the way to the worker that a VM has now.
     pub fn link(&self, name: &str) -> Option<Arc<Faults>> {
-        self.machines().get(name).map(|m| Arc::clone(&m.link))
+        self.vms().get(name).map(|vm| Arc::clone(&vm.link))
     }
 
     /// Answers a call.
@@ -111,35 +117,35 @@
         })
     }
 
-    fn machines(&self) -> MutexGuard<'_, BTreeMap<String, Machine>> {
-        self.machines.lock().expect("no thread panics here")
+    fn vms(&self) -> MutexGuard<'_, BTreeMap<String, Vm>> {
+        self.vms.lock().expect("no thread panics here")
     }
 
     fn list(&self) -> Value {
-        let machines = self.machines();
-        let row = |(name, machine): (&String, &Machine)| {
+        let vms = self.vms();
+        let row = |(name, vm): (&String, &Vm)| {
             value!({
                 "machine": name,
-                "pool": machine.pool,
-                "state": machine.state,
+                "pool": vm.pool,
+                "state": vm.state,
                 "zone": "a",
                 "labels": ["k", "r1"],
                 "capacity": capacity(),
-                "id": machine.worker.as_ref().map(|worker| worker.id.clone()),
+                "id": vm.worker.as_ref().map(|worker| worker.id.clone()),
             })
         };
-        let rows: Vec<Value> = machines.iter().map(row).collect();
+        let rows: Vec<Value> = vms.iter().map(row).collect();
         value!({ "machines": rows, "next-page-token": null })
     }
 
     fn move_to(&self, name: &str, pool: &str, fence: u64) -> Result<(), &'static str> {
         self.admit(name, fence)?;
-        if self.machines().get(name).is_some_and(|m| m.pool == pool) {
+        if self.vms().get(name).is_some_and(|vm| vm.pool == pool) {
             return Ok(());
         }
         self.check_up(name)?;
-        if let Some(machine) = self.machines().get_mut(name) {
-            machine.pool = pool.to_owned();
+        if let Some(vm) = self.vms().get_mut(name) {
+            vm.pool = pool.to_owned();
         }
         self.take_down(name, "moving");
         Ok(())
@@ -148,15 +154,15 @@
     fn upkeep(&self, name: &str, wave: u64, fence: u64) -> Result<(), &'static str> {
         self.admit(name, fence)?;
         if self
-            .machines()
+            .vms()
             .get(name)
-            .is_some_and(|m| m.waves.contains(&wave))
+            .is_some_and(|vm| vm.waves.contains(&wave))
         {
             return Ok(());
         }
         self.check_up(name)?;
-        if let Some(machine) = self.machines().get_mut(name) {
-            machine.waves.push(wave);
+        if let Some(vm) = self.vms().get_mut(name) {
+            vm.waves.push(wave);
         }
         self.take_down(name, "upkeep");
         Ok(())
@@ -164,25 +170,25 @@
 
     /// Refuses a lower fence than one seen for the VM.
     fn admit(&self, name: &str, fence: u64) -> Result<(), &'static str> {
-        let mut machines = self.machines();
-        let machine = machines.get_mut(name).ok_or("busy")?;
-        if fence < machine.fence {
+        let mut vms = self.vms();
+        let vm = vms.get_mut(name).ok_or("busy")?;
+        if fence < vm.fence {
             return Err("fence");
         }
-        machine.fence = fence;
+        vm.fence = fence;
         Ok(())
     }
 
     fn check_up(&self, name: &str) -> Result<(), &'static str> {
-        let up = self.machines().get(name).is_some_and(|m| m.state == "up");
+        let up = self.vms().get(name).is_some_and(|vm| vm.state == "up");
         up.then_some(()).ok_or("busy")
     }
 
     /// Ends the worker of a VM and starts another life of it later.
     fn take_down(&self, name: &str, state: &'static str) {
-        let worker = self.machines().get_mut(name).and_then(|machine| {
-            machine.state = state;
-            machine.worker.take()
+        let worker = self.vms().get_mut(name).and_then(|vm| {
+            vm.state = state;
+            vm.worker.take()
         });
         let Some(worker) = worker else { return };
         worker.kill();
@@ -209,11 +215,11 @@
         let proxy = Proxy::start(address).await?;
         let id = worker.id.clone();
         let mut pool = String::new();
-        if let Some(machine) = self.machines().get_mut(name) {
-            machine.state = "up";
-            machine.worker = Some(worker);
-            machine.link = Arc::clone(&proxy.faults);
-            pool.clone_from(&machine.pool);
+        if let Some(vm) = self.vms().get_mut(name) {
+            vm.state = "up";
+            vm.worker = Some(worker);
+            vm.link = Arc::clone(&proxy.faults);
+            pool.clone_from(&vm.pool);
         }
         let entry = value!({
             "service": pool, "address": proxy.addr.to_string(), "zone": "a", "version": "v1",
--- a/crates/standin/src/users/log.rs
+++ b/crates/standin/src/users/log.rs
@@ -3,6 +3,8 @@
 
 use crate::http::{Answer, Call, answer, json};
 use bytes::{Buf, BufMut, Bytes, BytesMut};
+use http_body_util::Full;
+use hyper::Response;
 use serde_json::{Value, json as value};
 use std::{
     collections::{BTreeMap, HashMap},
@@ -17,6 +19,9 @@
 /// Answers to the last calls of a producer that are given again.
 const ANSWERS: usize = 5;
 
+/// The bytes before the first record of a read's answer: the end, and a number that the stand-in leaves at 0.
+const READ_HEAD: usize = 16;
+
 /// What a producer has appended of late.
 #[derive(Debug, Default)]
 struct Producer {
@@ -72,21 +77,21 @@
         work(topics.entry(topic.to_owned()).or_default())
     }
 
-    fn append(&self, name: &str, call: &Call) -> hyper::Response<http_body_util::Full<Bytes>> {
+    fn append(&self, name: &str, call: &Call) -> Response<Full<Bytes>> {
         let outcome = self.with(name, |topic| topic.append(name, call));
         self.changed.notify_waiters();
         let (status, body) = outcome;
         answer(status, "application/json", body.to_string())
     }
 
-    async fn read(&self, name: &str, call: &Call) -> hyper::Response<http_body_util::Full<Bytes>> {
+    async fn read(&self, name: &str, call: &Call) -> Response<Full<Bytes>> {
         let from = call.number("from").unwrap_or(0) as usize;
         let wait = Duration::from_millis(call.number("wait-ms").unwrap_or(0));
         let until = time::Instant::now() + wait;
         loop {
             let changed = self.changed.notified();
             let body = self.with(name, |topic| topic.slice(from));
-            if body.len() > 16 || time::Instant::now() >= until {
+            if body.len() > READ_HEAD || time::Instant::now() >= until {
                 return answer(200, "application/octet-stream", body);
             }
             // The end of the wait is an answer without records.
@@ -94,7 +99,7 @@
         }
     }
 
-    fn newest(&self, name: &str) -> hyper::Response<http_body_util::Full<Bytes>> {
+    fn newest(&self, name: &str) -> Response<Full<Bytes>> {
         let page = self.with(name, |topic| {
             let item = |(key, (offset, bytes)): (&String, &(u64, Bytes))| {
                 value!({ "key": key, "value": base64(bytes), "offset": offset })
--- a/crates/standin/src/users/mod.rs
+++ b/crates/standin/src/users/mod.rs
@@ -9,29 +9,31 @@
 pub mod worker;
 
 use crate::http::{Answer, Call, serve};
-use std::{net::SocketAddr, sync::Arc};
+use std::{io, net::SocketAddr, sync::Arc};
 use tokio::net::TcpListener;
 
 /// The header of a call that tells for how many ms its caller waits.
 pub const DEADLINE: &str = "request-deadline-ms";
 
-/// Serves calls at a free port of the loopback interface, and returns the address.
+/// Serves calls at a free port of the loopback interface, each with a clone of what is shared, and returns
+/// the address.
 ///
 /// # Errors
 ///
 /// Fails when no port is free.
-pub async fn listen<H, A>(handle: H) -> std::io::Result<SocketAddr>
+pub async fn listen<T, H, A>(shared: &T, handle: H) -> io::Result<SocketAddr>
 where
-    H: Fn(Call) -> A + Send + Sync + 'static,
+    T: Clone + Send + Sync + 'static,
+    H: Fn(T, Call) -> A + Send + Sync + 'static,
     A: Future<Output = Answer> + Send + 'static,
 {
     let listener = TcpListener::bind("127.0.0.1:0").await?;
     let addr = listener.local_addr()?;
-    let handle = Arc::new(handle);
+    let (shared, handle) = (shared.clone(), Arc::new(handle));
     tokio::spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
-            let handle = Arc::clone(&handle);
-            tokio::spawn(serve(stream, move |call| handle(call)));
+            let (shared, handle) = (shared.clone(), Arc::clone(&handle));
+            tokio::spawn(serve(stream, move |call| handle(shared.clone(), call)));
         }
     });
     Ok(addr)
--- a/crates/standin/src/users/worker.rs
+++ b/crates/standin/src/users/worker.rs
@@ -5,6 +5,9 @@
     listen,
 };
 use crate::http::{Answer, Call, answer};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Response;
 use serde::Deserialize;
 use serde_json::{Value, json};
 use std::{
@@ -30,6 +33,9 @@
 /// The run time of a task whose text does not give one.
 const RUN: Duration = Duration::from_millis(200);
 
+/// The longest that a call waits for ends, however long it asks for.
+const MOST_WAIT: Duration = Duration::from_millis(2_000);
+
 /// The body of any call.
 #[derive(Default, Deserialize)]
 #[serde(rename_all = "kebab-case", default)]
@@ -66,6 +72,31 @@
     closed: HashMap<String, u64>,
 }
 
+impl State {
+    /// Takes note of a call's fence; false if a higher one was seen before.
+    fn admit(&mut self, fence: u64) -> bool {
+        let admitted = fence >= self.fence;
+        self.fence = self.fence.max(fence);
+        admitted
+    }
+
+    /// Whether this run of the task goes on here.
+    fn has_run(&self, task: &str, run: u64) -> bool {
+        self.runs.get(task).is_some_and(|known| known.number == run)
+    }
+
+    /// Whether the task has this run or a higher one behind it.
+    fn has_closed(&self, task: &str, run: u64) -> bool {
+        self.closed.get(task).is_some_and(|top| run <= *top)
+    }
+
+    /// Notes that the task's runs up to this one must not start again.
+    fn close(&mut self, task: &str, run: u64) {
+        let top = self.closed.entry(task.to_owned()).or_insert(0);
+        *top = (*top).max(run);
+    }
+}
+
 /// One life of a worker.
 pub struct Worker {
     /// This life.
@@ -95,12 +126,7 @@
             changed: Notify::new(),
             events,
         });
-        let served = Arc::clone(&worker);
-        let address = listen(move |call| {
-            let worker = Arc::clone(&served);
-            async move { worker.handle(call).await }
-        })
-        .await?;
+        let address = listen(&worker, Worker::handle).await?;
         *worker.address.lock().expect("no thread panics here") = Some(address);
         tokio::spawn(tick(Arc::clone(&worker)));
         Ok(worker)
@@ -149,11 +175,7 @@
         }
     }
 
-    fn reply(
-        &self,
-        status: u16,
-        reason: &str,
-    ) -> hyper::Response<http_body_util::Full<bytes::Bytes>> {
+    fn reply(&self, status: u16, reason: &str) -> Response<Full<Bytes>> {
         let mut body = json!({ "clock-ms": self.clock() });
         if !reason.is_empty() {
             body["reason"] = reason.into();
@@ -161,29 +183,20 @@
         answer(status, "application/json", body.to_string())
     }
 
-    fn start_run(&self, body: &Body) -> hyper::Response<http_body_util::Full<bytes::Bytes>> {
+    fn start_run(&self, body: &Body) -> Response<Full<Bytes>> {
         let mut state = self.state();
-        if body.fencing_token < state.fence {
+        if !state.admit(body.fencing_token) {
             return self.reply(409, "fence");
         }
-        state.fence = body.fencing_token;
         let deadline = body.deadline_ms.unwrap_or(0);
         if deadline < self.clock() {
             return self.reply(409, "late");
         }
         state.deadline = state.deadline.max(deadline);
-        if state
-            .runs
-            .get(&body.task)
-            .is_some_and(|run| run.number == body.run)
-        {
+        if state.has_run(&body.task, body.run) {
             return self.reply(200, "");
         }
-        let closed = state
-            .closed
-            .get(&body.task)
-            .is_some_and(|top| body.run <= *top);
-        if closed || state.runs.contains_key(&body.task) {
+        if state.has_closed(&body.task, body.run) || state.runs.contains_key(&body.task) {
             return self.reply(409, "old");
         }
         if state.runs.len() >= ROOM {
@@ -200,14 +213,12 @@
         self.reply(200, "")
     }
 
-    fn stop_run(&self, body: &Body) -> hyper::Response<http_body_util::Full<bytes::Bytes>> {
+    fn stop_run(&self, body: &Body) -> Response<Full<Bytes>> {
         let mut state = self.state();
-        if body.fencing_token < state.fence {
+        if !state.admit(body.fencing_token) {
             return self.reply(409, "fence");
         }
-        state.fence = body.fencing_token;
-        let top = state.closed.entry(body.task.clone()).or_insert(0);
-        *top = (*top).max(body.run);
+        state.close(&body.task, body.run);
         if state
             .runs
             .get(&body.task)
@@ -218,25 +229,34 @@
         self.reply(200, "")
     }
 
-    async fn hold(&self, body: &Body) -> hyper::Response<http_body_util::Full<bytes::Bytes>> {
+    async fn hold(&self, body: &Body) -> Response<Full<Bytes>> {
         {
             let mut state = self.state();
-            if body.fencing_token < state.fence {
+            if !state.admit(body.fencing_token) {
                 return self.reply(409, "fence");
             }
-            state.fence = body.fencing_token;
             state.deadline = state.deadline.max(body.deadline_ms.unwrap_or(0));
             self.forget(&mut state, body.last_seen);
         }
-        let until = time::Instant::now() + Duration::from_millis(body.wait_ms.min(2_000));
+        let wait = Duration::from_millis(body.wait_ms).min(MOST_WAIT);
+        self.wait_for_ends(time::Instant::now() + wait).await;
+        self.report()
+    }
+
+    /// Waits until a run has ended that is not acknowledged, or the time is over.
+    async fn wait_for_ends(&self, until: time::Instant) {
         loop {
             let changed = self.changed.notified();
             if !self.state().ended.is_empty() || time::Instant::now() >= until {
-                break;
+                return;
             }
             // The end of the wait is an answer without ends.
             let _ = time::timeout_at(until, changed).await;
         }
+    }
+
+    /// What runs, and what has ended and is not acknowledged.
+    fn report(&self) -> Response<Full<Bytes>> {
         let state = self.state();
         let running: Vec<Value> = state
             .runs
@@ -275,8 +295,7 @@
             _ => RunEvent::Ended,
         };
         self.events.note(&self.id, task, run.number, what);
-        let top = state.closed.entry(task.to_owned()).or_insert(0);
-        *top = (*top).max(run.number);
+        state.close(task, run.number);
         let end = End {
             number: state.last_end,
             task: task.to_owned(),
