--- a/crates/havenladder/src/entry/moves.rs
+++ b/crates/havenladder/src/entry/moves.rs
@@ -108,7 +108,7 @@
         });
     }
 
-    /// Orders the moves that are worth making now.
+    /// Decides what is worth doing about the pools now, and does it.
     pub async fn advance(&mut self, owner: &Rc<Owner>, list: &VmList, waves: &Waves) {
         if !owner.is_certain() {
             return;
@@ -125,7 +125,12 @@
         let plan = resize(&pools, now, &SizingLimits::default());
         self.drain(round, &plan.drains);
         owner.wake();
-        let mut wanted = plan.shifts;
+        self.order(owner, list, plan.shifts).await;
+    }
+
+    /// Orders the moves that may be made now: as many as the platform's rate has room for, and recorded
+    /// before.
+    async fn order(&mut self, owner: &Rc<Owner>, list: &VmList, mut wanted: Vec<Shift>) {
         wanted.retain(|shift| !owner.must_spare(&shift.vm) && !self.is_barred(shift));
         wanted.truncate(vm_orders::available(owner));
         let vms: Vec<&str> = wanted.iter().map(|shift| shift.vm.as_str()).collect();
--- a/crates/jobs/tests/unseen.rs
+++ b/crates/jobs/tests/unseen.rs
@@ -8,6 +8,19 @@
 use havenladder_jobs::{How, Report, Step, Takeout};
 use world::{World, row, task};
 
+/// Two workers, and a job of two lasting tasks that are apart and of which one may be away.
+fn guarded() -> World {
+    let mut world = World::new(&["a1", "b1"]);
+    let lasting = Step {
+        lasting: true,
+        apart: Some(1),
+        budget: Some(1),
+        ..step(2)
+    };
+    world.cell.accept(job(1, vec![lasting]));
+    world
+}
+
 #[test]
 fn a_job_whose_starts_are_under_way_has_not_begun() {
     let mut world = World::new(&["a1"]);
@@ -28,14 +41,7 @@
 
 #[test]
 fn tasks_on_a_worker_that_does_not_answer_count_as_away() {
-    let mut world = World::new(&["a1", "b1"]);
-    let lasting = Step {
-        lasting: true,
-        apart: Some(1),
-        budget: Some(1),
-        ..step(2)
-    };
-    world.cell.accept(job(1, vec![lasting]));
+    let mut world = guarded();
     for (id, task, run) in world.run() {
         let report = Report {
             running: vec![row(task, run, 100)],
@@ -50,14 +56,7 @@
 
 #[test]
 fn a_new_owner_takes_no_vm_out_before_its_workers_have_answered() {
-    let mut world = World::new(&["a1", "b1"]);
-    let lasting = Step {
-        lasting: true,
-        apart: Some(1),
-        budget: Some(1),
-        ..step(2)
-    };
-    world.cell.accept(job(1, vec![lasting]));
+    let mut world = guarded();
     world.run();
     world.take_over();
     for id in ["a1", "b1"] {
