--- a/crates/fleet/src/tenure.rs
+++ b/crates/fleet/src/tenure.rs
@@ -49,9 +49,10 @@
     At(Instant),
 }
 
-/// Whether an entry is so much stronger than another that it should own the cell in its place.
+/// Whether an entry is so much stronger than another that it should own the cell in its place. Entries
+/// that do not know their part of a core, 0, outrank nobody.
 pub fn outranks(own: MilliCpu, other: MilliCpu) -> bool {
-    own as f64 >= other as f64 * STRONGER
+    own > other && own as f64 >= other as f64 * STRONGER
 }
 
 /// What one entry remembers of the owners of a cell.
--- a/crates/fleet/tests/tenure.rs
+++ b/crates/fleet/tests/tenure.rs
@@ -101,3 +101,13 @@
     tenure.note_trouble(now + SETTLED);
     assert!(!tenure.should_ask(120, now + SETTLED + SETTLED - MS));
 }
+
+#[test]
+fn entries_that_do_not_know_their_part_of_a_core_leave_the_owner_in_peace() {
+    let now = Instant::now();
+    let mut tenure = Tenure::new(0, now);
+    tenure.note_record(0, now);
+    tenure.note_change(now);
+    assert!(!tenure.should_ask(0, now + SETTLED));
+    assert_eq!(tenure.next(Holder::Released, now), Claim::Now);
+}
--- a/crates/havenladder/src/entry/lease.rs
+++ b/crates/havenladder/src/entry/lease.rs
@@ -11,6 +11,7 @@
     owner::{Owner, Predecessor},
 };
 use adapter::store::{Appended, Condition, Offset, Read, frame_plain};
+use bytes::Bytes;
 use fleet::{Claim, Holder, Tenure, Told, Trouble};
 use std::{
     rc::Rc,
@@ -102,20 +103,7 @@
     match node.store.read(TOPIC, log.end, wait).await {
         Ok(Read::Records(_, records)) if records.is_empty() => Seen::Nothing,
         Ok(Read::Records(_, records)) => {
-            let now = Instant::now();
-            log.end += records.len() as Offset;
-            log.renewed = Some(now);
-            // Whoever writes here lives, whatever its port did behind a cut.
-            node.refused.set(None);
-            node.suspect.set(None);
-            match records
-                .last()
-                .map(|record| rmp_serde::from_slice::<Lease>(record))
-            {
-                Some(Ok(lease)) => note_lease(node, log, lease, now),
-                Some(Err(error)) => warn!(%error, "a record of the lease cannot be read"),
-                None => {}
-            }
+            take_records(node, log, &records);
             Seen::Records
         }
         Ok(Read::Gone(first)) => {
@@ -132,6 +120,24 @@
     }
 }
 
+/// Takes in new records, of which the last one counts.
+fn take_records(node: &Node, log: &mut Log, records: &[Bytes]) {
+    let now = Instant::now();
+    log.end += records.len() as Offset;
+    log.renewed = Some(now);
+    // Whoever writes here lives, whatever its port did behind a cut.
+    node.refused.set(None);
+    node.suspect.set(None);
+    match records
+        .last()
+        .map(|record| rmp_serde::from_slice::<Lease>(record))
+    {
+        Some(Ok(lease)) => note_lease(node, log, lease, now),
+        Some(Err(error)) => warn!(%error, "a record of the lease cannot be read"),
+        None => {}
+    }
+}
+
 /// Takes in who owns the cell, unless something newer is known.
 pub fn set_lease(node: &Node, lease: Lease, end: Offset) {
     if end < node.lease_end.replace(end.max(node.lease_end.get())) {
@@ -288,32 +294,57 @@
         .is_some_and(|lease| lease.life == node.life && !lease.released)
 }
 
+/// What an owner does about its lease next.
+enum Step {
+    /// It renews it.
+    Renew,
+    /// It gives the cell up, and why.
+    Release(&'static str),
+    /// It has met a newer owner.
+    Lost,
+}
+
+/// Chooses what an owner does about its lease now.
+fn next_step(node: &Node, owner: &Owner) -> Step {
+    if !owner.is_alive() {
+        return Step::Lost;
+    }
+    if node.stopping.get() {
+        return Step::Release("the process stops");
+    }
+    match owner.successor.get() {
+        Some(_) => Step::Release("a stronger entry asks for the cell"),
+        None => Step::Renew,
+    }
+}
+
+/// Waits until an owner is to look at its lease: a renewal is due, or something has come up before.
+async fn wait_for_turn(node: &Node, owner: &Owner) {
+    let wait = if owner.is_alive() {
+        RENEW
+    } else {
+        Duration::ZERO
+    };
+    tokio::select! {
+        () = time::sleep(wait) => {}
+        () = node.stop.notified() => {}
+        () = owner.lease_due.notified() => {}
+    }
+}
+
 /// Owns the cell until the lease is lost or given up.
 async fn own(node: &Rc<Node>, log: &mut Log) {
     let owner = Owner::start(node, log.end, log.before);
     loop {
-        let wait = if owner.is_alive() {
-            RENEW
-        } else {
-            Duration::ZERO
-        };
-        tokio::select! {
-            () = time::sleep(wait) => {}
-            () = node.stop.notified() => {}
-            () = owner.lease_due.notified() => {}
-        }
-        if node.stopping.get() && owner.is_alive() {
-            return release(node, log, &owner, "the process stops").await;
-        }
-        if owner.successor.get().is_some() && owner.is_alive() {
-            return release(node, log, &owner, "a stronger entry asks for the cell").await;
-        }
-        if !owner.is_alive() {
-            info!("the cell was lost to a newer owner");
-            forget(node);
-            return;
+        wait_for_turn(node, &owner).await;
+        match next_step(node, &owner) {
+            Step::Renew => renew(node, log, &owner).await,
+            Step::Release(why) => return release(node, log, &owner, why).await,
+            Step::Lost => {
+                info!("the cell was lost to a newer owner");
+                return forget(node);
+            }
         }
-        renew(node, log, &owner).await;
         if !holds(node) {
             owner.end("another entry has the lease");
             return;
@@ -321,8 +352,8 @@
     }
 }
 
-/// Gives the cell up, so that nobody waits for the lease to run out. Without an answer, they do. Entries
-/// that are much weaker than `cpu` leave it to others for a moment.
+/// Gives the cell up, so that nobody waits for the lease to run out. Without an answer, they do. Where a
+/// stronger entry has asked for it, entries that are much weaker leave it to others for a moment.
 async fn release(node: &Node, log: &mut Log, owner: &Owner, why: &str) {
     // What is known of its runs is told as of now: an owner that has ended knows nothing.
     let released = Lease {
--- a/crates/havenladder/tests/soak.rs
+++ b/crates/havenladder/tests/soak.rs
@@ -5,14 +5,19 @@
 
 use havenladder_soak::{Plan, run};
 use std::{path::PathBuf, time::Duration};
+use yare::parameterized;
 
-#[test]
-fn a_short_soak_breaks_no_promise() {
-    let seed = 4;
+/// Seed 10 failed once: a job was not over 20 s after the last fault, since each of four owners in a row
+/// waited 10.7 s for a worker that no list named.
+#[parameterized(
+    short = { 4, 10 },
+    a_lost_worker_and_four_owners = { 10, 20 },
+)]
+fn a_soak_breaks_no_promise(seed: u64, seconds: u64) {
     let plan = Plan {
         program: PathBuf::from(env!("CARGO_BIN_EXE_havenladder")),
         seed,
-        span: Duration::from_secs(10),
+        span: Duration::from_secs(seconds),
         entries: 3,
         vms: 6,
         logs: PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{seed}")),
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -4,12 +4,17 @@
     Plan,
     entries::{Entry, Ports},
 };
-use serde_json::json;
 use standin::{
     proxy::{Faults, Proxy},
-    users::{cloud::Cloud, events::Events, listen, log::Log},
+    users::{
+        cloud::Cloud,
+        events::Events,
+        listen,
+        log::Log,
+        operator::{self, Config},
+    },
 };
-use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{io, sync::Arc, time::Duration};
 
 /// The pool whose workers run the jobs.
 const POOL: &str = "renders";
@@ -22,6 +27,18 @@
 /// See [`HOST`].
 pub const PREFIX: &str = "/render/";
 
+/// The configuration, in all its versions.
+const CONFIG: Config<'_> = Config {
+    host: HOST,
+    prefix: PREFIX,
+    pool: POOL,
+    reserve: RESERVE,
+};
+
+/// How much higher each version of the configuration is than the one before: versions need not follow on
+/// each other.
+const VERSION_STEP: u64 = 3;
+
 /// All that runs.
 pub struct Site {
     /// The entries.
@@ -52,8 +69,12 @@
         for number in 0..plan.vms {
             cloud.add(&format!("vm-{number}"), POOL).await?;
         }
-        let log_at = serve_log(&log).await?;
-        let cloud_at = serve_cloud(&cloud).await?;
+        let log_at = listen(&log, |log, call| async move { log.handle(call).await }).await?;
+        let cloud_at = listen(
+            &cloud,
+            |cloud, call| async move { cloud.handle(call).await },
+        )
+        .await?;
         let mut site = Site {
             entries: Vec::new(),
             links: Vec::new(),
@@ -76,32 +97,14 @@
 
     /// Writes another version of the configuration; only its version and time-out differ.
     pub fn configure(&mut self) {
-        self.version += 3;
-        let config = json!({
-            "version": self.version,
-            "routes": [{
-                "name": "r-1", "host": HOST, "path-prefix": PREFIX, "type": "unsafe",
-                "timeout-ms": 3_000 + self.version, "target-latency-ms": 600, "priority": 0,
-                "service": POOL, "max-attempts": 50, "stretch": 2.0,
-            }],
-            "services": [
-                { "name": POOL, "admission-check": true, "headroom": false },
-                { "name": RESERVE, "admission-check": true, "headroom": true },
-            ],
-            "limits": {},
-        });
-        self.log
-            .put("keyed.op", "config", config.to_string().as_bytes());
+        self.version += VERSION_STEP;
+        operator::write_config(&self.log, self.version, &CONFIG);
     }
 
     /// Asks for the upkeep of all VMs, one at a time.
     pub fn ask_wave(&mut self) {
         self.waves += 1;
-        let wave = json!({
-            "wave": self.waves, "machines": self.cloud.names(), "duration-s": 20, "upper-bound": 1,
-        });
-        let key = format!("wave/{}", self.waves);
-        self.log.put("keyed.op", &key, wave.to_string().as_bytes());
+        operator::write_wave(&self.log, self.waves, &self.cloud.names());
     }
 
     /// Ends all faults: every process runs, every link is whole.
@@ -125,21 +128,3 @@
         self.entries.iter_mut().try_for_each(Entry::revive)
     }
 }
-
-async fn serve_log(log: &Log) -> io::Result<SocketAddr> {
-    let log = log.clone();
-    listen(move |call| {
-        let log = log.clone();
-        async move { log.handle(call).await }
-    })
-    .await
-}
-
-async fn serve_cloud(cloud: &Cloud) -> io::Result<SocketAddr> {
-    let cloud = cloud.clone();
-    listen(move |call| {
-        let cloud = cloud.clone();
-        async move { cloud.handle(call).await }
-    })
-    .await
-}
