--- a/crates/jobs/src/evacuate.rs
+++ b/crates/jobs/src/evacuate.rs
@@ -19,7 +19,7 @@
 const MOVED: Duration = Duration::from_millis(600);
 
 impl Cell {
-    /// How long until the worker could be empty: runs that can go on elsewhere take [`MOVED`] at the
+    /// How long until the worker could be empty: runs that can go on elsewhere take 0.6 s at the
     /// most, the others until their end.
     pub fn time_left(&self, id: &str, now: Instant) -> Duration {
         let Some(worker) = self.workers.get(id) else {
