--- a/crates/jobs/tests/orders.rs
+++ b/crates/jobs/tests/orders.rs
@@ -1,5 +1,6 @@
 //! What a new owner knows of the VMs that earlier ones gave orders about.
 
+#[expect(dead_code, reason = "only workers are needed here")]
 mod fixture;
 #[expect(dead_code, reason = "stops and ends are not looked at here")]
 mod world;
