fix(entry): a VM that was emptied goes at once

A VM that is being emptied is closed, and a closed VM never counted as idle, so that it stood empty until its 2 s were over, was opened again, and was then left alone for 4 s. Ruled out: nothing else differs; VMs that are to go now stay closed until they are ordered.

--- a/crates/havenladder/src/entry/moves.rs
+++ b/crates/havenladder/src/entry/moves.rs
@@ -7,7 +7,7 @@
     vm_orders::{self, Errand, VmOrder},
 };
 use adapter::cloud::{Ordered, Vm, VmState};
-use fleet::{IdleVm, LooseVm, PoolDemand, Shift, SizingLimits, resize};
+use fleet::{IdleVm, LooseVm, PoolDemand, Resize, Shift, SizingLimits, resize};
 use jobs::{Demand, Takeout};
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
@@ -123,7 +123,7 @@
         let pools = self.demands(round);
         self.tell(&pools, now);
         let plan = resize(&pools, now, &SizingLimits::default());
-        self.drain(round, &plan.drains);
+        self.drain(round, &plan);
         owner.wake();
         self.order(owner, list, plan.shifts).await;
     }
@@ -256,10 +256,14 @@
         })
     }
 
-    /// Keeps new runs off the VMs that are to be emptied, and lets them come again to the others.
-    fn drain(&mut self, round: Round<'_>, wanted: &[String]) {
+    /// Keeps new runs off the VMs that are to be emptied, and off those that have been and are to go now;
+    /// lets them come again to the others.
+    fn drain(&mut self, round: Round<'_>, plan: &Resize) {
         let late = self.leave_late(round.now);
-        let wanted: Vec<&String> = wanted.iter().filter(|name| !late.contains(name)).collect();
+        let going = plan.shifts.iter().map(|shift| &shift.vm);
+        let emptied = going.filter(|name| self.draining.contains_key(*name));
+        let emptying = plan.drains.iter().filter(|name| !late.contains(name));
+        let wanted: Vec<&String> = emptying.chain(emptied).collect();
         self.reopen_others(round, &wanted);
         self.empty(round, &wanted);
     }
@@ -306,10 +310,11 @@
     fn idle_since(&mut self, owner: &Owner, vm: &Vm, now: Instant) -> Option<Instant> {
         let id = vm.worker.as_ref()?;
         let cell = owner.cell.borrow();
-        let idle = cell
-            .workers
-            .get(id)
-            .is_some_and(|w| w.runs.is_empty() && w.is_open(now));
+        let draining = self.draining.contains_key(&vm.name);
+        let idle = cell.workers.get(id).is_some_and(|w| {
+            let emptied = draining && w.known && !w.taken && !w.info.draining;
+            w.runs.is_empty() && (emptied || w.is_open(now))
+        });
         if !idle {
             self.idle.remove(&vm.name);
             return None;
@@ -327,6 +332,7 @@
             cell.take_worker(id, true);
         }
         self.idle.remove(&vm.name);
+        self.draining.remove(&vm.name);
         let moving = Moving {
             to: shift.to.clone(),
             worker: vm.worker.clone(),
