refactor(jobs): the runs that can leave a worker are told without the worker that has room for them

Cause: read in the diff: movable_runs returned a host for each run that neither caller looked at, cloned a name for it, and time_left built a map of them for each VM at each look.

--- a/crates/jobs/src/evacuate.rs
+++ b/crates/jobs/src/evacuate.rs
@@ -1,7 +1,7 @@
 //! Empties a worker whose VM is to go: what saves its progress goes on elsewhere, the rest runs out.
 
 use crate::{
-    Cell, Need, RunId, RunPhase, TaskId, Worker, WorkerId,
+    Cell, Need, RunId, RunPhase, TaskId, Worker,
     place::{allows, may_join},
     worker::RunState,
 };
@@ -25,11 +25,14 @@
         let Some(worker) = self.workers.get(id) else {
             return Duration::ZERO;
         };
-        let movable: HashMap<_, _> = self.movable_runs(worker, now).into_iter().collect();
+        let movable = self.movable_runs(worker, now);
         let left = worker.runs.iter().map(|(key, run)| {
             let left = self.run_left(key.0, run, now);
-            let moves = movable.contains_key(key);
-            if moves { left.min(MOVED) } else { left }
+            if movable.contains(key) {
+                left.min(MOVED)
+            } else {
+                left
+            }
         });
         left.max().unwrap_or(Duration::ZERO)
     }
@@ -41,15 +44,15 @@
             return 0;
         };
         let movable = self.movable_runs(worker, now);
-        for ((task, run), _) in &movable {
+        for (task, run) in &movable {
             self.stop_run(id, *task, *run);
         }
         movable.len()
     }
 
     /// The runs of a worker that save their progress, will still take a while, and find room on another
-    /// worker of the service, each with that worker.
-    fn movable_runs(&self, worker: &Worker, now: Instant) -> Vec<((TaskId, RunId), WorkerId)> {
+    /// worker of the service.
+    fn movable_runs(&self, worker: &Worker, now: Instant) -> Vec<(TaskId, RunId)> {
         let mut taken: HashMap<&str, Need> = HashMap::new();
         let mut movable = Vec::new();
         for ((task, run), state) in &worker.runs {
@@ -61,7 +64,7 @@
                 continue;
             };
             taken.entry(&host.info.id).or_default().add(state.load.need);
-            movable.push(((*task, *run), host.info.id.clone()));
+            movable.push((*task, *run));
         }
         movable
     }
