feat(entry): an entry that is cut off says that it is not ready and refuses at once

What is new: each entry knows when the store or an entry of another data centre last answered, and asks when nothing has for 0.5 s (crates/fleet/src/reach.rs, pure). After 0.7 s, or where an owner that goes on renewing its lease does not answer it, it is not ready, and turns callers away at once, on a connection that closes. An outage for everybody cuts nobody off.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -13,6 +13,7 @@
 mod plan;
 mod publish;
 mod rate;
+mod reach;
 mod record;
 mod silence;
 mod sizing;
@@ -27,6 +28,7 @@
 pub use moves::{Room, Wanted, least_moves, next_moves};
 pub use plan::{Action, Evidence, Sight, View, free_token, next_action, plan};
 pub use rate::RateLimit;
+pub use reach::{CUT_OFF, QUIET, RENEWED, Reach};
 pub use record::{
     Change, Errand, GrantRequest, LeaseRequest, Observation, Outcome, PathChange, Reason, Record,
     Seen, WaveChange,
--- /dev/null
+++ b/crates/fleet/src/reach.rs
@@ -0,0 +1,93 @@
+//! Whether an entry can serve callers, by what it reaches: the platform's store, entries of other data
+//! centres, and the owner of the cell.
+//!
+//! An entry that is cut off together with its data centre can take no job: the owner is on the other side,
+//! or is on this side and cannot record anything. It says so, so that callers are sent elsewhere. Where the
+//! store is away for everybody, entries still reach each other, and none of them is cut off.
+
+use crate::EXPIRY;
+use std::time::{Duration, Instant};
+
+/// How long nothing outside of the data centre has been heard until an entry asks whether something is
+/// there: the owner's renewals come every 0.4 s, and none may be late by a quarter of that.
+pub const QUIET: Duration = Duration::from_millis(500);
+
+/// How long nothing has been heard until an entry counts as cut off: one question that is waited for,
+/// 0.2 s, after [`QUIET`].
+pub const CUT_OFF: Duration = Duration::from_millis(700);
+
+/// How long after the owner's first missing answer a renewal must come to show that it lives: one that was
+/// under way by then, and read late, does not.
+pub const RENEWED: Duration = Duration::from_millis(300);
+
+/// What an entry reaches.
+#[derive(Clone, Copy, Debug)]
+pub struct Reach {
+    /// When the store, or an entry of another data centre, last answered.
+    outside: Instant,
+    /// Whether an entry of another data centre is known, which could be asked.
+    has_peers: bool,
+    /// Since when the owner has not answered.
+    silent: Option<Instant>,
+    /// When a renewal of the owner was last read.
+    renewed: Option<Instant>,
+}
+
+impl Reach {
+    /// An entry that has heard nothing yet.
+    pub fn new(now: Instant) -> Self {
+        Reach {
+            outside: now,
+            has_peers: false,
+            silent: None,
+            renewed: None,
+        }
+    }
+
+    /// The store answered.
+    pub fn note_store(&mut self, now: Instant) {
+        self.outside = now;
+    }
+
+    /// An entry of another data centre answered.
+    pub fn note_peer(&mut self, now: Instant) {
+        self.outside = now;
+        self.has_peers = true;
+    }
+
+    /// A renewal of the owner was read.
+    pub fn note_renewal(&mut self, now: Instant) {
+        self.renewed = Some(now);
+    }
+
+    /// The owner answered, or is known to have ended: nobody waits for its answers.
+    pub fn note_owner(&mut self) {
+        self.silent = None;
+    }
+
+    /// The owner did not answer a question that it answers at once.
+    pub fn note_silence(&mut self, now: Instant) {
+        self.silent.get_or_insert(now);
+    }
+
+    /// When the entry is to ask what it reaches, unless something is heard before.
+    pub fn ask_at(&self) -> Instant {
+        self.outside + QUIET
+    }
+
+    /// Whether the entry cannot serve callers that entries elsewhere can serve: it hears nothing from
+    /// outside, or does not reach an owner that others hear.
+    pub fn is_cut_off(&self, now: Instant) -> bool {
+        let isolated = self.has_peers && now >= self.outside + CUT_OFF;
+        isolated
+            || self
+                .silent
+                .is_some_and(|since| self.is_passed_by(since, now))
+    }
+
+    /// Whether the owner has not answered this entry since `since`, though it renews its lease all the while.
+    fn is_passed_by(&self, since: Instant, now: Instant) -> bool {
+        let renews = |at: Instant| at >= since + RENEWED && now < at + EXPIRY;
+        now >= since + CUT_OFF && self.renewed.is_some_and(renews)
+    }
+}
--- a/crates/havenladder/src/entry/callers.rs
+++ b/crates/havenladder/src/entry/callers.rs
@@ -90,9 +90,9 @@
     accept_each(listener, drop, answer).await;
 }
 
-/// Whether the entry takes callers: it has a configuration and is not to stop.
+/// Whether the entry takes callers: it has a configuration, is not cut off and is not to stop.
 async fn ready(node: Rc<Node>) -> Reply {
-    let ready = node.config().is_some() && !node.stopping.get();
+    let ready = node.config().is_some() && !node.cut_off.get() && !node.stopping.get();
     let status = if ready {
         StatusCode::OK
     } else {
@@ -214,6 +214,7 @@
                 let answer = time::timeout_at(give_up.into(), owner.answer(ask.clone())).await;
                 answer.unwrap_or(Tell::Unsure)
             }
+            None if node.cut_off.get() => return turn_away(&ask, sent),
             None => forward(node, &ask, give_up).await,
         };
         sent |= tell == Tell::Unsure;
@@ -236,7 +237,11 @@
     let Some(lease) = lease.filter(|lease| lease.life != node.life && !lease.released) else {
         return Tell::NotOwner;
     };
-    match inner::ask(node, &lease.address, ask, deadline).await {
+    let answer = tokio::select! {
+        answer = inner::ask(node, &lease.address, ask, deadline) => answer,
+        () = node.reach_changed.notified() => Err(CallError::Unanswered),
+    };
+    match answer {
         Ok(tell) => {
             node.suspect.set(None);
             tell
@@ -245,8 +250,14 @@
             suspect(node, lease.life);
             Tell::NotOwner
         }
-        Err(error) if error.is_unsent() => Tell::NotOwner,
-        Err(_) => Tell::Unsure,
+        Err(error) => {
+            node.reach_due.notify_one();
+            if error.is_unsent() {
+                Tell::NotOwner
+            } else {
+                Tell::Unsure
+            }
+        }
     }
 }
 
@@ -277,6 +288,14 @@
     }
 }
 
+/// The answer of an entry that is cut off: the caller is to connect anew, to an entry that is not.
+fn turn_away(ask: &Ask, sent: bool) -> Reply {
+    let mut reply = refuse(ask, sent);
+    let close = header::HeaderValue::from_static("close");
+    reply.headers_mut().insert(header::CONNECTION, close);
+    reply
+}
+
 /// A job that may have been kept is never said to be refused.
 fn refuse(ask: &Ask, sent: bool) -> Reply {
     info!(ask = %ask, sent, "given up");
--- a/crates/havenladder/src/entry/inner.rs
+++ b/crates/havenladder/src/entry/inner.rs
@@ -2,8 +2,9 @@
 
 use super::{
     listen::{self, Reply, accept_each},
-    node::{Lease, LifeId, Node},
+    node::{Lease, Node},
     outage,
+    reach::{self, Presence},
 };
 use adapter::http::{Call, CallError};
 use fleet::MilliCpu;
@@ -37,7 +38,7 @@
         /// Its part of a core.
         cpu: MilliCpu,
     },
-    /// Which life of the process are you? Any entry answers this.
+    /// Which life of the process are you, in which data centre? Any entry answers this at once.
     Life,
     /// Does the platform's store answer you? Any entry answers this.
     Outage,
@@ -94,7 +95,7 @@
     /// The entry that was asked owns nothing; nothing was done.
     NotOwner,
     /// This life of the process answers.
-    Life(LifeId),
+    Life(Presence),
     /// The cell is handed over.
     HandedOver,
     /// What is newer.
@@ -135,7 +136,7 @@
     };
     let tell = match (ask, node.own()) {
         (Ask::News { version, end }, _) => Tell::News(news(&node, version, end)),
-        (Ask::Life, _) => Tell::Life(node.life),
+        (Ask::Life, _) => Tell::Life(reach::presence(&node)),
         (Ask::Outage, _) => outage::tell(&node).await,
         (Ask::HandOver { cpu }, Some(owner)) => owner.hand_over(cpu),
         (ask, Some(owner)) => owner.answer(ask).await,
--- a/crates/havenladder/src/entry/lease.rs
+++ b/crates/havenladder/src/entry/lease.rs
@@ -100,7 +100,11 @@
 
 /// Reads on and takes in what the newest record says.
 async fn read(node: &Node, log: &mut Log, wait: Duration) -> Seen {
-    match node.store.read(TOPIC, log.end, wait).await {
+    let read = node.store.read(TOPIC, log.end, wait).await;
+    if read.is_ok() {
+        node.note_reach(|reach| reach.note_store(Instant::now()));
+    }
+    match read {
         Ok(Read::Records(_, records)) if records.is_empty() => Seen::Nothing,
         Ok(Read::Records(_, records)) => {
             take_records(node, log, &records);
@@ -125,6 +129,7 @@
     let now = Instant::now();
     log.end += records.len() as Offset;
     log.renewed = Some(now);
+    node.note_reach(|reach| reach.note_renewal(now));
     // Whoever writes here lives, whatever its port did behind a cut.
     node.refused.set(None);
     node.suspect.set(None);
@@ -235,6 +240,7 @@
         node: node.settings.node.clone(),
         life: node.life,
         address: node.inner_address(),
+        hall: node.settings.hall.clone(),
         cpu: node.settings.cpu,
         unrecorded: node.own().is_some_and(|owner| owner.may_be_unrecorded()),
         released: released.is_some(),
@@ -382,6 +388,7 @@
             log.end = end;
             log.tenure.note_record(node.settings.cpu, Instant::now());
             owner.note_renewal(sent, lease.unrecorded);
+            node.note_reach(|reach| reach.note_store(Instant::now()));
         }
         Some(Appended::Moved(_)) => {
             read(node, log, Duration::ZERO).await;
--- a/crates/havenladder/src/entry/mod.rs
+++ b/crates/havenladder/src/entry/mod.rs
@@ -17,6 +17,7 @@
 mod orders;
 mod outage;
 mod owner;
+mod reach;
 mod stop;
 mod upkeep;
 mod vm_orders;
@@ -73,6 +74,7 @@
     );
     tokio::task::spawn_local(follow::run(Rc::clone(&node)));
     tokio::task::spawn_local(lease::run(Rc::clone(&node)));
+    tokio::task::spawn_local(reach::run(Rc::clone(&node)));
     tokio::task::spawn_local(callers::listen(Rc::clone(&node), callers));
     tokio::task::spawn_local(callers::listen_ready(Rc::clone(&node), ready));
     tokio::task::spawn_local(inner::listen(Rc::clone(&node), inner));
--- a/crates/havenladder/src/entry/node.rs
+++ b/crates/havenladder/src/entry/node.rs
@@ -1,6 +1,6 @@
 //! What the duties of an entry share.
 
-use super::{metrics::Metrics, owner::Owner};
+use super::{metrics::Metrics, owner::Owner, reach::Directory};
 use adapter::{
     advice::Advice,
     cloud::Cloud,
@@ -11,7 +11,7 @@
     workers::Workers,
 };
 use bytes::Bytes;
-use fleet::MilliCpu;
+use fleet::{MilliCpu, Reach};
 use serde::{Deserialize, Serialize};
 use std::{
     cell::{Cell, RefCell},
@@ -43,6 +43,9 @@
     /// Whether the owner may have started runs that it has not recorded.
     #[serde(default)]
     pub unrecorded: bool,
+    /// The owner's data centre.
+    #[serde(default)]
+    pub hall: String,
 }
 
 impl Lease {
@@ -96,6 +99,16 @@
     pub stopping: Cell<bool>,
     /// Told when the process is to stop.
     pub stop: Notify,
+    /// What this entry reaches.
+    pub reach: Cell<Reach>,
+    /// Told when what this entry reaches is to be found out.
+    pub reach_due: Notify,
+    /// Whether this entry cannot serve callers because it is cut off.
+    pub cut_off: Cell<bool>,
+    /// Told when that has changed.
+    pub reach_changed: Notify,
+    /// The entries of other data centres that this one has heard of.
+    pub directory: RefCell<Directory>,
     /// How many requests of callers are being answered.
     pub in_flight: Cell<usize>,
 }
@@ -129,6 +142,11 @@
             owner: RefCell::default(),
             stopping: Cell::new(false),
             stop: Notify::new(),
+            reach: Cell::new(Reach::new(Instant::now())),
+            reach_due: Notify::new(),
+            cut_off: Cell::new(false),
+            reach_changed: Notify::new(),
+            directory: RefCell::default(),
             in_flight: Cell::new(0),
         })
     }
@@ -160,6 +178,13 @@
             .cloned()
     }
 
+    /// Changes what is known of what this entry reaches.
+    pub fn note_reach(&self, note: impl FnOnce(&mut Reach)) {
+        let mut reach = self.reach.get();
+        note(&mut reach);
+        self.reach.set(reach);
+    }
+
     /// The newest configuration.
     pub fn config(&self) -> Option<Rc<Config>> {
         self.config.borrow().clone()
--- a/crates/havenladder/src/entry/owner/duties.rs
+++ b/crates/havenladder/src/entry/owner/duties.rs
@@ -101,7 +101,7 @@
         return Some(node.life);
     }
     match inner::ask(node, &holder.address, &Ask::Life, Instant::now() + ANSWER).await {
-        Ok(Tell::Life(life)) => Some(life),
+        Ok(Tell::Life(presence)) => Some(presence.life),
         // It may be starting, or out of reach: its orders count until they do not matter any more.
         Ok(_) | Err(_) => None,
     }
--- /dev/null
+++ b/crates/havenladder/src/entry/reach.rs
@@ -0,0 +1,151 @@
+//! What this entry reaches, and whether it says that it is ready.
+//!
+//! Costs nothing while renewals of the owner's lease come in. Where they do not, or the owner does not
+//! answer, the owner and entries of other data centres are asked until one of them answers.
+
+use super::{
+    inner::{self, Ask, Tell},
+    node::{LifeId, Node},
+};
+use serde::{Deserialize, Serialize};
+use std::{
+    collections::BTreeMap,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+use tokio::{task, time};
+use tracing::info;
+
+/// How long an entry may take to say that it is there; it takes some ms.
+const ANSWER: Duration = Duration::from_millis(200);
+
+/// Time between two rounds of questions.
+const POLL_INTERVAL: Duration = Duration::from_millis(200);
+
+/// How many entries of other data centres are remembered: enough that some of them live.
+const REMEMBERED: usize = 6;
+
+/// Where an entry takes the calls of others, as IP and port.
+type Address = String;
+
+/// The entries of other data centres that this one has heard of, each with its data centre.
+pub type Directory = BTreeMap<Address, String>;
+
+/// What an entry says of itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Presence {
+    /// This life of its process.
+    pub life: LifeId,
+    /// Its data centre.
+    pub hall: String,
+    /// Other entries that it knows, each with its data centre.
+    pub known: Directory,
+}
+
+/// What this entry says of itself.
+pub fn presence(node: &Node) -> Presence {
+    Presence {
+        life: node.life,
+        hall: node.settings.hall.clone(),
+        known: node.directory.borrow().clone(),
+    }
+}
+
+/// Finds out what this entry reaches, whenever that is in doubt.
+pub async fn run(node: Rc<Node>) {
+    // Who there is to be asked is learnt while all is well.
+    ask_all(&node).await;
+    loop {
+        wait_for_doubt(&node).await;
+        ask_all(&node).await;
+        judge(&node);
+        time::sleep(POLL_INTERVAL).await;
+    }
+}
+
+/// Waits until nothing has been heard from outside for a while, or the owner did not answer.
+async fn wait_for_doubt(node: &Node) {
+    if node.cut_off.get() {
+        return;
+    }
+    let at = node.reach.get().ask_at();
+    tokio::select! {
+        () = time::sleep_until(at.into()) => {}
+        () = node.reach_due.notified() => {}
+    }
+}
+
+/// Asks the owner, the seeds and some entries of other data centres at the same time whether they are there.
+async fn ask_all(node: &Rc<Node>) {
+    let owner = owner_address(node);
+    let mut addresses = node.peers();
+    addresses.extend(node.directory.borrow().keys().cloned());
+    addresses.sort();
+    addresses.dedup();
+    let deadline = Instant::now() + ANSWER;
+    let asks: Vec<_> = addresses
+        .into_iter()
+        .map(|address| {
+            let node = Rc::clone(node);
+            task::spawn_local(async move {
+                let answer = inner::ask(&node, &address, &Ask::Life, deadline).await;
+                (address, answer)
+            })
+        })
+        .collect();
+    for ask in asks {
+        let Ok((address, answer)) = ask.await else {
+            continue;
+        };
+        let is_owner = owner.as_ref() == Some(&address);
+        match answer {
+            Ok(Tell::Life(presence)) => note_presence(node, address, presence, is_owner),
+            // A port that refuses shows that the owner's process has ended.
+            Err(error) if is_owner && !error.is_refused() => {
+                node.note_reach(|reach| reach.note_silence(Instant::now()));
+            }
+            Ok(_) | Err(_) => {}
+        }
+    }
+}
+
+/// Where the owner takes calls, if it is another entry.
+fn owner_address(node: &Node) -> Option<Address> {
+    let lease = node.lease.borrow();
+    let other = lease
+        .as_ref()
+        .filter(|lease| lease.life != node.life && !lease.released);
+    other.map(|lease| lease.address.clone())
+}
+
+/// Takes note of an entry that answered.
+fn note_presence(node: &Node, address: Address, presence: Presence, is_owner: bool) {
+    if is_owner {
+        node.note_reach(fleet::Reach::note_owner);
+    }
+    let own = &node.settings.hall;
+    let elsewhere = presence.known.into_iter().filter(|(_, hall)| hall != own);
+    let mut directory = node.directory.borrow_mut();
+    for (address, hall) in elsewhere {
+        if directory.len() < REMEMBERED {
+            directory.entry(address).or_insert(hall);
+        }
+    }
+    if presence.hall != *own {
+        node.note_reach(|reach| reach.note_peer(Instant::now()));
+        directory.insert(address, presence.hall);
+        while directory.len() > REMEMBERED {
+            directory.pop_first();
+        }
+    }
+}
+
+/// Says so where the entry has become cut off, or is no longer.
+fn judge(node: &Node) {
+    let cut_off = node.reach.get().is_cut_off(Instant::now());
+    if node.cut_off.replace(cut_off) == cut_off {
+        return;
+    }
+    info!(cut_off, reach = ?node.reach.get(), "what the entry reaches has changed");
+    node.reach_changed.notify_waiters();
+}
