perf(entry): a worker that leaves a start unanswered gets no others until it answers

Cause: starts went on for up to 1.5 s to workers that are out of reach, until a question to them failed; each start also extends their lease, for which its task then waits. What is new: after 150 ms without an answer the worker is muted and asked once, beside the questions that wait for ends; any answer of it opens it again. Ruled out: that an order whose answer alone is lost costs a healthy worker much: the question is answered in some ms.

--- a/crates/havenladder/src/entry/orders.rs
+++ b/crates/havenladder/src/entry/orders.rs
@@ -10,6 +10,7 @@
 };
 use jobs::{Order, Refusal, RunId, TaskId, WorkerId, WorkerInfo};
 use std::{
+    pin::pin,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -19,6 +20,10 @@
 /// Time until a stop without an answer is sent again.
 const STOP_AGAIN: Duration = Duration::from_millis(250);
 
+/// How long a worker may take to answer a start until it gets no others: a healthy one takes some ms, and
+/// one that is out of reach would draw starts, each of which extends its lease, for a second.
+const DOUBTED: Duration = Duration::from_millis(150);
+
 /// Sends orders, without waiting for their answers.
 pub fn send_all(owner: &Rc<Owner>, orders: impl IntoIterator<Item = Order>) {
     orders.into_iter().for_each(|order| send(owner, order));
@@ -100,7 +105,7 @@
         saved: &saved,
         ticket: &ticket,
     };
-    let outcome = owner.node.workers.start(&info, &order).await;
+    let outcome = send_start(owner, &info, &order).await;
     owner.node.metrics.started(name_outcome(&outcome));
     match &outcome {
         Ok(_) => info!(task = order.task, run, worker, deadline, "started"),
@@ -110,6 +115,21 @@
     owner.wake();
 }
 
+/// Sends a start to a worker. One that takes long to answer gets no others until it has answered a question.
+async fn send_start(
+    owner: &Rc<Owner>,
+    info: &WorkerInfo,
+    order: &Start<'_>,
+) -> Result<Told<()>, WorkerError> {
+    let mut call = pin!(owner.node.workers.start(info, order));
+    if let Ok(outcome) = time::timeout(DOUBTED, call.as_mut()).await {
+        return outcome;
+    }
+    owner.cell.borrow_mut().mute_worker(&info.id);
+    watch::look(owner, &info.id);
+    call.await
+}
+
 /// The permit for a task on a worker; empty if none is needed.
 fn ticket(owner: &Owner, worker: &str, task: TaskId) -> String {
     let cell = owner.cell.borrow();
--- a/crates/havenladder/src/entry/watch.rs
+++ b/crates/havenladder/src/entry/watch.rs
@@ -192,6 +192,25 @@
     }
 }
 
+/// Asks a worker once, beside the questions that wait for ends and without extending its lease: its answer
+/// shows that it is in reach.
+pub fn look(owner: &Rc<Owner>, id: &str) {
+    let owner = Rc::clone(owner);
+    let id = id.to_owned();
+    task::spawn_local(async move {
+        let Some(info) = orders::find(&owner, &id) else {
+            return;
+        };
+        let asked = Instant::now();
+        let hold = question(&owner, &id, Answers::Missing);
+        match owner.node.workers.hold(&info, hold).await {
+            Ok(told) => take_report(&owner, &id, &told, asked),
+            // The questions that wait for ends deal with it.
+            Err(error) => info!(worker = id, %error, "worker left a start unanswered"),
+        }
+    });
+}
+
 /// The next question to a worker.
 fn question(owner: &Owner, id: &str, last: Answers) -> Hold {
     // A question without an answer may extend the lease all the same: a worker that is silent is
