perf(fleet): pools give VMs away sooner

Cause: after a turn's end pools kept VMs for a peak of use that was past, and for what would fill 0.75 of them. What is new: the highest use counts for 0.8 s instead of 1.5 s; a pool gives away what it needs by less than 0.85 instead of 0.75.

--- a/crates/fleet/src/sizing.rs
+++ b/crates/fleet/src/sizing.rs
@@ -33,7 +33,7 @@
     fn default() -> Self {
         SizingLimits {
             fill: 0.9,
-            spare: 0.75,
+            spare: 0.85,
             rest: Duration::from_millis(2_500),
             start: 0.7,
             pause: Duration::from_millis(150),
--- a/crates/havenladder/src/entry/moves.rs
+++ b/crates/havenladder/src/entry/moves.rs
@@ -16,8 +16,9 @@
 };
 use tracing::info;
 
-/// Over how long the highest use of a pool counts: about one run of the usual kind.
-const PEAK: Duration = Duration::from_millis(1_500);
+/// Over how long the highest use of a pool counts: half a run of the usual kind. Over 1.5 s, pools kept VMs of a
+/// peak that was past.
+const PEAK: Duration = Duration::from_millis(800);
 
 /// How long a VM may take to be emptied, as foreseen and in fact: a VM's way to another pool takes 1.5 s,
 /// and room that stands empty for longer does more good where it is.
