--- /dev/null
+++ b/crates/havenladder/src/entry/lease/log.rs
@@ -0,0 +1,130 @@
+//! The log of the lease's records: reading on, what the newest record says, and appending one.
+
+use crate::entry::{
+    node::{Lease, Node},
+    owner::Predecessor,
+};
+use adapter::store::{Appended, Condition, Offset, Read, frame_plain};
+use bytes::Bytes;
+use fleet::Tenure;
+use std::time::{Duration, Instant};
+use tokio::time;
+use tracing::{info, warn};
+
+/// The topic with the lease's records.
+const TOPIC: &str = "owner";
+
+/// Time until the store is asked again after it did not answer.
+pub(super) const AGAIN: Duration = Duration::from_millis(100);
+
+/// How far this entry has read the lease's records.
+pub(super) struct Log {
+    /// The end of the log, as far as it was read.
+    pub(super) end: Offset,
+    /// When this entry may claim, and from whom it should.
+    pub(super) tenure: Tenure,
+    /// When a renewal of the current owner was last read.
+    pub(super) renewed: Option<Instant>,
+    /// When the store last did not answer.
+    pub(super) trouble: Option<Instant>,
+    /// What was known of the owner when this entry last claimed.
+    pub(super) before: Predecessor,
+}
+
+/// What a read of the lease's records found.
+pub(super) enum Seen {
+    /// New records.
+    Records,
+    /// None, and the store answered.
+    Nothing,
+    /// The store did not answer.
+    Failed,
+}
+
+/// Reads on and takes in what the newest record says.
+pub(super) async fn read(node: &Node, log: &mut Log, wait: Duration) -> Seen {
+    let read = node.store.read(TOPIC, log.end, wait).await;
+    if read.is_ok() {
+        node.note_reach(|reach| reach.note_store(Instant::now()));
+    }
+    match read {
+        Ok(Read::Records(_, records)) if records.is_empty() => Seen::Nothing,
+        Ok(Read::Records(_, records)) => {
+            take_records(node, log, &records);
+            Seen::Records
+        }
+        Ok(Read::Gone(first)) => {
+            log.end = first;
+            Seen::Records
+        }
+        Ok(Read::Busy) | Err(_) => {
+            let now = Instant::now();
+            log.tenure.note_trouble(now);
+            log.trouble = Some(now);
+            time::sleep(AGAIN).await;
+            Seen::Failed
+        }
+    }
+}
+
+/// Takes in new records, of which the last one counts.
+fn take_records(node: &Node, log: &mut Log, records: &[Bytes]) {
+    let now = Instant::now();
+    log.end += records.len() as Offset;
+    log.renewed = Some(now);
+    node.note_reach(|reach| reach.note_renewal(now));
+    // Whoever writes here lives, whatever its port did behind a cut.
+    node.refused.set(None);
+    node.suspect.set(None);
+    match records
+        .last()
+        .map(|record| rmp_serde::from_slice::<Lease>(record))
+    {
+        Some(Ok(lease)) => note_lease(node, log, lease, now),
+        Some(Err(error)) => warn!(%error, "a record of the lease cannot be read"),
+        None => {}
+    }
+}
+
+/// Takes in who owns the cell, unless something newer is known.
+pub fn set_lease(node: &Node, lease: Lease, end: Offset) {
+    if end < node.lease_end.replace(end.max(node.lease_end.get())) {
+        return;
+    }
+    let mut current = node.lease.borrow_mut();
+    let known = current.replace(lease.clone());
+    if known.is_some_and(|known| known.is_same(&lease)) {
+        return;
+    }
+    info!(
+        owner = lease.node,
+        life = lease.life,
+        end,
+        released = lease.released,
+        "owner seen"
+    );
+    // Whether it answers is not known yet.
+    node.note_reach(fleet::Reach::note_owner);
+    node.lease_changed.notify_waiters();
+}
+
+/// Takes in a record of the lease, read or appended at `now`.
+pub(super) fn note_lease(node: &Node, log: &mut Log, lease: Lease, now: Instant) {
+    log.tenure.note_record(lease.cpu, now);
+    let same = node
+        .lease
+        .borrow()
+        .as_ref()
+        .is_some_and(|known| known.is_same(&lease));
+    if !same {
+        log.tenure.note_change(now);
+    }
+    set_lease(node, lease, log.end);
+}
+
+/// Appends a record, on the condition that the log ends at `at`; none if the store did not answer.
+pub(super) async fn append(node: &Node, at: Offset, lease: &Lease) -> Option<Appended> {
+    let bytes = rmp_serde::to_vec(lease).expect("plain data has a form in MessagePack");
+    let body = frame_plain([bytes.as_slice()]);
+    node.store.append(TOPIC, Condition::At(at), body).await.ok()
+}
--- a/crates/havenladder/src/entry/lease.rs
+++ b/crates/havenladder/src/entry/lease/mod.rs
@@ -5,23 +5,24 @@
 //! The record's offset is the new owner's epoch, which fences its appends and its orders. When to claim
 //! is decided in [`Tenure`]; this module reads, claims, renews and releases.
 
+mod log;
+
+pub use log::set_lease;
+
 use super::{
     inner::{self, Ask},
     node::{Lease, Node},
     owner::{Owner, Predecessor},
 };
-use adapter::store::{Appended, Condition, Offset, Read, frame_plain};
-use bytes::Bytes;
+use adapter::store::Appended;
 use fleet::{Claim, Holder, Tenure, Told, Trouble};
+use log::{AGAIN, Log, Seen, append, note_lease, read};
 use std::{
     rc::Rc,
     time::{Duration, Instant},
 };
 use tokio::{task, time};
-use tracing::{info, warn};
-
-/// The topic with the lease's records.
-const TOPIC: &str = "owner";
+use tracing::info;
 
 /// How often the owner renews. Three renewals fit into [`fleet::EXPIRY`], so that two may be lost.
 const RENEW: Duration = Duration::from_millis(400);
@@ -30,9 +31,6 @@
 /// than [`fleet::EXPIRY`] by what clocks and answers may be late.
 pub const TRUST: Duration = Duration::from_millis(1_100);
 
-/// Time until the store is asked again after it did not answer.
-const AGAIN: Duration = Duration::from_millis(100);
-
 /// How long a read waits at the least: one that comes back at once would be repeated at once.
 const LEAST_WAIT: Duration = Duration::from_millis(50);
 
@@ -42,20 +40,6 @@
 /// How long an owner may take to answer whether it hands the cell over; it takes some ms.
 const HAND_OVER: Duration = Duration::from_millis(500);
 
-/// How far this entry has read the lease's records.
-struct Log {
-    /// The end of the log, as far as it was read.
-    end: Offset,
-    /// When this entry may claim, and from whom it should.
-    tenure: Tenure,
-    /// When a renewal of the current owner was last read.
-    renewed: Option<Instant>,
-    /// When the store last did not answer.
-    trouble: Option<Instant>,
-    /// What was known of the owner when this entry last claimed.
-    before: Predecessor,
-}
-
 /// Follows the lease, claims it where it has lapsed, and renews it while this entry has it.
 pub async fn run(node: Rc<Node>) {
     let mut log = Log {
@@ -89,97 +73,6 @@
     }
 }
 
-/// What a read of the lease's records found.
-enum Seen {
-    /// New records.
-    Records,
-    /// None, and the store answered.
-    Nothing,
-    /// The store did not answer.
-    Failed,
-}
-
-/// Reads on and takes in what the newest record says.
-async fn read(node: &Node, log: &mut Log, wait: Duration) -> Seen {
-    let read = node.store.read(TOPIC, log.end, wait).await;
-    if read.is_ok() {
-        node.note_reach(|reach| reach.note_store(Instant::now()));
-    }
-    match read {
-        Ok(Read::Records(_, records)) if records.is_empty() => Seen::Nothing,
-        Ok(Read::Records(_, records)) => {
-            take_records(node, log, &records);
-            Seen::Records
-        }
-        Ok(Read::Gone(first)) => {
-            log.end = first;
-            Seen::Records
-        }
-        Ok(Read::Busy) | Err(_) => {
-            let now = Instant::now();
-            log.tenure.note_trouble(now);
-            log.trouble = Some(now);
-            time::sleep(AGAIN).await;
-            Seen::Failed
-        }
-    }
-}
-
-/// Takes in new records, of which the last one counts.
-fn take_records(node: &Node, log: &mut Log, records: &[Bytes]) {
-    let now = Instant::now();
-    log.end += records.len() as Offset;
-    log.renewed = Some(now);
-    node.note_reach(|reach| reach.note_renewal(now));
-    // Whoever writes here lives, whatever its port did behind a cut.
-    node.refused.set(None);
-    node.suspect.set(None);
-    match records
-        .last()
-        .map(|record| rmp_serde::from_slice::<Lease>(record))
-    {
-        Some(Ok(lease)) => note_lease(node, log, lease, now),
-        Some(Err(error)) => warn!(%error, "a record of the lease cannot be read"),
-        None => {}
-    }
-}
-
-/// Takes in who owns the cell, unless something newer is known.
-pub fn set_lease(node: &Node, lease: Lease, end: Offset) {
-    if end < node.lease_end.replace(end.max(node.lease_end.get())) {
-        return;
-    }
-    let mut current = node.lease.borrow_mut();
-    let known = current.replace(lease.clone());
-    if known.is_some_and(|known| known.is_same(&lease)) {
-        return;
-    }
-    info!(
-        owner = lease.node,
-        life = lease.life,
-        end,
-        released = lease.released,
-        "owner seen"
-    );
-    // Whether it answers is not known yet.
-    node.note_reach(fleet::Reach::note_owner);
-    node.lease_changed.notify_waiters();
-}
-
-/// Takes in a record of the lease, read or appended at `now`.
-fn note_lease(node: &Node, log: &mut Log, lease: Lease, now: Instant) {
-    log.tenure.note_record(lease.cpu, now);
-    let same = node
-        .lease
-        .borrow()
-        .as_ref()
-        .is_some_and(|known| known.is_same(&lease));
-    if !same {
-        log.tenure.note_change(now);
-    }
-    set_lease(node, lease, log.end);
-}
-
 /// Who holds the lease, as this entry sees it.
 fn holder(node: &Node, log: &Log) -> Holder {
     match node.lease.borrow().as_ref() {
@@ -253,13 +146,6 @@
     }
 }
 
-/// Appends a record, on the condition that the log ends at `at`; none if the store did not answer.
-async fn append(node: &Node, at: Offset, lease: &Lease) -> Option<Appended> {
-    let bytes = rmp_serde::to_vec(lease).expect("plain data has a form in MessagePack");
-    let body = frame_plain([bytes.as_slice()]);
-    node.store.append(TOPIC, Condition::At(at), body).await.ok()
-}
-
 /// What is known of the owner before the one that claims now.
 fn predecessor(node: &Node, log: &Log) -> Predecessor {
     let lease = node.lease.borrow();
--- a/crates/havenladder/tests/readiness.rs
+++ b/crates/havenladder/tests/readiness.rs
@@ -1,17 +1,14 @@
 //! An entry that is cut off says that it is not ready and refuses at once; one that only shares an outage of
 //! the store with all others stays ready.
 
-#![expect(clippy::unwrap_used, reason = "a test stops where it fails")]
+mod entries;
 
-use havenladder_soak::{
-    Plan,
-    site::{HOST, PREFIX, Site},
-};
+use entries::block_on;
+use havenladder_soak::site::{HOST, PREFIX, Site};
 use rustix::process::Signal;
 use std::{
     io,
     net::SocketAddr,
-    path::PathBuf,
     time::{Duration, Instant},
 };
 use tokio::{
@@ -31,15 +28,7 @@
 
 /// Entries 0 and 2 are in one data centre, entry 1 in another. They learn of each other before this returns.
 async fn start(seed: u64) -> Site {
-    let plan = Plan {
-        program: PathBuf::from(env!("CARGO_BIN_EXE_havenladder")),
-        seed,
-        span: Duration::ZERO,
-        entries: 3,
-        vms: 2,
-        logs: PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("readiness-{seed}")),
-    };
-    let site = Site::start(&plan).await.unwrap();
+    let site = entries::start("readiness", seed, 2).await;
     wait_ready(&site).await;
     time::sleep(LONG).await;
     site
@@ -82,14 +71,6 @@
     }
 }
 
-fn block_on(test: impl Future<Output = ()>) {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .unwrap();
-    runtime.block_on(test);
-}
-
 async fn refuse_while_cut_off() {
     let mut site = start(901).await;
     let cut_off = [0, 2].map(|number: usize| site.entries[number].address);
@@ -110,7 +91,7 @@
     }
     // One of them may own the cell, and answers by itself.
     assert!(refusals >= 1);
-    site.heal().unwrap();
+    site.heal().expect("processes start");
     wait_ready(&site).await;
 }
 
--- a/crates/havenladder/tests/slow_store.rs
+++ b/crates/havenladder/tests/slow_store.rs
@@ -1,14 +1,12 @@
 //! Orders about VMs while the users' log is slow: they go out once a renewal of the lease has told of them,
 //! and the next owner spares all VMs for as long as such orders matter.
 
-#![expect(clippy::unwrap_used, reason = "a test stops where it fails")]
+mod entries;
 
-use havenladder_soak::{Plan, site::Site};
+use entries::block_on;
+use havenladder_soak::site::Site;
 use rustix::process::Signal;
-use std::{
-    path::PathBuf,
-    time::{Duration, Instant},
-};
+use std::time::{Duration, Instant};
 use tokio::time;
 
 /// By how much each call to the log takes longer, one way; both ways it is what a log that is some 90 times
@@ -25,15 +23,7 @@
 
 /// Starts a site and lets it find an owner.
 async fn start(seed: u64) -> Site {
-    let plan = Plan {
-        program: PathBuf::from(env!("CARGO_BIN_EXE_havenladder")),
-        seed,
-        span: Duration::ZERO,
-        entries: 3,
-        vms: VMS,
-        logs: PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("slow-store-{seed}")),
-    };
-    let site = Site::start(&plan).await.unwrap();
+    let site = entries::start("slow-store", seed, VMS).await;
     time::sleep(Duration::from_secs(4)).await;
     site
 }
@@ -53,14 +43,6 @@
     false
 }
 
-fn block_on(test: impl Future<Output = ()>) {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .unwrap();
-    runtime.block_on(test);
-}
-
 async fn finish_a_wave_slowly() {
     let mut site = start(911).await;
     site.ask_wave();
@@ -89,7 +71,7 @@
         entry.signal(Signal::KILL);
     }
     time::sleep(Duration::from_millis(200)).await;
-    site.heal().unwrap();
+    site.heal().expect("processes start");
     assert!(wait_orders(&site, VMS, WAVE).await);
     let orders = site.cloud.orders();
     for (place, later) in orders.iter().enumerate() {
--- /dev/null
+++ b/crates/jobs/src/gang.rs
@@ -0,0 +1,101 @@
+//! Finds room for all tasks of a gang at once.
+
+use crate::{
+    Cell, Need, Step, Task, TaskId, Worker, WorkerId,
+    cell::room_of,
+    place::{Placing, may_join},
+};
+use std::time::Instant;
+
+/// A worker while the members of a gang are placed, with those that it has got already.
+struct Host<'w> {
+    worker: &'w Worker,
+    used: Need,
+    /// How many tasks of the step it has.
+    siblings: u32,
+}
+
+impl<'w> Host<'w> {
+    /// A worker before members of the gang of `task` are placed there.
+    fn new(worker: &'w Worker, task: TaskId) -> Self {
+        Host {
+            worker,
+            used: worker.used,
+            siblings: worker.siblings(task),
+        }
+    }
+
+    /// The room that is left, in thousandths of a core.
+    fn free(&self) -> u64 {
+        self.worker.info.capacity.cpu.saturating_sub(self.used.cpu)
+    }
+
+    /// Whether one more member, which needs this room, finds it.
+    fn fits(&self, room: Need, step: &Step) -> bool {
+        room.fits(self.used, self.worker.info.capacity) && may_join(step, self.siblings)
+    }
+}
+
+impl Cell {
+    /// Places all tasks of a gang at once; one of them stands for all in the queue.
+    pub(crate) fn place_gang(&mut self, task: TaskId, now: Instant) -> Placing {
+        let Some(places) = self.gang_places(task, now) else {
+            return Placing::NoRoom;
+        };
+        let Some(job) = self.jobs.get(&task.job) else {
+            return Placing::Done;
+        };
+        let tasks = &job.rounds[task.round as usize].steps[task.step as usize];
+        let run = tasks.iter().map(Task::next_run).max().unwrap_or(1);
+        for (index, worker) in (0..).zip(places) {
+            self.order(worker, TaskId { index, ..task }, run, now);
+        }
+        Placing::Done
+    }
+
+    /// A worker for each member of a gang, or none if not all find room at once.
+    fn gang_places(&self, task: TaskId, now: Instant) -> Option<Vec<WorkerId>> {
+        let step = self.jobs.get(&task.job)?.step(task.step);
+        if !step.together {
+            return self.gang_places_in(task, None, now);
+        }
+        let mut racks: Vec<&str> = self.workers.values().map(|w| w.info.rack()).collect();
+        racks.sort_unstable();
+        racks.dedup();
+        let within = racks
+            .into_iter()
+            .find_map(|rack| self.gang_places_in(task, Some(rack), now));
+        within.or_else(|| self.gang_places_in(task, None, now))
+    }
+
+    /// The same within one rack, or anywhere.
+    fn gang_places_in(
+        &self,
+        task: TaskId,
+        rack: Option<&str>,
+        now: Instant,
+    ) -> Option<Vec<WorkerId>> {
+        let job = self.jobs.get(&task.job)?;
+        let step = job.step(task.step);
+        let room = room_of(job, task);
+        let may = |w: &&Worker| {
+            let here = rack.is_none_or(|rack| w.info.rack() == rack);
+            here && w.info.service == job.given.service && self.takes(w, task, step, now)
+        };
+        let mut hosts: Vec<Host<'_>> = self
+            .workers
+            .values()
+            .filter(may)
+            .map(|worker| Host::new(worker, task))
+            .collect();
+        let mut places = Vec::new();
+        for _ in 0..step.count {
+            let fitting = hosts.iter_mut().filter(|host| host.fits(room, step));
+            let freest = fitting.max_by_key(|host| host.free())?;
+            freest.used.add(room);
+            freest.siblings += 1;
+            places.push(freest.worker.info.id.clone());
+        }
+        Some(places)
+    }
+}
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -9,6 +9,7 @@
 mod duty;
 mod evacuate;
 mod explain;
+mod gang;
 mod job;
 mod near;
 mod need;
--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -37,7 +37,7 @@
 
 /// What became of a waiting task in a pass.
 #[derive(Clone, Copy, PartialEq, Eq)]
-enum Placing {
+pub(crate) enum Placing {
     /// It has got room, or does not wait any more.
     Done,
     /// It has room only far from its data, and waits for better.
@@ -57,35 +57,6 @@
     Away,
 }
 
-/// A worker while the members of a gang are placed, with those that it has got already.
-struct Host<'w> {
-    worker: &'w Worker,
-    used: Need,
-    /// How many tasks of the step it has.
-    siblings: u32,
-}
-
-impl<'w> Host<'w> {
-    /// A worker before members of the gang of `task` are placed there.
-    fn new(worker: &'w Worker, task: TaskId) -> Self {
-        Host {
-            worker,
-            used: worker.used,
-            siblings: worker.siblings(task),
-        }
-    }
-
-    /// The room that is left, in thousandths of a core.
-    fn free(&self) -> u64 {
-        self.worker.info.capacity.cpu.saturating_sub(self.used.cpu)
-    }
-
-    /// Whether one more member, which needs this room, finds it.
-    fn fits(&self, room: Need, step: &Step) -> bool {
-        room.fits(self.used, self.worker.info.capacity) && may_join(step, self.siblings)
-    }
-}
-
 impl Cell {
     /// Gives room to waiting tasks, in order, and notes the orders that follow.
     pub fn schedule(&mut self, now: Instant) {
@@ -190,7 +161,7 @@
     }
 
     /// Whether a worker of the task's service may get a run of it at all.
-    fn takes(&self, worker: &Worker, task: TaskId, step: &Step, now: Instant) -> bool {
+    pub(crate) fn takes(&self, worker: &Worker, task: TaskId, step: &Step, now: Instant) -> bool {
         worker.is_open(now)
             && allows(worker, step)
             && !self.reserved.contains(&worker.info.id)
@@ -268,24 +239,8 @@
         Placing::Done
     }
 
-    /// Places all tasks of a gang at once; one of them stands for all in the queue.
-    fn place_gang(&mut self, task: TaskId, now: Instant) -> Placing {
-        let Some(places) = self.gang_places(task, now) else {
-            return Placing::NoRoom;
-        };
-        let Some(job) = self.jobs.get(&task.job) else {
-            return Placing::Done;
-        };
-        let tasks = &job.rounds[task.round as usize].steps[task.step as usize];
-        let run = tasks.iter().map(Task::next_run).max().unwrap_or(1);
-        for (index, worker) in (0..).zip(places) {
-            self.order(worker, TaskId { index, ..task }, run, now);
-        }
-        Placing::Done
-    }
-
     /// Notes that a run of a task starts on a worker.
-    fn order(&mut self, worker: WorkerId, task: TaskId, run: RunId, now: Instant) {
+    pub(crate) fn order(&mut self, worker: WorkerId, task: TaskId, run: RunId, now: Instant) {
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
         };
@@ -342,52 +297,6 @@
         }
         racks
     }
-
-    /// A worker for each member of a gang, or none if not all find room at once.
-    fn gang_places(&self, task: TaskId, now: Instant) -> Option<Vec<WorkerId>> {
-        let step = self.jobs.get(&task.job)?.step(task.step);
-        if !step.together {
-            return self.gang_places_in(task, None, now);
-        }
-        let mut racks: Vec<&str> = self.workers.values().map(|w| w.info.rack()).collect();
-        racks.sort_unstable();
-        racks.dedup();
-        let within = racks
-            .into_iter()
-            .find_map(|rack| self.gang_places_in(task, Some(rack), now));
-        within.or_else(|| self.gang_places_in(task, None, now))
-    }
-
-    /// The same within one rack, or anywhere.
-    fn gang_places_in(
-        &self,
-        task: TaskId,
-        rack: Option<&str>,
-        now: Instant,
-    ) -> Option<Vec<WorkerId>> {
-        let job = self.jobs.get(&task.job)?;
-        let step = job.step(task.step);
-        let room = room_of(job, task);
-        let may = |w: &&Worker| {
-            let here = rack.is_none_or(|rack| w.info.rack() == rack);
-            here && w.info.service == job.given.service && self.takes(w, task, step, now)
-        };
-        let mut hosts: Vec<Host<'_>> = self
-            .workers
-            .values()
-            .filter(may)
-            .map(|worker| Host::new(worker, task))
-            .collect();
-        let mut places = Vec::new();
-        for _ in 0..step.count {
-            let fitting = hosts.iter_mut().filter(|host| host.fits(room, step));
-            let freest = fitting.max_by_key(|host| host.free())?;
-            freest.used.add(room);
-            freest.siblings += 1;
-            places.push(freest.worker.info.id.clone());
-        }
-        Some(places)
-    }
 }
 
 /// How well a worker suits a run; the highest is best.
