--- a/crates/havenladder/src/cli.rs
+++ b/crates/havenladder/src/cli.rs
@@ -50,6 +50,11 @@
         /// A VM, a level such as place/pool/service, or a request's id.
         subject: String,
     },
+    /// Show what pools had and needed over a time, from the logs of entries on the users' platform.
+    Day {
+        /// The logs, of one entry or of several in one file.
+        file: PathBuf,
+    },
     /// Report how fast services use up what their objectives leave.
     Burn,
     /// Show the entries and how far each has applied the log.
--- a/crates/havenladder/src/commands/mod.rs
+++ b/crates/havenladder/src/commands/mod.rs
@@ -2,6 +2,7 @@
 
 mod bug_report;
 mod burn;
+mod day;
 mod entries;
 mod explain;
 mod pool;
@@ -126,6 +127,7 @@
         Command::Vm(command) => vm::vm(setup, command),
         Command::Pool(_) => pool::pool(setup),
         Command::Explain { subject } => explain::explain(setup, &subject),
+        Command::Day { file } => day::day(setup, &file),
         Command::Burn => burn::burn(setup),
         Command::Entries => entries::entries(setup),
         Command::BugReport => bug_report::bug_report(setup),
--- /dev/null
+++ b/crates/havenladder/tests/day.rs
@@ -0,0 +1,58 @@
+//! `havenladder day`: what it draws from the logs of entries.
+
+#![expect(clippy::unwrap_used, reason = "a test stops where it fails")]
+
+use std::{fs, process::Command};
+
+const LOGS: &str = r#"
+   0.5 entry-1 {"timestamp":"2026-12-02T18:00:00.100Z","message":"pool","pool":"p","vms":3,"idle":1,"busy":1500}
+   0.9 entry-1 {"timestamp":"2026-12-02T18:00:00.900Z","message":"pool","pool":"p","vms":4,"idle":0,"busy":2500,"waiting":500,"late":250}
+not a line of a log {
+   1.2 entry-2 {"timestamp":"2026-12-02T18:00:01.200Z","message":"owns the cell no longer","why":"the process stops"}
+   1.3 entry-2 {"timestamp":"2026-12-02T18:00:01.300Z","message":"given up","ask":"submit 1"}
+   1.4 entry-3 {"timestamp":"2026-12-02T18:00:01.400Z","message":"refused: the store is away"}
+   1.5 entry-3 {"timestamp":"2026-12-02T18:00:01.500Z","message":"what the entry reaches has changed","cut_off":true}
+"#;
+
+#[test]
+fn pools_owners_and_refusals_are_told_by_second() {
+    let file = std::env::temp_dir().join(format!("day-{}.log", ulid::Ulid::new()));
+    fs::write(&file, LOGS).unwrap();
+    let output = Command::new(env!("CARGO_BIN_EXE_havenladder"))
+        .args(["day", "--json"])
+        .arg(&file)
+        .output()
+        .unwrap();
+    fs::remove_file(&file).unwrap();
+    let day: serde_json::Value = serde_json::from_slice(&output.stdout).unwrap();
+    let row = &day["pools"][0];
+    assert_eq!(
+        day["pools"].as_array().unwrap().len(),
+        1,
+        "the last of a second counts"
+    );
+    assert_eq!(
+        (row["vms"].as_u64(), row["busy"].as_f64()),
+        (Some(4), Some(2.5))
+    );
+    assert_eq!(
+        (row["waiting"].as_f64(), row["late"].as_f64()),
+        (Some(0.5), Some(0.25))
+    );
+    assert_eq!(day["refusals"]["2026-12-02T18:00:01"], 2);
+    let events = day["events"].to_string();
+    assert!(
+        events.contains("the process stops") && events.contains("cut off: true"),
+        "{events}"
+    );
+}
+
+#[test]
+fn a_file_that_is_not_there_is_named() {
+    let output = Command::new(env!("CARGO_BIN_EXE_havenladder"))
+        .args(["day", "no-such.log"])
+        .output()
+        .unwrap();
+    assert_eq!(output.status.code(), Some(1));
+    assert!(String::from_utf8_lossy(&output.stderr).contains("no-such.log"));
+}
