fix(entry): entries that are gone are forgotten by those that ask what they reach

Cause: by reading: an entry remembered six addresses of other data centres for good; machines that are replaced would have filled them with dead ones, and a new one could be dropped at once. What is new: those that do not answer while others elsewhere do are forgotten, and make room. Ruled out: forgetting them while nobody answers, as in a cut. Test: crates/fleet/tests/reach.rs.

--- a/crates/fleet/src/reach.rs
+++ b/crates/fleet/src/reach.rs
@@ -12,8 +12,8 @@
 /// there: the owner's renewals come every 0.4 s, and none may be late by a quarter of that.
 pub const QUIET: Duration = Duration::from_millis(500);
 
-/// How long nothing has been heard until an entry counts as cut off: one question that is waited for,
-/// 0.2 s, after [`QUIET`].
+/// How long nothing has been heard until an entry counts as cut off: one round of questions, 0.15 s, after
+/// [`QUIET`].
 pub const CUT_OFF: Duration = Duration::from_millis(700);
 
 /// How long after the owner's first missing answer a renewal must come to show that it lives: one that was
@@ -28,8 +28,8 @@
 pub struct Reach {
     /// When the store, or an entry of another data centre, last answered.
     outside: Instant,
-    /// Whether an entry of another data centre is known, which could be asked.
-    has_peers: bool,
+    /// When an entry of another data centre last answered; none if none is known that could be asked.
+    peer: Option<Instant>,
     /// Since when the owner has not answered.
     silent: Option<Instant>,
     /// When a renewal of the owner was last read.
@@ -41,7 +41,7 @@
     pub fn new(now: Instant) -> Self {
         Reach {
             outside: now,
-            has_peers: false,
+            peer: None,
             silent: None,
             renewed: None,
         }
@@ -55,7 +55,12 @@
     /// An entry of another data centre answered.
     pub fn note_peer(&mut self, now: Instant) {
         self.outside = now;
-        self.has_peers = true;
+        self.peer = Some(now);
+    }
+
+    /// Whether an entry of another data centre has answered since then.
+    pub fn was_peer_heard(&self, since: Instant) -> bool {
+        self.peer.is_some_and(|at| at >= since)
     }
 
     /// A renewal of the owner was read.
@@ -87,11 +92,11 @@
     /// Whether the entry cannot serve callers that entries elsewhere can serve: it hears nothing from
     /// outside, or does not reach an owner that others hear.
     pub fn is_cut_off(&self, now: Instant) -> bool {
-        let isolated = self.has_peers && now >= self.outside + CUT_OFF;
-        isolated
-            || self
-                .silent
-                .is_some_and(|since| self.is_passed_by(since, now))
+        let isolated = self.peer.is_some() && now >= self.outside + CUT_OFF;
+        let passed_by = self
+            .silent
+            .is_some_and(|since| self.is_passed_by(since, now));
+        isolated || passed_by
     }
 
     /// Whether the owner has not answered this entry since `since`, though it renews its lease all the while.
--- a/crates/fleet/tests/reach.rs
+++ b/crates/fleet/tests/reach.rs
@@ -89,3 +89,12 @@
     reach.note_owner();
     assert!(!reach.is_owner_silent(now + CUT_OFF));
 }
+
+#[test]
+fn answers_from_elsewhere_are_told_from_those_of_the_store() {
+    let now = Instant::now();
+    let mut reach = known(now);
+    reach.note_store(now + MOMENT);
+    assert!(reach.was_peer_heard(now));
+    assert!(!reach.was_peer_heard(now + MOMENT));
+}
--- a/crates/havenladder/src/entry/reach.rs
+++ b/crates/havenladder/src/entry/reach.rs
@@ -93,10 +93,15 @@
             })
         })
         .collect();
+    let began = Instant::now();
+    let mut missing = Vec::new();
     for ask in asks {
         let Ok((address, answer)) = ask.await else {
             continue;
         };
+        if answer.is_err() {
+            missing.push(address.clone());
+        }
         let is_owner = owner.as_ref() == Some(&address);
         match answer {
             Ok(Tell::Life(presence)) => note_presence(node, address, presence, is_owner),
@@ -107,6 +112,16 @@
             Ok(_) | Err(_) => {}
         }
     }
+    forget_missing(node, &missing, began);
+}
+
+/// Forgets the entries that did not answer where others of other data centres did: they may be gone for good,
+/// and make room for those that the others know.
+fn forget_missing(node: &Node, missing: &[Address], began: Instant) {
+    if node.reach.get().was_peer_heard(began) {
+        let mut directory = node.directory.borrow_mut();
+        directory.retain(|address, _| !missing.contains(address));
+    }
 }
 
 /// Where the owner takes calls, if it is another entry.
@@ -124,20 +139,16 @@
         node.note_reach(fleet::Reach::note_owner);
     }
     let own = &node.settings.hall;
-    let elsewhere = presence.known.into_iter().filter(|(_, hall)| hall != own);
+    if presence.hall != *own {
+        node.note_reach(|reach| reach.note_peer(Instant::now()));
+    }
+    let heard = presence.known.into_iter().chain([(address, presence.hall)]);
     let mut directory = node.directory.borrow_mut();
-    for (address, hall) in elsewhere {
+    for (address, hall) in heard.filter(|(_, hall)| hall != own) {
         if directory.len() < REMEMBERED {
             directory.entry(address).or_insert(hall);
         }
     }
-    if presence.hall != *own {
-        node.note_reach(|reach| reach.note_peer(Instant::now()));
-        directory.insert(address, presence.hall);
-        while directory.len() > REMEMBERED {
-            directory.pop_first();
-        }
-    }
 }
 
 /// Draws from what was heard whether the entry is cut off, and whether the owner may be replaced sooner.
