fix(fleet): an outage needs the word of most of the entries that are asked

The owner and ten other entries were cut off together from the rest. Those of the entries it asks that were cut off as well said that the store is silent, the others did not answer; it took that for an outage for all and started runs without records (log: the store is away for others, too, at 1.44 s), while another entry took over at 2.43 s. What is new: more than half of those that are asked must say so, and entries of other data centres are asked beside the seeds. Test: crates/fleet/tests/silence.rs (as many without an answer: not an outage), which the old rule did not know.

--- a/crates/fleet/src/silence.rs
+++ b/crates/fleet/src/silence.rs
@@ -9,9 +9,11 @@
     pub silent: bool,
 }
 
-/// Whether the service is away for all: an entry of another data centre than `own` says that it does not
-/// answer, and none says that it does. Entries of the own data centre may be cut off together.
-pub fn is_away(own: &str, told: &[Hearing]) -> bool {
+/// Whether the service is away for all: of the entries that were `asked`, more than half say that it does not
+/// answer, one of them in another data centre than `own`, and none says that it does. Entries of the own data
+/// centre may be cut off together, and so may some of several: those that are not do not answer either.
+pub fn is_away(own: &str, told: &[Hearing], asked: usize) -> bool {
     let all = told.iter().all(|hearing| hearing.silent);
-    all && told.iter().any(|hearing| hearing.hall != own)
+    let most = told.len() * 2 > asked;
+    all && most && told.iter().any(|hearing| hearing.hall != own)
 }
--- a/crates/fleet/tests/silence.rs
+++ b/crates/fleet/tests/silence.rs
@@ -22,5 +22,12 @@
     rows: &[(&str, bool)],
     away: bool,
 ) {
-    assert_eq!(is_away("a", &told(rows)), away);
+    assert_eq!(is_away("a", &told(rows), rows.len()), away);
+}
+
+#[test]
+fn entries_that_are_cut_off_together_do_not_take_it_for_an_outage() {
+    let told = told(&[("b", true), ("c", true)]);
+    assert!(is_away("a", &told, 3));
+    assert!(!is_away("a", &told, 4), "as many did not answer");
 }
--- a/crates/havenladder/src/entry/node.rs
+++ b/crates/havenladder/src/entry/node.rs
@@ -172,6 +172,15 @@
             .collect()
     }
 
+    /// All other entries that can be asked: [`Node::peers`] and those of other data centres, each once.
+    pub fn known_entries(&self) -> Vec<String> {
+        let mut addresses = self.peers();
+        addresses.extend(self.directory.borrow().keys().cloned());
+        addresses.sort();
+        addresses.dedup();
+        addresses
+    }
+
     /// The owner, if this entry is it.
     pub fn own(&self) -> Option<Rc<Owner>> {
         self.owner
--- a/crates/havenladder/src/entry/outage.rs
+++ b/crates/havenladder/src/entry/outage.rs
@@ -72,7 +72,8 @@
 
 async fn ask_all(owner: &Rc<Owner>) {
     let deadline = Instant::now() + ANSWER;
-    let peers = owner.node.peers();
+    let peers = owner.node.known_entries();
+    let asked = peers.len();
     let asks: Vec<_> = peers
         .into_iter()
         .map(|peer| {
@@ -87,7 +88,7 @@
             told.push(Hearing { hall, silent });
         }
     }
-    if is_away(&owner.node.settings.hall, &told) {
+    if is_away(&owner.node.settings.hall, &told, asked) {
         let last = owner.outage.get();
         if !last.is_confirmed() {
             info!(epoch = owner.epoch, "the store is away for others, too");
--- a/crates/havenladder/src/entry/reach.rs
+++ b/crates/havenladder/src/entry/reach.rs
@@ -78,12 +78,9 @@
 /// Asks the owner, the seeds and some entries of other data centres at the same time whether they are there.
 async fn ask_all(node: &Rc<Node>) {
     let owner = owner_address(node);
-    let mut addresses = node.peers();
-    addresses.extend(node.directory.borrow().keys().cloned());
-    addresses.sort();
-    addresses.dedup();
     let deadline = Instant::now() + ANSWER;
-    let asks: Vec<_> = addresses
+    let asks: Vec<_> = node
+        .known_entries()
         .into_iter()
         .map(|address| {
             let node = Rc::clone(node);
