refactor(entry): what the lease and its owner do not read is out

The lease told its owner's data centre, which nothing read; the owner kept when a renewal told of orders about VMs, of which only whether it had was used. Ruled out: a change of behaviour; both were dead.

--- a/crates/havenladder/src/entry/lease/mod.rs
+++ b/crates/havenladder/src/entry/lease/mod.rs
@@ -137,7 +137,6 @@
         node: node.settings.node.clone(),
         life: node.life,
         address: node.inner_address(),
-        hall: node.settings.hall.clone(),
         cpu: node.settings.cpu,
         unrecorded: node.own().is_some_and(|owner| owner.may_be_unrecorded()),
         orders: node.own().is_some_and(|owner| owner.may_order_unrecorded()),
--- a/crates/havenladder/src/entry/node.rs
+++ b/crates/havenladder/src/entry/node.rs
@@ -43,9 +43,6 @@
     /// Whether the owner may have started runs that it has not recorded.
     #[serde(default)]
     pub unrecorded: bool,
-    /// The owner's data centre.
-    #[serde(default)]
-    pub hall: String,
     /// Whether the owner may have given orders about VMs that it has not recorded.
     #[serde(default)]
     pub orders: bool,
--- a/crates/havenladder/src/entry/owner/duties.rs
+++ b/crates/havenladder/src/entry/owner/duties.rs
@@ -46,7 +46,7 @@
         self.order_due.set(Some(Instant::now()));
         self.lease_due.notify_one();
         // A renewal that succeeded after the store became slow is enough: each one repeats it.
-        let told = || recorded() || self.orders_told.get().is_some();
+        let told = || recorded() || self.orders_told.get();
         self.wait_until(TOLD, told).await && self.is_certain()
     }
 
--- a/crates/havenladder/src/entry/owner/mod.rs
+++ b/crates/havenladder/src/entry/owner/mod.rs
@@ -104,8 +104,8 @@
     trouble: Trouble,
     /// When an order about VMs was last to be given without a record.
     order_due: Cell<Option<Instant>>,
-    /// When the renewal was sent that last told of such orders.
-    orders_told: Cell<Option<Instant>>,
+    /// Whether the last renewal told of such orders.
+    orders_told: Cell<bool>,
     /// From when on this owner may give orders about VMs that the earlier one gave orders about: it did
     /// so as long as it trusted its lease, and two holders must not act in turn.
     pub duties: Instant,
@@ -166,7 +166,7 @@
             inherited: (extended + longest(LEASE)).max(now + before.waits),
             trouble: before.trouble,
             order_due: Cell::new(None),
-            orders_told: Cell::new(None),
+            orders_told: Cell::new(false),
             duties: before.renewed.map_or(now, |at| at + TRUST) + node.settings.lease,
             ended: RefCell::default(),
             vm_rate: RefCell::new(RateLimit::new(node.settings.vm_orders, now)),
@@ -219,7 +219,7 @@
         if lease.unrecorded {
             self.announced.set(Some(sent));
         }
-        self.orders_told.set(lease.orders.then_some(sent));
+        self.orders_told.set(lease.orders);
         // Orders about VMs may have waited for this.
         self.settled.notify_waiters();
     }
