--- a/crates/havenladder/src/main.rs
+++ b/crates/havenladder/src/main.rs
@@ -22,8 +22,13 @@
 mod sync;
 
 use clap::Parser;
+use mimalloc::MiMalloc;
 use std::process::ExitCode;
 
+/// A fifth of an owner's processor time at 1,100 workers went to the system's allocator.
+#[global_allocator]
+static ALLOCATOR: MiMalloc = MiMalloc;
+
 fn main() -> ExitCode {
     commands::run(cli::Args::parse())
 }
--- a/crates/soak/src/entries.rs
+++ b/crates/soak/src/entries.rs
@@ -73,6 +73,11 @@
         })
     }
 
+    /// The process's id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends a signal to the process, if it runs.
     pub fn signal(&mut self, signal: Signal) {
         if self.is_running()
