perf(jobs): workers found by service; passes over what waits end sooner

Cause: each start, gang, search for near data, finished job and look at a pool walked over all 1,100 workers of five services, each by comparing strings; each pass copied the whole queue and asked for each waiting task whether it is late; a service's spread was found by walking over all jobs that ever came, 50 times a second; runs that stand still were looked for 60 times a second. Changes: a table of workers by id and service; a task that needs no less than one that found no room in this pass is not tried; lateness is worked out once a step; jobs whose tasks must be apart are kept by id; runs that stand still are looked for each 200 ms, a tenth of the time after which they do.

--- a/crates/jobs/src/cell/demand.rs
+++ b/crates/jobs/src/cell/demand.rs
@@ -1,6 +1,6 @@
 //! How much room the jobs of a service ask for: what runs, what waits, and what comes.
 
-use crate::{Cell, Job, Step, Submission, Worker, cell::room_of, rank::Rank};
+use crate::{Cell, Job, JobId, Step, Submission, cell::room_of, rank::Rank};
 use std::time::Duration;
 
 /// Over how long the jobs that come are counted to foresee what a pool needs. Ten jobs a second come
@@ -28,8 +28,7 @@
 impl Cell {
     /// What the jobs of a service take, and what more they wait for, in thousandths of a core.
     pub fn demand(&self, service: &str) -> Demand {
-        let own = |worker: &&Worker| worker.info.service == service;
-        let busy = self.workers.values().filter(own).map(|w| w.used.cpu).sum();
+        let busy = self.workers.of(service).map(|w| w.used.cpu).sum();
         let needs = |rank: &Rank| {
             let task = rank.task();
             let job = self
@@ -86,16 +85,30 @@
         }
     }
 
-    /// How many workers the widest step needs whose tasks must be apart, and one more; 0 if there is
-    /// no such step.
+    /// How many workers the widest step of a service's live jobs needs whose tasks must be apart, and one
+    /// more; 0 if there is no such step.
     fn spread(&self, service: &str) -> usize {
-        let live = |job: &&Job| job.given.service == service && !job.phase.is_over();
-        let steps = self
-            .jobs
-            .values()
-            .filter(live)
-            .flat_map(|job| &job.given.spec.steps);
-        let apart = steps.filter_map(|step| Some(step.count.div_ceil(step.apart?)));
-        apart.max().map_or(0, |widest| widest as usize + 1)
+        let of_service = |id: &JobId| {
+            self.jobs
+                .get(id)
+                .is_some_and(|job| job.given.service == service)
+        };
+        let spreads = self.spreads.iter().filter(|(id, _)| of_service(id));
+        let widest = spreads.map(|(_, spread)| *spread).max();
+        widest.map_or(0, |widest| widest + 1)
+    }
+
+    /// Notes what a job asks for whose tasks must be apart.
+    pub(super) fn note_spread(&mut self, job: &Job) {
+        let spread = widest_spread(job);
+        self.spreads
+            .extend(spread.map(|spread| (job.given.id, spread)));
     }
 }
+
+/// How many workers the widest step of a job needs whose tasks must be apart; none if it has no such step.
+pub(super) fn widest_spread(job: &Job) -> Option<usize> {
+    let steps = job.given.spec.steps.iter();
+    let apart = steps.filter_map(|step| Some(step.count.div_ceil(step.apart?)));
+    apart.max().map(|widest| widest as usize)
+}
--- a/crates/jobs/src/cell/ends.rs
+++ b/crates/jobs/src/cell/ends.rs
@@ -106,18 +106,20 @@
         };
         job.phase = phase;
         job.rounds = Vec::new();
+        let service = job.given.service.clone();
+        self.spreads.remove(&id);
         self.running.remove(&id);
         self.permits.retain(|(job, ..), _| *job != id);
         self.dirty.insert(id);
         self.timed.retain(|(_, job, _)| *job != id);
-        let runs: Vec<(WorkerId, TaskId, RunId)> = self.runs_of(id);
+        let runs: Vec<(WorkerId, TaskId, RunId)> = self.runs_of(id, &service);
         for (worker, task, run) in runs {
             self.stop_run(&worker, task, run);
         }
     }
 
-    /// All runs of a job that workers have, or may have.
-    fn runs_of(&self, id: JobId) -> Vec<(WorkerId, TaskId, RunId)> {
+    /// All runs of a job that workers of its service have, or may have.
+    fn runs_of(&self, id: JobId, service: &str) -> Vec<(WorkerId, TaskId, RunId)> {
         let first = TaskId {
             job: id,
             round: 0,
@@ -132,9 +134,9 @@
         };
         let span = (first, 0)..=(last, RunId::MAX);
         let mut runs = Vec::new();
-        for (worker, state) in &self.workers {
-            let here = state.runs.range(span.clone());
-            runs.extend(here.map(|((task, run), _)| (worker.clone(), *task, *run)));
+        for worker in self.workers.of(service) {
+            let here = worker.runs.range(span.clone());
+            runs.extend(here.map(|((task, run), _)| (worker.info.id.clone(), *task, *run)));
         }
         runs
     }
--- a/crates/jobs/src/cell/gate.rs
+++ b/crates/jobs/src/cell/gate.rs
@@ -1,6 +1,6 @@
 //! What a new owner has to know before the tasks that waited under the one before it may start.
 
-use crate::{Cell, ServiceId, Worker, WorkerId};
+use crate::{Cell, ServiceId, WorkerId};
 use std::{collections::HashMap, time::Instant};
 
 /// What has to be known before the tasks that waited under an earlier owner start.
@@ -51,10 +51,9 @@
         if order >= gate.order || gate.expires.is_some_and(|at| now >= at) {
             return false;
         }
-        let unmet = |w: &Worker| w.info.service == service && !w.met;
         !gate.listed
             || gate.wants_vms
             || gate.expected.values().any(|of| of == service)
-            || self.workers.values().any(unmet)
+            || self.workers.of(service).any(|w| !w.met)
     }
 }
--- a/crates/jobs/src/cell/hosts.rs
+++ b/crates/jobs/src/cell/hosts.rs
@@ -6,9 +6,8 @@
 impl Cell {
     /// Takes note of what the platform's list says of a worker.
     pub fn see_worker(&mut self, info: WorkerInfo, now: Instant) {
-        if let Some(worker) = self.workers.get_mut(&info.id) {
-            worker.info = info;
-            return;
+        if self.workers.get(&info.id).is_some() {
+            return self.workers.update(info);
         }
         let mut worker = Worker::new(info);
         worker.met = self.gate.listed;
@@ -22,7 +21,7 @@
             state.settled = Some(now);
             worker.add(task, run, state);
         }
-        self.workers.insert(worker.info.id.clone(), worker);
+        self.workers.insert(worker);
     }
 
     /// Whether an earlier owner had placed runs on a worker that no list has named since.
@@ -38,8 +37,8 @@
     /// The workers that may have runs and do not answer: those that an earlier owner had used and no list
     /// has named since, and those that have not answered yet, or not of late.
     pub fn silent_workers(&self) -> BTreeSet<WorkerId> {
-        let silent = self.workers.iter().filter(|(_, worker)| !worker.known);
-        let silent = silent.map(|(id, _)| id.clone());
+        let silent = self.workers.values().filter(|worker| !worker.known);
+        let silent = silent.map(|worker| worker.info.id.clone());
         silent.chain(self.orphans.keys().cloned()).collect()
     }
 
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     Job, JobId, Need, Order, Phase, QueueId, RunId, ServiceId, Submission, TaskId, TaskPhase,
-    Worker, WorkerId,
+    WorkerId, Workers,
     duty::Duty,
     near::Near,
     permit::{Permits, StepId},
@@ -23,7 +23,10 @@
     worker::{Load, RunKind},
 };
 use gate::Gate;
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque},
+    time::Instant,
+};
 
 /// What became of a job that was handed in.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -49,7 +52,7 @@
     /// The figures that the decisions depend on.
     pub limits: Limits,
     /// The workers that the platform lists.
-    pub workers: BTreeMap<WorkerId, Worker>,
+    pub workers: Workers,
     /// The jobs, also those that are over.
     pub jobs: HashMap<JobId, Job>,
     /// The tasks that wait for room, in the order in which they get it.
@@ -84,12 +87,19 @@
     came: HashMap<ServiceId, VecDeque<(u64, f64)>>,
     /// The jobs that are not over and of which a worker has run a task.
     running: HashSet<JobId>,
+    /// How many workers the widest step of a live job needs whose tasks must be apart, for the jobs that have
+    /// such a step.
+    spreads: HashMap<JobId, usize>,
     /// The services that have had a job that ends by itself.
     begun: HashSet<ServiceId>,
     /// How long the runs of a queue take, as a multiple of what their callers estimate.
     pub(crate) pace: HashMap<QueueId, f64>,
     /// The tasks that wait for room near their data.
     pub(crate) near: Near,
+    /// When runs are to be looked at next that may stand still.
+    pub(crate) still_due: Option<Instant>,
+    /// What tasks need that found no room in this pass of a service.
+    pub(crate) misfits: Vec<Need>,
     /// The workers that are kept free, in this pass, for tasks that fit nowhere.
     pub(crate) reserved: HashSet<WorkerId>,
     /// The VMs that have had their upkeep, by wave.
@@ -119,6 +129,7 @@
         }
         let job = Job::new(given, self.next_order);
         self.next_order += 1;
+        self.note_spread(&job);
         self.jobs.insert(id, job);
         self.fresh.insert(id);
         self.dirty.insert(id);
--- a/crates/jobs/src/cell/takeover.rs
+++ b/crates/jobs/src/cell/takeover.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     Cell, Job, JobId, JobSpec, QueueId, RunId, ServiceId, Submission, TaskId, TaskPhase, WorkerId,
-    record::Decoded,
+    cell::demand::widest_spread, record::Decoded,
 };
 use std::collections::HashMap;
 
@@ -56,6 +56,8 @@
             return;
         }
         let placed = placed_runs(job);
+        let spread = widest_spread(job);
+        self.spreads.extend(spread.map(|spread| (id, spread)));
         for (worker, task, run) in placed {
             self.orphans.entry(worker).or_default().push((task, run));
         }
--- a/crates/jobs/src/evacuate.rs
+++ b/crates/jobs/src/evacuate.rs
@@ -92,14 +92,14 @@
             let mut used = host.used;
             used.add(taken.get(id).copied().unwrap_or_default());
             host.info.id != from.info.id
-                && host.info.service == from.info.service
                 && host.is_open(now)
                 && run.load.need.fits(used, host.info.capacity)
                 && allows(host, step)
-                && may_join(step, host.siblings(task))
+                && may_join(step, host, task)
         };
         // One that is empty might be moved itself.
-        let mut candidates = self.workers.values().filter(|host| !host.runs.is_empty());
+        let others = self.workers.of(&from.info.service);
+        let mut candidates = others.filter(|host| !host.runs.is_empty());
         candidates.find(fits)
     }
 
--- a/crates/jobs/src/explain.rs
+++ b/crates/jobs/src/explain.rs
@@ -42,10 +42,8 @@
         let Some(job) = self.jobs.get(&task.job) else {
             return counts;
         };
-        for worker in self.workers.values() {
-            if worker.info.service == job.given.service {
-                *counts.entry(self.obstacle(worker, task, now)).or_insert(0) += 1;
-            }
+        for worker in self.workers.of(&job.given.service) {
+            *counts.entry(self.obstacle(worker, task, now)).or_insert(0) += 1;
         }
         counts
     }
@@ -64,7 +62,7 @@
             Obstacle::Aside
         } else if !allows(worker, step) {
             Obstacle::Label
-        } else if !may_join(step, worker.siblings(task)) {
+        } else if !may_join(step, worker, task) {
             Obstacle::Apart
         } else if !room_of(job, task).fits(worker.used, worker.info.capacity) {
             Obstacle::Room
--- a/crates/jobs/src/gang.rs
+++ b/crates/jobs/src/gang.rs
@@ -1,10 +1,6 @@
 //! Finds room for all tasks of a gang at once.
 
-use crate::{
-    Cell, Need, Step, Task, TaskId, Worker, WorkerId,
-    cell::room_of,
-    place::{Placing, may_join},
-};
+use crate::{Cell, Need, Step, Task, TaskId, Worker, WorkerId, cell::room_of, place::Placing};
 use std::time::Instant;
 
 /// A worker while the members of a gang are placed, with those that it has got already.
@@ -32,7 +28,8 @@
 
     /// Whether one more member, which needs this room, finds it.
     fn fits(&self, room: Need, step: &Step) -> bool {
-        room.fits(self.used, self.worker.info.capacity) && may_join(step, self.siblings)
+        let apart = step.apart.is_none_or(|most| self.siblings < most);
+        apart && room.fits(self.used, self.worker.info.capacity)
     }
 }
 
@@ -59,7 +56,8 @@
         if !step.together {
             return self.gang_places_in(task, None, now);
         }
-        let mut racks: Vec<&str> = self.workers.values().map(|w| w.info.rack()).collect();
+        let service = &self.jobs.get(&task.job)?.given.service;
+        let mut racks: Vec<&str> = self.workers.of(service).map(|w| w.info.rack()).collect();
         racks.sort_unstable();
         racks.dedup();
         let within = racks
@@ -80,11 +78,11 @@
         let room = room_of(job, task);
         let may = |w: &&Worker| {
             let here = rack.is_none_or(|rack| w.info.rack() == rack);
-            here && w.info.service == job.given.service && self.takes(w, task, step, now)
+            here && self.takes(w, job, task, now)
         };
         let mut hosts: Vec<Host<'_>> = self
             .workers
-            .values()
+            .of(&job.given.service)
             .filter(may)
             .map(|worker| Host::new(worker, task))
             .collect();
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -23,6 +23,7 @@
 mod spec;
 mod takeout;
 mod worker;
+mod workers;
 
 pub use cell::{Accepted, Cancelled, Cell, Demand, Limits};
 pub use duty::Holder;
@@ -36,6 +37,7 @@
 pub use spec::{JobSpec, Schedule, SpecError, Step, Submission};
 pub use takeout::Takeout;
 pub use worker::{RunPhase, Worker, WorkerInfo};
+pub use workers::Workers;
 
 use std::fmt;
 
--- a/crates/jobs/src/near.rs
+++ b/crates/jobs/src/near.rs
@@ -70,10 +70,9 @@
     /// there may get the task.
     fn near_wait(&self, task: TaskId, rack: &str, now: Instant) -> Option<f64> {
         let service = &self.jobs.get(&task.job)?.given.service;
-        let there =
-            |w: &&Worker| w.info.service == *service && w.info.has_label(rack) && w.is_open(now);
+        let there = |w: &&Worker| w.info.has_label(rack) && w.is_open(now);
         let (mut room, mut work) = (0.0, 0.0);
-        for worker in self.workers.values().filter(there) {
+        for worker in self.workers.of(service).filter(there) {
             room += worker.info.capacity.cpu as f64;
             for ((task, _), run) in &worker.runs {
                 let cpu = run.load.need.cpu as f64;
--- a/crates/jobs/src/need.rs
+++ b/crates/jobs/src/need.rs
@@ -21,6 +21,11 @@
             && used.gpu + self.gpu <= capacity.gpu
     }
 
+    /// Whether this asks for no more than another amount, in anything.
+    pub fn is_within(self, other: Need) -> bool {
+        self.cpu <= other.cpu && self.memory <= other.memory && self.gpu <= other.gpu
+    }
+
     /// Adds another amount.
     pub fn add(&mut self, other: Need) {
         self.cpu += other.cpu;
--- a/crates/jobs/src/observe.rs
+++ b/crates/jobs/src/observe.rs
@@ -22,6 +22,9 @@
 /// Weight of one run in what is learned of its queue: about the last 50 count.
 const LEARNING: f64 = 0.02;
 
+/// Time between two looks for runs that stand still: a tenth of the time after which a run does.
+const STILL_GAP: Duration = Duration::from_millis(200);
+
 /// By how much a pace is raised at a time, in hundredths.
 const PACE_UP: u64 = 20;
 
@@ -47,13 +50,17 @@
 
     /// Stops runs that show no progress, so that they are tried elsewhere.
     pub fn stop_still(&mut self, now: Instant) {
+        if self.still_due.is_some_and(|due| now < due) {
+            return;
+        }
+        self.still_due = Some(now + STILL_GAP);
         let still = self.limits.still;
         let mut stuck = Vec::new();
-        for (id, worker) in &self.workers {
+        for worker in self.workers.values() {
             let rows = worker.runs.iter().filter(|(_, state)| {
                 state.phase == RunPhase::Running && now > state.moved + still && state.pace == 100
             });
-            stuck.extend(rows.map(|((task, run), _)| (id.clone(), *task, *run)));
+            stuck.extend(rows.map(|((task, run), _)| (worker.info.id.clone(), *task, *run)));
         }
         for (id, task, run) in stuck {
             let lasting = self
@@ -118,7 +125,7 @@
             return;
         }
         let service = host.info.service.clone();
-        let of_service = || self.workers.values().filter(|w| w.info.service == service);
+        let of_service = || self.workers.of(&service);
         let aside = of_service()
             .filter(|w| w.aside.is_some_and(|until| until > now))
             .count();
--- a/crates/jobs/src/permit.rs
+++ b/crates/jobs/src/permit.rs
@@ -89,15 +89,10 @@
         }
     }
 
-    /// Whether a worker may run a task, as far as permits go.
-    pub(crate) fn may_run(&self, task: TaskId, worker: &str, now: Instant) -> bool {
-        let Some(job) = self.jobs.get(&task.job) else {
-            return false;
-        };
-        !job.given.permits
-            || self
-                .permit(task, worker)
-                .is_some_and(|permit| permit.is_valid(now))
+    /// Whether a permit for a task on a worker holds.
+    pub(crate) fn has_permit(&self, task: TaskId, worker: &str, now: Instant) -> bool {
+        self.permit(task, worker)
+            .is_some_and(|permit| permit.is_valid(now))
     }
 
     /// Asks for permits of a step that found no room, where its queue needs them.
@@ -111,8 +106,9 @@
             return;
         }
         let unknown = |w: &&Worker| permits.is_unknown(&w.info.id, now);
-        let open = |w: &&Worker| w.info.service == service && w.is_open(now);
-        let mut asked: Vec<_> = self.workers.values().filter(open).filter(unknown).collect();
+        let open = |w: &&Worker| w.is_open(now);
+        let workers = self.workers.of(&service);
+        let mut asked: Vec<_> = workers.filter(open).filter(unknown).collect();
         asked.sort_by_key(|w| Reverse(w.info.capacity.cpu.saturating_sub(w.used.cpu)));
         let workers: Vec<WorkerId> = asked
             .iter()
@@ -129,6 +125,6 @@
 }
 
 /// The step of a task.
-fn step_of(task: TaskId) -> StepId {
+pub(crate) fn step_of(task: TaskId) -> StepId {
     (task.job, task.round, task.step)
 }
--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -1,12 +1,13 @@
 //! Which waiting task gets room where.
 
 use crate::{
-    Cell, Need, Order, Phase, RunId, Step, Task, TaskId, TaskPhase, Worker, WorkerId,
+    Cell, Job, Need, Order, Phase, RunId, Step, Task, TaskId, TaskPhase, Worker, WorkerId,
     cell::{load_of, room_of},
+    permit::{StepId, step_of},
     rank::Rank,
     worker::{RunKind, RunState},
 };
-use std::{collections::HashMap, time::Instant};
+use std::{collections::HashMap, ops::Bound, time::Instant};
 
 /// How many tasks that find no room are tried in one pass of a service before the rest wait for the
 /// next: enough to find small ones behind large ones, few enough to bound a pass in an overload.
@@ -83,13 +84,16 @@
     fn schedule_service(&mut self, service: &str, now: Instant, log: Log) {
         self.demote_late(service);
         self.near.begin_pass();
+        self.misfits.clear();
         let mut misfits = 0;
         let mut later = 0;
-        let ranks: Vec<Rank> = self.waiting[service].iter().copied().collect();
-        for rank in ranks {
-            if misfits >= MISFITS {
+        let mut after: Option<Rank> = None;
+        while misfits < MISFITS {
+            // What is placed leaves the queue: the next is the first behind the one before.
+            let Some(rank) = self.next_rank(service, after) else {
                 break;
-            }
+            };
+            after = Some(rank);
             match self.try_rank(service, &rank, now, log) {
                 Placing::Held => {}
                 Placing::Done => {
@@ -105,6 +109,18 @@
         }
     }
 
+    /// The first of a service's waiting tasks behind one; the first of all without one.
+    fn next_rank(&self, service: &str, after: Option<Rank>) -> Option<Rank> {
+        let queue = self.waiting.get(service)?;
+        match after {
+            None => queue.first().copied(),
+            Some(rank) => queue
+                .range((Bound::Excluded(rank), Bound::Unbounded))
+                .next()
+                .copied(),
+        }
+    }
+
     /// Places a waiting task if its turn has come.
     fn try_rank(&mut self, service: &str, rank: &Rank, now: Instant, log: Log) -> Placing {
         let task = rank.task();
@@ -118,6 +134,12 @@
         }
     }
 
+    /// Whether a task finds no room for certain: a plain one that needs no more found none in this pass, in
+    /// which room only becomes less.
+    fn is_misfit(&self, room: Need) -> bool {
+        self.misfits.iter().any(|found| found.is_within(room))
+    }
+
     /// Does what brings a task that finds no room nearer to some.
     fn note_misfit(&mut self, rank: &Rank, now: Instant) {
         self.ask_permits(rank.task(), now);
@@ -128,9 +150,24 @@
 
     /// Puts the tasks that cannot be in time any more behind those that can.
     fn demote_late(&mut self, service: &str) {
-        let late =
-            |rank: &&Rank| !rank.is_late() && !rank.is_lasting() && self.is_late(rank.task());
-        let late: Vec<Rank> = self.waiting[service].iter().filter(late).copied().collect();
+        let mut late: Vec<Rank> = Vec::new();
+        // The tasks of a step stand one after the other and are late together.
+        let mut last: Option<(StepId, bool)> = None;
+        for rank in &self.waiting[service] {
+            if rank.is_late() {
+                break;
+            }
+            if rank.is_lasting() {
+                continue;
+            }
+            let step = step_of(rank.task());
+            let known = last.filter(|(other, _)| *other == step);
+            let is_late = known.map_or_else(|| self.is_late(rank.task()), |(_, late)| late);
+            last = Some((step, is_late));
+            if is_late {
+                late.push(*rank);
+            }
+        }
         if let Some(queue) = self.waiting.get_mut(service) {
             for rank in late {
                 queue.remove(&rank);
@@ -148,24 +185,27 @@
         let step = job.step(task.step);
         let room = room_of(job, task);
         let may = |w: &&Worker| {
-            w.info.service == job.given.service
-                && room.fits(Need::default(), w.info.capacity)
-                && self.takes(w, task, step, now)
-                && may_join(step, w.siblings(task))
+            room.fits(Need::default(), w.info.capacity)
+                && self.takes(w, job, task, now)
+                && may_join(step, w, task)
         };
         let free = |w: &&Worker| w.info.capacity.cpu.saturating_sub(w.used.cpu);
-        let freest = self.workers.values().filter(may).max_by_key(free);
+        let freest = self
+            .workers
+            .of(&job.given.service)
+            .filter(may)
+            .max_by_key(free);
         if let Some(id) = freest.map(|w| w.info.id.clone()) {
             self.reserved.insert(id);
         }
     }
 
     /// Whether a worker of the task's service may get a run of it at all.
-    pub(crate) fn takes(&self, worker: &Worker, task: TaskId, step: &Step, now: Instant) -> bool {
+    pub(crate) fn takes(&self, worker: &Worker, job: &Job, task: TaskId, now: Instant) -> bool {
         worker.is_open(now)
-            && allows(worker, step)
+            && allows(worker, job.step(task.step))
             && !self.reserved.contains(&worker.info.id)
-            && self.may_run(task, &worker.info.id, now)
+            && (!job.given.permits || self.has_permit(task, &worker.info.id, now))
     }
 
     /// Whether a worker may still have a run of a task of which there must not be two.
@@ -193,7 +233,7 @@
                 RunId::MAX,
             );
         let there = |w: &Worker| w.runs.range(span.clone()).next().is_some();
-        !step.copies && self.workers.values().any(there)
+        !step.copies && self.workers.of(&job.given.service).any(there)
     }
 
     /// Takes a task out of those that wait.
@@ -224,6 +264,7 @@
     /// Places a task that is none of a gang.
     fn place_one(&mut self, task: TaskId, now: Instant) -> Placing {
         let Some(worker) = self.best_worker(task, now) else {
+            self.note_no_room(task);
             return Placing::NoRoom;
         };
         if self.waits_for_near(task, &worker, now) {
@@ -260,27 +301,48 @@
         self.starts.push(Order::Start { worker, task, run });
     }
 
+    /// Notes what a plain task needs that found no room; a label, or tasks that must be apart, may be why
+    /// others did not.
+    fn note_no_room(&mut self, task: TaskId) {
+        let Some(job) = self.jobs.get(&task.job) else {
+            return;
+        };
+        let step = job.step(task.step);
+        let bound = step.label.is_some() || step.apart.is_some() || job.given.permits;
+        if !bound {
+            let room = room_of(job, task);
+            self.misfits.retain(|found| !room.is_within(*found));
+            self.misfits.push(room);
+        }
+    }
+
     /// The worker that suits a task best, of those that have room for it.
     fn best_worker(&self, task: TaskId, now: Instant) -> Option<WorkerId> {
         let job = self.jobs.get(&task.job)?;
         let step = job.step(task.step);
         let room = room_of(job, task);
-        // The cheapest first: in an overload, nearly all workers are of another service or full.
+        if self.is_misfit(room) {
+            return None;
+        }
+        // The cheapest first: in an overload, nearly all workers are full.
         let may = |w: &&Worker| {
             room.fits(w.used, w.info.capacity)
-                && w.info.service == job.given.service
-                && self.takes(w, task, step, now)
-                && may_join(step, w.siblings(task))
+                && self.takes(w, job, task, now)
+                && may_join(step, w, task)
         };
         let racks = if step.lasting {
-            self.racks_of(task)
+            self.racks_of(&job.given.service, task)
         } else {
             HashMap::new()
         };
         let mut best: Option<(f64, &Worker)> = None;
-        for worker in self.workers.values().filter(may) {
+        for worker in self.workers.of(&job.given.service).filter(may) {
             let crowd = racks.get(worker.info.rack()).copied().unwrap_or(0);
-            let siblings = worker.siblings(task);
+            let siblings = if step.lasting {
+                worker.siblings(task)
+            } else {
+                0
+            };
             let score = score(worker, step, room, crowd, siblings);
             if best.is_none_or(|(top, _)| score > top) {
                 best = Some((score, worker));
@@ -289,10 +351,10 @@
         best.map(|(_, worker)| worker.info.id.clone())
     }
 
-    /// How many tasks of the same step each rack has.
-    fn racks_of(&self, task: TaskId) -> HashMap<&str, u32> {
+    /// How many tasks of the same step each rack has on workers of a service.
+    fn racks_of(&self, service: &str, task: TaskId) -> HashMap<&str, u32> {
         let mut racks = HashMap::new();
-        for worker in self.workers.values() {
+        for worker in self.workers.of(service) {
             *racks.entry(worker.info.rack()).or_insert(0) += worker.siblings(task);
         }
         racks
@@ -328,9 +390,9 @@
     }
 }
 
-/// Whether a worker that has this many tasks of a step may get one more.
-pub(crate) fn may_join(step: &Step, siblings: u32) -> bool {
-    step.apart.is_none_or(|most| siblings < most)
+/// Whether a worker may get one more task of a step, as far as these must be apart.
+pub(crate) fn may_join(step: &Step, worker: &Worker, task: TaskId) -> bool {
+    step.apart.is_none_or(|most| worker.siblings(task) < most)
 }
 
 /// Whether a worker has the label that a step asks for.
