--- a/crates/fleet/src/sizing.rs
+++ b/crates/fleet/src/sizing.rs
@@ -164,6 +164,12 @@
     resize
 }
 
+/// Whether a pool lacks VMs, so that emptying some may be worth looking for: only then does
+/// [`PoolDemand::loose`] matter.
+pub fn lacks_vms(pools: &[PoolDemand], limits: &SizingLimits) -> bool {
+    !Books::new(pools, limits).needy(Source::Fair).is_empty()
+}
+
 /// Where a pool in need gets VMs from, in this order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Source {
--- a/crates/havenladder/src/entry/moves.rs
+++ b/crates/havenladder/src/entry/moves.rs
@@ -7,7 +7,7 @@
     vm_orders::{self, Errand, VmOrder},
 };
 use adapter::cloud::{Ordered, Vm, VmState};
-use fleet::{IdleVm, LooseVm, PoolDemand, Resize, Shift, SizingLimits, resize};
+use fleet::{IdleVm, LooseVm, PoolDemand, Resize, Shift, SizingLimits, lacks_vms, resize};
 use jobs::{Demand, Takeout};
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
@@ -121,9 +121,13 @@
             waves,
             now,
         };
-        let pools = self.demands(round);
+        let limits = SizingLimits::default();
+        let mut pools = self.demands(round);
         self.tell(&pools, now);
-        let plan = resize(&pools, now, &SizingLimits::default());
+        if lacks_vms(&pools, &limits) {
+            self.find_loose(round, &mut pools);
+        }
+        let plan = resize(&pools, now, &limits);
         self.drain(round, &plan);
         owner.wake();
         self.order(owner, list, plan.shifts).await;
@@ -229,12 +233,28 @@
         } else {
             self.idle_since(round.owner, vm, round.now)
         };
-        match since {
-            Some(since) => pool.idle.push(IdleVm {
-                vm: vm.name.clone(),
-                since,
-            }),
-            None => pool.loose.extend(self.loose(round.owner, vm, round.now)),
+        pool.idle.extend(since.map(|since| IdleVm {
+            vm: vm.name.clone(),
+            since,
+        }));
+    }
+
+    /// Finds the VMs that could be emptied. This looks at every run, and is only done where a pool lacks VMs.
+    fn find_loose(&self, round: Round<'_>, pools: &mut [PoolDemand]) {
+        for pool in pools.iter_mut().filter(|pool| !pool.reserve) {
+            let of_pool = |vm: &&Vm| {
+                let may_go = vm.state == VmState::Up && !self.moving.contains_key(&vm.name);
+                may_go && vm.pool == pool.pool && !round.waves.holds(&vm.name)
+            };
+            let is_idle = |vm: &&Vm| self.idle.contains_key(&vm.name);
+            let busy = round
+                .list
+                .values()
+                .filter(of_pool)
+                .filter(|vm| !is_idle(vm));
+            pool.loose = busy
+                .filter_map(|vm| self.loose(round.owner, vm, round.now))
+                .collect();
         }
     }
 
--- a/crates/havenladder/src/entry/orders.rs
+++ b/crates/havenladder/src/entry/orders.rs
@@ -12,6 +12,7 @@
 use std::{
     pin::pin,
     rc::Rc,
+    sync::Arc,
     time::{Duration, Instant},
 };
 use tokio::{task, time};
@@ -50,13 +51,13 @@
 }
 
 /// What the list says of a worker, if the cell has it.
-pub fn find(owner: &Owner, worker: &str) -> Option<WorkerInfo> {
+pub fn find(owner: &Owner, worker: &str) -> Option<Arc<WorkerInfo>> {
     owner
         .cell
         .borrow()
         .workers
         .get(worker)
-        .map(|w| w.info.clone())
+        .map(|w| Arc::clone(&w.info))
 }
 
 /// The end of a lease that begins now, on the worker's clock, if its clock is known.
--- a/crates/havenladder/src/entry/watch.rs
+++ b/crates/havenladder/src/entry/watch.rs
@@ -8,10 +8,11 @@
     store::{Keyed, Offset, Read, split_keyed},
     workers::{self, ClockMs, Hold, Told, WorkerError},
 };
-use jobs::{How, Refusal, Report, WorkerId};
+use jobs::{How, Refusal, Report, WorkerId, WorkerInfo};
 use std::{
     collections::HashSet,
     rc::Rc,
+    sync::Arc,
     time::{Duration, Instant},
 };
 use tokio::{task, time};
@@ -120,7 +121,7 @@
 fn unlist(owner: &Rc<Owner>, id: &str) {
     if let Some(worker) = owner.cell.borrow_mut().workers.get_mut(id) {
         info!(worker = id, "worker no longer listed");
-        worker.info.draining = true;
+        Arc::make_mut(&mut worker.info).draining = true;
     }
 }
 
@@ -341,7 +342,7 @@
     if worker.runs.is_empty() {
         return false;
     }
-    let info = worker.info.clone();
+    let info = WorkerInfo::clone(&worker.info);
     info!(
         worker = id,
         runs = worker.runs.len(),
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -1,7 +1,7 @@
 //! A worker as the owner of its cell sees it: its room, and the runs that it may have.
 
 use crate::{Need, RunId, ServiceId, Step, TaskId, WorkerId};
-use std::{collections::BTreeMap, time::Instant};
+use std::{collections::BTreeMap, sync::Arc, time::Instant};
 
 /// What the platform's list says of a worker.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -129,7 +129,7 @@
 #[derive(Clone, Debug)]
 pub struct Worker {
     /// What the platform's list says of it.
-    pub info: WorkerInfo,
+    pub info: Arc<WorkerInfo>,
     /// Whether it answered this owner when it was last asked; from its first answer on, it refuses all
     /// earlier owners.
     pub known: bool,
@@ -159,7 +159,7 @@
     /// A worker that has not answered yet.
     pub fn new(info: WorkerInfo) -> Self {
         Worker {
-            info,
+            info: Arc::new(info),
             known: false,
             met: false,
             closed: false,
--- a/crates/jobs/src/workers.rs
+++ b/crates/jobs/src/workers.rs
@@ -1,7 +1,7 @@
 //! The workers of a cell, found by id and by service.
 
 use crate::{ServiceId, Worker, WorkerId, WorkerInfo};
-use std::collections::HashMap;
+use std::{collections::HashMap, sync::Arc};
 
 /// Where a worker stands in the table.
 type Slot = usize;
@@ -66,10 +66,12 @@
         let Some(worker) = self.get_mut(&info.id) else {
             return;
         };
-        if worker.info.service == info.service {
-            worker.info = info;
+        if *worker.info == info {
+            // Most entries of the list only say that the worker lives.
+        } else if worker.info.service == info.service {
+            worker.info = Arc::new(info);
         } else if let Some(mut worker) = self.remove(&info.id) {
-            worker.info = info;
+            worker.info = Arc::new(info);
             self.insert(worker);
         }
     }
