fix(fleet): pools are sized by the resource that is scarce; lasting tasks without room get VMs

Lasting tasks take a third of a VM's memory and a seventh of its processor; sizing counted processor only, and saw a pool with room to spare. Besides, what is free in sum may be too little on each VM. Ruled out: an owner that is full (no processor time was charged); a wait for a lease (the obstacle logged is room on all 31 workers). Tests: crates/jobs/tests/demand.rs (memory that is scarce, tasks that leave gaps, tasks that must be apart; labels and finite tasks ask for nothing); they cannot be built on the code before, which has no such figures.

--- a/crates/havenladder/src/entry/moves.rs
+++ b/crates/havenladder/src/entry/moves.rs
@@ -8,7 +8,7 @@
 };
 use adapter::cloud::{Ordered, Vm, VmState};
 use fleet::{IdleVm, LooseVm, PoolDemand, Resize, Shift, SizingLimits, lacks_vms, resize};
-use jobs::{Demand, Takeout};
+use jobs::{Demand, Need, Takeout};
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
     rc::Rc,
@@ -41,8 +41,8 @@
     draining: BTreeMap<String, Instant>,
     /// VMs that took too long to be emptied, and until when they are left alone.
     stuck: BTreeMap<String, Instant>,
-    /// What the pools have used of late: when, and how many thousandths of a core.
-    used: BTreeMap<String, VecDeque<(Instant, u64)>>,
+    /// What the pools have used of late, and when.
+    used: BTreeMap<String, VecDeque<(Instant, Need)>>,
     /// When the pools were last logged.
     told: Option<Instant>,
     /// Moves that the platform does not allow: from which pool, to which.
@@ -192,12 +192,15 @@
             let mut pool = PoolDemand {
                 pool: service.name.clone(),
                 reserve: service.reserve,
-                busy: self.peak(&service.name, asked.busy, round.now),
-                ..pool_demand(&asked)
+                unknown: !asked.begun,
+                ..PoolDemand::default()
             };
+            let mut there = There::default();
             for vm in round.list.values() {
-                self.count(round, &mut pool, vm);
+                self.count(round, &mut pool, &mut there, vm);
             }
+            let peak = self.peak(&service.name, asked.busy, round.now);
+            measure(&mut pool, &asked, peak, &there);
             pool.idle.sort_by_key(|vm| vm.since);
             pools.push(pool);
         }
@@ -205,17 +208,18 @@
     }
 
     /// The highest use of a pool of late.
-    fn peak(&mut self, pool: &str, busy: u64, now: Instant) -> u64 {
+    fn peak(&mut self, pool: &str, busy: Need, now: Instant) -> Need {
         let used = self.used.entry(pool.to_owned()).or_default();
         used.push_back((now, busy));
         while used.front().is_some_and(|(at, _)| *at + PEAK < now) {
             used.pop_front();
         }
-        used.iter().map(|(_, busy)| *busy).max().unwrap_or(0)
+        used.iter()
+            .fold(Need::default(), |peak, (_, busy)| peak.max(*busy))
     }
 
     /// Counts a VM for a pool, if it is there or on its way to it.
-    fn count(&mut self, round: Round<'_>, pool: &mut PoolDemand, vm: &Vm) {
+    fn count(&mut self, round: Round<'_>, pool: &mut PoolDemand, there: &mut There, vm: &Vm) {
         if let Some(moving) = self.moving.get(&vm.name) {
             pool.vms += usize::from(moving.to == pool.pool);
             return;
@@ -224,10 +228,11 @@
             return;
         }
         pool.vms += 1;
-        pool.room = pool.room.max(vm.capacity.cpu);
+        there.room = there.room.max(vm.capacity);
         if vm.state != VmState::Up || round.waves.holds(&vm.name) {
             return;
         }
+        there.up += 1;
         let since = if pool.reserve {
             Some(round.now)
         } else {
@@ -387,15 +392,34 @@
     }
 }
 
-/// What a service's jobs ask for, as sizing takes it.
-fn pool_demand(asked: &Demand) -> PoolDemand {
-    PoolDemand {
-        running: asked.busy,
-        waiting: asked.waiting,
-        late: asked.late,
-        inflow: asked.inflow,
-        least: asked.spread,
-        unknown: !asked.begun,
-        ..PoolDemand::default()
-    }
+/// What a pool has in the list of VMs.
+#[derive(Default)]
+struct There {
+    /// How many VMs are up.
+    up: usize,
+    /// The room of the largest VM.
+    room: Need,
+}
+
+/// Sets what a pool's jobs ask for, in the resource of which they fill the most VMs: in thousandths of a core,
+/// or in what is as large a part of a VM's memory or accelerators. Lasting tasks that find no room get VMs of
+/// their own, however much is free in sum; VMs on their way are for them.
+fn measure(pool: &mut PoolDemand, asked: &Demand, peak: Need, there: &There) {
+    let mut all = peak;
+    all.add(asked.waiting);
+    let scarcest = all.max(asked.inflow).scarcest(there.room);
+    let cores = |need: Need| match there.room.of(scarcest) {
+        0 => need.cpu,
+        whole => need.of(scarcest) * there.room.cpu / whole,
+    };
+    pool.room = there.room.cpu;
+    pool.busy = cores(peak);
+    pool.running = cores(asked.busy);
+    pool.waiting = cores(asked.waiting);
+    pool.late = cores(asked.late);
+    pool.inflow = cores(asked.inflow);
+    pool.least = match asked.roomless.workers(there.room) {
+        0 => asked.spread,
+        more => asked.spread.max(there.up + more),
+    };
 }
--- a/crates/havenladder/src/entry/upkeep.rs
+++ b/crates/havenladder/src/entry/upkeep.rs
@@ -11,7 +11,7 @@
     store::{Appended, Condition, frame_keyed},
 };
 use fleet::{Whereabouts, room_to_go};
-use jobs::Takeout;
+use jobs::{Need, Takeout};
 use std::{
     collections::{BTreeMap, BTreeSet},
     rc::Rc,
@@ -247,7 +247,7 @@
     let early = course
         .began
         .is_some_and(|began| began.elapsed() < wave.span().mul_f64(PATIENCE));
-    early && owner.cell.borrow().demand(&vm.pool).waiting > 0
+    early && owner.cell.borrow().demand(&vm.pool).waiting != Need::default()
 }
 
 /// Takes VMs down, as many as the bound has room for, where what they carry may be away now.
--- a/crates/jobs/src/cell/demand.rs
+++ b/crates/jobs/src/cell/demand.rs
@@ -1,34 +1,56 @@
 //! How much room the jobs of a service ask for: what runs, what waits, and what comes.
 
-use crate::{Cell, Job, JobId, Step, Submission, cell::room_of, rank::Rank};
-use std::time::Duration;
+use crate::{
+    Cell, Job, JobId, Need, Step, StepId, Submission, cell::room_of, permit::step_of, rank::Rank,
+};
+use std::{collections::BTreeMap, time::Duration};
 
 /// Over how long the jobs that come are counted to foresee what a pool needs. Ten jobs a second come
 /// at a peak; over less, one large job looks like a peak, over more, a peak is seen too late.
 const INFLOW: Duration = Duration::from_millis(1_200);
 
-/// What the jobs of a service ask for, in thousandths of a core.
+/// What the jobs of a service ask for.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Demand {
     /// What runs take.
-    pub busy: u64,
+    pub busy: Need,
     /// What waits for room.
-    pub waiting: u64,
+    pub waiting: Need,
     /// The part of it that cannot be in time any more.
-    pub late: u64,
+    pub late: Need,
     /// What the jobs that came of late will take, as long as as many come.
-    pub inflow: u64,
+    pub inflow: Need,
     /// Whether the service has had a job that ends by itself.
     pub begun: bool,
     /// How many workers the widest step needs whose tasks must be apart, and one more, so that a
     /// task whose worker is lost or taken out finds another.
     pub spread: usize,
+    /// The lasting tasks that found no room.
+    pub roomless: Roomless,
+}
+
+/// Lasting tasks that found no room at the last look, however much room the workers have in sum: what is free
+/// may be too small on each of them, or on workers that have such a task.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Roomless {
+    /// What they need.
+    pub need: Need,
+    /// How many workers the most of one step need that must be apart.
+    pub apart: usize,
+}
+
+impl Roomless {
+    /// How many more workers with this room they need.
+    pub fn workers(&self, room: Need) -> usize {
+        let filled = self.need.workers_of(self.need.scarcest(room), room);
+        self.apart.max(filled.ceil() as usize)
+    }
 }
 
 impl Cell {
-    /// What the jobs of a service take, and what more they wait for, in thousandths of a core.
+    /// What the jobs of a service take, and what more they wait for.
     pub fn demand(&self, service: &str) -> Demand {
-        let busy = self.workers.of(service).map(|w| w.used.cpu).sum();
+        let busy = Need::sum(self.workers.of(service).map(|worker| worker.used));
         let needs = |rank: &Rank| {
             let task = rank.task();
             let job = self
@@ -36,47 +58,68 @@
                 .get(&task.job)
                 .filter(|job| !job.phase.is_over())?;
             let step = job.step(task.step);
-            let members = if step.gang { u64::from(step.count) } else { 1 };
-            Some(room_of(job, task).cpu * members)
+            let members = if step.gang {
+                f64::from(step.count)
+            } else {
+                1.0
+            };
+            Some(room_of(job, task).times(members))
         };
         let queue = || self.waiting.get(service).into_iter().flatten();
         let late = queue().filter(|rank| rank.is_late()).filter_map(needs);
         Demand {
             busy,
-            waiting: queue().filter_map(needs).sum(),
-            late: late.sum(),
+            waiting: Need::sum(queue().filter_map(needs)),
+            late: Need::sum(late),
             inflow: self.inflow(service),
             begun: self.begun.contains(service),
             spread: self.spread(service),
+            roomless: self.roomless(service),
         }
     }
 
+    /// The lasting tasks of a service that found no room at the last look.
+    fn roomless(&self, service: &str) -> Roomless {
+        let mut roomless = Roomless::default();
+        let mut steps: BTreeMap<StepId, u32> = BTreeMap::new();
+        for task in self.roomless.get(service).into_iter().flatten() {
+            let Some(job) = self.jobs.get(&task.job).filter(|job| !job.phase.is_over()) else {
+                continue;
+            };
+            roomless.need.add(room_of(job, *task));
+            if let Some(most) = job.step(task.step).apart {
+                let tasks = steps.entry(step_of(*task)).or_default();
+                *tasks += 1;
+                let workers = tasks.div_ceil(most.max(1)) as usize;
+                roomless.apart = roomless.apart.max(workers);
+            }
+        }
+        roomless
+    }
+
     /// Since when the jobs that came are counted, in ms since 1970.
     fn inflow_start(&self) -> u64 {
         self.wall.saturating_sub(INFLOW.as_millis() as u64)
     }
 
-    /// The work of the jobs that came within [`INFLOW`], per second.
-    fn inflow(&self, service: &str) -> u64 {
+    /// What the jobs that came within [`INFLOW`] take, as long as as many come.
+    fn inflow(&self, service: &str) -> Need {
         let since = self.inflow_start();
         let came = self.came.get(service).into_iter().flatten();
-        let work: f64 = came
-            .filter(|(at, _)| *at >= since)
-            .map(|(_, work)| work)
-            .sum();
-        (work / INFLOW.as_secs_f64()) as u64
+        let work = came.filter(|(at, _)| *at >= since).map(|(_, work)| *work);
+        Need::sum(work).times(1.0 / INFLOW.as_secs_f64())
     }
 
-    /// Notes the work of a job, in thousandths of a core times seconds.
+    /// Notes the work of a job: what it needs, times seconds.
     pub(super) fn note_inflow(&mut self, given: &Submission) {
         let pace = self.pace_of(&given.queue);
-        let finite = given
-            .spec
-            .steps
-            .iter()
-            .filter(|step| !step.lasting && !step.fills);
-        let work = |step: &Step| f64::from(step.count) * (step.need.cpu * step.estimate) as f64;
-        let work = finite.map(work).sum::<f64>() * pace / 1_000.0;
+        let finite = given.spec.steps.iter().filter(|step| !step.lasting);
+        let work = |step: &Step| {
+            let cpu = if step.fills { 0 } else { step.need.cpu };
+            let seconds = step.estimate as f64 * pace / 1_000.0;
+            Need { cpu, ..step.need }.times(f64::from(step.count) * seconds)
+        };
+        let work = Need::sum(finite.map(work));
         let since = self.inflow_start();
         let came = self.came.entry(given.service.clone()).or_default();
         came.push_back((self.wall, work));
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -10,7 +10,7 @@
 mod runs;
 mod takeover;
 
-pub use demand::Demand;
+pub use demand::{Demand, Roomless};
 pub use limits::Limits;
 
 use crate::{
@@ -82,9 +82,8 @@
     pub(crate) permits: HashMap<StepId, Permits>,
     /// The time of day of the last look at what is due, in ms since 1970.
     wall: u64,
-    /// The jobs that came of late: when, in ms since 1970, and their work in thousandths of a core
-    /// times seconds.
-    came: HashMap<ServiceId, VecDeque<(u64, f64)>>,
+    /// The jobs that came of late: when, in ms since 1970, and their work: what they need, times seconds.
+    came: HashMap<ServiceId, VecDeque<(u64, Need)>>,
     /// The jobs that are not over and of which a worker has run a task.
     running: HashSet<JobId>,
     /// How many workers the widest step of a live job needs whose tasks must be apart, for the jobs that have
@@ -98,6 +97,8 @@
     pub(crate) near: Near,
     /// When runs are to be looked at next that may stand still.
     pub(crate) still_due: Option<Instant>,
+    /// The lasting tasks of each service that found no room in its last pass.
+    pub(crate) roomless: HashMap<ServiceId, Vec<TaskId>>,
     /// What tasks need that found no room in this pass of a service.
     pub(crate) misfits: Vec<Need>,
     /// The workers that are kept free, in this pass, for tasks that fit nowhere.
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -25,11 +25,11 @@
 mod worker;
 mod workers;
 
-pub use cell::{Accepted, Cancelled, Cell, Demand, Limits};
+pub use cell::{Accepted, Cancelled, Cell, Demand, Limits, Roomless};
 pub use duty::Holder;
 pub use explain::Obstacle;
 pub use job::{Job, Phase, Round, Task, TaskPhase};
-pub use need::Need;
+pub use need::{Need, Resource};
 pub use outbox::{Batch, Order};
 pub use permit::{Permit, StepId};
 pub use record::{Decoded, Entry, RecordError, State, decode_entry};
--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -85,6 +85,9 @@
         self.demote_late(service);
         self.near.begin_pass();
         self.misfits.clear();
+        if let Some(roomless) = self.roomless.get_mut(service) {
+            roomless.clear();
+        }
         let mut misfits = 0;
         let mut later = 0;
         let mut after: Option<Rank> = None;
@@ -103,7 +106,7 @@
                 Placing::Later if later < MOST_LATER => later += 1,
                 Placing::Later | Placing::NoRoom => {
                     misfits += 1;
-                    self.note_misfit(&rank, now);
+                    self.note_misfit(service, &rank, now);
                 }
             }
         }
@@ -141,13 +144,25 @@
     }
 
     /// Does what brings a task that finds no room nearer to some.
-    fn note_misfit(&mut self, rank: &Rank, now: Instant) {
+    fn note_misfit(&mut self, service: &str, rank: &Rank, now: Instant) {
         self.ask_permits(rank.task(), now);
         if rank.is_lasting() {
             self.reserve(rank.task(), now);
+            if self.wants_room(rank.task()) {
+                let roomless = self.roomless.entry(service.to_owned()).or_default();
+                roomless.push(rank.task());
+            }
         }
     }
 
+    /// Whether more workers would do for a task: a permit, or a label, may be what it lacks.
+    fn wants_room(&self, task: TaskId) -> bool {
+        let Some(job) = self.jobs.get(&task.job) else {
+            return false;
+        };
+        !job.given.permits && job.step(task.step).label.is_none()
+    }
+
     /// Puts the tasks that cannot be in time any more behind those that can.
     fn demote_late(&mut self, service: &str) {
         let mut late: Vec<Rank> = Vec::new();
--- /dev/null
+++ b/crates/jobs/tests/demand.rs
@@ -0,0 +1,80 @@
+//! What the jobs of a service ask for: the resource that is scarce decides, and lasting tasks that find no
+//! room ask for workers of their own.
+
+mod fixture;
+#[expect(dead_code, reason = "ends, stops and takeovers are not looked at here")]
+mod world;
+
+use fixture::{job, step, worker};
+use havenladder_jobs::{Need, Resource, Step};
+use world::World;
+use yare::parameterized;
+
+/// The part of a worker's memory, in hundredths, that a lasting task takes here: one fits, two do not.
+const LARGE: u64 = 55;
+
+/// A step of lasting tasks that need little processor and so many hundredths of a worker's memory.
+fn lasting(count: u32, memory: u64) -> Step {
+    let room = worker("a1").capacity;
+    let need = Need {
+        cpu: room.cpu / 10,
+        memory: room.memory * memory / 100,
+        gpu: 0,
+    };
+    Step {
+        need,
+        lasting: true,
+        ..step(count)
+    }
+}
+
+#[test]
+fn memory_counts_where_it_is_what_tasks_fill() {
+    let mut world = World::new(&["a1", "b1"]);
+    world.cell.accept(job(1, vec![lasting(2, LARGE)]));
+    world.run();
+    let demand = world.cell.demand("s");
+    let room = worker("a1").capacity;
+    assert_eq!(demand.busy.scarcest(room), Resource::Memory);
+    assert_eq!(demand.busy.workers_of(Resource::Memory, room), 1.1);
+}
+
+#[test]
+fn lasting_tasks_without_room_ask_for_workers_however_much_is_free_in_sum() {
+    let mut world = World::new(&["a1", "b1"]);
+    world.cell.accept(job(1, vec![lasting(3, LARGE)]));
+    assert_eq!(world.run().len(), 2);
+    let demand = world.cell.demand("s");
+    // Nine tenths of a worker are free: less than the two have, more than the third needs.
+    assert_eq!(demand.roomless.workers(worker("a1").capacity), 1);
+    world.join("c1");
+    assert_eq!(world.run().len(), 1);
+    let demand = world.cell.demand("s");
+    assert_eq!(demand.roomless.workers(worker("a1").capacity), 0);
+}
+
+#[test]
+fn lasting_tasks_that_must_be_apart_ask_for_a_worker_each() {
+    let mut world = World::new(&["a1"]);
+    let apart = Step {
+        apart: Some(1),
+        ..lasting(4, 10)
+    };
+    world.cell.accept(job(1, vec![apart]));
+    assert_eq!(world.run().len(), 1);
+    let demand = world.cell.demand("s");
+    assert_eq!(demand.roomless.workers(worker("a1").capacity), 3);
+}
+
+#[parameterized(
+    label = { Step { label: Some("none-has-it".to_owned()), ..lasting(2, 10) } },
+    finite = { Step { lasting: false, ..lasting(3, LARGE) } },
+)]
+fn other_tasks_without_room_do_not(step: Step) {
+    let mut world = World::new(&["a1"]);
+    world.cell.accept(job(1, vec![step]));
+    world.run();
+    let demand = world.cell.demand("s");
+    assert_ne!(demand.waiting, Need::default());
+    assert_eq!(demand.roomless.workers(worker("a1").capacity), 0);
+}
