feat(entry): jobs of which nothing was sent to the log are given back

Change: an owner that cannot make a job's record durable within the time that its entry waits takes the job out again if no record and no start of it has been handed on, and says so: 503 with Retry-After, which is true. Where the owner ends meanwhile, the entry asks the next one. Ruled out: refusing at once from 150 ms of an append on: a slow store answers within 360 ms.

--- a/crates/havenladder/src/entry/callers.rs
+++ b/crates/havenladder/src/entry/callers.rs
@@ -40,6 +40,10 @@
 /// is for the way back, and for another try at another entry. Under half, so that one more try fits.
 const PATIENCE: f64 = 0.4;
 
+/// What is kept of that time for the owner's answer to come back: 2 to 10 ms as a rule, several times that
+/// while the owner is busy. An owner that gives a job back later than its entry waits would do so in vain.
+const WAY_BACK: Duration = Duration::from_millis(100);
+
 /// Time until an owner that was not there is looked for again.
 const AGAIN: Duration = Duration::from_millis(40);
 
@@ -172,7 +176,10 @@
         return reply(StatusCode::PAYLOAD_TOO_LARGE, "");
     };
     match read_submission(queue, id, &body.to_bytes()) {
-        Ok(given) => ask(node, Ask::Submit(given), deadline).await,
+        Ok(given) => {
+            let submit = Ask::Submit { given, within: 0 };
+            ask(node, submit, deadline).await
+        }
         Err(why) => {
             info!(job = format!("{id:016x}"), why, "not taken");
             let body = serde_json::json!({ "error": why }).to_string();
@@ -209,13 +216,15 @@
     let give_up = now + (deadline - now).mul_f64(PATIENCE);
     let mut sent = false;
     loop {
+        let left = give_up.saturating_duration_since(Instant::now());
+        let timed = ask.within(left.saturating_sub(WAY_BACK));
         let tell = match node.own() {
             Some(owner) => {
-                let answer = time::timeout_at(give_up.into(), owner.answer(ask.clone())).await;
+                let answer = time::timeout_at(give_up.into(), owner.answer(timed)).await;
                 answer.unwrap_or(Tell::Unsure)
             }
             None if node.cut_off.get() => return turn_away(&ask, sent),
-            None => forward(node, &ask, give_up).await,
+            None => forward(node, &timed, give_up).await,
         };
         sent |= tell == Tell::Unsure;
         if tell == Tell::Refused {
--- a/crates/havenladder/src/entry/inner.rs
+++ b/crates/havenladder/src/entry/inner.rs
@@ -12,7 +12,11 @@
 use hyper::{Method, Request, Response, StatusCode, body::Incoming};
 use jobs::{JobId, Phase, QueueId, Submission};
 use serde::{Deserialize, Serialize};
-use std::{fmt, rc::Rc, time::Instant};
+use std::{
+    fmt,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 use tokio::net::{TcpListener, TcpStream};
 use tracing::warn;
 
@@ -26,7 +30,12 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Ask {
     /// Take this job.
-    Submit(Submission),
+    Submit {
+        /// The job.
+        given: Submission,
+        /// For how many ms its record may be waited for.
+        within: u64,
+    },
     /// Cancel this job.
     Cancel(JobId),
     /// How far is this job?
@@ -52,10 +61,23 @@
     },
 }
 
+impl Ask {
+    /// The same question with the time that is left for its answer.
+    pub fn within(&self, left: Duration) -> Ask {
+        match self {
+            Ask::Submit { given, .. } => Ask::Submit {
+                given: given.clone(),
+                within: left.as_millis() as u64,
+            },
+            other => other.clone(),
+        }
+    }
+}
+
 impl fmt::Display for Ask {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Ask::Submit(given) => write!(f, "submit {:016x}", given.id),
+            Ask::Submit { given, .. } => write!(f, "submit {:016x}", given.id),
             Ask::Cancel(id) => write!(f, "cancel {id:016x}"),
             Ask::State(id) => write!(f, "state {id:016x}"),
             Ask::Pending(queue) => write!(f, "pending {queue}"),
--- a/crates/havenladder/src/entry/owner/answer.rs
+++ b/crates/havenladder/src/entry/owner/answer.rs
@@ -5,6 +5,7 @@
 use fleet::{MilliCpu, outranks};
 use jobs::{Accepted, Cancelled, JobId, Phase, Submission};
 use std::{rc::Rc, time::Duration};
+use tokio::time;
 use tracing::info;
 
 /// How long an append may take before new jobs are refused at once: the store is away.
@@ -20,7 +21,9 @@
             self.settled.notified().await;
         }
         match ask {
-            Ask::Submit(given) => self.submit(given).await,
+            Ask::Submit { given, within } => {
+                self.submit(given, Duration::from_millis(within)).await
+            }
             Ask::Cancel(id) => self.cancel(id).await,
             Ask::State(id) => self.state(id).await,
             Ask::News { .. } | Ask::Outage | Ask::Life | Ask::HandOver { .. } => {
@@ -42,8 +45,9 @@
         Tell::HandedOver
     }
 
-    /// Takes a job in; one that it has is not refused, also while the store is away.
-    async fn submit(self: &Rc<Self>, given: Submission) -> Tell {
+    /// Takes a job in; one that it has is not refused, also while the store is away. One whose record is not
+    /// durable within a time is given back, if nothing of it was sent.
+    async fn submit(self: &Rc<Self>, given: Submission, within: Duration) -> Tell {
         let id = given.id;
         let job = format!("{id:016x}");
         if self.has_waited(AWAY) && !self.cell.borrow().jobs.contains_key(&id) {
@@ -52,11 +56,32 @@
         }
         let accepted = self.cell.borrow_mut().accept(given);
         self.wake();
-        if self.durable(id).await.is_none() {
+        match time::timeout(within, self.durable(id)).await {
+            Ok(Settled::Durable(_)) => {
+                info!(job, new = accepted == Accepted::New, "accepted");
+                Tell::Accepted
+            }
+            // Another request for the same job gave it back.
+            Ok(Settled::Missing) => Tell::Refused,
+            Ok(Settled::Ended) | Err(_) => self.give_back(id),
+        }
+    }
+
+    /// Gives a job back of which nothing was sent; what becomes of any other is not known.
+    fn give_back(&self, id: JobId) -> Tell {
+        if !self.cell.borrow_mut().withdraw(id) {
             return Tell::Unsure;
         }
-        info!(job, new = accepted == Accepted::New, "accepted");
-        Tell::Accepted
+        let job = format!("{id:016x}");
+        info!(job, "given back: nothing of it was sent to the log");
+        // Others may wait for the same job.
+        self.settled.notify_waiters();
+        // The next owner may still take it in time.
+        if self.is_alive() {
+            Tell::Refused
+        } else {
+            Tell::NotOwner
+        }
     }
 
     /// Cancels a job.
@@ -67,9 +92,11 @@
         }
         self.wake();
         info!(job = format!("{id:016x}"), "cancelled");
-        self.durable(id)
-            .await
-            .map_or(Tell::Unsure, |_| Tell::Cancelled)
+        match self.durable(id).await {
+            Settled::Durable(_) => Tell::Cancelled,
+            Settled::Missing => Tell::Unknown,
+            Settled::Ended => Tell::Unsure,
+        }
     }
 
     /// Tells how far a job is, as far as that is durable.
@@ -78,45 +105,46 @@
         match shown {
             None => Tell::Unknown,
             Some(Some(phase)) => Tell::State(phase),
-            Some(None) => self.durable(id).await.map_or(Tell::Unsure, Tell::State),
+            Some(None) => match self.durable(id).await {
+                Settled::Durable(phase) => Tell::State(phase),
+                Settled::Missing => Tell::Unknown,
+                Settled::Ended => Tell::Unsure,
+            },
         }
     }
 
-    /// Waits until what is known of a job is durable; none if this owner ends before.
-    async fn durable(&self, id: JobId) -> Option<Phase> {
+    /// Waits until what is known of a job is durable, or never will be.
+    async fn durable(&self, id: JobId) -> Settled {
         loop {
             let settled = self.settled.notified();
             if !self.is_alive() {
-                return None;
+                return Settled::Ended;
             }
             match self.told(id) {
-                Told::Missing => return None,
-                Told::Durable(phase) => return Some(phase),
-                Told::Waits => settled.await,
+                Some(outcome) => return outcome,
+                None => settled.await,
             }
         }
     }
 
-    /// What can be told of a job now.
-    fn told(&self, id: JobId) -> Told {
+    /// What can be told of a job now; none while its record is under way.
+    fn told(&self, id: JobId) -> Option<Settled> {
         let cell = self.cell.borrow();
         let Some(job) = cell.jobs.get(&id) else {
-            return Told::Missing;
+            return Some(Settled::Missing);
         };
         // Over or not is what a caller was told or waits for; the rest may be behind.
-        match job.shown {
-            Some(shown) if shown.is_over() == job.phase.is_over() => Told::Durable(shown),
-            _ => Told::Waits,
-        }
+        let shown = job.shown?;
+        (shown.is_over() == job.phase.is_over()).then_some(Settled::Durable(shown))
     }
 }
 
-/// What can be told of a job.
-enum Told {
-    /// It is not known.
+/// What a wait for a job's record has led to.
+enum Settled {
+    /// There is no such job, or not any more.
     Missing,
-    /// It is this far, and that is durable.
+    /// The job is this far, and that is durable.
     Durable(Phase),
-    /// What is known of it is not durable yet.
-    Waits,
+    /// The owner has ended before.
+    Ended,
 }
--- a/crates/havenladder/tests/entries/mod.rs
+++ b/crates/havenladder/tests/entries/mod.rs
@@ -3,7 +3,15 @@
 #![expect(clippy::unwrap_used, reason = "a test stops where it fails")]
 
 use havenladder_soak::{Plan, site::Site};
-use std::{path::PathBuf, time::Duration};
+use std::{io, net::SocketAddr, path::PathBuf, time::Duration};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    time,
+};
+
+/// Limit of every wait; generous, so that a busy machine changes no verdict.
+const LIMIT: Duration = Duration::from_secs(30);
 
 /// Starts three entries, the first and the last in one data centre, and so many VMs; the logs lie under `name`.
 pub async fn start(name: &str, seed: u64, vms: usize) -> Site {
@@ -18,6 +26,27 @@
     Site::start(&plan).await.unwrap()
 }
 
+/// The head of an entry's answer; empty without one.
+#[allow(
+    dead_code,
+    clippy::allow_attributes,
+    reason = "not every test asks an entry itself"
+)]
+pub async fn ask(address: SocketAddr, request: &str) -> String {
+    let answer = time::timeout(LIMIT, exchange(address, request)).await;
+    answer.map(Result::unwrap_or_default).unwrap_or_default()
+}
+
+async fn exchange(address: SocketAddr, request: &str) -> io::Result<String> {
+    let mut stream = TcpStream::connect(address).await?;
+    stream.write_all(request.as_bytes()).await?;
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        head.push(stream.read_u8().await?);
+    }
+    Ok(String::from_utf8_lossy(&head).into_owned())
+}
+
 /// Runs a test to its end.
 pub fn block_on(test: impl Future<Output = ()>) {
     let runtime = tokio::runtime::Builder::new_current_thread()
--- a/crates/havenladder/tests/readiness.rs
+++ b/crates/havenladder/tests/readiness.rs
@@ -3,19 +3,14 @@
 
 mod entries;
 
-use entries::block_on;
+use entries::{ask, block_on};
 use havenladder_soak::site::{HOST, PREFIX, Site};
 use rustix::process::Signal;
 use std::{
-    io,
     net::SocketAddr,
     time::{Duration, Instant},
 };
-use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpStream,
-    time,
-};
+use tokio::time;
 
 /// Limit of every wait; generous, so that a busy machine changes no verdict.
 const LIMIT: Duration = Duration::from_secs(30);
@@ -34,22 +29,6 @@
     site
 }
 
-/// The head of an entry's answer; empty without one.
-async fn ask(address: SocketAddr, request: &str) -> String {
-    let answer = time::timeout(LIMIT, exchange(address, request)).await;
-    answer.map(Result::unwrap_or_default).unwrap_or_default()
-}
-
-async fn exchange(address: SocketAddr, request: &str) -> io::Result<String> {
-    let mut stream = TcpStream::connect(address).await?;
-    stream.write_all(request.as_bytes()).await?;
-    let mut head = Vec::new();
-    while !head.ends_with(b"\r\n\r\n") {
-        head.push(stream.read_u8().await?);
-    }
-    Ok(String::from_utf8_lossy(&head).into_owned())
-}
-
 async fn is_ready(callers: SocketAddr) -> bool {
     let ready = SocketAddr::new(callers.ip(), callers.port() + 1);
     let request = "GET /readiness HTTP/1.1\r\nhost: entry\r\nconnection: close\r\n\r\n";
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -9,6 +9,7 @@
 mod queue;
 mod runs;
 mod takeover;
+mod withdraw;
 
 pub use demand::{Demand, Roomless};
 pub use limits::Limits;
