--- a/crates/havenladder/src/commands/day.rs
+++ b/crates/havenladder/src/commands/day.rs
@@ -10,6 +10,9 @@
 /// Thousandths of a core in a core.
 const MILLI: f64 = 1_000.0;
 
+/// From how late an owner's rounds on it counts as full, in ms: three rounds and the append between them.
+const FULL: u64 = 50;
+
 /// How much of a log's time is kept, in characters: up to the second.
 const SECOND: usize = "2026-12-02T18:00:00".len();
 
@@ -27,6 +30,9 @@
     late: u64,
     why: String,
     cut_off: bool,
+    rounds: u64,
+    longest: u64,
+    latest: u64,
 }
 
 /// What one pool had and needed when it was last logged in a second.
@@ -46,11 +52,31 @@
     late: f64,
 }
 
+/// How full the owner was in a second.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+struct Rounds {
+    /// How many rounds of decisions it made.
+    rounds: u64,
+    /// The longest that one took, in ms.
+    longest: u64,
+    /// By how much it woke too late between two of them, at the most, in ms.
+    latest: u64,
+}
+
+impl Rounds {
+    /// Whether the owner had more to do than it could.
+    fn is_full(&self) -> bool {
+        self.longest.max(self.latest) >= FULL
+    }
+}
+
 /// What is worth knowing of the logs.
 #[derive(Debug, Default, Serialize)]
 struct Day {
     /// The pools, second by second.
     pools: Vec<Row>,
+    /// How full the owner was, by second.
+    owner: BTreeMap<String, Rounds>,
     /// Changes of owner and of what entries reach.
     events: Vec<String>,
     /// Requests that were given up or refused, by second.
@@ -80,6 +106,9 @@
                 let row = row(time.clone(), &line);
                 pools.insert((time, line.pool), row);
             }
+            "owner's rounds" => {
+                day.owner.insert(time, rounds(&line));
+            }
             "given up" | "refused: the store is away" => {
                 *day.refusals.entry(time).or_default() += 1;
             }
@@ -115,6 +144,14 @@
     }
 }
 
+fn rounds(line: &Line) -> Rounds {
+    Rounds {
+        rounds: line.rounds,
+        longest: line.longest,
+        latest: line.latest,
+    }
+}
+
 fn show(day: &Day) {
     let headings = ["TIME", "POOL", "VMS", "IDLE", "BUSY", "WAITING", "LATE"];
     let mut pools = table::table(&headings);
@@ -130,6 +167,12 @@
         ]);
     }
     table::print(&pools, "no lines about pools");
+    for (time, second) in day.owner.iter().filter(|(_, second)| second.is_full()) {
+        println!(
+            "{time} owner full: {} rounds, the longest of {} ms, up to {} ms late",
+            second.rounds, second.longest, second.latest
+        );
+    }
     for event in &day.events {
         println!("{event}");
     }
--- a/crates/havenladder/src/entry/metrics.rs
+++ b/crates/havenladder/src/entry/metrics.rs
@@ -30,6 +30,8 @@
     starts: Counter<u64>,
     ends: Counter<u64>,
     appends: Histogram<f64>,
+    rounds: Histogram<f64>,
+    lags: Histogram<f64>,
     owners: Counter<u64>,
     _provider: SdkMeterProvider,
 }
@@ -62,6 +64,8 @@
             starts: meter.u64_counter("havenladder_starts").build(),
             ends: meter.u64_counter("havenladder_ends").build(),
             appends: seconds("havenladder_append_seconds"),
+            rounds: seconds("havenladder_round_seconds"),
+            lags: seconds("havenladder_lag_seconds"),
             owners: meter.u64_counter("havenladder_ownerships").build(),
             registry,
             _provider: provider,
@@ -92,6 +96,16 @@
         self.appends.record(took.as_secs_f64(), &[]);
     }
 
+    /// Notes how long the decisions of a round took.
+    pub fn decided(&self, took: Duration) {
+        self.rounds.record(took.as_secs_f64(), &[]);
+    }
+
+    /// Notes by how much the owner woke too late from a sleep: it had more to do than its part of a core allows.
+    pub fn woke_late(&self, late: Duration) {
+        self.lags.record(late.as_secs_f64(), &[]);
+    }
+
     /// Counts that this entry gained the cell, or lost it.
     pub fn owned(&self, change: &'static str) {
         self.owners.add(1, &[KeyValue::new("change", change)]);
--- a/crates/havenladder/src/entry/owner/mod.rs
+++ b/crates/havenladder/src/entry/owner/mod.rs
@@ -4,6 +4,7 @@
 mod append;
 mod duties;
 mod load;
+mod pulse;
 
 use super::{
     fleet,
@@ -18,6 +19,7 @@
 use append::{SLOW, append};
 use jobs::{Batch, Cell as JobCell, Limits, WorkerId};
 use load::load;
+use pulse::Pulse;
 use std::{
     cell::{Cell, RefCell},
     collections::{HashMap, HashSet},
@@ -304,9 +306,12 @@
 /// Decides, records and acts in turn until the owner ends.
 async fn work(owner: &Rc<Owner>) {
     let mut sequence = 1;
+    let mut pulse = Pulse::new(Instant::now());
     while owner.is_alive() {
         let _ = time::timeout(TICK, owner.wake.notified()).await;
+        let began = Instant::now();
         let mut batch = decide(owner);
+        pulse.note_round(owner, began.elapsed());
         owner.send_urgent();
         if !batch.entries.is_empty() {
             if !append(owner, &batch.entries, sequence, &mut batch.starts).await {
@@ -317,7 +322,9 @@
         if !batch.is_empty() {
             carry_out(owner, batch);
         }
-        time::sleep(GAP).await;
+        let due = Instant::now() + GAP;
+        time::sleep_until(due.into()).await;
+        pulse.note_sleep(owner, due.elapsed());
     }
 }
 
--- /dev/null
+++ b/crates/havenladder/src/entry/owner/pulse.rs
@@ -0,0 +1,59 @@
+//! How full the owner is: how late its rounds of decisions come, and how long they take.
+//!
+//! An owner that has more to do than its part of a core allows is late everywhere at once: with questions,
+//! renewals, moves and starts. How late it wakes from a short sleep shows that before anything breaks.
+
+use super::Owner;
+use std::time::{Duration, Instant};
+use tracing::info;
+
+/// Time between two lines about the rounds: one a second tells in which second an owner was full.
+const SPAN: Duration = Duration::from_millis(1_000);
+
+/// The rounds since the last line.
+pub struct Pulse {
+    /// When the next line is due.
+    due: Instant,
+    /// How many rounds there were.
+    rounds: u32,
+    /// The longest that a round's decisions took.
+    longest: Duration,
+    /// By how much the owner woke too late from a sleep between rounds, at the most.
+    latest: Duration,
+}
+
+impl Pulse {
+    /// Begins to count.
+    pub fn new(now: Instant) -> Self {
+        Pulse {
+            due: now + SPAN,
+            rounds: 0,
+            longest: Duration::ZERO,
+            latest: Duration::ZERO,
+        }
+    }
+
+    /// Notes how long the decisions of a round took.
+    pub fn note_round(&mut self, owner: &Owner, took: Duration) {
+        owner.node.metrics.decided(took);
+        self.rounds += 1;
+        self.longest = self.longest.max(took);
+    }
+
+    /// Notes by how much the owner woke too late from the sleep after a round, and logs what a second showed.
+    pub fn note_sleep(&mut self, owner: &Owner, late: Duration) {
+        owner.node.metrics.woke_late(late);
+        self.latest = self.latest.max(late);
+        let now = Instant::now();
+        if now < self.due {
+            return;
+        }
+        info!(
+            rounds = self.rounds,
+            longest = self.longest.as_millis() as u64,
+            latest = self.latest.as_millis() as u64,
+            "owner's rounds"
+        );
+        *self = Pulse::new(now);
+    }
+}
--- a/crates/havenladder/tests/day.rs
+++ b/crates/havenladder/tests/day.rs
@@ -12,6 +12,8 @@
    1.3 entry-2 {"timestamp":"2026-12-02T18:00:01.300Z","message":"given up","ask":"submit 1"}
    1.4 entry-3 {"timestamp":"2026-12-02T18:00:01.400Z","message":"refused: the store is away"}
    1.5 entry-3 {"timestamp":"2026-12-02T18:00:01.500Z","message":"what the entry reaches has changed","cut_off":true}
+   1.6 entry-1 {"timestamp":"2026-12-02T18:00:01.600Z","message":"owner's rounds","rounds":12,"longest":60,"latest":210}
+   2.6 entry-1 {"timestamp":"2026-12-02T18:00:02.600Z","message":"owner's rounds","rounds":50,"longest":2,"latest":1}
 "#;
 
 #[test]
@@ -39,6 +41,11 @@
         (row["waiting"].as_f64(), row["late"].as_f64()),
         (Some(0.5), Some(0.25))
     );
+    let full = &day["owner"]["2026-12-02T18:00:01"];
+    assert_eq!(
+        (full["rounds"].as_u64(), full["latest"].as_u64()),
+        (Some(12), Some(210))
+    );
     assert_eq!(day["refusals"]["2026-12-02T18:00:01"], 2);
     let events = day["events"].to_string();
     assert!(
@@ -47,6 +54,22 @@
     );
 }
 
+#[test]
+fn only_the_seconds_in_which_the_owner_was_full_are_shown() {
+    let file = std::env::temp_dir().join(format!("day-{}.log", ulid::Ulid::new()));
+    fs::write(&file, LOGS).unwrap();
+    let output = Command::new(env!("CARGO_BIN_EXE_havenladder"))
+        .arg("day")
+        .arg(&file)
+        .output()
+        .unwrap();
+    fs::remove_file(&file).unwrap();
+    let text = String::from_utf8_lossy(&output.stdout);
+    let full = "2026-12-02T18:00:01 owner full: 12 rounds, the longest of 60 ms, up to 210 ms late";
+    assert!(text.contains(full), "{text}");
+    assert!(!text.contains("18:00:02 owner full"), "{text}");
+}
+
 #[test]
 fn a_file_that_is_not_there_is_named() {
     let output = Command::new(env!("CARGO_BIN_EXE_havenladder"))
