--- a/crates/jobs/tests/withdraw.rs
+++ b/crates/jobs/tests/withdraw.rs
@@ -17,7 +17,7 @@
     assert!(world.cell.withdraw(1));
     let batch = world.cell.take_batch();
     assert!(batch.entries.is_empty() && batch.starts.is_empty());
-    let host = world.cell.workers.get("a1").unwrap();
+    let host = world.cell.workers.get("a1").expect("it is there");
     assert!(host.runs.is_empty());
     assert_eq!(host.used, Need::default());
     assert_eq!(world.cell.demand("s").waiting, Need::default());
