fix(jobs): a run that goes on after its stop is stopped again

An owner that knows the job only as cancelled, or not at all, told its runs to stop once. Ruled out: that reports of a run that is being stopped are merely old: only a question sent after the stop had its time counts.

--- a/crates/jobs/src/observe.rs
+++ b/crates/jobs/src/observe.rs
@@ -42,7 +42,7 @@
             self.take_end(worker, end, now);
         }
         for row in &report.running {
-            self.take_row(worker, row, now);
+            self.take_row(worker, row, asked, now);
         }
         self.drop_missing(worker, report, asked);
         self.pace(worker, report, now);
@@ -139,8 +139,8 @@
         }
     }
 
-    /// Takes in what a worker said of a run that it has.
-    fn take_row(&mut self, worker: &str, row: &RunRow, now: Instant) {
+    /// Takes in what a worker said of a run that it has, to a question that was sent at `asked`.
+    fn take_row(&mut self, worker: &str, row: &RunRow, asked: Instant, now: Instant) {
         self.note_begun(row.task.job);
         if self.run_mut(worker, row.task, row.run).is_none() {
             self.adopt(worker, row, now);
@@ -148,6 +148,7 @@
             // Its job may have been cancelled before the worker was met.
             self.stop_run(worker, row.task, row.run);
         }
+        self.stop_again(worker, row, asked);
         let Some(state) = self.run_mut(worker, row.task, row.run) else {
             return;
         };
@@ -170,6 +171,20 @@
         }
     }
 
+    /// Has a run stopped once more that goes on although the worker has taken a stop and had its time for it:
+    /// what nobody asked for any more is told to stop until a report shows it gone.
+    fn stop_again(&mut self, worker: &str, row: &RunRow, asked: Instant) {
+        let Some(state) = self.run_mut(worker, row.task, row.run) else {
+            return;
+        };
+        let goes_on = state.settled.is_some_and(|at| asked > at);
+        if state.phase == RunPhase::Stopping && goes_on {
+            // A stop is only sent for a run that is not being stopped.
+            state.phase = RunPhase::Running;
+            self.stop_run(worker, row.task, row.run);
+        }
+    }
+
     /// A run that was not known to be there: one of ours that was given up too early, or one that
     /// nobody wants any more.
     fn adopt(&mut self, worker: &str, row: &RunRow, now: Instant) {
