--- a/crates/havenladder/src/entry/callers.rs
+++ b/crates/havenladder/src/entry/callers.rs
@@ -38,14 +38,14 @@
 
 /// Part of the caller's time after which an entry gives a request up that no owner has answered: the rest
 /// is for the way back, and for another try at another entry. Under half, so that one more try fits.
-const PATIENCE: f64 = 0.4;
+const ANSWER_SHARE: f64 = 0.4;
 
 /// What is kept of that time for the owner's answer to come back: 2 to 10 ms as a rule, several times that
 /// while the owner is busy. An owner that gives a job back later than its entry waits would do so in vain.
 const WAY_BACK: Duration = Duration::from_millis(100);
 
 /// Time until an owner that was not there is looked for again.
-const AGAIN: Duration = Duration::from_millis(40);
+const RETRY_INTERVAL: Duration = Duration::from_millis(40);
 
 /// When a caller that was refused is to come back, in seconds: an owner is found within 3.
 const RETRY_AFTER: &str = "1";
@@ -213,7 +213,7 @@
 /// Puts a question to the owner, wherever it is, until the caller's time gets short.
 async fn ask(node: &Rc<Node>, ask: Ask, deadline: Instant) -> Reply {
     let now = Instant::now();
-    let give_up = now + (deadline - now).mul_f64(PATIENCE);
+    let give_up = now + (deadline - now).mul_f64(ANSWER_SHARE);
     let mut sent = false;
     loop {
         let left = give_up.saturating_duration_since(Instant::now());
@@ -236,7 +236,7 @@
         if Instant::now() >= give_up {
             return refuse(&ask, sent);
         }
-        let _ = time::timeout(AGAIN, node.lease_changed.notified()).await;
+        let _ = time::timeout(RETRY_INTERVAL, node.lease_changed.notified()).await;
     }
 }
 
--- a/crates/havenladder/src/entry/fleet.rs
+++ b/crates/havenladder/src/entry/fleet.rs
@@ -15,14 +15,14 @@
 pub type VmList = BTreeMap<String, Vm>;
 
 /// Time between two looks at what the pools need.
-const LOOK: Duration = Duration::from_millis(100);
+const LOOK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Age of the list at which it is read again while VMs are on their way or down: these take 1.5 to
 /// 2 s, and each reading has a price.
-const FRESH: Duration = Duration::from_millis(250);
+const BUSY_LIST_AGE: Duration = Duration::from_millis(250);
 
 /// Age of the list at which it is read again in any case.
-const STALE: Duration = Duration::from_millis(3_000);
+const CALM_LIST_AGE: Duration = Duration::from_millis(3_000);
 
 /// How long the list of VMs must not have named a silent worker until what ran there has ended for
 /// certain: a list may be some 100 ms old, and a worker that has just begun may not be in it yet.
@@ -30,7 +30,7 @@
 
 /// How long an order without an answer, or with one that the list doesn't show, is waited for: orders
 /// may be carried out 12 s late.
-pub const LOST: Duration = Duration::from_millis(13_000);
+pub const ORDER_LOST: Duration = Duration::from_millis(13_000);
 
 /// Runs until the owner ends.
 pub async fn run(owner: Rc<Owner>) {
@@ -42,7 +42,7 @@
     let mut absences = Absences::default();
     while owner.is_alive() {
         let busy = waves.is_open(&owner) || moves.is_open() || !absences.is_settled(&owner);
-        let age = if busy { FRESH } else { STALE };
+        let age = if busy { BUSY_LIST_AGE } else { CALM_LIST_AGE };
         if read.is_none_or(|at| at.elapsed() >= age)
             && let Ok(Some(vms)) = owner.node.cloud.vms().await
         {
@@ -59,7 +59,7 @@
         if read.is_some() {
             moves.advance(&owner, &list, &waves).await;
         }
-        time::sleep(LOOK).await;
+        time::sleep(LOOK_INTERVAL).await;
     }
 }
 
@@ -114,6 +114,6 @@
             owner.cell.borrow_mut().expect_workers(workers);
             return owner.wake();
         }
-        time::sleep(FRESH).await;
+        time::sleep(BUSY_LIST_AGE).await;
     }
 }
--- a/crates/havenladder/src/entry/follow.rs
+++ b/crates/havenladder/src/entry/follow.rs
@@ -25,7 +25,7 @@
 const PEER: Duration = Duration::from_millis(150);
 
 /// Time until the store is asked again after it did not answer.
-const AGAIN: Duration = Duration::from_millis(250);
+const RETRY_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Follows the topic for ever.
 pub async fn run(node: Rc<Node>) {
@@ -38,7 +38,7 @@
             read_on(&node, newest.end).await;
         }
         ask_peers(&node).await;
-        time::sleep(AGAIN).await;
+        time::sleep(RETRY_INTERVAL).await;
     }
 }
 
@@ -62,7 +62,7 @@
             }
             Ok(Read::Busy) | Err(_) => {
                 ask_peers(node).await;
-                time::sleep(AGAIN).await;
+                time::sleep(RETRY_INTERVAL).await;
             }
         }
     }
--- a/crates/havenladder/src/entry/lease/log.rs
+++ b/crates/havenladder/src/entry/lease/log.rs
@@ -15,7 +15,7 @@
 const TOPIC: &str = "owner";
 
 /// Time until the store is asked again after it did not answer.
-pub(super) const AGAIN: Duration = Duration::from_millis(100);
+pub(super) const RETRY_INTERVAL: Duration = Duration::from_millis(100);
 
 /// How far this entry has read the lease's records.
 pub(super) struct Log {
@@ -61,7 +61,7 @@
             let now = Instant::now();
             log.tenure.note_trouble(now);
             log.trouble = Some(now);
-            time::sleep(AGAIN).await;
+            time::sleep(RETRY_INTERVAL).await;
             Seen::Failed
         }
     }
--- a/crates/havenladder/src/entry/lease/mod.rs
+++ b/crates/havenladder/src/entry/lease/mod.rs
@@ -16,7 +16,7 @@
 };
 use adapter::store::Appended;
 use fleet::{Claim, Holder, Tenure, Told, Trouble};
-use log::{AGAIN, Log, Seen, append, note_lease, read};
+use log::{Log, RETRY_INTERVAL, Seen, append, note_lease, read};
 use std::{
     rc::Rc,
     time::{Duration, Instant},
@@ -286,6 +286,6 @@
         Some(Appended::Moved(_)) => {
             read(node, log, Duration::ZERO).await;
         }
-        Some(_) | None => time::sleep(AGAIN).await,
+        Some(_) | None => time::sleep(RETRY_INTERVAL).await,
     }
 }
--- a/crates/havenladder/src/entry/listen.rs
+++ b/crates/havenladder/src/entry/listen.rs
@@ -11,7 +11,7 @@
 };
 
 /// Time until a connection is taken after one could not be: as a rule, descriptors have run out.
-const AGAIN: Duration = Duration::from_millis(20);
+const RETRY_INTERVAL: Duration = Duration::from_millis(20);
 
 /// What an entry answers over HTTP.
 pub type Reply = Response<Full<Bytes>>;
@@ -30,7 +30,7 @@
             }
             Err(error) => {
                 failed(error);
-                time::sleep(AGAIN).await;
+                time::sleep(RETRY_INTERVAL).await;
             }
         }
     }
--- a/crates/havenladder/src/entry/outage.rs
+++ b/crates/havenladder/src/entry/outage.rs
@@ -26,7 +26,7 @@
 const TRUSTED: Duration = Duration::from_millis(900);
 
 /// Time between two rounds of questions.
-const AGAIN: Duration = Duration::from_millis(300);
+const RETRY_INTERVAL: Duration = Duration::from_millis(300);
 
 /// Tells another entry whether the store answers this one.
 pub async fn tell(node: &Node) -> Tell {
@@ -52,7 +52,7 @@
     }
 
     fn is_due(self) -> bool {
-        self.asked.is_none_or(|at| at.elapsed() >= AGAIN)
+        self.asked.is_none_or(|at| at.elapsed() >= RETRY_INTERVAL)
     }
 }
 
--- a/crates/havenladder/src/entry/owner/append.rs
+++ b/crates/havenladder/src/entry/owner/append.rs
@@ -22,10 +22,10 @@
 pub(super) const SLOW: Duration = Duration::from_millis(150);
 
 /// Time between two looks at what can be done while an append is under way.
-const MEANWHILE: Duration = Duration::from_millis(50);
+const STALL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Time until an append that did not succeed is tried again.
-pub(super) const AGAIN: Duration = Duration::from_millis(60);
+pub(super) const RETRY_INTERVAL: Duration = Duration::from_millis(60);
 
 /// Makes records durable, however often it takes; false if a newer owner shut this one out. What can
 /// be done without them is done meanwhile.
@@ -65,7 +65,7 @@
             Ok(Appended::Done(_)) => return true,
             Ok(Appended::Fenced) => owner.end("a newer owner appends"),
             Ok(Appended::Busy) | Err(_) => {
-                let pause = time::sleep(AGAIN);
+                let pause = time::sleep(RETRY_INTERVAL);
                 meanwhile(owner, pause, starts).await;
             }
             Ok(odd) => {
@@ -85,7 +85,7 @@
 ) -> T {
     let mut call = pin!(call);
     loop {
-        if let Ok(outcome) = time::timeout(MEANWHILE, call.as_mut()).await {
+        if let Ok(outcome) = time::timeout(STALL_INTERVAL, call.as_mut()).await {
             return outcome;
         }
         if owner.has_waited(SLOW) && owner.loaded.get() && owner.may_hold() {
--- a/crates/havenladder/src/entry/owner/duties.rs
+++ b/crates/havenladder/src/entry/owner/duties.rs
@@ -13,17 +13,17 @@
 
 /// How long the record of the VMs is waited for before a renewal of the lease tells of the orders in its
 /// place: ten times what it takes as a rule.
-const RECORDED: Duration = Duration::from_millis(150);
+const RECORDED_WITHIN: Duration = Duration::from_millis(150);
 
 /// How long a renewal that tells of them may take: one that is under way, and the next, 360 ms each at 89
 /// times the usual.
-const TOLD: Duration = Duration::from_millis(1_000);
+const ANNOUNCED_WITHIN: Duration = Duration::from_millis(1_000);
 
 /// How long an earlier owner may take to answer which life of it runs; it takes some ms.
 const ANSWER: Duration = Duration::from_millis(200);
 
 /// Time until it is asked again: its process may be starting.
-const AGAIN: Duration = Duration::from_millis(100);
+const RETRY_INTERVAL: Duration = Duration::from_millis(100);
 
 impl Owner {
     /// Waits until orders about VMs may be given; false if they may not.
@@ -40,14 +40,14 @@
             .note_orders(noted, &holder, Instant::now(), matters);
         self.wake();
         let recorded = || self.cell.borrow().orders_durable(version);
-        if self.wait_until(RECORDED, recorded).await {
+        if self.wait_until(RECORDED_WITHIN, recorded).await {
             return self.is_certain();
         }
         self.order_due.set(Some(Instant::now()));
         self.lease_due.notify_one();
         // A renewal that succeeded after the store became slow is enough: each one repeats it.
         let told = || recorded() || self.orders_told.get();
-        self.wait_until(TOLD, told).await && self.is_certain()
+        self.wait_until(ANNOUNCED_WITHIN, told).await && self.is_certain()
     }
 
     /// Waits until something holds; false if it does not in time, or this owner cannot be certain any more.
@@ -68,7 +68,7 @@
     /// to know as long as they matter.
     pub fn may_order_unrecorded(&self) -> bool {
         let inherited = Instant::now() < self.duties && self.cell.borrow().doubts_all_vms();
-        let matters = self.node.settings.lease + TOLD;
+        let matters = self.node.settings.lease + ANNOUNCED_WITHIN;
         inherited
             || self
                 .order_due
@@ -117,7 +117,7 @@
             }
             return;
         }
-        time::sleep(AGAIN).await;
+        time::sleep(RETRY_INTERVAL).await;
     }
 }
 
--- a/crates/havenladder/src/entry/owner/load.rs
+++ b/crates/havenladder/src/entry/owner/load.rs
@@ -2,7 +2,7 @@
 
 use super::{
     Owner,
-    append::{AGAIN, TOPIC, append},
+    append::{RETRY_INTERVAL, TOPIC, append},
 };
 use adapter::store::Keyed;
 use std::{rc::Rc, time::Instant};
@@ -34,7 +34,7 @@
                 );
                 return true;
             }
-            Ok(None) | Err(_) => time::sleep(AGAIN).await,
+            Ok(None) | Err(_) => time::sleep(RETRY_INTERVAL).await,
         }
     }
 }
--- a/crates/havenladder/src/entry/owner/mod.rs
+++ b/crates/havenladder/src/entry/owner/mod.rs
@@ -52,10 +52,10 @@
 /// The least time between two rounds of decisions: each append has a price and each pass over what waits
 /// costs processor time, and what comes up meanwhile shares one. 350 workers wake the owner 2,000 times
 /// a second.
-const GAP: Duration = Duration::from_millis(8);
+const ROUND_GAP: Duration = Duration::from_millis(8);
 
 /// Time between two looks at what only time changes: due rounds and runs that stand still.
-const TICK: Duration = Duration::from_millis(200);
+const LONGEST_GAP: Duration = Duration::from_millis(200);
 
 /// Time between two lines about lasting tasks that wait for room.
 const COMPLAINT: Duration = Duration::from_millis(2_000);
@@ -331,7 +331,7 @@
     let mut sequence = 1;
     let mut pulse = Pulse::new(Instant::now());
     while owner.is_alive() {
-        let _ = time::timeout(TICK, owner.wake.notified()).await;
+        let _ = time::timeout(LONGEST_GAP, owner.wake.notified()).await;
         let began = Instant::now();
         let mut batch = decide(owner);
         pulse.note_round(owner, began.elapsed());
@@ -345,7 +345,7 @@
         if !batch.is_empty() {
             carry_out(owner, batch);
         }
-        let due = Instant::now() + GAP;
+        let due = Instant::now() + ROUND_GAP;
         time::sleep_until(due.into()).await;
         pulse.note_sleep(owner, due.elapsed());
     }
--- a/crates/havenladder/src/entry/stop.rs
+++ b/crates/havenladder/src/entry/stop.rs
@@ -16,7 +16,7 @@
 const RESERVE: Duration = Duration::from_millis(500);
 
 /// Time between two looks at what is still being answered.
-const LOOK: Duration = Duration::from_millis(20);
+const LOOK_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Waits until the process has been told to stop and has answered what it had taken.
 pub async fn wait(node: &Rc<Node>) {
@@ -40,6 +40,6 @@
     let grace = node.settings.grace.saturating_sub(LINGER + RESERVE);
     let end = time::Instant::now() + grace;
     while node.in_flight.get() > 0 && time::Instant::now() < end {
-        time::sleep(LOOK).await;
+        time::sleep(LOOK_INTERVAL).await;
     }
 }
--- a/crates/havenladder/src/entry/upkeep.rs
+++ b/crates/havenladder/src/entry/upkeep.rs
@@ -1,7 +1,7 @@
 //! Takes VMs through waves of upkeep, within their bounds and the budgets of lasting steps.
 
 use super::{
-    fleet::{LOST, VmList},
+    fleet::{ORDER_LOST, VmList},
     owner::Owner,
     vm_orders::{self, Errand, VmOrder},
 };
@@ -28,7 +28,7 @@
 
 /// Part of a wave's time in which VMs of a pool whose jobs wait for room are spared. A VM is down for
 /// 2 s and a wave takes some 25 s, so that what is left suffices.
-const PATIENCE: f64 = 0.4;
+const SPARED_SHARE: f64 = 0.4;
 
 /// Time between two tellings of what a wave waits for.
 const COMPLAINT: Duration = Duration::from_millis(3_000);
@@ -169,7 +169,7 @@
         };
         let back = vm.state == VmState::Up && vm.worker != down.worker;
         // An order without an answer that shows nothing for so long was not carried out.
-        let never = !down.answered && vm.state == VmState::Up && down.since.elapsed() >= LOST;
+        let never = !down.answered && vm.state == VmState::Up && down.since.elapsed() >= ORDER_LOST;
         !back && !never
     });
 }
@@ -246,7 +246,7 @@
 fn may_wait(owner: &Owner, wave: &Wave, course: &Course, vm: &Vm) -> bool {
     let early = course
         .began
-        .is_some_and(|began| began.elapsed() < wave.span().mul_f64(PATIENCE));
+        .is_some_and(|began| began.elapsed() < wave.span().mul_f64(SPARED_SHARE));
     early && owner.cell.borrow().demand(&vm.pool).waiting != Need::default()
 }
 
--- a/crates/jobs/src/evacuate.rs
+++ b/crates/jobs/src/evacuate.rs
@@ -12,7 +12,7 @@
 
 /// From how much of a run's work on, in hundredths, its progress foretells its end better than estimates
 /// do, which are off by up to ten times.
-const TELLING: u64 = 10;
+const TELLING_PERCENT: u64 = 10;
 
 /// What a move of a run costs in time: the stop, a report of it, a record, a start, and the way back to
 /// the saved progress, some 0.4 to 0.7 s. A run that ends within that is left to end.
@@ -107,7 +107,7 @@
     /// their estimates.
     pub(crate) fn run_left(&self, task: TaskId, run: &RunState, now: Instant) -> Duration {
         let elapsed = now.saturating_duration_since(run.since);
-        if run.percent >= TELLING {
+        if run.percent >= TELLING_PERCENT {
             // The figure is as old as the last change of it.
             let worked = run.moved.saturating_duration_since(run.since);
             let whole = worked.mul_f64(100.0 / run.percent as f64);
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -15,6 +15,7 @@
 mod need;
 mod observe;
 mod outbox;
+mod pass;
 mod permit;
 mod place;
 mod rank;
--- a/crates/jobs/src/near.rs
+++ b/crates/jobs/src/near.rs
@@ -11,7 +11,7 @@
 
 /// How long a task waits for room near its data at the most: a task whose turn has come must not stand
 /// still for 3 s while there is room elsewhere.
-const PATIENCE: Duration = Duration::from_millis(1_500);
+const LONGEST_WAIT: Duration = Duration::from_millis(1_500);
 
 /// The tasks that wait for room near their data.
 #[derive(Debug, Default)]
@@ -45,7 +45,7 @@
             return false;
         };
         let since = *self.near.since.entry(task).or_insert(now);
-        if wait >= cost || now >= since + PATIENCE {
+        if wait >= cost || now >= since + LONGEST_WAIT {
             return false;
         }
         *self.near.queued.entry(rack).or_default() += work;
--- a/crates/jobs/src/permit.rs
+++ b/crates/jobs/src/permit.rs
@@ -13,7 +13,7 @@
 
 /// Time until the same step is asked about again: the service answers in turn, and a pass comes more
 /// often than answers do.
-const AGAIN: Duration = Duration::from_millis(300);
+const RETRY_INTERVAL: Duration = Duration::from_millis(300);
 
 /// How long before its end a permit is not used any more: the start must reach the worker in time.
 const RESERVE: Duration = Duration::from_millis(200);
@@ -102,7 +102,7 @@
         };
         let service = job.given.service.clone();
         let permits = self.permits.entry(step_of(task)).or_default();
-        if permits.pending || permits.asked.is_some_and(|at| now < at + AGAIN) {
+        if permits.pending || permits.asked.is_some_and(|at| now < at + RETRY_INTERVAL) {
             return;
         }
         let unknown = |w: &&Worker| permits.is_unknown(&w.info.id, now);
