--- a/crates/havenladder/src/commands/day.rs
+++ b/crates/havenladder/src/commands/day.rs
@@ -52,6 +52,26 @@
     late: f64,
 }
 
+/// Changes of what entries reach in a second: hundreds of entries change at once.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+struct Cuts {
+    /// How many entries were cut off.
+    begun: u64,
+    /// How many were no longer.
+    ended: u64,
+}
+
+impl Cuts {
+    /// Notes the change of one entry.
+    fn note(&mut self, cut_off: bool) {
+        if cut_off {
+            self.begun += 1;
+        } else {
+            self.ended += 1;
+        }
+    }
+}
+
 /// How full the owner was in a second.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 struct Rounds {
@@ -77,8 +97,10 @@
     pools: Vec<Row>,
     /// How full the owner was, by second.
     owner: BTreeMap<String, Rounds>,
-    /// Changes of owner and of what entries reach.
+    /// Changes of owner.
     events: Vec<String>,
+    /// How many entries were cut off, or were no longer, by second.
+    cuts: BTreeMap<String, Cuts>,
     /// Requests that were given up or refused, by second.
     refusals: BTreeMap<String, u64>,
 }
@@ -117,7 +139,7 @@
                     .push(format!("{time} {} {}", line.message, line.why));
             }
             "what the entry reaches has changed" => {
-                day.events.push(format!("{time} cut off: {}", line.cut_off));
+                day.cuts.entry(time).or_default().note(line.cut_off);
             }
             _ => {}
         }
@@ -176,6 +198,12 @@
     for event in &day.events {
         println!("{event}");
     }
+    for (time, cuts) in &day.cuts {
+        println!(
+            "{time} entries cut off: {}, no longer: {}",
+            cuts.begun, cuts.ended
+        );
+    }
     for (time, count) in &day.refusals {
         println!("{time} refused or given up: {count}");
     }
--- a/crates/havenladder/tests/day.rs
+++ b/crates/havenladder/tests/day.rs
@@ -12,6 +12,8 @@
    1.3 entry-2 {"timestamp":"2026-12-02T18:00:01.300Z","message":"given up","ask":"submit 1"}
    1.4 entry-3 {"timestamp":"2026-12-02T18:00:01.400Z","message":"refused: the store is away"}
    1.5 entry-3 {"timestamp":"2026-12-02T18:00:01.500Z","message":"what the entry reaches has changed","cut_off":true}
+   1.5 entry-4 {"timestamp":"2026-12-02T18:00:01.500Z","message":"what the entry reaches has changed","cut_off":true}
+   1.6 entry-5 {"timestamp":"2026-12-02T18:00:01.600Z","message":"what the entry reaches has changed","cut_off":false}
    1.6 entry-1 {"timestamp":"2026-12-02T18:00:01.600Z","message":"owner's rounds","rounds":12,"longest":60,"latest":210}
    2.6 entry-1 {"timestamp":"2026-12-02T18:00:02.600Z","message":"owner's rounds","rounds":50,"longest":2,"latest":1}
 "#;
@@ -48,9 +50,12 @@
     );
     assert_eq!(day["refusals"]["2026-12-02T18:00:01"], 2);
     let events = day["events"].to_string();
-    assert!(
-        events.contains("the process stops") && events.contains("cut off: true"),
-        "{events}"
+    assert!(events.contains("the process stops"), "{events}");
+    let cuts = &day["cuts"]["2026-12-02T18:00:01"];
+    assert_eq!(
+        (cuts["begun"].as_u64(), cuts["ended"].as_u64()),
+        (Some(2), Some(1)),
+        "entries are counted, not listed"
     );
 }
 
