fix(entry): an owner that may have been replaced denies no job

The logs show an owner that had been paused or cut off and was replaced: for 110 and 260 ms, until it heard of its successor, it said of jobs that the successor had taken that there are none.

--- a/crates/havenladder/src/entry/owner/answer.rs
+++ b/crates/havenladder/src/entry/owner/answer.rs
@@ -88,13 +88,13 @@
     async fn cancel(self: &Rc<Self>, id: JobId) -> Tell {
         let cancelled = self.cell.borrow_mut().cancel(id);
         if cancelled == Cancelled::Unknown {
-            return Tell::Unknown;
+            return self.deny();
         }
         self.wake();
         info!(job = format!("{id:016x}"), "cancelled");
         match self.durable(id).await {
             Settled::Durable(_) => Tell::Cancelled,
-            Settled::Missing => Tell::Unknown,
+            Settled::Missing => self.deny(),
             Settled::Ended => Tell::Unsure,
         }
     }
@@ -103,16 +103,26 @@
     async fn state(&self, id: JobId) -> Tell {
         let shown = self.cell.borrow().jobs.get(&id).map(|job| job.shown);
         match shown {
-            None => Tell::Unknown,
+            None => self.deny(),
             Some(Some(phase)) => Tell::State(phase),
             Some(None) => match self.durable(id).await {
                 Settled::Durable(phase) => Tell::State(phase),
-                Settled::Missing => Tell::Unknown,
+                Settled::Missing => self.deny(),
                 Settled::Ended => Tell::Unsure,
             },
         }
     }
 
+    /// Says that there is no such job, where this owner can know: one whose renewal is too old may have been
+    /// replaced, and the next owner may have taken the job.
+    fn deny(&self) -> Tell {
+        if self.is_certain() {
+            Tell::Unknown
+        } else {
+            Tell::NotOwner
+        }
+    }
+
     /// Waits until what is known of a job is durable, or never will be.
     async fn durable(&self, id: JobId) -> Settled {
         loop {
