refactor(jobs): one place for stops sent again, for what ended jobs asked for, and for tasks apart

Cause: the last read of the change found its own doublings: a stop was sent again by setting the run back to running first; finish and withdraw forgot the same three things, accept and restore noted the same one, and a gang checked by itself what may_join checks. Change: order_stop beneath stop_run; forget_wishes; note_spread by id; may_join counts the tasks of a step only where it has to. No change of behaviour is meant.

--- a/crates/jobs/src/cell/demand.rs
+++ b/crates/jobs/src/cell/demand.rs
@@ -164,15 +164,14 @@
     }
 
     /// Notes what a job asks for whose tasks must be apart.
-    pub(super) fn note_spread(&mut self, job: &Job) {
-        let spread = widest_spread(job);
-        self.spreads
-            .extend(spread.map(|spread| (job.given.id, spread)));
+    pub(super) fn note_spread(&mut self, id: JobId) {
+        let spread = self.jobs.get(&id).and_then(widest_spread);
+        self.spreads.extend(spread.map(|spread| (id, spread)));
     }
 }
 
 /// How many workers the widest step of a job needs whose tasks must be apart; none if it has no such step.
-pub(super) fn widest_spread(job: &Job) -> Option<usize> {
+fn widest_spread(job: &Job) -> Option<usize> {
     let steps = job.given.spec.steps.iter();
     let apart = steps.filter_map(|step| Some(step.count.div_ceil(step.apart?)));
     apart.max().map(|widest| widest as usize)
--- a/crates/jobs/src/cell/ends.rs
+++ b/crates/jobs/src/cell/ends.rs
@@ -107,17 +107,22 @@
         job.phase = phase;
         job.rounds = Vec::new();
         let service = job.given.service.clone();
-        self.spreads.remove(&id);
         self.running.remove(&id);
-        self.permits.retain(|(job, ..), _| *job != id);
         self.dirty.insert(id);
-        self.timed.retain(|(_, job, _)| *job != id);
+        self.forget_wishes(id);
         let runs: Vec<(WorkerId, TaskId, RunId)> = self.runs_of(id, &service);
         for (worker, task, run) in runs {
             self.stop_run(&worker, task, run);
         }
     }
 
+    /// Forgets what a job asked for that is over or gone: room apart, permits, and times that have not come.
+    pub(super) fn forget_wishes(&mut self, id: JobId) {
+        self.spreads.remove(&id);
+        self.permits.retain(|(job, ..), _| *job != id);
+        self.timed.retain(|(_, job, _)| *job != id);
+    }
+
     /// All runs of a job that workers of its service have, or may have.
     fn runs_of(&self, id: JobId, service: &str) -> Vec<(WorkerId, TaskId, RunId)> {
         let first = TaskId {
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -131,8 +131,8 @@
         }
         let job = Job::new(given, self.next_order);
         self.next_order += 1;
-        self.note_spread(&job);
         self.jobs.insert(id, job);
+        self.note_spread(id);
         self.fresh.insert(id);
         self.dirty.insert(id);
         self.set_timers(id);
--- a/crates/jobs/src/cell/runs.rs
+++ b/crates/jobs/src/cell/runs.rs
@@ -73,9 +73,16 @@
         let Some(state) = self.run_mut(worker, task, run) else {
             return;
         };
-        if state.phase == RunPhase::Stopping {
-            return;
+        if state.phase != RunPhase::Stopping {
+            self.order_stop(worker, task, run);
         }
+    }
+
+    /// Has a run told to stop, also where it was told before.
+    pub(crate) fn order_stop(&mut self, worker: &str, task: TaskId, run: RunId) {
+        let Some(state) = self.run_mut(worker, task, run) else {
+            return;
+        };
         state.phase = RunPhase::Stopping;
         state.settled = None;
         self.urgent.push(Order::Stop {
--- a/crates/jobs/src/cell/takeover.rs
+++ b/crates/jobs/src/cell/takeover.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     Cell, Job, JobId, JobSpec, QueueId, RunId, ServiceId, Submission, TaskId, TaskPhase, WorkerId,
-    cell::demand::widest_spread, record::Decoded,
+    record::Decoded,
 };
 use std::collections::HashMap;
 
@@ -56,8 +56,7 @@
             return;
         }
         let placed = placed_runs(job);
-        let spread = widest_spread(job);
-        self.spreads.extend(spread.map(|spread| (id, spread)));
+        self.note_spread(id);
         for (worker, task, run) in placed {
             self.orphans.entry(worker).or_default().push((task, run));
         }
--- a/crates/jobs/src/cell/withdraw.rs
+++ b/crates/jobs/src/cell/withdraw.rs
@@ -18,9 +18,7 @@
             return false;
         }
         self.dirty.remove(&id);
-        self.spreads.remove(&id);
-        self.timed.retain(|(_, job, _)| *job != id);
-        self.permits.retain(|(job, ..), _| *job != id);
+        self.forget_wishes(id);
         if let Some(queue) = self.waiting.get_mut(&service) {
             queue.retain(|rank| rank.task().job != id);
         }
--- a/crates/jobs/src/evacuate.rs
+++ b/crates/jobs/src/evacuate.rs
@@ -95,7 +95,7 @@
                 && host.is_open(now)
                 && run.load.need.fits(used, host.info.capacity)
                 && allows(host, step)
-                && may_join(step, host, task)
+                && may_join(step, || host.siblings(task))
         };
         // One that is empty might be moved itself.
         let others = self.workers.of(&from.info.service);
--- a/crates/jobs/src/explain.rs
+++ b/crates/jobs/src/explain.rs
@@ -62,7 +62,7 @@
             Obstacle::Aside
         } else if !allows(worker, step) {
             Obstacle::Label
-        } else if !may_join(step, worker, task) {
+        } else if !may_join(step, || worker.siblings(task)) {
             Obstacle::Apart
         } else if !room_of(job, task).fits(worker.used, worker.info.capacity) {
             Obstacle::Room
--- a/crates/jobs/src/gang.rs
+++ b/crates/jobs/src/gang.rs
@@ -1,6 +1,10 @@
 //! Finds room for all tasks of a gang at once.
 
-use crate::{Cell, Need, Step, Task, TaskId, Worker, WorkerId, cell::room_of, place::Placing};
+use crate::{
+    Cell, Need, Step, Task, TaskId, Worker, WorkerId,
+    cell::room_of,
+    place::{Placing, may_join},
+};
 use std::time::Instant;
 
 /// A worker while the members of a gang are placed, with those that it has got already.
@@ -28,8 +32,7 @@
 
     /// Whether one more member, which needs this room, finds it.
     fn fits(&self, room: Need, step: &Step) -> bool {
-        let apart = step.apart.is_none_or(|most| self.siblings < most);
-        apart && room.fits(self.used, self.worker.info.capacity)
+        room.fits(self.used, self.worker.info.capacity) && may_join(step, || self.siblings)
     }
 }
 
@@ -52,12 +55,12 @@
 
     /// A worker for each member of a gang, or none if not all find room at once.
     fn gang_places(&self, task: TaskId, now: Instant) -> Option<Vec<WorkerId>> {
-        let step = self.jobs.get(&task.job)?.step(task.step);
-        if !step.together {
+        let job = self.jobs.get(&task.job)?;
+        if !job.step(task.step).together {
             return self.gang_places_in(task, None, now);
         }
-        let service = &self.jobs.get(&task.job)?.given.service;
-        let mut racks: Vec<&str> = self.workers.of(service).map(|w| w.info.rack()).collect();
+        let workers = self.workers.of(&job.given.service);
+        let mut racks: Vec<&str> = workers.map(|w| w.info.rack()).collect();
         racks.sort_unstable();
         racks.dedup();
         let within = racks
--- a/crates/jobs/src/observe.rs
+++ b/crates/jobs/src/observe.rs
@@ -179,9 +179,7 @@
         };
         let goes_on = state.settled.is_some_and(|at| asked > at);
         if state.phase == RunPhase::Stopping && goes_on {
-            // A stop is only sent for a run that is not being stopped.
-            state.phase = RunPhase::Running;
-            self.stop_run(worker, row.task, row.run);
+            self.order_stop(worker, row.task, row.run);
         }
     }
 
--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -51,7 +51,7 @@
         let may = |w: &&Worker| {
             room.fits(Need::default(), w.info.capacity)
                 && self.takes(w, job, task, now)
-                && may_join(step, w, task)
+                && may_join(step, || w.siblings(task))
         };
         let free = |w: &&Worker| w.info.capacity.cpu.saturating_sub(w.used.cpu);
         let freest = self
@@ -154,7 +154,7 @@
         let may = |w: &&Worker| {
             room.fits(w.used, w.info.capacity)
                 && self.takes(w, job, task, now)
-                && may_join(step, w, task)
+                && may_join(step, || w.siblings(task))
         };
         let racks = if step.lasting {
             self.racks_of(&job.given.service, task)
@@ -216,9 +216,10 @@
     }
 }
 
-/// Whether a worker may get one more task of a step, as far as these must be apart.
-pub(crate) fn may_join(step: &Step, worker: &Worker, task: TaskId) -> bool {
-    step.apart.is_none_or(|most| worker.siblings(task) < most)
+/// Whether a worker that has this many tasks of a step may get one more, as far as these must be apart; they
+/// are counted only where that matters.
+pub(crate) fn may_join(step: &Step, siblings: impl FnOnce() -> u32) -> bool {
+    step.apart.is_none_or(|most| siblings() < most)
 }
 
 /// Whether a worker has the label that a step asks for.
