refactor(entry): a job is not copied to say how much time is left; one call for tests

Cause: each try to reach the owner cloned the whole job to set one number; three tests wrote the same request. Change: Ask::set_left in place; tests/entries has the request. The tests keep their assertions.

--- a/crates/havenladder/src/entry/callers.rs
+++ b/crates/havenladder/src/entry/callers.rs
@@ -211,20 +211,20 @@
 }
 
 /// Puts a question to the owner, wherever it is, until the caller's time gets short.
-async fn ask(node: &Rc<Node>, ask: Ask, deadline: Instant) -> Reply {
+async fn ask(node: &Rc<Node>, mut ask: Ask, deadline: Instant) -> Reply {
     let now = Instant::now();
     let give_up = now + (deadline - now).mul_f64(ANSWER_SHARE);
     let mut sent = false;
     loop {
         let left = give_up.saturating_duration_since(Instant::now());
-        let timed = ask.within(left.saturating_sub(WAY_BACK));
+        ask.set_left(left.saturating_sub(WAY_BACK));
         let tell = match node.own() {
             Some(owner) => {
-                let answer = time::timeout_at(give_up.into(), owner.answer(timed)).await;
+                let answer = time::timeout_at(give_up.into(), owner.answer(ask.clone())).await;
                 answer.unwrap_or(Tell::Unsure)
             }
             None if node.cut_off.get() => return turn_away(&ask, sent),
-            None => forward(node, &timed, give_up).await,
+            None => forward(node, &ask, give_up).await,
         };
         sent |= tell == Tell::Unsure;
         if tell == Tell::Refused {
--- a/crates/havenladder/src/entry/inner.rs
+++ b/crates/havenladder/src/entry/inner.rs
@@ -62,14 +62,10 @@
 }
 
 impl Ask {
-    /// The same question with the time that is left for its answer.
-    pub fn within(&self, left: Duration) -> Ask {
-        match self {
-            Ask::Submit { given, .. } => Ask::Submit {
-                given: given.clone(),
-                within: left.as_millis() as u64,
-            },
-            other => other.clone(),
+    /// Says how much time is left for the answer, where the owner has to know.
+    pub fn set_left(&mut self, left: Duration) {
+        if let Ask::Submit { within, .. } = self {
+            *within = left.as_millis() as u64;
         }
     }
 }
--- a/crates/havenladder/tests/entries/mod.rs
+++ b/crates/havenladder/tests/entries/mod.rs
@@ -2,7 +2,10 @@
 
 #![expect(clippy::unwrap_used, reason = "a test stops where it fails")]
 
-use havenladder_soak::{Plan, site::Site};
+use havenladder_soak::{
+    Plan,
+    site::{HOST, PREFIX, Site},
+};
 use std::{io, net::SocketAddr, path::PathBuf, time::Duration};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -26,6 +29,23 @@
     Site::start(&plan).await.unwrap()
 }
 
+/// How long a caller waits for an answer, in ms; an entry gives up after two fifths of it.
+const PATIENCE: u64 = 3_000;
+
+/// A call about a job.
+#[allow(
+    dead_code,
+    clippy::allow_attributes,
+    reason = "not every test asks an entry itself"
+)]
+pub fn request(method: &str, id: u64, body: &str) -> String {
+    format!(
+        "{method} {PREFIX}{id:016x} HTTP/1.1\r\nhost: {HOST}\r\nrequest-deadline-ms: {PATIENCE}\r\n\
+         connection: close\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
 /// The head of an entry's answer; empty without one.
 #[allow(
     dead_code,
--- a/crates/havenladder/tests/given_back.rs
+++ b/crates/havenladder/tests/given_back.rs
@@ -3,14 +3,11 @@
 
 mod entries;
 
-use entries::{ask, block_on};
-use havenladder_soak::site::{HOST, PREFIX, Site};
+use entries::{ask, block_on, request};
+use havenladder_soak::site::Site;
 use std::{net::SocketAddr, time::Duration};
 use tokio::{task, time};
 
-/// How long a caller waits for an answer, in ms; an entry gives up after two fifths of it.
-const PATIENCE: u64 = 3_000;
-
 /// Long enough for the owner to hand the record of the first job on, and shorter than the half second after
 /// which it takes no jobs in at all.
 const BEHIND: Duration = Duration::from_millis(150);
@@ -18,15 +15,9 @@
 /// Longer than a job that runs takes from its record to its start.
 const LONG: Duration = Duration::from_secs(3);
 
-/// A call that hands in a job of one short task.
-fn submit(id: u64) -> String {
-    let body = r#"{"spec":"100","steps":[{"count":1,"cpu":1000,"mem-mb":100,"estimated-ms":100}]}"#;
-    format!(
-        "POST {PREFIX}{id:016x} HTTP/1.1\r\nhost: {HOST}\r\nrequest-deadline-ms: {PATIENCE}\r\n\
-         connection: close\r\ncontent-length: {}\r\n\r\n{body}",
-        body.len()
-    )
-}
+/// A job of one short task.
+const BODY: &str =
+    r#"{"spec":"100","steps":[{"count":1,"cpu":1000,"mem-mb":100,"estimated-ms":100}]}"#;
 
 /// Whether a worker was ever told to start a task of a job.
 fn has_started(site: &Site, id: u64) -> bool {
@@ -42,7 +33,7 @@
 }
 
 async fn hand_in(callers: SocketAddr, id: u64) -> String {
-    ask(callers, &submit(id)).await
+    ask(callers, &request("POST", id, BODY)).await
 }
 
 async fn refuse_truly() {
--- a/crates/havenladder/tests/replaced.rs
+++ b/crates/havenladder/tests/replaced.rs
@@ -2,8 +2,8 @@
 
 mod entries;
 
-use entries::{ask, block_on};
-use havenladder_soak::site::{HOST, PREFIX, Site};
+use entries::{ask, block_on, request};
+use havenladder_soak::site::Site;
 use rustix::process::Signal;
 use std::time::Duration;
 use tokio::{task, time};
@@ -17,15 +17,6 @@
 /// How many calls wait there: one is read before the entry hears of its successor.
 const CALLS: usize = 8;
 
-/// A call about a job.
-fn request(method: &str, id: u64, body: &str) -> String {
-    format!(
-        "{method} {PREFIX}{id:016x} HTTP/1.1\r\nhost: {HOST}\r\nrequest-deadline-ms: 3000\r\n\
-         connection: close\r\ncontent-length: {}\r\n\r\n{body}",
-        body.len()
-    )
-}
-
 /// Pauses an entry, has another take a job, and asks the paused one for it as it wakes.
 async fn wake_to_questions(site: &mut Site, number: usize) {
     let (paused, other) = (number, (number + 1) % site.entries.len());
--- a/crates/havenladder/tests/turns.rs
+++ b/crates/havenladder/tests/turns.rs
@@ -2,8 +2,8 @@
 
 mod entries;
 
-use entries::{ask, block_on};
-use havenladder_soak::site::{HOST, PREFIX, Site};
+use entries::{ask, block_on, request};
+use havenladder_soak::site::Site;
 use havenladder_standin::users::events::RunEvent;
 use std::{collections::BTreeSet, time::Duration};
 use tokio::time;
@@ -34,12 +34,7 @@
     let body = format!(
         r#"{{"spec":"100","steps":[{{"count":{TASKS},"cpu":1000,"mem-mb":100,"estimated-ms":100}}]}}"#
     );
-    let request = format!(
-        "POST {PREFIX}00000000000000b1 HTTP/1.1\r\nhost: {HOST}\r\nrequest-deadline-ms: 3000\r\n\
-         connection: close\r\ncontent-length: {}\r\n\r\n{body}",
-        body.len()
-    );
-    let answer = ask(site.entries[0].address, &request).await;
+    let answer = ask(site.entries[0].address, &request("POST", 0xb1, &body)).await;
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
     time::sleep(SOON).await;
     let done = done(&site);
