feat(entry): appends to the store are counted, and logged where no answer came

Cause: logs could not tell an append that waits for a lost answer from a lease that is lost. Change: one place through which appends go (store_calls.rs); a metric by matter and outcome; a line for a call without an answer or of 150 ms and more. No logic is changed. Ruled out: that the change of owner is the cause (hypothesis 2): the first owner refused while it held its lease. Conclusion: one lost answer stops all records for the client's whole time-out (hypothesis 1).

--- a/crates/havenladder/src/entry/lease/log.rs
+++ b/crates/havenladder/src/entry/lease/log.rs
@@ -3,6 +3,7 @@
 use crate::entry::{
     node::{Lease, Node},
     owner::Predecessor,
+    store_calls::{self, Matter},
 };
 use adapter::store::{Appended, Condition, Offset, Read, frame_plain};
 use bytes::Bytes;
@@ -126,5 +127,6 @@
 pub(super) async fn append(node: &Node, at: Offset, lease: &Lease) -> Option<Appended> {
     let bytes = rmp_serde::to_vec(lease).expect("plain data has a form in MessagePack");
     let body = frame_plain([bytes.as_slice()]);
-    node.store.append(TOPIC, Condition::At(at), body).await.ok()
+    let call = store_calls::append(node, Matter::Lease, TOPIC, Condition::At(at), body);
+    call.await.ok()
 }
--- a/crates/havenladder/src/entry/metrics.rs
+++ b/crates/havenladder/src/entry/metrics.rs
@@ -33,6 +33,7 @@
     rounds: Histogram<f64>,
     lags: Histogram<f64>,
     owners: Counter<u64>,
+    store_calls: Counter<u64>,
     _provider: SdkMeterProvider,
 }
 
@@ -67,6 +68,7 @@
             rounds: seconds("havenladder_round_seconds"),
             lags: seconds("havenladder_lag_seconds"),
             owners: meter.u64_counter("havenladder_ownerships").build(),
+            store_calls: meter.u64_counter("havenladder_store_calls").build(),
             registry,
             _provider: provider,
         }
@@ -111,6 +113,15 @@
         self.owners.add(1, &[KeyValue::new("change", change)]);
     }
 
+    /// Counts a writing call to the store.
+    pub fn store_called(&self, matter: &'static str, outcome: &'static str) {
+        let labels = [
+            KeyValue::new("matter", matter),
+            KeyValue::new("outcome", outcome),
+        ];
+        self.store_calls.add(1, &labels);
+    }
+
     /// All of them in the text form of Prometheus.
     pub fn text(&self) -> Vec<u8> {
         let mut text = Vec::new();
--- a/crates/havenladder/src/entry/mod.rs
+++ b/crates/havenladder/src/entry/mod.rs
@@ -19,6 +19,7 @@
 mod owner;
 mod reach;
 mod stop;
+mod store_calls;
 mod upkeep;
 mod vm_orders;
 mod watch;
--- a/crates/havenladder/src/entry/owner/append.rs
+++ b/crates/havenladder/src/entry/owner/append.rs
@@ -1,7 +1,11 @@
 //! Makes records durable, and goes on meanwhile with what needs none.
 
 use super::Owner;
-use crate::entry::{node::wall_ms, orders, outage};
+use crate::entry::{
+    node::wall_ms,
+    orders, outage,
+    store_calls::{self, Matter},
+};
 use adapter::store::{Appended, Condition, frame_keyed};
 use jobs::{Entry, Order};
 use std::{
@@ -60,7 +64,7 @@
         sequence,
     };
     while owner.is_alive() {
-        let call = owner.node.store.append(TOPIC, condition, body.clone());
+        let call = store_calls::append(&owner.node, Matter::Jobs, TOPIC, condition, body.clone());
         match meanwhile(owner, call, starts).await {
             Ok(Appended::Done(_)) => return true,
             Ok(Appended::Fenced) => owner.end("a newer owner appends"),
--- a/crates/havenladder/src/entry/upkeep.rs
+++ b/crates/havenladder/src/entry/upkeep.rs
@@ -3,6 +3,7 @@
 use super::{
     fleet::{ORDER_LOST, VmList},
     owner::Owner,
+    store_calls::{self, Matter},
     vm_orders::{self, Errand, VmOrder},
 };
 use adapter::{
@@ -364,12 +365,9 @@
     let key = format!("{WAVE_KEY}{}", wave.number);
     let value = write_wave(state);
     let body = frame_keyed([(key.as_str(), Some(value.as_ref()))]);
-    match owner
-        .node
-        .store
-        .append(STATUS_TOPIC, Condition::Always, body)
-        .await
-    {
+    let (node, matter) = (&owner.node, Matter::Wave);
+    let call = store_calls::append(node, matter, STATUS_TOPIC, Condition::Always, body);
+    match call.await {
         Ok(Appended::Done(_)) => {
             info!(wave = wave.number, ?state, "wave told");
             course.said = Some(state);
