--- a/crates/havenladder/tests/entries/mod.rs
+++ b/crates/havenladder/tests/entries/mod.rs
@@ -16,6 +16,16 @@
 /// Limit of every wait; generous, so that a busy machine changes no verdict.
 const LIMIT: Duration = Duration::from_secs(30);
 
+/// Where the logs of a site lie.
+#[allow(
+    dead_code,
+    clippy::allow_attributes,
+    reason = "not every test reads them"
+)]
+pub fn logs(name: &str, seed: u64) -> PathBuf {
+    PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}-{seed}"))
+}
+
 /// Starts three entries, the first and the last in one data centre, and so many VMs; the logs lie under `name`.
 pub async fn start(name: &str, seed: u64, vms: usize) -> Site {
     let plan = Plan {
@@ -24,7 +34,7 @@
         span: Duration::ZERO,
         entries: 3,
         vms,
-        logs: PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}-{seed}")),
+        logs: logs(name, seed),
     };
     Site::start(&plan).await.unwrap()
 }
--- a/crates/standin/src/users/log.rs
+++ b/crates/standin/src/users/log.rs
@@ -5,9 +5,11 @@
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use http_body_util::Full;
 use hyper::Response;
+use rand::{Rng, SeedableRng, rngs::StdRng};
 use serde_json::{Value, json as value};
 use std::{
     collections::{BTreeMap, HashMap},
+    future,
     sync::{Arc, Mutex},
     time::Duration,
 };
@@ -38,11 +40,20 @@
     producers: HashMap<String, Producer>,
 }
 
+/// Which answers to appends are lost.
+#[derive(Debug)]
+struct Loss {
+    /// The part of them.
+    share: f64,
+    rng: StdRng,
+}
+
 /// The log; clones share it.
 #[derive(Clone, Debug, Default)]
 pub struct Log {
     topics: Arc<Mutex<HashMap<String, Topic>>>,
     changed: Arc<Notify>,
+    loss: Arc<Mutex<Option<Loss>>>,
 }
 
 impl Log {
@@ -50,13 +61,34 @@
     pub async fn handle(&self, call: Call) -> Answer {
         let topic = call.query.get("topic").cloned().unwrap_or_default();
         match (call.method.as_str(), call.path.as_str()) {
-            ("POST", "/log-append") => Some(self.append(&topic, &call)),
+            ("POST", "/log-append") => {
+                let answer = self.append(&topic, &call);
+                if self.loses_answer() {
+                    // The connection stays open, and nothing more is said on it.
+                    future::pending::<()>().await;
+                }
+                Some(answer)
+            }
             ("GET", "/log-read") => Some(self.read(&topic, &call).await),
             ("GET", "/log-newest") => Some(self.newest(&topic)),
             _ => Some(answer(404, "text/plain", "")),
         }
     }
 
+    /// Loses this part of the answers to appends, which are done, until the share is 0. Which ones a seed decides.
+    pub fn lose_answers(&self, share: f64, seed: u64) {
+        let rng = StdRng::seed_from_u64(seed);
+        let loss = (share > 0.0).then_some(Loss { share, rng });
+        *self.loss.lock().expect("no thread panics here") = loss;
+    }
+
+    /// Whether the next answer to an append is lost.
+    fn loses_answer(&self) -> bool {
+        let mut loss = self.loss.lock().expect("no thread panics here");
+        let loss = loss.as_mut();
+        loss.is_some_and(|loss| loss.rng.random_bool(loss.share))
+    }
+
     /// Writes a record with a key; an empty value drops the key.
     pub fn put(&self, topic: &str, key: &str, value: &[u8]) {
         let mut record = BytesMut::new();
