fix(lease): a renewal whose answer was lost is read back, and a lease counts from when it was first sent

An owner could trust a lease that others already counted as 1.5 s old; one that gave the cell up behind a lost answer left all to wait for its expiry.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -7,6 +7,7 @@
 mod answer_time;
 mod bound;
 mod budget;
+mod first_sent;
 mod fold;
 mod grant;
 mod member;
@@ -27,6 +28,7 @@
 pub use answer_time::{AnswerTime, next_wait};
 pub use bound::{Whereabouts, room_to_go};
 pub use budget::{Count, Hold, holds};
+pub use first_sent::{FirstSent, Place};
 pub use moves::{Room, Wanted, least_moves, next_moves};
 pub use plan::{Action, Evidence, Sight, View, free_token, next_action, plan};
 pub use rate::RateLimit;
--- a/crates/havenladder/src/entry/lease/log.rs
+++ b/crates/havenladder/src/entry/lease/log.rs
@@ -7,7 +7,7 @@
 };
 use adapter::store::{Appended, Condition, Offset, Read, frame_plain};
 use bytes::Bytes;
-use fleet::Tenure;
+use fleet::{FirstSent, Tenure};
 use std::time::{Duration, Instant};
 use tokio::time;
 use tracing::{info, warn};
@@ -30,6 +30,16 @@
     pub(super) trouble: Option<Instant>,
     /// What was known of the owner when this entry last claimed.
     pub(super) before: Predecessor,
+    /// For which place this entry last sent a record, and since when.
+    pub(super) sent: Option<FirstSent>,
+}
+
+impl Log {
+    /// The earliest moment at which the log can have taken its newest record, if this entry sent it.
+    pub(super) fn taken(&self) -> Option<Instant> {
+        let place = self.end.checked_sub(1)?;
+        self.sent.and_then(|sent| sent.earliest(place))
+    }
 }
 
 /// What a read of the lease's records found.
@@ -123,8 +133,46 @@
     set_lease(node, lease, log.end);
 }
 
+/// What came of a record that was to be appended.
+pub(super) enum Written {
+    /// It is in the log.
+    Done,
+    /// The log has another record of this entry in its place: an earlier call took it, whose answer was lost.
+    Earlier,
+    /// Another entry has written, or it is not known what came of it.
+    Unsure,
+}
+
+/// Appends a record to the end of the log as far as it was read, and takes in what the log has there.
+pub(super) async fn write(node: &Node, log: &mut Log, lease: Lease) -> Written {
+    let place = log.end;
+    log.sent = Some(FirstSent::note(log.sent, place, Instant::now()));
+    match append(node, place, &lease).await {
+        Some(Appended::Done(end)) => {
+            log.end = end;
+            note_lease(node, log, lease, Instant::now());
+            Written::Done
+        }
+        Some(Appended::Moved(_)) => {
+            read(node, log, Duration::ZERO).await;
+            if log.end == place + 1 && is_own(node) {
+                Written::Earlier
+            } else {
+                Written::Unsure
+            }
+        }
+        Some(_) | None => Written::Unsure,
+    }
+}
+
+/// Whether the newest record is of this life of the entry.
+fn is_own(node: &Node) -> bool {
+    let lease = node.lease.borrow();
+    lease.as_ref().is_some_and(|lease| lease.life == node.life)
+}
+
 /// Appends a record, on the condition that the log ends at `at`; none if the store did not answer.
-pub(super) async fn append(node: &Node, at: Offset, lease: &Lease) -> Option<Appended> {
+async fn append(node: &Node, at: Offset, lease: &Lease) -> Option<Appended> {
     let bytes = rmp_serde::to_vec(lease).expect("plain data has a form in MessagePack");
     let body = frame_plain([bytes.as_slice()]);
     let call = store_calls::append(node, Matter::Lease, TOPIC, Condition::At(at), body);
--- a/crates/havenladder/src/entry/lease/mod.rs
+++ b/crates/havenladder/src/entry/lease/mod.rs
@@ -14,9 +14,8 @@
     node::{Lease, Node},
     owner::{Owner, Predecessor},
 };
-use adapter::store::Appended;
 use fleet::{Claim, Holder, Tenure, Told, Trouble};
-use log::{Log, RETRY_INTERVAL, Seen, append, note_lease, read};
+use log::{Log, RETRY_INTERVAL, Seen, Written, read, write};
 use std::{
     rc::Rc,
     time::{Duration, Instant},
@@ -53,6 +52,7 @@
             trouble: Trouble::None,
             orders: false,
         },
+        sent: None,
     };
     // The first read needs no wait: where there is no record yet, the first to claim has it.
     let mut wait = Duration::ZERO;
@@ -174,13 +174,10 @@
         orders: log.before.orders,
         ..record(node, None)
     };
-    match append(node, log.end, &lease).await {
-        Some(Appended::Done(end)) => {
-            log.end = end;
-            note_lease(node, log, lease, Instant::now());
-        }
+    match write(node, log, lease).await {
+        Written::Done | Written::Earlier => {}
         // Another was first, or the answer was lost: the next read tells.
-        Some(_) | None => time::sleep(CLAIM_AGAIN).await,
+        Written::Unsure => time::sleep(CLAIM_AGAIN).await,
     }
 }
 
@@ -232,7 +229,9 @@
 
 /// Owns the cell until the lease is lost or given up.
 async fn own(node: &Rc<Node>, log: &mut Log) {
-    let owner = Owner::start(node, log.end, log.before);
+    // One that cannot tell since when others may have read its record relies on the next renewal.
+    let since = log.taken().unwrap_or(node.began);
+    let owner = Owner::start(node, log.end, log.before, since);
     loop {
         wait_for_turn(node, &owner).await;
         match next_step(node, &owner) {
@@ -261,9 +260,11 @@
         ..record(node, Some(owner.inherited_for()))
     };
     owner.end(why);
-    if let Some(Appended::Done(end)) = append(node, log.end, &released).await {
-        log.end = end;
-        note_lease(node, log, released, Instant::now());
+    while let Written::Earlier = write(node, log, released.clone()).await {
+        // A renewal whose answer was lost, or this record itself.
+        if !holds(node) {
+            return;
+        }
     }
 }
 
@@ -275,17 +276,18 @@
 /// Renews the lease, once.
 async fn renew(node: &Node, log: &mut Log, owner: &Owner) {
     let sent = Instant::now();
-    let lease = record(node, None);
-    match append(node, log.end, &lease).await {
-        Some(Appended::Done(end)) => {
-            log.end = end;
-            log.tenure.note_record(node.settings.cpu, Instant::now());
-            owner.note_renewal(sent, &lease);
+    let renewed = match write(node, log, record(node, None)).await {
+        Written::Done => Some(sent),
+        Written::Earlier => log.taken(),
+        Written::Unsure => None,
+    };
+    let lease = node.lease.borrow().clone();
+    match (renewed, lease) {
+        (Some(renewed), Some(lease)) => {
+            owner.note_renewal(renewed, &lease);
             node.note_reach(|reach| reach.note_store(Instant::now()));
         }
-        Some(Appended::Moved(_)) => {
-            read(node, log, Duration::ZERO).await;
-        }
-        Some(_) | None => time::sleep(RETRY_INTERVAL).await,
+        _ if holds(node) => time::sleep(RETRY_INTERVAL).await,
+        _ => {}
     }
 }
--- a/crates/havenladder/src/entry/owner/mod.rs
+++ b/crates/havenladder/src/entry/owner/mod.rs
@@ -162,9 +162,9 @@
 }
 
 impl Owner {
-    /// Begins to own the cell.
-    pub fn start(node: &Rc<Node>, epoch: u64, before: Predecessor) -> Rc<Self> {
-        let owner = Rc::new(Owner::new(node, epoch, before));
+    /// Begins to own the cell, by a record that others may have read since `since`.
+    pub fn start(node: &Rc<Node>, epoch: u64, before: Predecessor, since: Instant) -> Rc<Self> {
+        let owner = Rc::new(Owner::new(node, epoch, before, since));
         node.metrics.owned("gained");
         info!(epoch, ?before, "owns the cell");
         *node.owner.borrow_mut() = Some(Rc::clone(&owner));
@@ -173,7 +173,7 @@
     }
 
     /// An owner that knows nothing yet but its predecessor.
-    fn new(node: &Rc<Node>, epoch: u64, before: Predecessor) -> Self {
+    fn new(node: &Rc<Node>, epoch: u64, before: Predecessor, since: Instant) -> Self {
         let now = Instant::now();
         let extended = match before.renewed {
             Some(at) => at + GRACE,
@@ -188,7 +188,7 @@
             epoch,
             cell: RefCell::new(cell),
             contacts: RefCell::default(),
-            renewed: Cell::new(now),
+            renewed: Cell::new(since),
             inherited: (extended + longest(LEASE)).max(now + before.waits),
             trouble: before.trouble,
             order_due: Cell::new(None),
