fix(entry): a worker whose answer is overdue is asked once more

Change: 100 ms after an answer is due the worker is asked once more, over a connection of its own, without waiting for an end and without extending its lease; a dark worker is noticed as soon as before. questions.rs is split from watch.rs. The test fails on the code before (two workers taken for silent). Ruled out: shorter waits at the worker: each question has a price.

--- a/crates/havenladder/src/entry/mod.rs
+++ b/crates/havenladder/src/entry/mod.rs
@@ -17,6 +17,7 @@
 mod orders;
 mod outage;
 mod owner;
+mod questions;
 mod reach;
 mod resend;
 mod starts;
--- /dev/null
+++ b/crates/havenladder/src/entry/questions.rs
@@ -0,0 +1,95 @@
+//! Questions to workers: what runs there and what has ended, which extends their leases.
+
+use super::{orders, owner::Owner};
+use adapter::{
+    http::Connection,
+    workers::{Hold, Told, WorkerError},
+};
+use jobs::{Report, WorkerInfo};
+use std::{
+    pin::pin,
+    time::{Duration, Instant},
+};
+use tokio::time;
+
+/// How long a question waits for an end at a worker that has runs. The lease is extended by each question, so
+/// that the last one before an owner is lost may be as old as this.
+const HOLD_WAIT: Duration = Duration::from_millis(500);
+
+/// The same at a worker without runs, whose lease holds nothing: half as many questions.
+const IDLE_WAIT: Duration = Duration::from_millis(1_000);
+
+/// How long an answer may be overdue until the worker is asked once more, over a connection of its own: a healthy one
+/// takes some ms, and an owner of 1,100 workers that is full reads its answer 76 ms later.
+const OVERDUE: Duration = Duration::from_millis(100);
+
+/// Whether a worker gave an answer to the last question.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answers {
+    /// It did, or was not asked yet.
+    Given,
+    /// It did not.
+    Missing,
+}
+
+/// The answer to a question.
+pub struct Answer {
+    /// When the question was sent.
+    pub asked: Instant,
+    /// What the worker said.
+    pub told: Told<Report>,
+}
+
+/// Puts a question to a worker. One whose answer is overdue is asked once more, without waiting for an end there and
+/// without extending its lease: the answer may be lost, and what has ended be unknown for as long as it is waited for.
+///
+/// # Errors
+///
+/// Fails when the worker answers neither, or refuses.
+pub async fn put(owner: &Owner, info: &WorkerInfo, hold: Hold) -> Result<Answer, WorkerError> {
+    let workers = &owner.node.workers;
+    let asked = Instant::now();
+    let mut first = pin!(workers.hold(info, hold, Connection::Kept));
+    let due = asked + Duration::from_millis(hold.wait) + OVERDUE;
+    if let Ok(outcome) = time::timeout_at(due.into(), first.as_mut()).await {
+        return outcome.map(|told| Answer { asked, told });
+    }
+    let again = Instant::now();
+    let second = question(owner, &info.id, Answers::Missing);
+    let mut second = pin!(workers.hold(info, second, Connection::Fresh));
+    tokio::select! {
+        // It ends last by its time-out: the worker is silent.
+        outcome = first.as_mut() => outcome.map(|told| Answer { asked, told }),
+        outcome = second.as_mut() => match outcome {
+            Ok(told) => Ok(Answer { asked: again, told }),
+            Err(_) => first.await.map(|told| Answer { asked, told }),
+        },
+    }
+}
+
+/// The next question to a worker.
+pub fn question(owner: &Owner, id: &str, last: Answers) -> Hold {
+    // A question without an answer may extend the lease all the same: a worker that is silent is
+    // asked without, so that its lease can run out.
+    let deadline = match last {
+        Answers::Given => orders::lease_end(owner, id),
+        Answers::Missing => None,
+    };
+    // The first question only tells the worker's clock and who owns the cell now.
+    let wait = deadline.map_or(Duration::ZERO, |_| hold_wait(owner, id));
+    Hold {
+        deadline,
+        fence: owner.epoch,
+        noted: owner.contacts.borrow().get(id).map_or(0, |c| c.noted),
+        wait: wait.as_millis() as u64,
+    }
+}
+
+/// How long a question waits at a worker.
+fn hold_wait(owner: &Owner, id: &str) -> Duration {
+    let cell = owner.cell.borrow();
+    match cell.workers.get(id) {
+        Some(worker) if worker.runs.is_empty() => IDLE_WAIT,
+        Some(_) | None => HOLD_WAIT,
+    }
+}
--- a/crates/havenladder/src/entry/watch.rs
+++ b/crates/havenladder/src/entry/watch.rs
@@ -3,10 +3,11 @@
 use super::{
     orders,
     owner::{Contact, Owner},
+    questions::{Answer, Answers, put, question},
 };
 use adapter::{
     store::{Keyed, Offset, Read, split_keyed},
-    workers::{self, ClockMs, Hold, Told, WorkerError},
+    workers::{self, ClockMs, WorkerError},
 };
 use jobs::{How, Refusal, Report, WorkerId, WorkerInfo};
 use std::{
@@ -25,13 +26,6 @@
 /// read has a price. A worker that drains must get no new runs after 2 s.
 const LIST_GAP: Duration = Duration::from_millis(250);
 
-/// How long a question waits for an end at a worker that has runs. The lease is extended by each question, so
-/// that the last one before an owner is lost may be as old as this.
-const HOLD_WAIT: Duration = Duration::from_millis(500);
-
-/// The same at a worker without runs, whose lease holds nothing: half as many questions.
-const IDLE_WAIT: Duration = Duration::from_millis(1_000);
-
 /// The least time between two questions to one worker: each has a price, and ends that come close
 /// together share one.
 const HOLD_GAP: Duration = Duration::from_millis(20);
@@ -136,15 +130,6 @@
     }
 }
 
-/// Whether a worker gave an answer to the last question.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Answers {
-    /// It did, or was not asked yet.
-    Given,
-    /// It did not.
-    Missing,
-}
-
 /// Whether a worker is asked again.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Watch {
@@ -165,15 +150,14 @@
             time::sleep(HOLD_AGAIN).await;
             continue;
         }
-        let asked = Instant::now();
         let hold = question(&owner, &id, last);
-        match owner.node.workers.hold(&info, hold).await {
-            Ok(told) => {
+        match put(&owner, &info, hold).await {
+            Ok(answer) => {
                 last = Answers::Given;
-                take_report(&owner, &id, &told, asked);
+                take_report(&owner, &id, &answer);
                 if hold.deadline.is_some() {
                     time::sleep(HOLD_GAP).await;
-                    wait_noted(&owner, &id, &told.value).await;
+                    wait_noted(&owner, &id, &answer.told.value).await;
                 }
             }
             Err(error) => {
@@ -201,49 +185,22 @@
         let Some(info) = orders::find(&owner, &id) else {
             return;
         };
-        let asked = Instant::now();
         let hold = question(&owner, &id, Answers::Missing);
-        match owner.node.workers.hold(&info, hold).await {
-            Ok(told) => take_report(&owner, &id, &told, asked),
+        match put(&owner, &info, hold).await {
+            Ok(answer) => take_report(&owner, &id, &answer),
             // The questions that wait for ends deal with it.
             Err(error) => info!(worker = id, %error, "worker left a start unanswered"),
         }
     });
 }
 
-/// The next question to a worker.
-fn question(owner: &Owner, id: &str, last: Answers) -> Hold {
-    // A question without an answer may extend the lease all the same: a worker that is silent is
-    // asked without, so that its lease can run out.
-    let deadline = match last {
-        Answers::Given => orders::lease_end(owner, id),
-        Answers::Missing => None,
-    };
-    // The first question only tells the worker's clock and who owns the cell now.
-    let wait = deadline.map_or(Duration::ZERO, |_| hold_wait(owner, id));
-    Hold {
-        deadline,
-        fence: owner.epoch,
-        noted: owner.contacts.borrow().get(id).map_or(0, |c| c.noted),
-        wait: wait.as_millis() as u64,
-    }
-}
-
-/// How long a question waits at a worker.
-fn hold_wait(owner: &Owner, id: &str) -> Duration {
-    let cell = owner.cell.borrow();
-    match cell.workers.get(id) {
-        Some(worker) if worker.runs.is_empty() => IDLE_WAIT,
-        Some(_) | None => HOLD_WAIT,
-    }
-}
-
-/// Takes in the answer to a question that was sent at `asked`.
-fn take_report(owner: &Rc<Owner>, id: &str, told: &Told<Report>, asked: Instant) {
+/// Takes in the answer to a question.
+fn take_report(owner: &Rc<Owner>, id: &str, answer: &Answer) {
     let now = Instant::now();
+    let Answer { asked, told } = answer;
     set_clock(owner, id, told.clock, now);
     log_ends(owner, id, &told.value);
-    owner.cell.borrow_mut().report(id, &told.value, asked, now);
+    owner.cell.borrow_mut().report(id, &told.value, *asked, now);
     owner.wake();
 }
 
--- a/crates/havenladder/tests/entries/mod.rs
+++ b/crates/havenladder/tests/entries/mod.rs
@@ -6,7 +6,7 @@
     Plan,
     site::{HOST, PREFIX, Site},
 };
-use std::{io, net::SocketAddr, path::PathBuf, time::Duration};
+use std::{fs, io, net::SocketAddr, path::PathBuf, time::Duration};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
@@ -39,6 +39,22 @@
     Site::start(&plan).await.unwrap()
 }
 
+/// How often a text stands in the logs of a site's entries.
+#[allow(
+    dead_code,
+    clippy::allow_attributes,
+    reason = "not every test reads them"
+)]
+pub fn count_lines(name: &str, seed: u64, text: &str) -> usize {
+    let files = fs::read_dir(logs(name, seed))
+        .into_iter()
+        .flatten()
+        .flatten();
+    let logs = files.filter(|file| file.path().extension().is_some_and(|end| end == "log"));
+    let texts = logs.filter_map(|file| fs::read_to_string(file.path()).ok());
+    texts.map(|log| log.matches(text).count()).sum()
+}
+
 /// How long a caller waits for an answer, in ms; an entry gives up after two fifths of it.
 const PATIENCE: u64 = 3_000;
 
--- a/crates/havenladder/tests/lost_answers.rs
+++ b/crates/havenladder/tests/lost_answers.rs
@@ -15,9 +15,9 @@
 
 mod entries;
 
-use entries::{ask, block_on, request};
+use entries::{ask, block_on, count_lines, request};
 use havenladder_soak::site::Site;
-use std::{collections::BTreeMap, fs, path::Path, time::Duration};
+use std::{collections::BTreeMap, time::Duration};
 use tokio::{task, time};
 
 /// The part of the answers to appends that is lost.
@@ -58,15 +58,8 @@
     answers
 }
 
-/// How often an entry of a site came to own the cell.
-fn count_owners(logs: &Path) -> usize {
-    let files = fs::read_dir(logs).into_iter().flatten().flatten();
-    let logs = files.filter(|file| file.path().extension().is_some_and(|end| end == "log"));
-    let texts = logs.filter_map(|file| fs::read_to_string(file.path()).ok());
-    texts
-        .map(|text| text.matches("\"owns the cell\"").count())
-        .sum()
-}
+/// What an entry logs that comes to own the cell.
+const OWNS: &str = "\"owns the cell\"";
 
 async fn take_in(seed: u64) {
     let site = entries::start("lost-answers", seed, 4).await;
@@ -77,14 +70,12 @@
 }
 
 async fn keep_owner(seed: u64) {
-    let logs = entries::logs("lost-renewals", seed);
-    // What an earlier run of this test left is not counted.
-    let _ = fs::remove_dir_all(&logs);
-    let site = entries::start("lost-renewals", seed, 4).await;
+    let name = "lost-renewals";
+    let site = entries::start(name, seed, 4).await;
     time::sleep(BEGIN).await;
-    let before = count_owners(&logs);
+    let before = count_lines(name, seed, OWNS);
     hand_in_meanwhile(&site, seed).await;
-    assert_eq!(count_owners(&logs), before);
+    assert_eq!(count_lines(name, seed, OWNS), before);
 }
 
 #[test]
--- a/crates/havenladder/tests/lost_starts.rs
+++ b/crates/havenladder/tests/lost_starts.rs
@@ -5,14 +5,16 @@
 //! began anew elsewhere once a later report no longer listed the run.
 //!
 //! The cause: a lost answer was taken for a worker that is away, though the same start, sent again, is answered in
-//! ms, and a worker has a run once however often it is told to start it.
+//! ms, and a worker has a run once however often it is told to start it. Questions to workers met the same: a worker
+//! was not asked again for half a second after its answer was due, and got nothing new meanwhile.
 //!
 //! The evidence: a day with nothing but this fault for 30 s, one order in twenty without an answer. With starts sent
-//! once more, queues that earned 0.54 and 0.58 of what was owed earned 0.75 and 0.73.
+//! once more, queues that earned 0.54 and 0.58 of what was owed earned 0.75 and 0.73; with questions as well, 0.91
+//! and 0.90.
 
 mod entries;
 
-use entries::{ask, block_on, request};
+use entries::{ask, block_on, count_lines, request};
 use havenladder_soak::site::Site;
 use havenladder_standin::users::events::RunEvent;
 use std::time::Duration;
@@ -25,6 +27,9 @@
 const BODY: &str =
     r#"{"spec":"1500","steps":[{"count":2,"cpu":1000,"mem-mb":100,"estimated-ms":1500}]}"#;
 
+/// What an owner logs of a worker that gets nothing new until it answers.
+const SILENT: &str = "worker does not answer";
+
 /// How often something happened to runs.
 fn count(site: &Site, what: RunEvent) -> usize {
     let events = site.events.all();
@@ -50,7 +55,25 @@
     assert_eq!(count(&site, RunEvent::Done), 4);
 }
 
+async fn ask_again() {
+    let (name, seed) = ("lost-reports", 942);
+    let site = entries::start(name, seed, 2).await;
+    time::sleep(Duration::from_secs(4)).await;
+    let before = count_lines(name, seed, SILENT);
+    for name in site.cloud.names() {
+        let link = site.cloud.link(&name).expect("a VM of the site");
+        link.hush();
+    }
+    time::sleep(SETTLED).await;
+    assert_eq!(count_lines(name, seed, SILENT), before);
+}
+
 #[test]
 fn a_run_whose_start_has_no_answer_works_on() {
     block_on(run_once());
 }
+
+#[test]
+fn a_worker_whose_answer_is_lost_is_asked_once_more() {
+    block_on(ask_again());
+}
