fix(entry): reads of the store and the list of VMs are asked for again, too

Change: they are sent again as appends are; a poll that is sent again does not wait. The newest records are read part by part. How long answers take is learned from polls that ended without a record as well. Ruled out: a longer limit for polls: an entry that the store turns away must ask others in time, so that 0.7 s stays.

--- a/crates/havenladder/src/entry/fleet.rs
+++ b/crates/havenladder/src/entry/fleet.rs
@@ -1,6 +1,11 @@
 //! The VMs: their list, and what the owner does about them, one look after the other.
 
-use super::{moves::Moves, owner::Owner, upkeep::Waves};
+use super::{
+    moves::Moves,
+    owner::Owner,
+    resend::{Patience, until_answered},
+    upkeep::Waves,
+};
 use adapter::cloud::{Vm, VmState};
 use jobs::WorkerId;
 use std::{
@@ -32,6 +37,25 @@
 /// may be carried out 12 s late.
 pub const ORDER_LOST: Duration = Duration::from_millis(13_000);
 
+/// How long the list is asked for again without an answer. Without it no VM is ordered.
+const LIST: Patience = Patience {
+    hold: Duration::ZERO,
+    limit: Duration::from_millis(1_500),
+};
+
+/// Reads the list of VMs; none if the platform turned the call away or did not answer.
+async fn read_list(owner: &Owner) -> Option<Vec<Vm>> {
+    let send = |connection| {
+        let cloud = owner.node.cloud.over(connection);
+        async move { cloud.vms().await }
+    };
+    let answered = until_answered(&owner.node.list_times, LIST, send).await;
+    if let Err(error) = answered.outcome {
+        info!(%error, calls = answered.calls, "no list of VMs");
+    }
+    answered.outcome.ok().flatten()
+}
+
 /// Runs until the owner ends.
 pub async fn run(owner: Rc<Owner>) {
     expect_workers(&owner).await;
@@ -44,7 +68,7 @@
         let busy = waves.is_open(&owner) || moves.is_open() || !absences.is_settled(&owner);
         let age = if busy { BUSY_LIST_AGE } else { CALM_LIST_AGE };
         if read.is_none_or(|at| at.elapsed() >= age)
-            && let Ok(Some(vms)) = owner.node.cloud.vms().await
+            && let Some(vms) = read_list(&owner).await
         {
             list = vms.into_iter().map(|vm| (vm.name.clone(), vm)).collect();
             read = Some(Instant::now());
@@ -108,7 +132,7 @@
 /// Tells the cell, once, which workers run on the VMs that are up.
 async fn expect_workers(owner: &Rc<Owner>) {
     while owner.is_alive() {
-        if let Ok(Some(vms)) = owner.node.cloud.vms().await {
+        if let Some(vms) = read_list(owner).await {
             let up = vms.into_iter().filter(|vm| vm.state == VmState::Up);
             let workers = up.filter_map(|vm| Some((vm.worker?, vm.pool)));
             owner.cell.borrow_mut().expect_workers(workers);
--- a/crates/havenladder/src/entry/follow.rs
+++ b/crates/havenladder/src/entry/follow.rs
@@ -4,6 +4,7 @@
     inner::{self, Ask, Tell},
     lease::set_lease,
     node::Node,
+    store_calls,
 };
 use adapter::{
     operator::{self, CONFIG_KEY, TOPIC, WAVE_KEY},
@@ -30,7 +31,7 @@
 /// Follows the topic for ever.
 pub async fn run(node: Rc<Node>) {
     loop {
-        if let Ok(Some(newest)) = node.store.newest(TOPIC).await {
+        if let Ok(Some(newest)) = store_calls::newest(&node, TOPIC).await {
             newest
                 .records
                 .into_iter()
@@ -45,7 +46,7 @@
 /// Reads on until the records asked for are gone.
 async fn read_on(node: &Node, mut from: Offset) {
     loop {
-        match node.store.read(TOPIC, from, WAIT).await {
+        match store_calls::read(node, TOPIC, from, WAIT).await {
             Ok(Read::Records(_, records)) => {
                 from += records.len() as Offset;
                 records
--- a/crates/havenladder/src/entry/lease/log.rs
+++ b/crates/havenladder/src/entry/lease/log.rs
@@ -54,7 +54,7 @@
 
 /// Reads on and takes in what the newest record says.
 pub(super) async fn read(node: &Node, log: &mut Log, wait: Duration) -> Seen {
-    let read = node.store.read(TOPIC, log.end, wait).await;
+    let read = store_calls::read(node, TOPIC, log.end, wait).await;
     if read.is_ok() {
         node.note_reach(|reach| reach.note_store(Instant::now()));
     }
--- a/crates/havenladder/src/entry/node.rs
+++ b/crates/havenladder/src/entry/node.rs
@@ -75,6 +75,8 @@
     pub workers: Workers,
     /// The platform's VMs.
     pub cloud: Cloud,
+    /// How long the list of VMs takes to read.
+    pub list_times: Cell<AnswerTime>,
     /// The service that tells which workers may run a step.
     pub advice: Option<Advice>,
     /// The newest configuration.
@@ -130,6 +132,7 @@
                 .advice
                 .as_ref()
                 .map(|at| Advice::new(client.clone(), at)),
+            list_times: Cell::default(),
             cloud: Cloud::new(client.clone(), &settings.cloud, &settings.node),
             client,
             settings,
--- a/crates/havenladder/src/entry/owner/load.rs
+++ b/crates/havenladder/src/entry/owner/load.rs
@@ -4,6 +4,7 @@
     Owner,
     append::{RETRY_INTERVAL, TOPIC, append},
 };
+use crate::entry::store_calls;
 use adapter::store::Keyed;
 use std::{rc::Rc, time::Instant};
 use tokio::time;
@@ -20,7 +21,7 @@
         if !owner.is_alive() {
             return false;
         }
-        match owner.node.store.newest(TOPIC).await {
+        match store_calls::newest(&owner.node, TOPIC).await {
             Ok(Some(newest)) => {
                 let records: Vec<_> = newest.records.iter().filter_map(decode).collect();
                 let count = records.len();
--- a/crates/havenladder/src/entry/resend.rs
+++ b/crates/havenladder/src/entry/resend.rs
@@ -14,8 +14,14 @@
 };
 use tokio::{task::JoinSet, time};
 
-/// How long a call is sent again at the most; who needs the answer then decides anew whether it is still wanted.
-const LIMIT: Duration = Duration::from_millis(1_500);
+/// How long an answer is waited for.
+#[derive(Clone, Copy, Debug)]
+pub struct Patience {
+    /// For how long the service may hold its answer back, beyond what answers take.
+    pub hold: Duration,
+    /// For how much longer the call is sent again; who needs the answer then decides anew what to do.
+    pub limit: Duration,
+}
 
 /// What came of a call.
 #[derive(Debug)]
@@ -29,18 +35,18 @@
 /// A call that is under way has ended: with what, and how long it took.
 type Ended<T> = (Result<T, CallError>, Duration);
 
-/// Sends a call that may be repeated until it is answered. `hold` is for how long the service may hold its answer
-/// back, beyond what answers take.
+/// Sends a call that may be repeated until it is answered.
 pub async fn until_answered<T, F>(
     times: &Cell<AnswerTime>,
-    hold: Duration,
+    patience: Patience,
     send: impl Fn(Connection) -> F,
 ) -> Answered<T>
 where
     T: 'static,
     F: Future<Output = Result<T, CallError>> + 'static,
 {
-    let until = Instant::now() + hold + LIMIT;
+    let Patience { hold, limit } = patience;
+    let until = Instant::now() + hold + limit;
     let mut wait = times.get().first_wait();
     let mut calls = 1;
     let mut under_way = JoinSet::new();
@@ -80,9 +86,9 @@
     (outcome, began.elapsed())
 }
 
-/// Learns from an answer; one that could be held back tells nothing about how long answers take.
+/// Learns from an answer; one that came before its time had something to tell, and could have come any time.
 fn note(times: &Cell<AnswerTime>, hold: Duration, took: Duration) {
-    if hold.is_zero() {
+    if let Some(took) = took.checked_sub(hold) {
         let mut learned = times.get();
         learned.note(took);
         times.set(learned);
--- a/crates/havenladder/src/entry/store_calls.rs
+++ b/crates/havenladder/src/entry/store_calls.rs
@@ -1,15 +1,15 @@
-//! Appends to the platform's store: sent again while they have no answer, and counted by what they are about.
+//! Calls to the platform's store, sent again while they have no answer; appends are counted by what they are about.
 //!
 //! The store takes an append once, however often it is sent: one with a producer's number answers a repetition as
 //! it did the first call, and one on condition of the log's end finds the end moved.
 
 use super::{
     node::Node,
-    resend::{Answered, until_answered},
+    resend::{Answered, Patience, until_answered},
 };
 use adapter::{
-    http::CallError,
-    store::{Append, Appended, Condition},
+    http::{CallError, Connection},
+    store::{Append, Appended, Condition, Newest, Offset, Read},
 };
 use bytes::Bytes;
 use std::time::{Duration, Instant};
@@ -18,6 +18,17 @@
 /// From how long on an append is logged: ten times what it takes as a rule.
 const LONG: Duration = Duration::from_millis(150);
 
+/// How long an append, and a part of the newest records, is sent again: three answers of a store that is 89 times
+/// slower than usual.
+const APPEND: Patience = Patience {
+    hold: Duration::ZERO,
+    limit: Duration::from_millis(1_500),
+};
+
+/// How long a read is sent again beyond the time that it waits: an entry that the store turns away must ask others
+/// early enough for a change to be in force within 2 s.
+const READ_LIMIT: Duration = Duration::from_millis(700);
+
 /// What an append is about.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Matter {
@@ -58,11 +69,59 @@
         let (store, append) = (node.store.over(connection), append.clone());
         async move { store.append(append).await }
     };
-    let answered = until_answered(&node.store_times, Duration::ZERO, send).await;
+    let answered = until_answered(&node.store_times, APPEND, send).await;
     note(node, matter, &answered, began.elapsed());
     answered.outcome
 }
 
+/// Reads records, waiting for the first one if there is none yet. A call that is sent again does not wait.
+///
+/// # Errors
+///
+/// Fails when the store does not answer.
+pub async fn read(
+    node: &Node,
+    topic: &'static str,
+    from: Offset,
+    hold: Duration,
+) -> Result<Read, CallError> {
+    let send = |connection| {
+        let store = node.store.over(connection);
+        let wait = match connection {
+            Connection::Kept => hold,
+            Connection::Fresh => Duration::ZERO,
+        };
+        async move { store.read(topic, from, wait).await }
+    };
+    let limit = READ_LIMIT;
+    let answered = until_answered(&node.store_times, Patience { hold, limit }, send).await;
+    answered.outcome
+}
+
+/// Reads the newest record of each key. None if the store turned a call away.
+///
+/// # Errors
+///
+/// Fails when the store does not answer.
+pub async fn newest(node: &Node, topic: &'static str) -> Result<Option<Newest>, CallError> {
+    let mut newest = Newest::default();
+    loop {
+        let after = newest.next.take();
+        let send = |connection| {
+            let (store, after) = (node.store.over(connection), after.clone());
+            async move { store.newest(topic, after.as_deref()).await }
+        };
+        let answered = until_answered(&node.store_times, APPEND, send).await;
+        let Some(part) = answered.outcome? else {
+            return Ok(None);
+        };
+        newest.extend(part);
+        if newest.next.is_none() {
+            return Ok(Some(newest));
+        }
+    }
+}
+
 /// Counts an append, and logs one that was sent more than once, took long or has no answer.
 fn note(node: &Node, matter: Matter, answered: &Answered<Appended>, took: Duration) {
     let Answered { outcome, calls } = answered;
--- a/crates/havenladder/src/entry/watch.rs
+++ b/crates/havenladder/src/entry/watch.rs
@@ -4,6 +4,7 @@
     orders,
     owner::{Contact, Owner},
     questions::{Answer, Answers, put, question},
+    store_calls,
 };
 use adapter::{
     store::{Keyed, Offset, Read, split_keyed},
@@ -43,7 +44,7 @@
 pub async fn run(owner: Rc<Owner>) {
     task::spawn_local(expire_orphans(Rc::clone(&owner)));
     while owner.is_alive() {
-        if let Ok(Some(newest)) = owner.node.store.newest(workers::TOPIC).await {
+        if let Ok(Some(newest)) = store_calls::newest(&owner.node, workers::TOPIC).await {
             let listed: HashSet<WorkerId> = newest
                 .records
                 .iter()
@@ -65,7 +66,7 @@
 /// Reads on until the records asked for are gone, or the owner ends.
 async fn read_on(owner: &Rc<Owner>, mut from: Offset) {
     while owner.is_alive() {
-        match owner.node.store.read(workers::TOPIC, from, LIST_WAIT).await {
+        match store_calls::read(&owner.node, workers::TOPIC, from, LIST_WAIT).await {
             Ok(Read::Records(_, records)) => {
                 from += records.len() as Offset;
                 records
--- a/crates/havenladder/tests/lost_answers.rs
+++ b/crates/havenladder/tests/lost_answers.rs
@@ -36,9 +36,9 @@
 const BODY: &str =
     r#"{"spec":"100","steps":[{"count":1,"cpu":100,"mem-mb":10,"estimated-ms":100}]}"#;
 
-/// Hands jobs in, to all entries in turn, while answers are lost; how often each answer was given.
-async fn hand_in_meanwhile(site: &Site, seed: u64) -> BTreeMap<String, usize> {
-    site.log.lose_answers(LOST, seed);
+/// Hands jobs in, to all entries in turn, while a part of the answers is lost; how often each answer was given.
+async fn hand_in_meanwhile(site: &Site, lost: f64, seed: u64) -> BTreeMap<String, usize> {
+    site.log.lose_answers(lost, seed);
     let jobs = (FAULT.as_millis() / GAP.as_millis()) as u64;
     let mut asks = Vec::new();
     for id in 1..=jobs {
@@ -61,10 +61,13 @@
 /// What an entry logs that comes to own the cell.
 const OWNS: &str = "\"owns the cell\"";
 
+/// What an entry logs that takes in a configuration.
+const IN_FORCE: &str = "\"configuration in force\"";
+
 async fn take_in(seed: u64) {
     let site = entries::start("lost-answers", seed, 4).await;
     time::sleep(BEGIN).await;
-    let answers = hand_in_meanwhile(&site, seed).await;
+    let answers = hand_in_meanwhile(&site, LOST, seed).await;
     let taken = answers.get("HTTP/1.1 200 OK").copied();
     assert_eq!(taken, Some(answers.values().sum()), "{answers:?}");
 }
@@ -74,10 +77,33 @@
     let site = entries::start(name, seed, 4).await;
     time::sleep(BEGIN).await;
     let before = count_lines(name, seed, OWNS);
-    hand_in_meanwhile(&site, seed).await;
+    hand_in_meanwhile(&site, LOST, seed).await;
     assert_eq!(count_lines(name, seed, OWNS), before);
 }
 
+async fn outlast_silence(seed: u64) {
+    let name = "silent-connections";
+    let mut site = entries::start(name, seed, 4).await;
+    time::sleep(BEGIN).await;
+    let owners = count_lines(name, seed, OWNS);
+    let configured = count_lines(name, seed, IN_FORCE);
+    site.links.iter().for_each(|link| link.hush());
+    site.configure();
+    let answers = hand_in_meanwhile(&site, 0.0, seed).await;
+    let taken = answers.get("HTTP/1.1 200 OK").copied();
+    assert_eq!(taken, Some(answers.values().sum()), "{answers:?}");
+    assert_eq!(count_lines(name, seed, OWNS), owners);
+    assert_eq!(
+        count_lines(name, seed, IN_FORCE),
+        configured + site.entries.len()
+    );
+}
+
+#[test]
+fn connections_to_the_log_that_fall_silent_cost_nothing() {
+    block_on(outlast_silence(933));
+}
+
 #[test]
 fn jobs_are_taken_in_while_answers_of_the_log_are_lost() {
     block_on(take_in(931));
