fix(entry): what operators are told of a wave is appended on condition of the log's end

Change: the record goes to the end of the log as far as it is known; where the log has moved, it is sent again there. Ruled out: a producer's numbers, as records of jobs have: a number whose outcome is not known cannot be used for another state.

--- a/crates/havenladder/src/entry/owner/mod.rs
+++ b/crates/havenladder/src/entry/owner/mod.rs
@@ -139,6 +139,9 @@
     pub ended: RefCell<HashSet<LifeId>>,
     /// How many orders about VMs may be given now.
     pub vm_rate: RefCell<RateLimit>,
+    /// The end of the log of what operators are told, as far as it is known. Each record is appended on condition of
+    /// it, so that one that comes late cannot stand behind a newer one.
+    pub status_end: Cell<u64>,
     /// What other entries say of the store.
     pub outage: Cell<Outage>,
     /// When the renewal was sent that last told that runs may be started without a record.
@@ -196,6 +199,7 @@
             duties: before.renewed.map_or(now, |at| at + TRUST) + node.settings.lease,
             ended: RefCell::default(),
             vm_rate: RefCell::new(RateLimit::new(node.settings.vm_orders, now)),
+            status_end: Cell::new(0),
             outage: Cell::default(),
             appending: Cell::new(None),
             alive: Cell::new(true),
--- a/crates/havenladder/src/entry/upkeep.rs
+++ b/crates/havenladder/src/entry/upkeep.rs
@@ -31,6 +31,10 @@
 /// 2 s and a wave takes some 25 s, so that what is left suffices.
 const SPARED_SHARE: f64 = 0.4;
 
+/// How often it is tried to tell how far a wave is, until the next look at it: once to learn where the log ends, once
+/// where an answer was lost.
+const SAY_TRIES: usize = 3;
+
 /// Time between two tellings of what a wave waits for.
 const COMPLAINT: Duration = Duration::from_millis(3_000);
 
@@ -365,13 +369,20 @@
     let key = format!("{WAVE_KEY}{}", wave.number);
     let value = write_wave(state);
     let body = frame_keyed([(key.as_str(), Some(value.as_ref()))]);
-    let (node, matter) = (&owner.node, Matter::Wave);
-    let call = store_calls::append(node, matter, STATUS_TOPIC, Condition::Always, body);
-    match call.await {
-        Ok(Appended::Done(_)) => {
-            info!(wave = wave.number, ?state, "wave told");
-            course.said = Some(state);
+    for _ in 0..SAY_TRIES {
+        let at = Condition::At(owner.status_end.get());
+        let call = store_calls::append(&owner.node, Matter::Wave, STATUS_TOPIC, at, body.clone());
+        match call.await {
+            Ok(Appended::Done(end)) => {
+                owner.status_end.set(end);
+                info!(wave = wave.number, ?state, "wave told");
+                course.said = Some(state);
+                return;
+            }
+            // Others write there, too; or this record is there, and once more says the same.
+            Ok(Appended::Moved(end)) => owner.status_end.set(end),
+            outcome => return warn!(wave = wave.number, ?state, ?outcome, "wave not told"),
         }
-        outcome => warn!(wave = wave.number, ?state, ?outcome, "wave not told"),
     }
+    warn!(wave = wave.number, ?state, "wave not told: others write");
 }
