--- a/crates/havenladder/src/entry/orders.rs
+++ b/crates/havenladder/src/entry/orders.rs
@@ -2,11 +2,15 @@
 
 use super::{
     owner::{LEASE, Owner, longest},
-    starts::start,
+    starts::{REPEATED, start},
+};
+use adapter::{
+    http::Connection,
+    workers::{ClockMs, WorkerError},
 };
-use adapter::workers::{ClockMs, WorkerError};
 use jobs::{Order, Refusal, RunId, TaskId, WorkerId, WorkerInfo};
 use std::{
+    pin::pin,
     rc::Rc,
     sync::Arc,
     time::{Duration, Instant},
@@ -14,7 +18,7 @@
 use tokio::{task, time};
 use tracing::info;
 
-/// Time until a stop without an answer is sent again.
+/// Time until a stop is sent again that had no answer twice.
 const STOP_AGAIN: Duration = Duration::from_millis(250);
 
 /// Sends orders, without waiting for their answers.
@@ -69,7 +73,7 @@
         let Some(info) = find(owner, worker) else {
             return;
         };
-        match owner.node.workers.stop(&info, task, run, owner.epoch).await {
+        match send_stop(owner, &info, task, run).await {
             Ok(()) => {
                 owner
                     .cell
@@ -90,6 +94,34 @@
     }
 }
 
+/// Sends a stop, and once more where no answer comes: a run is stopped once, and an answer may be lost.
+async fn send_stop(
+    owner: &Owner,
+    info: &WorkerInfo,
+    task: TaskId,
+    run: RunId,
+) -> Result<(), WorkerError> {
+    let stop = |connection| {
+        let workers = &owner.node.workers;
+        workers.stop(info, task, run, owner.epoch, connection)
+    };
+    let mut first = pin!(stop(Connection::Kept));
+    if let Ok(outcome) = time::timeout(REPEATED, first.as_mut()).await {
+        return outcome;
+    }
+    let mut second = pin!(stop(Connection::Fresh));
+    tokio::select! {
+        outcome = first.as_mut() => match outcome {
+            Err(WorkerError::Call(_)) => second.await,
+            settled => settled,
+        },
+        outcome = second.as_mut() => match outcome {
+            Err(WorkerError::Call(_)) => first.await,
+            settled => settled,
+        },
+    }
+}
+
 /// Sends a change of pace, once: one that is lost is not sent again.
 async fn pace(owner: &Rc<Owner>, worker: &str, task: TaskId, run: RunId, percent: u64) {
     let Some(info) = find(owner, worker) else {
--- a/crates/havenladder/src/entry/starts.rs
+++ b/crates/havenladder/src/entry/starts.rs
@@ -23,9 +23,9 @@
 /// one that is out of reach would draw starts, each of which extends its lease, for a second.
 const DOUBTED: Duration = Duration::from_millis(150);
 
-/// How long a start is waited for until it is sent once more, over a connection of its own: a healthy worker takes
+/// How long a start, or a stop, is waited for until it is sent once more, over a connection of its own: a healthy worker takes
 /// some ms, and an owner of 1,100 workers that is full reads its answer 76 ms later.
-const REPEATED: Duration = Duration::from_millis(80);
+pub const REPEATED: Duration = Duration::from_millis(80);
 
 /// Sends a start, unless what it follows from has changed since it was decided.
 pub async fn start(owner: &Rc<Owner>, worker: &str, task: TaskId, run: RunId) {
