fix(entry): an owner that stood still reads what was answered before it sends again; a soak with silent connections

After a pause all questions under way counted as overdue at once, though their answers lay unread. Change: unless_overdue waits for as long again as a wait ended late. The test lets entries stand still: 32 connections anew before, 6 now.

--- a/crates/havenladder/src/entry/orders.rs
+++ b/crates/havenladder/src/entry/orders.rs
@@ -2,6 +2,7 @@
 
 use super::{
     owner::{LEASE, Owner, longest},
+    resend::unless_overdue,
     starts::{REPEATED, start},
 };
 use adapter::{
@@ -106,7 +107,7 @@
         workers.stop(info, task, run, owner.epoch, connection)
     };
     let mut first = pin!(stop(Connection::Kept));
-    if let Ok(outcome) = time::timeout(REPEATED, first.as_mut()).await {
+    if let Some(outcome) = unless_overdue(first.as_mut(), REPEATED).await {
         return outcome;
     }
     let mut second = pin!(stop(Connection::Fresh));
--- a/crates/havenladder/src/entry/questions.rs
+++ b/crates/havenladder/src/entry/questions.rs
@@ -1,6 +1,6 @@
 //! Questions to workers: what runs there and what has ended, which extends their leases.
 
-use super::{orders, owner::Owner};
+use super::{orders, owner::Owner, resend::unless_overdue};
 use adapter::{
     http::Connection,
     workers::{Hold, Told, WorkerError},
@@ -10,7 +10,6 @@
     pin::pin,
     time::{Duration, Instant},
 };
-use tokio::time;
 
 /// How long a question waits for an end at a worker that has runs. The lease is extended by each question, so
 /// that the last one before an owner is lost may be as old as this.
@@ -50,8 +49,8 @@
     let workers = &owner.node.workers;
     let asked = Instant::now();
     let mut first = pin!(workers.hold(info, hold, Connection::Kept));
-    let due = asked + Duration::from_millis(hold.wait) + OVERDUE;
-    if let Ok(outcome) = time::timeout_at(due.into(), first.as_mut()).await {
+    let wait = Duration::from_millis(hold.wait) + OVERDUE;
+    if let Some(outcome) = unless_overdue(first.as_mut(), wait).await {
         return outcome.map(|told| Answer { asked, told });
     }
     let again = Instant::now();
--- a/crates/havenladder/src/entry/resend.rs
+++ b/crates/havenladder/src/entry/resend.rs
@@ -10,10 +10,15 @@
 use fleet::{AnswerTime, next_wait};
 use std::{
     cell::Cell,
+    pin::{Pin, pin},
     time::{Duration, Instant},
 };
 use tokio::{task::JoinSet, time};
 
+/// How late a wait ends where this process has nothing else to do: timers have steps of a ms and a busy thread some
+/// more.
+const LATE: Duration = Duration::from_millis(10);
+
 /// How long an answer is waited for.
 #[derive(Clone, Copy, Debug)]
 pub struct Patience {
@@ -52,33 +57,56 @@
     let mut under_way = JoinSet::new();
     under_way.spawn_local(timed(send(Connection::Kept)));
     let mut failure = CallError::Unreachable;
-    let mut next = Instant::now() + hold + wait;
+    let mut until_again = hold + wait;
     loop {
-        let answer = first_answer(&mut under_way, &mut failure);
-        match time::timeout_at(next.into(), answer).await {
-            Ok(Some((answer, took))) => {
+        let ended = {
+            let answer = pin!(first_answer(&mut under_way, &mut failure));
+            unless_overdue(answer, until_again).await
+        };
+        match ended {
+            Some(Some((answer, took))) => {
                 note(times, hold, took);
                 let outcome = Ok(answer);
                 return Answered { outcome, calls };
             }
-            Ok(None) => {
+            Some(None) => {
                 let outcome = Err(failure);
                 return Answered { outcome, calls };
             }
-            Err(_) if Instant::now() >= until => {
+            None if Instant::now() >= until => {
                 let outcome = Err(CallError::Unanswered);
                 return Answered { outcome, calls };
             }
-            Err(_) => {
+            None => {
                 calls += 1;
                 under_way.spawn_local(timed(send(Connection::Fresh)));
                 wait = next_wait(wait);
-                next = Instant::now() + wait;
+                until_again = wait;
             }
         }
     }
 }
 
+/// Waits for an answer until it is overdue; none if it is. A wait that ends late shows that this process is late
+/// itself: the answer may be there, and not read yet. It is waited for as long again, so that an owner that stood still
+/// does not ask everybody twice (8 workers and 4 pauses of 0.7 s made 32 connections anew, and 6 with this).
+pub async fn unless_overdue<T>(
+    mut answer: Pin<&mut impl Future<Output = T>>,
+    wait: Duration,
+) -> Option<T> {
+    let mut due = Instant::now() + wait;
+    loop {
+        if let Ok(answer) = time::timeout_at(due.into(), answer.as_mut()).await {
+            return Some(answer);
+        }
+        let late = due.elapsed();
+        if late < LATE {
+            return None;
+        }
+        due = Instant::now() + late;
+    }
+}
+
 /// Times a call.
 async fn timed<T>(call: impl Future<Output = Result<T, CallError>>) -> Ended<T> {
     let began = Instant::now();
--- a/crates/havenladder/src/entry/starts.rs
+++ b/crates/havenladder/src/entry/starts.rs
@@ -4,6 +4,7 @@
 use super::{
     orders::{find, lease_end},
     owner::Owner,
+    resend::unless_overdue,
     watch,
 };
 use adapter::{
@@ -107,7 +108,7 @@
 ) -> Result<Told<()>, WorkerError> {
     let workers = &owner.node.workers;
     let mut first = pin!(workers.start(info, order, Connection::Kept));
-    if let Ok(outcome) = time::timeout(REPEATED, first.as_mut()).await {
+    if let Some(outcome) = unless_overdue(first.as_mut(), REPEATED).await {
         return outcome;
     }
     info!(
--- a/crates/havenladder/tests/lost_starts.rs
+++ b/crates/havenladder/tests/lost_starts.rs
@@ -17,6 +17,7 @@
 use entries::{ask, block_on, count_lines, request};
 use havenladder_soak::site::Site;
 use havenladder_standin::users::events::RunEvent;
+use rustix::process::Signal;
 use std::time::Duration;
 use tokio::time;
 
@@ -27,6 +28,17 @@
 const BODY: &str =
     r#"{"spec":"1500","steps":[{"count":2,"cpu":1000,"mem-mb":100,"estimated-ms":1500}]}"#;
 
+/// For how long entries stand still: longer than an answer may be overdue, shorter than a lease; and for how long
+/// they run between.
+const PAUSE: Duration = Duration::from_millis(700);
+
+/// How often they do.
+const PAUSES: usize = 4;
+
+/// Connections that may be made meanwhile: half of one for each of 8 workers and each pause. An owner that asks
+/// again before it reads makes 32; one that reads first makes 6.
+const FEW: u64 = 16;
+
 /// What an owner logs of a worker that gets nothing new until it answers.
 const SILENT: &str = "worker does not answer";
 
@@ -68,6 +80,37 @@
     assert_eq!(count_lines(name, seed, SILENT), before);
 }
 
+/// Connections to workers that were made so far.
+fn connections(site: &Site) -> u64 {
+    let names = site.cloud.names();
+    let links = names.iter().filter_map(|name| site.cloud.link(name));
+    links.map(|link| link.connections()).sum()
+}
+
+/// Lets all entries stand still for a moment, several times; how many connections to workers that makes.
+async fn stand_still(seed: u64) -> u64 {
+    let mut site = entries::start("stood-still", seed, 8).await;
+    time::sleep(Duration::from_secs(4)).await;
+    let before = connections(&site);
+    for _ in 0..PAUSES {
+        for signal in [Signal::STOP, Signal::CONT] {
+            site.entries.iter_mut().for_each(|e| e.signal(signal));
+            time::sleep(PAUSE).await;
+        }
+    }
+    connections(&site) - before
+}
+
+async fn ask_once() {
+    let made = stand_still(943).await;
+    assert!(made <= FEW, "{made}");
+}
+
+#[test]
+fn an_owner_that_stood_still_reads_what_was_answered_before_it_asks_again() {
+    block_on(ask_once());
+}
+
 #[test]
 fn a_run_whose_start_has_no_answer_works_on() {
     block_on(run_once());
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -62,9 +62,16 @@
     Configure,
     /// A wave of upkeep is asked for.
     Wave,
+    /// A part of the log's answers to appends is lost, and the connections stay open.
+    Swallow,
+    /// An entry's open connections to the log fall silent, and new ones work.
+    Hush,
+    /// Open connections to a VM's worker fall silent, and new ones work.
+    HushWorker,
 }
 
-const KINDS: [Kind; 15] = [
+/// Kinds that earlier seeds draw from stand first.
+const KINDS: [Kind; 18] = [
     Kind::Kill,
     Kind::Stop,
     Kind::Pause,
@@ -80,8 +87,20 @@
     Kind::Crash,
     Kind::Configure,
     Kind::Wave,
+    Kind::Swallow,
+    Kind::Hush,
+    Kind::HushWorker,
 ];
 
+/// How many of [`KINDS`] the seeds below [`SILENT_FROM`] draw from, so that they go on to mean the same faults.
+const LOUD: usize = 15;
+
+/// From which seed on connections fall silent as well.
+const SILENT_FROM: u64 = 6_000;
+
+/// The part of the answers to appends that is lost.
+const SWALLOWED: f64 = 0.35;
+
 /// A fault that is to end.
 struct Open {
     ends: Instant,
@@ -96,7 +115,17 @@
 /// # Errors
 ///
 /// Fails when a process cannot be started again.
-pub async fn inject(site: &mut Site, rng: &mut StdRng, span: Duration) -> io::Result<Vec<String>> {
+pub async fn inject(
+    site: &mut Site,
+    seed: u64,
+    rng: &mut StdRng,
+    span: Duration,
+) -> io::Result<Vec<String>> {
+    let kinds = if seed < SILENT_FROM {
+        &KINDS[..LOUD]
+    } else {
+        &KINDS[..]
+    };
     let began = Instant::now();
     let mut open: Vec<Open> = Vec::new();
     let mut told = Vec::new();
@@ -110,22 +139,22 @@
             continue;
         }
         next = Instant::now() + Duration::from_millis(rng.random_range(PAUSE.0..PAUSE.1));
-        let (fault, vm, lasts) = pick(site, rng);
+        let (fault, vm, lasts) = pick(site, kinds, rng);
         told.push(format!(
             "{:.2} s: {:?} entry-{} {vm} for {lasts:?}",
             began.elapsed().as_secs_f64(),
             fault.kind,
             fault.entry,
         ));
-        begin(site, &fault, &vm);
+        begin(site, &fault, &vm, seed);
         open.push(fault);
     }
     Ok(told)
 }
 
 /// Draws a fault: what, at which entry and VM, and for how long.
-fn pick(site: &Site, rng: &mut StdRng) -> (Open, String, Duration) {
-    let kind = KINDS[rng.random_range(0..KINDS.len())];
+fn pick(site: &Site, kinds: &[Kind], rng: &mut StdRng) -> (Open, String, Duration) {
+    let kind = kinds[rng.random_range(0..kinds.len())];
     let entry = rng.random_range(0..site.entries.len());
     let mut names = site.cloud.names();
     let vm = names.swap_remove(rng.random_range(0..names.len()));
@@ -139,7 +168,7 @@
     (fault, vm, lasts)
 }
 
-fn begin(site: &mut Site, fault: &Open, vm: &str) {
+fn begin(site: &mut Site, fault: &Open, vm: &str, seed: u64) {
     let entry = fault.entry;
     let link = &site.links[entry];
     match fault.kind {
@@ -158,6 +187,9 @@
         Kind::Crash => site.cloud.crash(vm),
         Kind::Configure => site.configure(),
         Kind::Wave => site.ask_wave(),
+        Kind::Swallow => site.log.lose_answers(SWALLOWED, seed),
+        Kind::Hush => link.hush(),
+        Kind::HushWorker => fault.worker.hush(),
     }
 }
 
@@ -172,7 +204,9 @@
         Kind::Outage => site.links.iter().for_each(|link| link.cut(false)),
         Kind::Dark => fault.worker.cut(false),
         Kind::Late => fault.worker.mute(false, false),
-        Kind::Lose | Kind::Crash | Kind::Configure | Kind::Wave => {}
+        Kind::Swallow => site.log.lose_answers(0.0, 0),
+        Kind::Lose | Kind::Crash | Kind::Configure | Kind::Wave | Kind::Hush | Kind::HushWorker => {
+        }
     }
     Ok(())
 }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -77,7 +77,7 @@
     time::sleep(START).await;
     let ledger = Ledger::default();
     let callers = caller::start(&site, &ledger, plan.seed);
-    let faults = faults::inject(&mut site, &mut rng, plan.span).await?;
+    let faults = faults::inject(&mut site, plan.seed, &mut rng, plan.span).await?;
     callers.stop();
     let calm = Instant::now();
     wait_for_jobs(&mut site, &ledger, calm + SETTLE).await?;
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -119,6 +119,7 @@
             link.delay(Duration::ZERO);
             link.lose_answers(0);
         }
+        self.log.lose_answers(0.0, 0);
         for name in self.cloud.names() {
             if let Some(link) = self.cloud.link(&name) {
                 link.cut(false);
