--- a/crates/havenladder/src/entry/resend.rs
+++ b/crates/havenladder/src/entry/resend.rs
@@ -81,7 +81,8 @@
                 calls += 1;
                 under_way.spawn_local(timed(send(Connection::Fresh)));
                 wait = next_wait(wait);
-                until_again = wait;
+                // Who waits may have others to ask, and is told in time.
+                until_again = wait.min(until.saturating_duration_since(Instant::now()));
             }
         }
     }
