--- a/crates/havenladder/src/entry/fleet.rs
+++ b/crates/havenladder/src/entry/fleet.rs
@@ -3,7 +3,7 @@
 use super::{
     moves::Moves,
     owner::Owner,
-    resend::{Patience, until_answered},
+    resend::{Timeouts, until_answered},
     upkeep::Waves,
 };
 use adapter::cloud::{Vm, VmState};
@@ -38,7 +38,7 @@
 pub const ORDER_LOST: Duration = Duration::from_millis(13_000);
 
 /// How long the list is asked for again without an answer. Without it no VM is ordered.
-const LIST: Patience = Patience {
+const LIST: Timeouts = Timeouts {
     hold: Duration::ZERO,
     limit: Duration::from_millis(1_500),
 };
--- a/crates/havenladder/src/entry/mod.rs
+++ b/crates/havenladder/src/entry/mod.rs
@@ -26,6 +26,7 @@
 mod upkeep;
 mod vm_orders;
 mod watch;
+mod wave_status;
 
 use adapter::settings;
 use node::Node;
--- a/crates/havenladder/src/entry/outage.rs
+++ b/crates/havenladder/src/entry/outage.rs
@@ -17,10 +17,10 @@
 use tracing::info;
 
 /// How long the store may take to answer a question that needs no waiting: 60 times what it takes.
-const PROBE: Duration = Duration::from_millis(250);
+const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// How long an entry may take to tell, with its own question to the store.
-const ANSWER: Duration = Duration::from_millis(400);
+const TELL_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// For how long it is relied on that the store is away.
 const TRUSTED: Duration = Duration::from_millis(900);
@@ -31,7 +31,7 @@
 /// Tells another entry whether the store answers this one.
 pub async fn tell(node: &Node) -> Tell {
     let probe = node.store.probe();
-    let answered = time::timeout(PROBE, probe).await.unwrap_or(false);
+    let answered = time::timeout(PROBE_TIMEOUT, probe).await.unwrap_or(false);
     Tell::Outage {
         hall: node.settings.hall.clone(),
         silent: !answered,
@@ -71,7 +71,7 @@
 }
 
 async fn ask_all(owner: &Rc<Owner>) {
-    let deadline = Instant::now() + ANSWER;
+    let deadline = Instant::now() + TELL_TIMEOUT;
     let peers = owner.node.known_entries();
     let asked = peers.len();
     let asks: Vec<_> = peers
--- a/crates/havenladder/src/entry/owner/duties.rs
+++ b/crates/havenladder/src/entry/owner/duties.rs
@@ -20,7 +20,7 @@
 const ANNOUNCED_WITHIN: Duration = Duration::from_millis(1_000);
 
 /// How long an earlier owner may take to answer which life of it runs; it takes some ms.
-const ANSWER: Duration = Duration::from_millis(200);
+const LIFE_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Time until it is asked again: its process may be starting.
 const RETRY_INTERVAL: Duration = Duration::from_millis(100);
@@ -127,7 +127,14 @@
     if holder.address == node.inner_address() {
         return Some(node.life);
     }
-    match inner::ask(node, &holder.address, &Ask::Life, Instant::now() + ANSWER).await {
+    match inner::ask(
+        node,
+        &holder.address,
+        &Ask::Life,
+        Instant::now() + LIFE_TIMEOUT,
+    )
+    .await
+    {
         Ok(Tell::Life(presence)) => Some(presence.life),
         // It may be starting, or out of reach: its orders count until they do not matter any more.
         Ok(_) | Err(_) => None,
--- a/crates/havenladder/src/entry/owner/mod.rs
+++ b/crates/havenladder/src/entry/owner/mod.rs
@@ -58,7 +58,7 @@
 const LONGEST_GAP: Duration = Duration::from_millis(200);
 
 /// Time between two lines about lasting tasks that wait for room.
-const COMPLAINT: Duration = Duration::from_millis(2_000);
+const LOG_INTERVAL: Duration = Duration::from_millis(2_000);
 
 /// How many starts are under way to one worker at a time. A step of eight tasks that one worker gets would
 /// otherwise open eight connections, of which each takes 12 KB: 7,000 of them made 80 MB on 1,100 workers. A
@@ -359,7 +359,7 @@
 /// Tells for a lasting task that waits what keeps it from the workers.
 async fn complain(owner: Rc<Owner>) {
     while owner.is_alive() {
-        time::sleep(COMPLAINT).await;
+        time::sleep(LOG_INTERVAL).await;
         let cell = owner.cell.borrow();
         let waiting = cell.waiting_lasting();
         if let Some(task) = waiting.first() {
--- a/crates/havenladder/src/entry/resend.rs
+++ b/crates/havenladder/src/entry/resend.rs
@@ -21,7 +21,7 @@
 
 /// How long an answer is waited for.
 #[derive(Clone, Copy, Debug)]
-pub struct Patience {
+pub struct Timeouts {
     /// For how long the service may hold its answer back, beyond what answers take.
     pub hold: Duration,
     /// For how much longer the call is sent again; who needs the answer then decides anew what to do.
@@ -43,14 +43,14 @@
 /// Sends a call that may be repeated until it is answered.
 pub async fn until_answered<T, F>(
     times: &Cell<AnswerTime>,
-    patience: Patience,
+    timeouts: Timeouts,
     send: impl Fn(Connection) -> F,
 ) -> Answered<T>
 where
     T: 'static,
     F: Future<Output = Result<T, CallError>> + 'static,
 {
-    let Patience { hold, limit } = patience;
+    let Timeouts { hold, limit } = timeouts;
     let until = Instant::now() + hold + limit;
     let mut wait = times.get().first_wait();
     let mut calls = 1;
--- a/crates/havenladder/src/entry/store_calls.rs
+++ b/crates/havenladder/src/entry/store_calls.rs
@@ -5,7 +5,7 @@
 
 use super::{
     node::Node,
-    resend::{Answered, Patience, until_answered},
+    resend::{Answered, Timeouts, until_answered},
 };
 use adapter::{
     http::{CallError, Connection},
@@ -20,7 +20,7 @@
 
 /// How long an append, and a part of the newest records, is sent again: three answers of a store that is 89 times
 /// slower than usual.
-const APPEND: Patience = Patience {
+const APPEND: Timeouts = Timeouts {
     hold: Duration::ZERO,
     limit: Duration::from_millis(1_500),
 };
@@ -94,7 +94,7 @@
         async move { store.read(topic, from, wait).await }
     };
     let limit = READ_LIMIT;
-    let answered = until_answered(&node.store_times, Patience { hold, limit }, send).await;
+    let answered = until_answered(&node.store_times, Timeouts { hold, limit }, send).await;
     answered.outcome
 }
 
--- a/crates/havenladder/src/entry/upkeep.rs
+++ b/crates/havenladder/src/entry/upkeep.rs
@@ -3,13 +3,12 @@
 use super::{
     fleet::{ORDER_LOST, VmList},
     owner::Owner,
-    store_calls::{self, Matter},
     vm_orders::{self, Errand, VmOrder},
+    wave_status::publish,
 };
 use adapter::{
     cloud::{Ordered, Vm, VmState},
-    operator::{STATUS_TOPIC, WAVE_KEY, Wave, WaveState, write_wave},
-    store::{Appended, Condition, frame_keyed},
+    operator::{Wave, WaveState},
 };
 use fleet::{Whereabouts, room_to_go};
 use jobs::{Need, Takeout};
@@ -18,7 +17,7 @@
     rc::Rc,
     time::{Duration, Instant},
 };
-use tracing::{info, warn};
+use tracing::info;
 
 /// What a VM weighs whose lasting tasks cannot be away now, against one run that is thrown away: such
 /// VMs go last, and while they wait to go they get nothing new.
@@ -31,12 +30,8 @@
 /// 2 s and a wave takes some 25 s, so that what is left suffices.
 const SPARED_SHARE: f64 = 0.4;
 
-/// How often it is tried to tell how far a wave is, until the next look at it: once to learn where the log ends, once
-/// where an answer was lost.
-const SAY_TRIES: usize = 3;
-
-/// Time between two tellings of what a wave waits for.
-const COMPLAINT: Duration = Duration::from_millis(3_000);
+/// Time between two log lines about what a wave waits for.
+const LOG_INTERVAL: Duration = Duration::from_millis(3_000);
 
 /// How far one wave is.
 #[derive(Default)]
@@ -182,7 +177,7 @@
 /// Tells now and then which VMs a wave waits for, and what keeps them.
 fn complain(owner: &Owner, wave: &Wave, course: &mut Course, vms: &VmList) {
     let last = course.complained.get_or_insert_with(Instant::now);
-    if last.elapsed() < COMPLAINT {
+    if last.elapsed() < LOG_INTERVAL {
         return;
     }
     *last = Instant::now();
@@ -365,24 +360,8 @@
 }
 
 /// Tells operators how far a wave is. An end that was not taken is told again with the next look.
-async fn say(owner: &Rc<Owner>, wave: &Wave, course: &mut Course, state: WaveState) {
-    let key = format!("{WAVE_KEY}{}", wave.number);
-    let value = write_wave(state);
-    let body = frame_keyed([(key.as_str(), Some(value.as_ref()))]);
-    for _ in 0..SAY_TRIES {
-        let at = Condition::At(owner.status_end.get());
-        let call = store_calls::append(&owner.node, Matter::Wave, STATUS_TOPIC, at, body.clone());
-        match call.await {
-            Ok(Appended::Done(end)) => {
-                owner.status_end.set(end);
-                info!(wave = wave.number, ?state, "wave told");
-                course.said = Some(state);
-                return;
-            }
-            // Others write there, too; or this record is there, and once more says the same.
-            Ok(Appended::Moved(end)) => owner.status_end.set(end),
-            outcome => return warn!(wave = wave.number, ?state, ?outcome, "wave not told"),
-        }
+async fn say(owner: &Owner, wave: &Wave, course: &mut Course, state: WaveState) {
+    if publish(owner, wave.number, state).await {
+        course.said = Some(state);
     }
-    warn!(wave = wave.number, ?state, "wave not told: others write");
 }
