--- a/crates/havenladder/src/entry/questions.rs
+++ b/crates/havenladder/src/entry/questions.rs
@@ -39,13 +39,17 @@
     pub told: Told<Report>,
 }
 
-/// Puts a question to a worker. One whose answer is overdue is asked once more, without waiting for an end there and
+/// Asks a worker a question. One whose answer is overdue is asked once more, without waiting for an end there and
 /// without extending its lease: the answer may be lost, and what has ended be unknown for as long as it is waited for.
 ///
 /// # Errors
 ///
 /// Fails when the worker answers neither, or refuses.
-pub async fn put(owner: &Owner, info: &WorkerInfo, hold: Hold) -> Result<Answer, WorkerError> {
+pub async fn ask_worker(
+    owner: &Owner,
+    info: &WorkerInfo,
+    hold: Hold,
+) -> Result<Answer, WorkerError> {
     let workers = &owner.node.workers;
     let asked = Instant::now();
     let mut first = pin!(workers.hold(info, hold, Connection::Kept));
--- a/crates/havenladder/src/entry/watch.rs
+++ b/crates/havenladder/src/entry/watch.rs
@@ -3,7 +3,7 @@
 use super::{
     orders,
     owner::{Contact, Owner},
-    questions::{Answer, Answers, put, question},
+    questions::{Answer, Answers, ask_worker, question},
     store_calls,
 };
 use adapter::{
@@ -152,7 +152,7 @@
             continue;
         }
         let hold = question(&owner, &id, last);
-        match put(&owner, &info, hold).await {
+        match ask_worker(&owner, &info, hold).await {
             Ok(answer) => {
                 last = Answers::Given;
                 take_report(&owner, &id, &answer);
@@ -187,7 +187,7 @@
             return;
         };
         let hold = question(&owner, &id, Answers::Missing);
-        match put(&owner, &info, hold).await {
+        match ask_worker(&owner, &info, hold).await {
             Ok(answer) => take_report(&owner, &id, &answer),
             // The questions that wait for ends deal with it.
             Err(error) => info!(worker = id, %error, "worker left a start unanswered"),
