fix(lease): an owner's release is sent until the log has it

Cause: an owner that was told to stop while the store was down gave its release up, and the same process owned the cell anew, since the newest record named it. That owner knew nothing of runs that were started without a record and released the cell without a word of them; the next owner started six tasks again that had ended. Change: release() goes on until the log has the record, or one of another entry.

--- a/crates/havenladder/src/entry/lease/mod.rs
+++ b/crates/havenladder/src/entry/lease/mod.rs
@@ -249,7 +249,7 @@
     }
 }
 
-/// Gives the cell up, so that nobody waits for the lease to run out. Without an answer, they do. Where a
+/// Gives the cell up, so that nobody waits for the lease to run out, however often it takes. Where a
 /// stronger entry has asked for it, entries that are much weaker leave it to others for a moment.
 async fn release(node: &Node, log: &mut Log, owner: &Owner, why: &str) {
     // What is known of its runs is told as of now: an owner that has ended knows nothing.
@@ -260,10 +260,11 @@
         ..record(node, Some(owner.inherited_for()))
     };
     owner.end(why);
-    while let Written::Earlier = write(node, log, released.clone()).await {
-        // A renewal whose answer was lost, or this record itself.
-        if !holds(node) {
-            return;
+    // Only this record says what the next owner must look for: an owner that began anew in this process would know
+    // nothing of it, and release the cell without (six runs of tasks that had ended, on one of 40 days).
+    while holds(node) {
+        if let Written::Unsure = write(node, log, released.clone()).await {
+            time::sleep(RETRY_INTERVAL).await;
         }
     }
 }
