test(jobs,entry): tasks that end their workers are given up; fails, known red

The same with real processes: the stand-in's workers end under such a task, 10 ms after its start, and come back as another life. A start notes when it was first sent, which the tests pass as a time; no decision depends on it yet.

--- a/crates/havenladder/src/entry/starts.rs
+++ b/crates/havenladder/src/entry/starts.rs
@@ -32,7 +32,11 @@
 /// Sends a start, unless what it follows from has changed since it was decided.
 pub async fn start(owner: &Rc<Owner>, worker: &str, task: TaskId, run: RunId) {
     let turn = take_turn(owner, worker).await;
-    if !owner.cell.borrow_mut().confirm_start(worker, task, run) {
+    let confirmed = owner
+        .cell
+        .borrow_mut()
+        .confirm_start(worker, task, run, Instant::now());
+    if !confirmed {
         owner.wake();
         return;
     }
--- a/crates/jobs/src/cell/hosts.rs
+++ b/crates/jobs/src/cell/hosts.rs
@@ -19,7 +19,7 @@
             let Some(job) = self.jobs.get(&task.job) else {
                 continue;
             };
-            let mut state = RunState::ordered(load_of(job, task), now);
+            let mut state = RunState::inherited(load_of(job, task), now);
             // The worker's first answer shuts out what the earlier owner may still have under way,
             // so a report that was asked for from now on tells whether the run is there.
             state.settled = Some(now);
--- a/crates/jobs/src/cell/runs.rs
+++ b/crates/jobs/src/cell/runs.rs
@@ -13,14 +13,18 @@
 
 impl Cell {
     /// Whether a start whose record is durable is still to be sent. One that is not is taken back.
-    pub fn confirm_start(&mut self, worker: &str, task: TaskId, run: RunId) -> bool {
+    pub fn confirm_start(&mut self, worker: &str, task: TaskId, run: RunId, now: Instant) -> bool {
         let current = self.is_current(worker, task, run);
         let Some(host) = self.workers.get_mut(worker) else {
             return false;
         };
-        let phase = host.runs.get(&(task, run)).map(|r| r.phase);
         let open = !host.taken && !host.info.draining;
-        if current && open && phase == Some(RunPhase::Ordered) {
+        if let Some(state) = host.runs.get_mut(&(task, run))
+            && current
+            && open
+            && state.phase == RunPhase::Ordered
+        {
+            state.sent.get_or_insert(now);
             return true;
         }
         host.remove(task, run);
--- a/crates/jobs/src/observe.rs
+++ b/crates/jobs/src/observe.rs
@@ -202,7 +202,7 @@
             !job.step(step).gang && task.is_some_and(|task| is_newer(task, row.run))
         });
         if let Some(host) = self.workers.get_mut(worker) {
-            host.add(row.task, row.run, RunState::ordered(load, now));
+            host.add(row.task, row.run, RunState::inherited(load, now));
         }
         if newer {
             self.reclaim(worker, row.task, row.run);
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -95,6 +95,8 @@
     pub phase: RunPhase,
     /// When it was ordered.
     pub since: Instant,
+    /// When its start was first sent; for a run of an earlier owner, when this one learned of it.
+    pub sent: Option<Instant>,
     /// When the worker last answered an order about it: a report that was asked for later and does
     /// not name the run proves that the run is not there.
     pub settled: Option<Instant>,
@@ -116,6 +118,7 @@
             load,
             phase,
             since: now,
+            sent: None,
             settled: None,
             percent: 0,
             moved: now,
@@ -123,6 +126,14 @@
             paced: None,
         }
     }
+
+    /// A run that an earlier owner may have started.
+    pub fn inherited(load: Load, now: Instant) -> Self {
+        RunState {
+            sent: Some(now),
+            ..RunState::ordered(load, now)
+        }
+    }
 }
 
 /// A worker.
--- a/crates/jobs/tests/cell.rs
+++ b/crates/jobs/tests/cell.rs
@@ -113,7 +113,7 @@
     let batch = world.cell.take_batch();
     assert_eq!(batch.starts.len(), 1);
     world.cell.cancel(1);
-    assert!(!world.cell.confirm_start("a1", task(1, 0, 0), 1));
+    assert!(!world.cell.confirm_start("a1", task(1, 0, 0), 1, world.now));
     let worker = world.cell.workers.get("a1").unwrap();
     assert!(worker.runs.is_empty());
     assert_eq!(world.cell.cancel(2), Cancelled::Unknown);
--- a/crates/jobs/tests/history/calls.rs
+++ b/crates/jobs/tests/history/calls.rs
@@ -71,9 +71,10 @@
     }
 
     pub(super) fn send(&mut self, orders: Vec<Order>) {
+        let now = self.instant();
         for order in orders {
             if let Order::Start { worker, task, run } = &order
-                && !self.cell.confirm_start(worker, *task, *run)
+                && !self.cell.confirm_start(worker, *task, *run, now)
             {
                 continue;
             }
--- a/crates/jobs/tests/world/mod.rs
+++ b/crates/jobs/tests/world/mod.rs
@@ -108,7 +108,7 @@
             let Order::Start { worker, task, run } = order else {
                 continue;
             };
-            if self.cell.confirm_start(&worker, task, run) {
+            if self.cell.confirm_start(&worker, task, run, self.now) {
                 self.cell.started(&worker, task, run, self.now);
                 started.push((worker, task, run));
             }
--- a/crates/standin/src/users/cloud.rs
+++ b/crates/standin/src/users/cloud.rs
@@ -16,6 +16,9 @@
 /// How long a VM is away for a move or an upkeep.
 const AWAY: Duration = Duration::from_millis(800);
 
+/// How long the entry of a worker stays that has ended without notice: three of its writes.
+const LAPSE: Duration = Duration::from_millis(4_500);
+
 /// The topic with the workers' entries.
 const WORKERS: &str = "keyed.servers";
 
@@ -102,6 +105,41 @@
         self.take_down(name, "down");
     }
 
+    /// Takes a VM down when a task ends its worker.
+    fn watch_crash(&self, name: &str, worker: Arc<Worker>) {
+        let (cloud, name) = (self.clone(), name.to_owned());
+        tokio::spawn(async move {
+            worker.crashed.notified().await;
+            if cloud.lose(&name, &worker) {
+                cloud.boot_later(&name);
+                time::sleep(LAPSE).await;
+                cloud.log.put(WORKERS, &worker.id, b"");
+            }
+        });
+    }
+
+    /// Notes that a VM has this worker no more; false if it had another one.
+    fn lose(&self, name: &str, worker: &Worker) -> bool {
+        let mut vms = self.vms();
+        let Some(vm) = vms.get_mut(name) else {
+            return false;
+        };
+        let had = vm.worker.take_if(|its| its.id == worker.id).is_some();
+        if had {
+            vm.state = "down";
+        }
+        had
+    }
+
+    /// Starts another life of a VM's worker after the time for which it is away.
+    fn boot_later(&self, name: &str) {
+        let (cloud, name) = (self.clone(), name.to_owned());
+        tokio::spawn(async move {
+            time::sleep(AWAY).await;
+            cloud.boot(&name).await.expect("a port is free");
+        });
+    }
+
     /// The faults of the way to the worker that a VM has now.
     pub fn link(&self, name: &str) -> Option<Arc<Faults>> {
         self.vms().get(name).map(|vm| Arc::clone(&vm.link))
@@ -218,11 +256,7 @@
         let Some(worker) = worker else { return };
         worker.kill();
         self.log.put(WORKERS, &worker.id, b"");
-        let (cloud, name) = (self.clone(), name.to_owned());
-        tokio::spawn(async move {
-            time::sleep(AWAY).await;
-            cloud.boot(&name).await.expect("a port is free");
-        });
+        self.boot_later(name);
     }
 
     /// Starts a new life of a VM's worker and lists it.
@@ -242,7 +276,7 @@
         let mut pool = String::new();
         if let Some(vm) = self.vms().get_mut(name) {
             vm.state = "up";
-            vm.worker = Some(worker);
+            vm.worker = Some(Arc::clone(&worker));
             vm.link = Arc::clone(&proxy.faults);
             pool.clone_from(&vm.pool);
         }
@@ -252,6 +286,7 @@
             "labels": ["k", "r1"], "sequence": 1,
         });
         self.log.put(WORKERS, &id, entry.to_string().as_bytes());
+        self.watch_crash(name, worker);
         Ok(())
     }
 }
--- a/crates/standin/src/users/worker.rs
+++ b/crates/standin/src/users/worker.rs
@@ -33,6 +33,12 @@
 /// The run time of a task whose text does not give one.
 const RUN: Duration = Duration::from_millis(200);
 
+/// The text of a task that ends each worker that starts it.
+pub const ENDS_WORKER: &str = "ends-worker";
+
+/// How long after its start such a task does so: users saw 2 to 10 ms.
+const ENDS_AFTER: Duration = Duration::from_millis(10);
+
 /// The longest that a call waits for ends, however long it asks for.
 const MOST_WAIT: Duration = Duration::from_millis(2_000);
 
@@ -52,6 +58,8 @@
 struct Run {
     number: u64,
     ends: Instant,
+    /// Whether its worker ends with it.
+    fatal: bool,
 }
 
 struct End {
@@ -107,6 +115,8 @@
     dead: AtomicBool,
     state: Mutex<State>,
     changed: Notify,
+    /// Told when a task has ended this life.
+    pub crashed: Notify,
     events: Events,
 }
 
@@ -124,6 +134,7 @@
             dead: AtomicBool::new(false),
             state: Mutex::default(),
             changed: Notify::new(),
+            crashed: Notify::new(),
             events,
         });
         let address = listen(&worker, Worker::handle).await?;
@@ -135,6 +146,7 @@
     /// Ends this life; all that it runs ends with it.
     pub fn kill(&self) {
         self.dead.store(true, Relaxed);
+        self.changed.notify_waiters();
         let mut state = self.state();
         for (task, run) in std::mem::take(&mut state.runs) {
             self.events
@@ -167,12 +179,14 @@
             return Some(answer(421, "application/json", "{}"));
         }
         let body: Body = serde_json::from_slice(&call.body).unwrap_or_default();
-        match call.path.as_str() {
-            "/run-start" => Some(self.start_run(&body)),
-            "/run-stop" => Some(self.stop_run(&body)),
-            "/hold" => Some(self.hold(&body).await),
-            _ => Some(answer(400, "application/json", "{}")),
-        }
+        let answer = match call.path.as_str() {
+            "/run-start" => self.start_run(&body),
+            "/run-stop" => self.stop_run(&body),
+            "/hold" => self.hold(&body).await,
+            _ => answer(400, "application/json", "{}"),
+        };
+        // What waits for an answer when a worker ends gets none.
+        (!self.dead.load(Relaxed)).then_some(answer)
     }
 
     fn reply(&self, status: u16, reason: &str) -> Response<Full<Bytes>> {
@@ -202,10 +216,16 @@
         if state.runs.len() >= ROOM {
             return self.reply(409, "room");
         }
-        let took = body.spec.parse().map_or(RUN, Duration::from_millis);
+        let fatal = body.spec == ENDS_WORKER;
+        let took = match body.spec.parse() {
+            Ok(ms) => Duration::from_millis(ms),
+            Err(_) if fatal => ENDS_AFTER,
+            Err(_) => RUN,
+        };
         let run = Run {
             number: body.run,
             ends: Instant::now() + took,
+            fatal,
         };
         state.runs.insert(body.task.clone(), run);
         self.events
@@ -247,7 +267,8 @@
     async fn wait_for_ends(&self, until: time::Instant) {
         loop {
             let changed = self.changed.notified();
-            if !self.state().ended.is_empty() || time::Instant::now() >= until {
+            let dead = self.dead.load(Relaxed);
+            if dead || !self.state().ended.is_empty() || time::Instant::now() >= until {
                 return;
             }
             // The end of the wait is an answer without ends.
@@ -320,6 +341,12 @@
         let now = Instant::now();
         let lapsed = worker.clock();
         let mut state = worker.state();
+        if state.runs.values().any(|run| run.fatal && run.ends <= now) {
+            drop(state);
+            worker.kill();
+            worker.crashed.notify_one();
+            return;
+        }
         let over = state.deadline < lapsed;
         let due: Vec<(String, bool)> = state
             .runs
