test(jobs): which ends of workers count, trials, repeats, gangs and the next owner, decision by decision

17 cases around one cell: only ends without notice count (eight ways in which a worker is given up), a cut counts once the worker proves to have ended and not if it answers again, a start that was not sent does not, trials are alone and on the worker with the fewest runs, two prompt ends give up also after a change of owner, what has gone on is not put on trial, repeats share their record, members of a gang under suspicion are apart.

--- /dev/null
+++ b/crates/jobs/tests/blame.rs
@@ -0,0 +1,303 @@
+//! Which ends of workers count against which tasks, and what follows for where these are started.
+
+mod fixture;
+#[expect(dead_code, reason = "stops and ends are not looked at here")]
+mod world;
+
+use fixture::{job, step, worker};
+use havenladder_jobs::{
+    Conduct, Ending, Loss, LostWorker, Phase, Report, Schedule, Step, Submission, TaskId,
+    WorkerInfo,
+};
+use std::collections::BTreeMap;
+use world::{World, row, task};
+use yare::parameterized;
+
+/// Long enough for a worker that answers to show that its runs do not end it.
+const PROVEN: u64 = 250;
+
+/// What speaks for and against a task.
+fn conduct(world: &World, task: TaskId) -> Conduct {
+    let state = world.cell.jobs[&task.job].task(task.round, task.step, task.index);
+    state.expect("the job has it").conduct.clone()
+}
+
+/// A worker ends without notice, and that is known at once.
+fn crash(world: &mut World, id: &str) -> LostWorker {
+    world.pass(10);
+    world.cell.mute_worker(id, world.now);
+    let lost = world.cell.lose_worker(id, Loss::Ended, world.now);
+    lost.expect("it was there")
+}
+
+/// A worker says that it runs all that it was told to.
+fn confirm(world: &mut World, id: &str) {
+    let runs = world.cell.workers.get(id).map(|worker| &worker.runs);
+    let rows = runs.into_iter().flatten();
+    let running = rows.map(|((task, run), _)| row(*task, *run, 50)).collect();
+    world.report(
+        id,
+        Report {
+            running,
+            ended: Vec::new(),
+        },
+    );
+}
+
+/// A world with one worker and one job of so many plain tasks, which run there.
+fn running(tasks: u32) -> World {
+    let mut world = World::new(&["a1"]);
+    world.cell.accept(job(1, vec![step(tasks)]));
+    assert_eq!(world.run().len(), tasks as usize);
+    world
+}
+
+/// What is known of a worker before it is given up.
+enum Before {
+    Nothing,
+    Ordered,
+    Doubted,
+    Draining,
+    ServesOnUnlisted,
+    SilentUnlisted,
+}
+
+fn prepare(world: &mut World, before: &Before) {
+    let now = world.now;
+    match before {
+        Before::Nothing => {}
+        Before::Ordered => world.cell.take_worker("a1", true),
+        Before::Doubted => world.cell.doubt_worker("a1", true),
+        Before::Draining => world.cell.see_worker(
+            WorkerInfo {
+                draining: true,
+                ..worker("a1")
+            },
+            now,
+        ),
+        Before::ServesOnUnlisted => {
+            world.cell.unlist_worker("a1", now);
+            world.pass(10);
+            confirm(world, "a1");
+        }
+        Before::SilentUnlisted => {
+            world.cell.mute_worker("a1", now);
+            world.cell.unlist_worker("a1", now);
+        }
+    }
+}
+
+#[parameterized(
+    without_notice = { Before::Nothing, Loss::Ended, Ending::Crashed, 1 },
+    its_vm_was_moved = { Before::Nothing, Loss::Ordered, Ending::Ordered, 0 },
+    its_vm_was_told_to_go = { Before::Ordered, Loss::Ended, Ending::Ordered, 0 },
+    by_an_earlier_owner = { Before::Doubted, Loss::Ended, Ending::Ordered, 0 },
+    it_said_so = { Before::Draining, Loss::Ended, Ending::Announced, 0 },
+    it_served_on = { Before::ServesOnUnlisted, Loss::Ended, Ending::Announced, 0 },
+    its_entry_lapsed = { Before::SilentUnlisted, Loss::Ended, Ending::Crashed, 1 },
+    its_lease_ran_out = { Before::Nothing, Loss::Lapsed, Ending::Unclear, 0 },
+)]
+fn only_ends_without_notice_count(before: Before, loss: Loss, ending: Ending, count: usize) {
+    let mut world = running(1);
+    prepare(&mut world, &before);
+    let lost = world.cell.lose_worker("a1", loss, world.now);
+    assert_eq!(lost.map(|lost| lost.ending), Some(ending));
+    assert_eq!(conduct(&world, task(1, 0, 0)).crashes.len(), count);
+}
+
+#[test]
+fn a_worker_that_was_cut_off_counts_once_it_proves_to_have_ended() {
+    let mut world = running(1);
+    world.cell.mute_worker("a1", world.now);
+    world.cell.lapse_worker("a1", world.now);
+    assert!(conduct(&world, task(1, 0, 0)).crashes.is_empty());
+    world.cell.lose_worker("a1", Loss::Ended, world.now);
+    assert_eq!(conduct(&world, task(1, 0, 0)).crashes.len(), 1);
+}
+
+#[test]
+fn a_worker_that_answers_again_after_a_cut_does_not_count() {
+    let mut world = running(1);
+    world.cell.mute_worker("a1", world.now);
+    world.cell.lapse_worker("a1", world.now);
+    world.report("a1", Report::default());
+    world.cell.lose_worker("a1", Loss::Ended, world.now);
+    assert!(conduct(&world, task(1, 0, 0)).crashes.is_empty());
+}
+
+#[test]
+fn a_start_that_was_not_sent_does_not_count() {
+    let mut world = World::new(&["a1"]);
+    world.cell.accept(job(1, vec![step(1)]));
+    world.cell.schedule(world.now);
+    let lost = crash(&mut world, "a1");
+    assert_eq!(lost.runs.len(), 1);
+    assert!(conduct(&world, task(1, 0, 0)).crashes.is_empty());
+}
+
+#[test]
+fn what_begins_on_trial_is_alone_and_others_go_elsewhere() {
+    let mut world = running(2);
+    crash(&mut world, "a1");
+    world.join("b1");
+    world.join("b2");
+    let started: BTreeMap<TaskId, String> = world
+        .run()
+        .into_iter()
+        .map(|(id, task, _)| (task, id))
+        .collect();
+    let on = |index| started.get(&task(1, 0, index));
+    assert!(
+        on(0).is_some() && on(1).is_some() && on(0) != on(1),
+        "{started:?}"
+    );
+    world.cell.accept(job(2, vec![step(1)]));
+    assert!(world.run().is_empty(), "nothing begins beside them");
+    world.pass(PROVEN);
+    confirm(&mut world, "b1");
+    assert_eq!(world.run().len(), 1, "the worker has outlived the trial");
+    let (cleared, open) = match on(0).map(String::as_str) {
+        Some("b1") => (0, 1),
+        _ => (1, 0),
+    };
+    assert!(conduct(&world, task(1, 0, cleared)).crashes.is_empty());
+    assert_eq!(conduct(&world, task(1, 0, open)).crashes.len(), 1);
+}
+
+#[test]
+fn a_trial_takes_the_worker_with_the_fewest_runs_and_none_that_has_just_begun() {
+    let mut world = World::new(&["a1"]);
+    world.cell.accept(job(1, vec![step(3)]));
+    world.run();
+    world.pass(PROVEN);
+    confirm(&mut world, "a1");
+    world.join("b1");
+    world.cell.accept(job(
+        2,
+        vec![Step {
+            near: Some("r-b".into()),
+            ..step(1)
+        }],
+    ));
+    assert_eq!(world.run()[0].0, "b1");
+    crash(&mut world, "b1");
+    world.join("c1");
+    world.cell.accept(job(3, vec![step(1)]));
+    let started = world.run();
+    let trial = started.iter().find(|(_, task, _)| task.job == 2);
+    assert_eq!(trial.map(|(id, ..)| id.as_str()), Some("c1"), "{started:?}");
+    let other = started.iter().find(|(_, task, _)| task.job == 3);
+    assert_eq!(other.map(|(id, ..)| id.as_str()), Some("a1"), "{started:?}");
+}
+
+#[test]
+fn two_prompt_ends_give_a_job_up_also_for_the_next_owner() {
+    let mut world = running(1);
+    crash(&mut world, "a1");
+    world.join("b1");
+    assert_eq!(world.run().len(), 1);
+    world.take_over();
+    world.join("b1");
+    assert_eq!(conduct(&world, task(1, 0, 0)).crashes.len(), 1);
+    // It does not name the run: its start never came there.
+    let started = world.run();
+    assert_eq!(started.len(), 1);
+    let lost = crash(&mut world, &started[0].0);
+    assert_eq!(lost.given_up, [task(1, 0, 0)]);
+    assert_eq!(world.cell.jobs[&1].phase, Phase::Failed);
+    world.run();
+    world.take_over();
+    assert_eq!(world.cell.jobs[&1].phase, Phase::Failed);
+    world.join("d1");
+    assert!(world.run().is_empty());
+}
+
+#[test]
+fn what_has_gone_on_for_a_while_is_not_put_on_trial() {
+    let mut world = running(1);
+    world.pass(PROVEN);
+    confirm(&mut world, "a1");
+    world.cell.accept(job(2, vec![step(1)]));
+    world.run();
+    crash(&mut world, "a1");
+    world.join("b1");
+    world.join("b2");
+    let started = world.run();
+    assert_eq!(started.len(), 2);
+    assert!(
+        world
+            .cell
+            .workers
+            .values()
+            .filter(|w| w.trial.is_some())
+            .count()
+            == 1
+    );
+    let trial = world.cell.workers.values().find_map(|worker| worker.trial);
+    assert_eq!(trial.map(|trial| trial.key.0), Some(task(2, 0, 0)));
+}
+
+#[test]
+fn repeats_of_a_job_share_what_speaks_against_a_task() {
+    let schedule = Schedule {
+        repeats: 2,
+        first: 0,
+        interval: 0,
+    };
+    let mut given: Submission = job(1, vec![step(1)]);
+    given.spec.schedule = Some(schedule);
+    let mut world = World::new(&["a1"]);
+    world.cell.mark_due(1);
+    world.cell.accept(given);
+    world.cell.mark_due(2);
+    assert_eq!(world.run().len(), 2, "both repeats run");
+    crash(&mut world, "a1");
+    for round in 0..2 {
+        let task = TaskId {
+            round,
+            ..task(1, 0, 0)
+        };
+        assert_eq!(
+            conduct(&world, task).crashes.len(),
+            1,
+            "one end counts once"
+        );
+    }
+    world.join("b1");
+    world.run();
+    let lost = crash(&mut world, "b1");
+    assert_eq!(lost.given_up.len(), 1);
+    assert_eq!(world.cell.jobs[&1].phase, Phase::Failed);
+}
+
+#[test]
+fn members_of_a_gang_under_suspicion_get_workers_of_their_own() {
+    let gang = Step {
+        gang: true,
+        ..step(4)
+    };
+    let mut world = World::new(&["a1", "a2"]);
+    world.cell.accept(job(1, vec![gang]));
+    let started = world.run();
+    let there = |id: &str| started.iter().filter(|(on, ..)| on == id).count();
+    assert_eq!((there("a1"), there("a2")), (2, 2));
+    crash(&mut world, "a1");
+    // The others end with them.
+    world.report("a2", Report::default());
+    let running = world.cell.workers.get("a2").map(|worker| worker.runs.len());
+    assert_eq!(running, Some(0));
+    for id in ["b1", "b2"] {
+        world.join(id);
+    }
+    let again = world.run();
+    assert_eq!(again.len(), 4, "{again:?}");
+    for index in 0..4 {
+        if conduct(&world, task(1, 0, index)).crashes.is_empty() {
+            continue;
+        }
+        let on = again.iter().find(|(_, task, _)| task.index == index);
+        let on = on.map(|(id, ..)| id).expect("it was started");
+        let beside = again.iter().filter(|(id, ..)| id == on).count();
+        assert_eq!(beside, 1, "{again:?}");
+    }
+}
