--- a/crates/soak/src/entries.rs
+++ b/crates/soak/src/entries.rs
@@ -7,8 +7,9 @@
     fs::{self, File, OpenOptions},
     io,
     net::SocketAddr,
-    path::PathBuf,
+    path::{Path, PathBuf},
     process::{Child, Command, Stdio},
+    time::Duration,
 };
 
 /// The first of the ports of a run; each seed has its own ten above it.
@@ -46,6 +47,8 @@
     settings: PathBuf,
     log: PathBuf,
     child: Child,
+    /// For how long its machine has been suspended so far.
+    suspended: Duration,
 }
 
 impl Entry {
@@ -67,6 +70,7 @@
         fs::write(&path, text)?;
         let log = plan.logs.join(format!("entry-{number}.log"));
         let address = format!("{}:{}", ip(number), ports.0);
+        fs::write(clock_file(&path), "0")?;
         let child = spawn(&plan.program, &path, &log)?;
         Ok(Entry {
             address: address.parse().expect("an address of our own making"),
@@ -74,6 +78,7 @@
             settings: path,
             log,
             child,
+            suspended: Duration::ZERO,
         })
     }
 
@@ -92,6 +97,18 @@
         }
     }
 
+    /// Puts the clock of the process forward, as a suspension of its machine does; its timers, which stand still
+    /// meanwhile, do not take note of it.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the file that tells it cannot be written.
+    pub fn suspend(&mut self, span: Duration) -> io::Result<()> {
+        self.suspended += span;
+        let text = self.suspended.as_millis().to_string();
+        fs::write(clock_file(&self.settings), text)
+    }
+
     /// Has the process run, started anew if it has ended.
     ///
     /// # Errors
@@ -123,11 +140,17 @@
     format!("127.0.0.{}", 11 + number)
 }
 
+/// The file that tells an entry by how much its clock has been put forward.
+fn clock_file(settings: &Path) -> PathBuf {
+    settings.with_extension("clock")
+}
+
 fn spawn(program: &PathBuf, settings: &PathBuf, log: &PathBuf) -> io::Result<Child> {
     let out: File = OpenOptions::new().create(true).append(true).open(log)?;
     Command::new(program)
         .arg("entry")
         .env("HAVENLADDER_NODE_FILE", settings)
+        .env("HAVENLADDER_CLOCK_FILE", clock_file(settings))
         .stdin(Stdio::null())
         .stdout(out.try_clone()?)
         .stderr(out)
