fix(clock): leases, ages and deadlines count the time for which a machine is suspended

Cause: all times were std::time::Instant, which is the steady clock on Linux and stands still in a suspension: an owner that woke after 5 s believed in its lease as if no time had passed, and callers were answered late by as much. Waits until a moment end as soon as somebody has noticed a suspension: the lease's loop and the owner's, and whoever waits for an answer to a caller. Ruled out: noticing it only in the lease's loop (calls that wait for a silent store were answered 0.90 s after the suspension, where 0.5 s is allowed); one task that looks all the time (four wake-ups a second on idle entries). Open: a real suspension was not shown; the product's own interface (duties, serving) keeps the steady clock; a worker whose machine is suspended keeps its lease.

--- /dev/null
+++ b/crates/clock/src/timer.rs
@@ -0,0 +1,66 @@
+//! Waits that end in time although the machine was suspended meanwhile.
+//!
+//! The runtime's timers stand on the steady clock: one that was to fire during a suspension of 5 s fires up to 5 s late.
+//! Waits in here look again as soon as somebody has noticed the suspension.
+
+use crate::{Instant, ahead};
+use std::{
+    sync::atomic::{AtomicU64, Ordering},
+    time::Duration,
+};
+use tokio::{sync::Notify, time};
+
+/// How much this clock may gain on the steady one without a suspension, in ms: the two are read one after the other,
+/// and a thread may lose its turn between.
+const SLACK: u64 = 20;
+
+/// Told after each suspension that was noticed.
+static WOKE: Notify = Notify::const_new();
+
+/// By how much this clock was ahead of the steady one at the last look, in ms.
+static AHEAD: AtomicU64 = AtomicU64::new(0);
+
+/// The time for a wait has passed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Elapsed;
+
+/// Waits until a moment.
+pub async fn sleep_until(at: Instant) {
+    loop {
+        let woke = WOKE.notified();
+        let left = at - Instant::now();
+        if left.is_zero() {
+            return;
+        }
+        tokio::select! {
+            () = time::sleep(left) => {}
+            () = woke => {}
+        }
+    }
+}
+
+/// Waits for something until a moment.
+///
+/// # Errors
+///
+/// Fails when it has not come by then.
+pub async fn timeout_at<T>(at: Instant, what: impl Future<Output = T>) -> Result<T, Elapsed> {
+    tokio::select! {
+        biased;
+        outcome = what => Ok(outcome),
+        () = sleep_until(at) => Err(Elapsed),
+    }
+}
+
+/// Looks whether the machine was suspended since the last look, and if so ends the waits whose time has passed. Returns
+/// for how long.
+pub fn notice_suspension() -> Option<Duration> {
+    let now = ahead().as_millis() as u64;
+    let before = AHEAD.swap(now, Ordering::Relaxed);
+    let gained = now.saturating_sub(before);
+    if gained < SLACK {
+        return None;
+    }
+    WOKE.notify_waiters();
+    Some(Duration::from_millis(gained))
+}
--- a/crates/fleet/src/first_sent.rs
+++ b/crates/fleet/src/first_sent.rs
@@ -3,7 +3,7 @@
 //! An owner counts its lease from before others can have read its record. One that is sent on condition of the
 //! log's end is taken once, by any of the calls that were made for that place, also by one that was given up.
 
-use std::time::Instant;
+use clock::Instant;
 
 /// Where a record is in a log.
 pub type Place = u64;
--- a/crates/fleet/src/rate.rs
+++ b/crates/fleet/src/rate.rs
@@ -1,6 +1,6 @@
 //! How many calls may be made now where only so many a second are taken.
 
-use std::time::Instant;
+use clock::Instant;
 
 /// The part of the allowed rate that is used: the platform counts by its own clock, and an earlier owner
 /// may have made calls within the same second.
--- a/crates/fleet/src/reach.rs
+++ b/crates/fleet/src/reach.rs
@@ -6,7 +6,8 @@
 //! store is away for everybody, entries still reach each other, and none of them is cut off.
 
 use crate::EXPIRY;
-use std::time::{Duration, Instant};
+use clock::Instant;
+use std::time::Duration;
 
 /// How long nothing outside of the data centre has been heard until an entry asks whether something is
 /// there: the owner's renewals come every 0.4 s, and none may be late by a quarter of that.
--- a/crates/fleet/src/sizing.rs
+++ b/crates/fleet/src/sizing.rs
@@ -6,11 +6,8 @@
 //! does not do, VMs of such pools are emptied. An idle VM that nobody needs goes to the reserve once it
 //! has cost as much as the way there and back.
 
-use std::{
-    cmp::Reverse,
-    collections::VecDeque,
-    time::{Duration, Instant},
-};
+use clock::Instant;
+use std::{cmp::Reverse, collections::VecDeque, time::Duration};
 
 /// The figures that sizing depends on.
 #[derive(Clone, Debug)]
--- a/crates/fleet/src/tenure.rs
+++ b/crates/fleet/src/tenure.rs
@@ -4,7 +4,8 @@
 //! the workers that it watches, so that entries with more of a core go first: the others claim a moment
 //! later, and an owner that is much weaker than another entry hands the cell over.
 
-use std::time::{Duration, Instant};
+use clock::Instant;
+use std::time::Duration;
 
 /// Thousandths of a core.
 pub type MilliCpu = u64;
--- a/crates/fleet/src/unrecorded.rs
+++ b/crates/fleet/src/unrecorded.rs
@@ -4,7 +4,8 @@
 //! and must meet all workers before it starts what waited. It knows of it by its own trouble with the
 //! store, or because the earlier owner told so in a renewal of its lease before it began.
 
-use std::time::{Duration, Instant};
+use clock::Instant;
+use std::time::Duration;
 
 /// For how long trouble of the store may have effects: entries of workers that lapsed are back 2 s
 /// after its end, and answers to appends may be lost for some seconds.
--- a/crates/fleet/tests/first_sent.rs
+++ b/crates/fleet/tests/first_sent.rs
@@ -1,7 +1,8 @@
 //! From when on a record may have been in the log.
 
+use clock::Instant;
 use havenladder_fleet::FirstSent;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 const LATER: Duration = Duration::from_millis(1_500);
 
--- a/crates/fleet/tests/rate.rs
+++ b/crates/fleet/tests/rate.rs
@@ -1,7 +1,8 @@
 //! How many calls may be made where only so many a second are taken.
 
+use clock::Instant;
 use havenladder_fleet::RateLimit;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use yare::parameterized;
 
 /// Makes all calls that are available every 10 ms, and counts them.
--- a/crates/fleet/tests/reach.rs
+++ b/crates/fleet/tests/reach.rs
@@ -1,7 +1,8 @@
 //! Whether an entry is cut off, by what it reaches.
 
+use clock::Instant;
 use havenladder_fleet::{CONFIRMED, CUT_OFF, EXPIRY, QUIET, RENEWED, Reach};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 const MOMENT: Duration = Duration::from_millis(1);
 
--- a/crates/fleet/tests/sizing.rs
+++ b/crates/fleet/tests/sizing.rs
@@ -1,7 +1,8 @@
 //! Which VMs change their pool.
 
+use clock::Instant;
 use havenladder_fleet::{IdleVm, LooseVm, PoolDemand, Resize, Shift, SizingLimits, resize};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 fn pool(
     name: &str,
--- a/crates/fleet/tests/tenure.rs
+++ b/crates/fleet/tests/tenure.rs
@@ -1,7 +1,8 @@
 //! When an entry may claim a cell, and when a stronger one should have it.
 
+use clock::Instant;
 use havenladder_fleet::{Claim, DEFERENCE, EXPIRY, Holder, SETTLED, SILENT_EXPIRY, Tenure};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use yare::parameterized;
 
 const MS: Duration = Duration::from_millis(1);
--- a/crates/fleet/tests/unrecorded.rs
+++ b/crates/fleet/tests/unrecorded.rs
@@ -1,7 +1,8 @@
 //! When runs may be started without a record, and what the next owner assumes.
 
+use clock::Instant;
 use havenladder_fleet::{Stall, TROUBLE, Told, Trouble, trouble};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use yare::parameterized;
 
 const MS: Duration = Duration::from_millis(1);
--- a/crates/havenladder/src/entry/callers.rs
+++ b/crates/havenladder/src/entry/callers.rs
@@ -4,6 +4,7 @@
     inner::{self, Ask, Tell},
     listen::{self, Reply, accept_each},
     node::{LifeId, Node, wall_ms},
+    suspension,
 };
 use adapter::{
     callers::{HEADER_DEADLINE, read_id, read_job, write_pending, write_state},
@@ -11,6 +12,7 @@
     operator::Queue,
 };
 use bytes::Bytes;
+use clock::{Instant, timer};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{
     Method, Request, Response, StatusCode, body::Incoming, header, server::conn::http1,
@@ -18,12 +20,7 @@
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
 use jobs::{JobId, Submission};
-use std::{
-    convert::Infallible,
-    pin::pin,
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use std::{convert::Infallible, pin::pin, rc::Rc, time::Duration};
 use tokio::{
     net::{TcpListener, TcpStream},
     time,
@@ -210,8 +207,16 @@
     })
 }
 
-/// Puts a question to the owner, wherever it is, until the caller's time gets short.
-async fn ask(node: &Rc<Node>, mut ask: Ask, deadline: Instant) -> Reply {
+/// Puts a question to the owner, wherever it is, until the caller's time gets short; a suspension of the machine counts.
+async fn ask(node: &Rc<Node>, ask: Ask, deadline: Instant) -> Reply {
+    tokio::select! {
+        reply = ask_in_time(node, ask, deadline) => reply,
+        never = suspension::watch(node) => match never {},
+    }
+}
+
+/// The same, as far as waits are ended that a suspension has outlasted.
+async fn ask_in_time(node: &Rc<Node>, mut ask: Ask, deadline: Instant) -> Reply {
     let now = Instant::now();
     let give_up = now + (deadline - now).mul_f64(ANSWER_SHARE);
     let mut sent = false;
@@ -220,7 +225,7 @@
         ask.set_left(left.saturating_sub(WAY_BACK));
         let tell = match node.own() {
             Some(owner) => {
-                let answer = time::timeout_at(give_up.into(), owner.answer(ask.clone())).await;
+                let answer = timer::timeout_at(give_up, owner.answer(ask.clone())).await;
                 answer.unwrap_or(Tell::Unsure)
             }
             None if node.cut_off.get() => return turn_away(&ask, sent),
--- a/crates/havenladder/src/entry/fleet.rs
+++ b/crates/havenladder/src/entry/fleet.rs
@@ -8,12 +8,9 @@
     upkeep::Waves,
 };
 use adapter::cloud::{Vm, VmState};
+use clock::Instant;
 use jobs::{Loss, WorkerId};
-use std::{
-    collections::BTreeMap,
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use std::{collections::BTreeMap, rc::Rc, time::Duration};
 use tokio::time;
 use tracing::info;
 
--- a/crates/havenladder/src/entry/follow.rs
+++ b/crates/havenladder/src/entry/follow.rs
@@ -11,10 +11,8 @@
     store::{Keyed, Offset, Read, split_keyed},
 };
 use bytes::Bytes;
-use std::{
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use clock::Instant;
+use std::{rc::Rc, time::Duration};
 use tokio::time;
 use tracing::{info, warn};
 
--- a/crates/havenladder/src/entry/inner.rs
+++ b/crates/havenladder/src/entry/inner.rs
@@ -7,16 +7,13 @@
     reach::{self, Presence},
 };
 use adapter::http::{Call, CallError, Connection};
+use clock::Instant;
 use fleet::MilliCpu;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{Method, Request, Response, StatusCode, body::Incoming};
 use jobs::{JobId, Phase, QueueId, Submission};
 use serde::{Deserialize, Serialize};
-use std::{
-    fmt,
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use std::{fmt, rc::Rc, time::Duration};
 use tokio::net::{TcpListener, TcpStream};
 use tracing::warn;
 
--- a/crates/havenladder/src/entry/lease/log.rs
+++ b/crates/havenladder/src/entry/lease/log.rs
@@ -7,8 +7,9 @@
 };
 use adapter::store::{Appended, Condition, Offset, Read, frame_plain};
 use bytes::Bytes;
+use clock::Instant;
 use fleet::{FirstSent, Tenure};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::time;
 use tracing::{info, warn};
 
--- a/crates/havenladder/src/entry/lease/mod.rs
+++ b/crates/havenladder/src/entry/lease/mod.rs
@@ -13,13 +13,12 @@
     inner::{self, Ask},
     node::{Lease, Node},
     owner::{Owner, Predecessor},
+    suspension,
 };
+use clock::Instant;
 use fleet::{Claim, Holder, Tenure, Told, Trouble};
 use log::{Log, RETRY_INTERVAL, Seen, Written, read, write};
-use std::{
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use std::{rc::Rc, time::Duration};
 use tokio::{task, time};
 use tracing::info;
 
@@ -61,6 +60,7 @@
             seen = read(&node, &mut log, wait) => seen,
             () = node.claim_due.notified() => Seen::Records,
         };
+        suspension::notice(&node);
         match seen {
             Seen::Nothing if next(&node, &mut log) == Claim::Now => claim(&node, &mut log).await,
             Seen::Records => ask_for(&node, &log),
@@ -234,6 +234,7 @@
     let owner = Owner::start(node, log.end, log.before, since);
     loop {
         wait_for_turn(node, &owner).await;
+        suspension::notice(node);
         match next_step(node, &owner) {
             Step::Renew => renew(node, log, &owner).await,
             Step::Release(why) => return release(node, log, &owner, why).await,
--- a/crates/havenladder/src/entry/losses.rs
+++ b/crates/havenladder/src/entry/losses.rs
@@ -1,8 +1,9 @@
 //! Gives workers up, and tells what was lost with each and how it came to its end.
 
 use super::owner::Owner;
+use clock::Instant;
 use jobs::{Ending, Loss, LostRun, LostWorker};
-use std::{rc::Rc, time::Instant};
+use std::rc::Rc;
 use tracing::info;
 
 /// How many runs of a lost worker a line names: the youngest, since what begins ends a worker more often than what
--- a/crates/havenladder/src/entry/metrics.rs
+++ b/crates/havenladder/src/entry/metrics.rs
@@ -36,6 +36,7 @@
     rounds: Histogram<f64>,
     lags: Histogram<f64>,
     owners: Counter<u64>,
+    suspensions: Counter<u64>,
     store_calls: Counter<u64>,
     resends: Counter<u64>,
     _provider: SdkMeterProvider,
@@ -75,6 +76,7 @@
             rounds: seconds("havenladder_round_seconds"),
             lags: seconds("havenladder_lag_seconds"),
             owners: meter.u64_counter("havenladder_ownerships").build(),
+            suspensions: meter.u64_counter("havenladder_suspensions").build(),
             store_calls: meter.u64_counter("havenladder_store_calls").build(),
             resends: meter.u64_counter("havenladder_store_resends").build(),
             registry,
@@ -133,6 +135,11 @@
         self.owners.add(1, &[KeyValue::new("change", change)]);
     }
 
+    /// Counts a suspension of the machine.
+    pub fn suspended(&self) {
+        self.suspensions.add(1, &[]);
+    }
+
     /// Counts an append to the store, and how often it was sent again.
     pub fn store_called(&self, matter: &'static str, outcome: &'static str, again: u64) {
         let labels = [
--- a/crates/havenladder/src/entry/mod.rs
+++ b/crates/havenladder/src/entry/mod.rs
@@ -24,6 +24,7 @@
 mod starts;
 mod stop;
 mod store_calls;
+mod suspension;
 mod upkeep;
 mod vm_orders;
 mod watch;
@@ -78,6 +79,7 @@
         life = node.life,
         "entry starts"
     );
+    suspension::follow_test_clock();
     tokio::task::spawn_local(follow::run(Rc::clone(&node)));
     tokio::task::spawn_local(lease::run(Rc::clone(&node)));
     tokio::task::spawn_local(reach::run(Rc::clone(&node)));
--- a/crates/havenladder/src/entry/moves/demands.rs
+++ b/crates/havenladder/src/entry/moves/demands.rs
@@ -3,9 +3,10 @@
 use super::{Moves, Round, drain::EMPTYING};
 use crate::entry::owner::Owner;
 use adapter::cloud::{Vm, VmState};
+use clock::Instant;
 use fleet::{IdleVm, LooseVm, PoolDemand};
 use jobs::{Demand, Need};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Over how long the highest use of a pool counts: half a run of the usual kind. Over 1.5 s, pools kept VMs of a
 /// peak that was past.
--- a/crates/havenladder/src/entry/moves/drain.rs
+++ b/crates/havenladder/src/entry/moves/drain.rs
@@ -1,8 +1,9 @@
 //! Empties VMs so that other pools can have them.
 
 use super::{Moves, Round};
+use clock::Instant;
 use fleet::Resize;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tracing::info;
 
 /// How long a VM may take to be emptied, as foreseen and in fact: a VM's way to another pool takes 1.5 s,
--- a/crates/havenladder/src/entry/moves/mod.rs
+++ b/crates/havenladder/src/entry/moves/mod.rs
@@ -11,12 +11,13 @@
     vm_orders::{self, Errand, VmOrder},
 };
 use adapter::cloud::{Ordered, Vm, VmState};
+use clock::Instant;
 use fleet::{PoolDemand, Shift, SizingLimits, lacks_vms, resize};
 use jobs::{Loss, Need, Takeout};
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
     rc::Rc,
-    time::{Duration, Instant},
+    time::Duration,
 };
 use tracing::info;
 
--- a/crates/havenladder/src/entry/node.rs
+++ b/crates/havenladder/src/entry/node.rs
@@ -11,13 +11,14 @@
     workers::Workers,
 };
 use bytes::Bytes;
+use clock::Instant;
 use fleet::{AnswerTime, MilliCpu, Reach};
 use serde::{Deserialize, Serialize};
 use std::{
     cell::{Cell, RefCell},
     collections::BTreeMap,
     rc::Rc,
-    time::{Instant, SystemTime, UNIX_EPOCH},
+    time::{SystemTime, UNIX_EPOCH},
 };
 use tokio::sync::Notify;
 
--- a/crates/havenladder/src/entry/orders.rs
+++ b/crates/havenladder/src/entry/orders.rs
@@ -10,13 +10,9 @@
     http::Connection,
     workers::{ClockMs, WorkerError},
 };
+use clock::Instant;
 use jobs::{Loss, Order, Refusal, RunId, TaskId, WorkerId, WorkerInfo};
-use std::{
-    pin::pin,
-    rc::Rc,
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{pin::pin, rc::Rc, sync::Arc, time::Duration};
 use tokio::{task, time};
 use tracing::info;
 
--- a/crates/havenladder/src/entry/outage.rs
+++ b/crates/havenladder/src/entry/outage.rs
@@ -8,11 +8,9 @@
     node::Node,
     owner::Owner,
 };
+use clock::Instant;
 use fleet::{Hearing, is_away};
-use std::{
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use std::{rc::Rc, time::Duration};
 use tokio::{task, time};
 use tracing::info;
 
--- a/crates/havenladder/src/entry/owner/append.rs
+++ b/crates/havenladder/src/entry/owner/append.rs
@@ -7,12 +7,9 @@
     store_calls::{self, Matter},
 };
 use adapter::store::{Appended, Condition, frame_keyed};
+use clock::Instant;
 use jobs::{Entry, Order};
-use std::{
-    pin::pin,
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use std::{pin::pin, rc::Rc, time::Duration};
 use tokio::time;
 use tracing::warn;
 
--- a/crates/havenladder/src/entry/owner/duties.rs
+++ b/crates/havenladder/src/entry/owner/duties.rs
@@ -3,11 +3,9 @@
 
 use super::Owner;
 use crate::entry::inner::{self, Ask, Tell};
+use clock::{Instant, timer};
 use jobs::Holder;
-use std::{
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use std::{rc::Rc, time::Duration};
 use tokio::{task, time};
 use tracing::info;
 
@@ -52,13 +50,13 @@
 
     /// Waits until something holds; false if it does not in time, or this owner cannot be certain any more.
     async fn wait_until(&self, within: Duration, holds: impl Fn() -> bool) -> bool {
-        let until = time::Instant::now() + within;
+        let until = Instant::now() + within;
         loop {
             let settled = self.settled.notified();
             if holds() {
                 return true;
             }
-            if !self.is_certain() || time::timeout_at(until, settled).await.is_err() {
+            if !self.is_certain() || timer::timeout_at(until, settled).await.is_err() {
                 return false;
             }
         }
@@ -103,7 +101,7 @@
     for holder in owner.cell.borrow().earlier_holders() {
         task::spawn_local(watch_holder(Rc::clone(&owner), holder));
     }
-    time::sleep_until(owner.duties.into()).await;
+    timer::sleep_until(owner.duties).await;
     owner.cell.borrow_mut().forget_holders();
 }
 
--- a/crates/havenladder/src/entry/owner/load.rs
+++ b/crates/havenladder/src/entry/owner/load.rs
@@ -6,7 +6,8 @@
 };
 use crate::entry::store_calls;
 use adapter::store::Keyed;
-use std::{rc::Rc, time::Instant};
+use clock::Instant;
+use std::rc::Rc;
 use tokio::time;
 use tracing::{info, warn};
 
--- a/crates/havenladder/src/entry/owner/mod.rs
+++ b/crates/havenladder/src/entry/owner/mod.rs
@@ -12,11 +12,12 @@
     node::{Lease, LifeId, Node, wall_ms},
     orders,
     outage::Outage,
-    watch,
+    suspension, watch,
 };
 use ::fleet::{MilliCpu, RateLimit, Stall, TROUBLE, Trouble};
 use adapter::{settings::Settings, workers::ClockMs};
 use append::{SLOW, append};
+use clock::{Instant, timer};
 use jobs::{Batch, Cell as JobCell, Limits, WorkerId};
 use load::load;
 use pulse::Pulse;
@@ -25,7 +26,7 @@
     collections::{HashMap, HashSet},
     rc::Rc,
     sync::Arc,
-    time::{Duration, Instant},
+    time::Duration,
 };
 use tokio::{
     sync::{Notify, Semaphore},
@@ -337,6 +338,7 @@
     let mut pulse = Pulse::new(Instant::now());
     while owner.is_alive() {
         let _ = time::timeout(LONGEST_GAP, owner.wake.notified()).await;
+        suspension::notice(&owner.node);
         let began = Instant::now();
         let mut batch = decide(owner);
         pulse.note_round(owner, began.elapsed());
@@ -351,7 +353,7 @@
             carry_out(owner, batch);
         }
         let due = Instant::now() + ROUND_GAP;
-        time::sleep_until(due.into()).await;
+        timer::sleep_until(due).await;
         pulse.note_sleep(owner, due.elapsed());
     }
 }
--- a/crates/havenladder/src/entry/owner/pulse.rs
+++ b/crates/havenladder/src/entry/owner/pulse.rs
@@ -4,7 +4,8 @@
 //! renewals, moves and starts. How late it wakes from a short sleep shows that before anything breaks.
 
 use super::Owner;
-use std::time::{Duration, Instant};
+use clock::Instant;
+use std::time::Duration;
 use tracing::info;
 
 /// Time between two lines about the rounds: one a second tells in which second an owner was full.
--- a/crates/havenladder/src/entry/questions.rs
+++ b/crates/havenladder/src/entry/questions.rs
@@ -5,11 +5,9 @@
     http::Connection,
     workers::{Hold, Told, WorkerError},
 };
+use clock::Instant;
 use jobs::{Report, WorkerInfo};
-use std::{
-    pin::pin,
-    time::{Duration, Instant},
-};
+use std::{pin::pin, time::Duration};
 
 /// How long a question waits for an end at a worker that has runs. The lease is extended by each question, so
 /// that the last one before an owner is lost may be as old as this.
--- a/crates/havenladder/src/entry/reach.rs
+++ b/crates/havenladder/src/entry/reach.rs
@@ -7,12 +7,9 @@
     inner::{self, Ask, Tell},
     node::{LifeId, Node},
 };
+use clock::{Instant, timer};
 use serde::{Deserialize, Serialize};
-use std::{
-    collections::BTreeMap,
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use std::{collections::BTreeMap, rc::Rc, time::Duration};
 use tokio::{task, time};
 use tracing::info;
 
@@ -70,7 +67,7 @@
     }
     let at = node.reach.get().ask_at();
     tokio::select! {
-        () = time::sleep_until(at.into()) => {}
+        () = timer::sleep_until(at) => {}
         () = node.reach_due.notified() => {}
     }
 }
--- a/crates/havenladder/src/entry/resend.rs
+++ b/crates/havenladder/src/entry/resend.rs
@@ -7,13 +7,14 @@
 //! it may only be slow.
 
 use adapter::http::{CallError, Connection};
+use clock::{Instant, timer};
 use fleet::{AnswerTime, next_wait};
 use std::{
     cell::Cell,
     pin::{Pin, pin},
-    time::{Duration, Instant},
+    time::Duration,
 };
-use tokio::{task::JoinSet, time};
+use tokio::task::JoinSet;
 
 /// How late a wait ends where this process has nothing else to do: timers have steps of a ms and a busy thread some
 /// more.
@@ -97,7 +98,7 @@
 ) -> Option<T> {
     let mut due = Instant::now() + wait;
     loop {
-        if let Ok(answer) = time::timeout_at(due.into(), answer.as_mut()).await {
+        if let Ok(answer) = timer::timeout_at(due, answer.as_mut()).await {
             return Some(answer);
         }
         let late = due.elapsed();
--- a/crates/havenladder/src/entry/starts.rs
+++ b/crates/havenladder/src/entry/starts.rs
@@ -12,12 +12,9 @@
     http::{CallError, Connection},
     workers::{Start, Told, WorkerError},
 };
+use clock::Instant;
 use jobs::{Loss, Refusal, RunId, TaskId, WorkerInfo};
-use std::{
-    pin::pin,
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use std::{pin::pin, rc::Rc, time::Duration};
 use tokio::{sync::OwnedSemaphorePermit, task, time};
 use tracing::info;
 
--- a/crates/havenladder/src/entry/store_calls.rs
+++ b/crates/havenladder/src/entry/store_calls.rs
@@ -12,7 +12,8 @@
     store::{Append, Appended, Condition, Newest, Offset, Read},
 };
 use bytes::Bytes;
-use std::time::{Duration, Instant};
+use clock::Instant;
+use std::time::Duration;
 use tracing::info;
 
 /// From how long on an append is logged: ten times what it takes as a rule.
--- a/crates/havenladder/src/entry/upkeep.rs
+++ b/crates/havenladder/src/entry/upkeep.rs
@@ -11,12 +11,13 @@
     cloud::{Ordered, Vm, VmState},
     operator::{Wave, WaveState},
 };
+use clock::Instant;
 use fleet::{Whereabouts, room_to_go};
 use jobs::{Loss, Need, Takeout};
 use std::{
     collections::{BTreeMap, BTreeSet},
     rc::Rc,
-    time::{Duration, Instant},
+    time::Duration,
 };
 use tracing::info;
 
--- a/crates/havenladder/src/entry/vm_orders.rs
+++ b/crates/havenladder/src/entry/vm_orders.rs
@@ -2,7 +2,8 @@
 
 use super::owner::Owner;
 use adapter::cloud::Ordered;
-use std::{rc::Rc, time::Instant};
+use clock::Instant;
+use std::rc::Rc;
 use tokio::task;
 use tracing::info;
 
--- a/crates/havenladder/src/entry/watch.rs
+++ b/crates/havenladder/src/entry/watch.rs
@@ -11,12 +11,9 @@
     store::{Keyed, Offset, Read, split_keyed},
     workers::{self, ClockMs, WorkerError},
 };
+use clock::{Instant, timer};
 use jobs::{How, Loss, Refusal, Report, WorkerId};
-use std::{
-    collections::HashSet,
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use std::{collections::HashSet, rc::Rc, time::Duration};
 use tokio::{task, time};
 use tracing::{info, warn};
 
@@ -304,7 +301,7 @@
 /// Gives up the workers that an earlier owner had used and that are not listed any more, once nothing
 /// can run there.
 async fn expire_orphans(owner: Rc<Owner>) {
-    time::sleep_until(owner.inherited.into()).await;
+    timer::sleep_until(owner.inherited).await;
     let orphans = owner.cell.borrow().orphaned();
     for id in orphans {
         give_up(&owner, &id, Loss::Ended);
--- a/crates/jobs/benches/placement.rs
+++ b/crates/jobs/benches/placement.rs
@@ -5,11 +5,12 @@
     reason = "criterion's macros make functions without docs"
 )]
 
+use clock::Instant;
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 use havenladder_jobs::{
     Cell, Decoded, JobSpec, Limits, Need, Report, Step, Submission, WorkerInfo, decode_entry,
 };
-use std::{hint::black_box, ops::Range, time::Instant};
+use std::{hint::black_box, ops::Range};
 
 /// Workers and waiting tasks: a small pool, a large one, and 350 VMs in an overload.
 const SIZES: [(usize, u32); 4] = [(8, 20), (80, 200), (80, 2_000), (350, 2_000)];
--- a/crates/jobs/src/cell/crashes.rs
+++ b/crates/jobs/src/cell/crashes.rs
@@ -4,10 +4,8 @@
     Bearing, Cell, Conduct, JobId, LostRun, Phase, TaskId, TaskPhase,
     suspicion::{Crash, PROVEN, Standing},
 };
-use std::{
-    collections::BTreeSet,
-    time::{Duration, Instant},
-};
+use clock::Instant;
+use std::{collections::BTreeSet, time::Duration};
 
 /// The same task in all repeats of a job: these run the same work, so that what one has done speaks for all.
 type Work = (JobId, u32, u32);
--- a/crates/jobs/src/cell/gate.rs
+++ b/crates/jobs/src/cell/gate.rs
@@ -1,7 +1,8 @@
 //! What a new owner has to know before the tasks that waited under the one before it may start.
 
 use crate::{Cell, ServiceId, WorkerId};
-use std::{collections::HashMap, time::Instant};
+use clock::Instant;
+use std::collections::HashMap;
 
 /// What has to be known before the tasks that waited under an earlier owner start.
 #[derive(Debug, Default)]
--- a/crates/jobs/src/cell/hosts.rs
+++ b/crates/jobs/src/cell/hosts.rs
@@ -4,7 +4,8 @@
     Cell, Ending, Loss, LostRun, LostWorker, RunId, TaskId, Worker, WorkerId, WorkerInfo,
     cell::load_of, worker::RunState,
 };
-use std::{collections::BTreeSet, sync::Arc, time::Instant};
+use clock::Instant;
+use std::{collections::BTreeSet, sync::Arc};
 
 impl Cell {
     /// Takes note of what the platform's list says of a worker.
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -25,11 +25,9 @@
     suspicion::Suspicions,
     worker::{Load, RunKind},
 };
+use clock::Instant;
 use gate::Gate;
-use std::{
-    collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque},
-    time::Instant,
-};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 
 /// What became of a job that was handed in.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/jobs/src/cell/runs.rs
+++ b/crates/jobs/src/cell/runs.rs
@@ -1,7 +1,8 @@
 //! What becomes of the orders to start and to stop runs.
 
 use crate::{Cell, Order, Refusal, RunId, RunPhase, TaskId, worker::RunState};
-use std::time::{Duration, Instant};
+use clock::Instant;
+use std::time::Duration;
 
 /// For how long a worker gets no new runs after it refused one for want of room: its own count of its
 /// room is ahead of ours by one report at the most.
--- a/crates/jobs/src/duty.rs
+++ b/crates/jobs/src/duty.rs
@@ -6,10 +6,11 @@
 //! process that gave the orders is known to have ended.
 
 use crate::Cell;
+use clock::Instant;
 use serde::{Deserialize, Serialize};
 use std::{
     collections::{BTreeMap, BTreeSet, HashSet},
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 /// The process that gave an order about a VM.
--- a/crates/jobs/src/evacuate.rs
+++ b/crates/jobs/src/evacuate.rs
@@ -5,10 +5,8 @@
     place::{allows, may_join},
     worker::RunState,
 };
-use std::{
-    collections::HashMap,
-    time::{Duration, Instant},
-};
+use clock::Instant;
+use std::{collections::HashMap, time::Duration};
 
 /// From how much of a run's work on, in hundredths, its progress foretells its end better than estimates
 /// do, which are off by up to ten times.
--- a/crates/jobs/src/explain.rs
+++ b/crates/jobs/src/explain.rs
@@ -5,7 +5,8 @@
     cell::room_of,
     place::{allows, may_join},
 };
-use std::{collections::BTreeMap, time::Instant};
+use clock::Instant;
+use std::collections::BTreeMap;
 
 /// What speaks against a worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
--- a/crates/jobs/src/gang.rs
+++ b/crates/jobs/src/gang.rs
@@ -5,7 +5,7 @@
     cell::room_of,
     place::{Placing, may_join},
 };
-use std::time::Instant;
+use clock::Instant;
 
 /// A worker while the members of a gang are placed, with those that it has got already.
 struct Host<'w> {
--- a/crates/jobs/src/loss.rs
+++ b/crates/jobs/src/loss.rs
@@ -5,7 +5,8 @@
     suspicion::{LATEST, PROVEN},
     worker::RunState,
 };
-use std::time::{Duration, Instant};
+use clock::Instant;
+use std::time::Duration;
 
 /// What is known of a worker that is given up.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/jobs/src/near.rs
+++ b/crates/jobs/src/near.rs
@@ -4,10 +4,8 @@
 //! the data will have room sooner than that costs, the task waits, but never for long.
 
 use crate::{Cell, RackId, Step, TaskId, Worker, worker::RunKind};
-use std::{
-    collections::HashMap,
-    time::{Duration, Instant},
-};
+use clock::Instant;
+use std::{collections::HashMap, time::Duration};
 
 /// How long a task waits for room near its data at the most: a task whose turn has come must not stand
 /// still for 3 s while there is room elsewhere.
--- a/crates/jobs/src/observe.rs
+++ b/crates/jobs/src/observe.rs
@@ -7,7 +7,8 @@
     cell::load_of,
     worker::{Load, RunKind, RunState},
 };
-use std::time::{Duration, Instant};
+use clock::Instant;
+use std::time::Duration;
 
 /// Part of a task's target above which what fills beside it is slowed down. Tails shift within
 /// seconds, and the figure is half a second old: a third of the target is kept as a margin.
--- a/crates/jobs/src/pass.rs
+++ b/crates/jobs/src/pass.rs
@@ -6,7 +6,8 @@
     place::Placing,
     rank::Rank,
 };
-use std::{ops::Bound, time::Instant};
+use clock::Instant;
+use std::ops::Bound;
 
 /// How many tasks that find no room are tried in one pass of a service before the rest wait for the
 /// next: enough to find small ones behind large ones, few enough to bound a pass in an overload.
--- a/crates/jobs/src/permit.rs
+++ b/crates/jobs/src/permit.rs
@@ -1,10 +1,11 @@
 //! Permits: queues whose policy allows only some workers to run a step, as a service outside tells.
 
 use crate::{Cell, JobId, Order, TaskId, Worker, WorkerId};
+use clock::Instant;
 use std::{
     cmp::Reverse,
     collections::{HashMap, HashSet},
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 /// How many workers are asked about at once: each takes the service some time, and a step rarely
--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -5,7 +5,8 @@
     cell::{load_of, room_of},
     worker::{RunKind, RunState, Trial},
 };
-use std::{collections::HashMap, time::Instant};
+use clock::Instant;
+use std::collections::HashMap;
 
 /// What placing a task elsewhere than near its data weighs against a worker's free share, which
 /// lies between 0 and 1: data that is near always goes first.
--- a/crates/jobs/src/suspicion.rs
+++ b/crates/jobs/src/suspicion.rs
@@ -6,10 +6,11 @@
 //! the worker ended. The next end then names one of them, and all others are cleared.
 
 use crate::{JobId, TaskId, WorkerId};
+use clock::Instant;
 use serde::{Deserialize, Serialize};
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 /// Until a worker has answered for so long after a start, that run may be what ends it. Users saw workers end 2 to
--- a/crates/jobs/src/trial.rs
+++ b/crates/jobs/src/trial.rs
@@ -7,7 +7,8 @@
     place::{Placing, may_join},
     rank::Rank,
 };
-use std::{collections::BTreeSet, time::Instant};
+use clock::Instant;
+use std::collections::BTreeSet;
 
 /// Which part of a service's workers may be kept for trials while they have other runs: the rest goes on with what is
 /// not under suspicion. Idle ones cost nothing.
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -1,11 +1,8 @@
 //! A worker as the owner of its cell sees it: its room, and the runs that it may have.
 
 use crate::{LostRun, Need, RunId, ServiceId, Step, TaskId, WorkerId, suspicion::PROVEN};
-use std::{
-    collections::BTreeMap,
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use clock::Instant;
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 /// What the platform's list says of a worker.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
--- a/crates/jobs/tests/crash/mod.rs
+++ b/crates/jobs/tests/crash/mod.rs
@@ -3,6 +3,7 @@
 #![expect(clippy::unwrap_used, reason = "a test stops where it fails")]
 
 use crate::fixture::{job, step, worker};
+use clock::Instant;
 use havenladder_jobs::{
     Cell, Decoded, EndRow, Entry, How, JobId, Limits, Loss, Need, Order, Phase, Report, RunId,
     RunRow, Step, Submission, TaskId, WorkerId, WorkerInfo, decode_entry,
@@ -10,7 +11,7 @@
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use std::{
     collections::{BTreeMap, BTreeSet},
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 /// Length of a step, in ms.
--- a/crates/jobs/tests/history/mod.rs
+++ b/crates/jobs/tests/history/mod.rs
@@ -8,13 +8,14 @@
 
 use crate::fixture::{job, step, worker};
 use calls::Late;
+use clock::Instant;
 use fatal::Fatal;
 use havenladder_jobs::{Batch, Cell, Decoded, Entry, Limits, Step, TaskId, WorkerId, decode_entry};
 use host::Host;
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use std::{
     collections::{BTreeMap, BTreeSet},
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 /// Length of a step of the history, in ms.
--- a/crates/jobs/tests/world/mod.rs
+++ b/crates/jobs/tests/world/mod.rs
@@ -3,11 +3,12 @@
 #![expect(clippy::unwrap_used, reason = "a test stops where it fails")]
 
 use crate::fixture::worker;
+use clock::Instant;
 use havenladder_jobs::{
     Batch, Cell, Decoded, EndRow, Entry, How, JobId, Limits, Order, Report, RunId, RunRow, TaskId,
     decode_entry,
 };
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// A cell, its clock, and what its log would hold.
 pub struct World {
--- a/crates/soak/benches/owner.rs
+++ b/crates/soak/benches/owner.rs
@@ -6,6 +6,7 @@
 
 #![expect(clippy::unwrap_used, reason = "a bench stops when its site is broken")]
 
+use clock::Instant;
 use havenladder_soak::{
     Plan,
     entries::{Entry, Ports},
@@ -17,13 +18,7 @@
     listen,
     log::Log,
 };
-use std::{
-    env, fs,
-    net::SocketAddr,
-    path::PathBuf,
-    str::FromStr,
-    time::{Duration, Instant},
-};
+use std::{env, fs, net::SocketAddr, path::PathBuf, str::FromStr, time::Duration};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
