--- a/crates/standin/src/users/log.rs
+++ b/crates/standin/src/users/log.rs
@@ -104,6 +104,17 @@
         self.with(topic, |log| log.newest.get(key).map(|(_, v)| v.clone()))
     }
 
+    /// The newest record of each key of a topic.
+    pub fn records(&self, topic: &str) -> Vec<(String, Bytes)> {
+        let newest = |log: &mut Topic| {
+            let records = log.newest.iter();
+            records
+                .map(|(key, (_, value))| (key.clone(), value.clone()))
+                .collect()
+        };
+        self.with(topic, newest)
+    }
+
     fn with<T>(&self, topic: &str, work: impl FnOnce(&mut Topic) -> T) -> T {
         let mut topics = self.topics.lock().expect("no thread panics here");
         work(topics.entry(topic.to_owned()).or_default())
