fix(jobs): a job whose records do not fit each other is left out by the next owner, not the end of it

Cause: a state with other rounds or steps than its job was taken as it is, and the first look at the job ended the process; the record stays, so that each owner in turn would have ended on it, on every entry. Mend: as for records that cannot be read: such a job is left out, with a line each for the first 100. Ruled out: beginning the job anew, which could run twice what has run.

--- a/crates/havenladder/src/entry/owner/load.rs
+++ b/crates/havenladder/src/entry/owner/load.rs
@@ -11,6 +11,9 @@
 use tokio::time;
 use tracing::{info, warn};
 
+/// How many jobs are named whose records do not fit each other: all of them would be a line each.
+const MOST_ODD: usize = 100;
+
 /// Shuts out earlier owners and takes in what they recorded; false if this owner was shut out.
 pub(super) async fn load(owner: &Rc<Owner>) -> bool {
     let began = Instant::now();
@@ -26,7 +29,13 @@
             Ok(Some(newest)) => {
                 let records: Vec<_> = newest.records.iter().filter_map(decode).collect();
                 let count = records.len();
-                owner.cell.borrow_mut().load(records);
+                let odd = owner.cell.borrow_mut().load(records);
+                odd.into_iter().take(MOST_ODD).for_each(|job| {
+                    warn!(
+                        job = format!("{job:016x}"),
+                        "the records of a job do not fit each other; it is left out"
+                    );
+                });
                 let jobs = owner.cell.borrow().jobs.len();
                 info!(
                     count,
--- a/crates/jobs/src/cell/takeover.rs
+++ b/crates/jobs/src/cell/takeover.rs
@@ -8,11 +8,13 @@
 
 impl Cell {
     /// Restores the jobs from what the log holds, in any order of records. What an earlier owner
-    /// had placed stays placed until its worker has reported or has been given up.
-    pub fn load(&mut self, records: Vec<Decoded>) {
+    /// had placed stays placed until its worker has reported or has been given up. Returns the jobs that are left out,
+    /// since their records do not fit each other: an owner that ended on one would take each next one with it.
+    pub fn load(&mut self, records: Vec<Decoded>) -> Vec<JobId> {
         let mut states = HashMap::new();
         for record in records {
             match record {
+                Decoded::Given(_, given) if given.spec.check().is_err() => {}
                 Decoded::Given(order, given) => {
                     self.next_order = self.next_order.max(order + 1);
                     if !given.spec.lasts() {
@@ -33,18 +35,23 @@
             let job = self.jobs.entry(id).or_insert_with(|| Job::new(over(id), 0));
             job.phase = state.phase;
             job.shown = Some(state.phase);
-            if !state.phase.is_over() {
+            if !state.phase.is_over() && job.fits(&state.rounds) {
                 job.rounds = state.rounds;
+            } else if !state.phase.is_over() {
+                job.shown = None;
             }
         }
         // What was handed in is written in one call with its state: one without the other is a record
         // that was lost or never complete, and must not stop the takeover.
-        self.jobs.retain(|_, job| {
+        let is_whole = |job: &Job| {
             let known = job.phase.is_over() || !job.given.spec.steps.is_empty();
             job.shown.is_some() && known
-        });
+        };
+        let odd = self.jobs.extract_if(|_, job| !is_whole(job));
+        let odd: Vec<JobId> = odd.map(|(id, _)| id).collect();
         let ids: Vec<JobId> = self.jobs.keys().copied().collect();
         ids.into_iter().for_each(|id| self.restore(id));
+        odd
     }
 
     /// Takes in what an earlier owner placed of a job, and lets what waits of it wait on.
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -150,6 +150,18 @@
         begin as f64 + self.given.stretch * chain * pace + self.given.slack as f64
     }
 
+    /// Whether these are rounds of this job: as many, each with the job's steps and their tasks.
+    pub fn fits(&self, rounds: &[Round]) -> bool {
+        let steps = &self.given.spec.steps;
+        let is_step = |(step, tasks): (&Step, &Vec<Task>)| tasks.len() == step.count as usize;
+        let is_round = |round: &Round| {
+            round.steps.len() == steps.len()
+                && round.open.len() == steps.len()
+                && steps.iter().zip(&round.steps).all(is_step)
+        };
+        rounds.len() == self.given.spec.rounds() as usize && rounds.iter().all(is_round)
+    }
+
     /// What the tasks of a step are.
     pub fn step(&self, step: u32) -> &Step {
         &self.given.spec.steps[step as usize]
