--- a/crates/havenladder/src/entry/upkeep.rs
+++ b/crates/havenladder/src/entry/upkeep.rs
@@ -199,7 +199,8 @@
 fn room(owner: &Owner, wave: &Wave, course: &Course, vms: &VmList) -> usize {
     let whereabouts = |name: &String| match vms.get(name).map(|vm| vm.state) {
         _ if course.down.contains_key(name) => Whereabouts::Told,
-        Some(VmState::Upkeep | VmState::Down) => Whereabouts::Down,
+        // One in a state that is not known is counted against the bound.
+        Some(VmState::Upkeep | VmState::Down | VmState::Other) => Whereabouts::Down,
         Some(VmState::Up) if owner.is_doubtful(name) => Whereabouts::Doubtful,
         Some(VmState::Up | VmState::Moving) | None => Whereabouts::Up,
     };
