--- a/crates/havenladder/tests/soak.rs
+++ b/crates/havenladder/tests/soak.rs
@@ -13,6 +13,7 @@
     short = { 4, 10 },
     a_lost_worker_and_four_owners = { 10, 20 },
     connections_that_fall_silent = { 6_004, 10 },
+    tasks_that_end_their_workers = { 7_001, 10 },
 )]
 fn a_soak_breaks_no_promise(seed: u64, seconds: u64) {
     let plan = Plan {
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -1,14 +1,17 @@
 //! Callers: hand in jobs, ask for them, cancel some, over connections that they use until these end; and
 //! what they were told.
 
-use crate::site::{HOST, PREFIX, Site};
+use crate::{
+    faults::HARMFUL_FROM,
+    site::{HOST, PREFIX, Site},
+};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::{Method, Request, client::conn::http1};
 use hyper_util::rt::TokioIo;
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use serde_json::{Value, json};
-use standin::users;
+use standin::users::{self, worker::ENDS_WORKER};
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
@@ -26,6 +29,9 @@
 /// How long a caller waits for an answer.
 const PATIENCE: Duration = Duration::from_millis(3_000);
 
+/// One in how many jobs has a task that ends its workers: of 8 workers, one is away for it every few seconds.
+const FATAL: u32 = 15;
+
 /// How often a job is handed in until its caller gives it up.
 const TRIES: usize = 5;
 
@@ -44,6 +50,8 @@
     pub succeeded: Option<Instant>,
     /// Whether an entry showed it as failed.
     pub failed: bool,
+    /// Whether it has a task that ends each worker that starts it.
+    pub fatal: bool,
     /// When an entry denied that it exists, after it was accepted.
     pub denied: Option<Instant>,
 }
@@ -99,6 +107,7 @@
     for number in 0..CALLERS {
         let caller = Caller {
             rng: StdRng::seed_from_u64(seed * CALLERS + number),
+            harmful: seed >= HARMFUL_FROM,
             lines: entries.iter().map(|at| Line::new(*at)).collect(),
             ledger: ledger.clone(),
         };
@@ -120,6 +129,8 @@
 
 struct Caller {
     rng: StdRng,
+    /// Whether some of its jobs have a task that ends its workers.
+    harmful: bool,
     lines: Vec<Line>,
     ledger: Ledger,
 }
@@ -129,7 +140,13 @@
     let mut known = Vec::new();
     while !stop.load(Relaxed) {
         let id = caller.rng.random();
-        caller.hand_in(id).await;
+        if caller.harmful && caller.rng.random_ratio(1, FATAL) {
+            caller.ledger.change(id, |job| job.fatal = true);
+            caller.hand_in(id, &fatal_job()).await;
+        } else {
+            let body = caller.plain_job();
+            caller.hand_in(id, &body).await;
+        }
         known.push(id);
         let asked = known[caller.rng.random_range(0..known.len())];
         let line = caller.pick();
@@ -147,17 +164,23 @@
         self.rng.random_range(0..self.lines.len())
     }
 
-    /// Hands in a job until it is accepted or refused for good: two steps, of 1 to 3 tasks each.
-    async fn hand_in(&mut self, id: u64) {
-        let mut step = || json!({ "count": self.rng.random_range(1..4), "cpu": 1_000, "mem-mb": 100, "estimated-ms": 200 });
-        let (first, mut second) = (step(), step());
+    /// A job of two steps, of 1 to 3 tasks each.
+    fn plain_job(&mut self) -> String {
+        let (first, mut second) = (
+            step(self.rng.random_range(1..4)),
+            step(self.rng.random_range(1..4)),
+        );
         second["after"] = json!([0]);
         let took = self.rng.random_range(20..600).to_string();
-        let body = json!({ "spec": took, "steps": [first, second] }).to_string();
+        json!({ "spec": took, "steps": [first, second] }).to_string()
+    }
+
+    /// Hands in a job until it is accepted or refused for good.
+    async fn hand_in(&mut self, id: u64, body: &str) {
         let mut refused = true;
         for _ in 0..TRIES {
             let line = self.pick();
-            let answer = self.lines[line].call(Method::POST, id, &body).await;
+            let answer = self.lines[line].call(Method::POST, id, body).await;
             let now = Instant::now();
             match answer.map(|(status, _)| status) {
                 Some(200..=299) => {
@@ -184,6 +207,16 @@
     }
 }
 
+/// A step of so many tasks.
+fn step(count: u32) -> Value {
+    json!({ "count": count, "cpu": 1_000, "mem-mb": 100, "estimated-ms": 200 })
+}
+
+/// A job of one task that ends each worker that starts it.
+fn fatal_job() -> String {
+    json!({ "spec": ENDS_WORKER, "steps": [step(1)] }).to_string()
+}
+
 /// Asks for a job's state and notes what was told.
 async fn ask(line: &mut Line, ledger: &Ledger, id: u64) {
     let asked = Instant::now();
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -68,10 +68,12 @@
     Hush,
     /// Open connections to a VM's worker fall silent, and new ones work.
     HushWorker,
+    /// An entry's machine wakes from a suspension of that length.
+    Suspend,
 }
 
 /// Kinds that earlier seeds draw from stand first.
-const KINDS: [Kind; 18] = [
+const KINDS: [Kind; 19] = [
     Kind::Kill,
     Kind::Stop,
     Kind::Pause,
@@ -90,6 +92,7 @@
     Kind::Swallow,
     Kind::Hush,
     Kind::HushWorker,
+    Kind::Suspend,
 ];
 
 /// How many of [`KINDS`] the seeds below [`SILENT_FROM`] draw from, so that they go on to mean the same faults.
@@ -98,6 +101,12 @@
 /// From which seed on connections fall silent as well.
 const SILENT_FROM: u64 = 6_000;
 
+/// How many of them those from there up to [`HARMFUL_FROM`] draw from.
+const SILENT: usize = 18;
+
+/// From which seed on machines are suspended as well, and some jobs have a task that ends its workers.
+pub const HARMFUL_FROM: u64 = 7_000;
+
 /// The part of the answers to appends that is lost.
 const SWALLOWED: f64 = 0.35;
 
@@ -121,10 +130,10 @@
     rng: &mut StdRng,
     span: Duration,
 ) -> io::Result<Vec<String>> {
-    let kinds = if seed < SILENT_FROM {
-        &KINDS[..LOUD]
-    } else {
-        &KINDS[..]
+    let kinds = match seed {
+        ..SILENT_FROM => &KINDS[..LOUD],
+        SILENT_FROM..HARMFUL_FROM => &KINDS[..SILENT],
+        HARMFUL_FROM.. => &KINDS[..],
     };
     let began = Instant::now();
     let mut open: Vec<Open> = Vec::new();
@@ -146,7 +155,7 @@
             fault.kind,
             fault.entry,
         ));
-        begin(site, &fault, &vm, seed);
+        begin(site, &fault, &vm, seed, lasts)?;
         open.push(fault);
     }
     Ok(told)
@@ -168,7 +177,7 @@
     (fault, vm, lasts)
 }
 
-fn begin(site: &mut Site, fault: &Open, vm: &str, seed: u64) {
+fn begin(site: &mut Site, fault: &Open, vm: &str, seed: u64, lasts: Duration) -> io::Result<()> {
     let entry = fault.entry;
     let link = &site.links[entry];
     match fault.kind {
@@ -190,7 +199,9 @@
         Kind::Swallow => site.log.lose_answers(SWALLOWED, seed),
         Kind::Hush => link.hush(),
         Kind::HushWorker => fault.worker.hush(),
+        Kind::Suspend => site.entries[entry].suspend(lasts)?,
     }
+    Ok(())
 }
 
 fn end(site: &mut Site, fault: &Open) -> io::Result<()> {
@@ -205,8 +216,13 @@
         Kind::Dark => fault.worker.cut(false),
         Kind::Late => fault.worker.mute(false, false),
         Kind::Swallow => site.log.lose_answers(0.0, 0),
-        Kind::Lose | Kind::Crash | Kind::Configure | Kind::Wave | Kind::Hush | Kind::HushWorker => {
-        }
+        Kind::Lose
+        | Kind::Crash
+        | Kind::Configure
+        | Kind::Wave
+        | Kind::Hush
+        | Kind::HushWorker
+        | Kind::Suspend => {}
     }
     Ok(())
 }
--- a/crates/soak/src/promises.rs
+++ b/crates/soak/src/promises.rs
@@ -11,6 +11,9 @@
 /// How long after a cancel was told a start may still come: it may have been on its way.
 const CANCEL: Duration = Duration::from_millis(3_000);
 
+/// How often a task may be started that ends its workers: twice after the third of them.
+const FATAL_STARTS: usize = 5;
+
 /// A promise that was broken.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Breach {
@@ -35,6 +38,8 @@
     CancelHolds,
     /// A job is shown as done only when all its tasks are.
     DoneIsTrue,
+    /// A task that ends its workers is not started again and again.
+    HarmEnds,
 }
 
 impl fmt::Display for Breach {
@@ -127,6 +132,9 @@
         breaches.push(breach(Promise::RefusedIsTrue, &name));
     }
     check_kept(&name, job, breaches);
+    if job.fatal && own().filter(started).count() > FATAL_STARTS {
+        breaches.push(breach(Promise::HarmEnds, &name));
+    }
     if let Some(told) = job.cancelled {
         let late = |event: &&Event| started(event) && event.at > told + CANCEL;
         breaches.extend(
@@ -148,7 +156,7 @@
     if job.is_open() {
         breaches.push(breach(Promise::Kept, format!("{name} is not over")));
     }
-    if job.failed {
+    if job.failed && !job.fatal {
         breaches.push(breach(
             Promise::Kept,
             format!("{name} failed without a cause"),
--- a/crates/soak/tests/promises.rs
+++ b/crates/soak/tests/promises.rs
@@ -43,6 +43,24 @@
 
 use RunEvent::{Done, Ended, Noted, Started};
 
+#[parameterized(
+    five_starts = { 5, &[] },
+    six_starts = { 6, &[Promise::HarmEnds] },
+)]
+fn a_task_that_ends_its_workers_may_be_started_five_times(starts: u64, found: &[Promise]) {
+    let from = Instant::now();
+    let rows: Vec<_> = (1..=starts)
+        .flat_map(|run| [("w", "0.0", run, Started), ("w", "0.0", run, Ended)])
+        .collect();
+    let job = Job {
+        accepted: Some(from),
+        failed: true,
+        fatal: true,
+        ..Job::default()
+    };
+    assert_eq!(promises(job, &events(from, &rows)), found);
+}
+
 #[test]
 fn a_job_that_runs_as_it_should_breaks_nothing() {
     let from = Instant::now();
