--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -1,17 +1,18 @@
 //! A small world for the fold and the planner: a log, a platform that counts for itself, and
 //! entries that lag, freeze, lose answers and disagree about who is live.
 
+mod calls;
+mod duties;
 mod machines;
 
 pub use machines::Machine;
 
 use havenladder_fleet::{
-    Action, Change, Errand, Evidence, Fleet, Grant, GrantRequest, Health, LeaseRequest,
-    Observation, Outcome, PathChange, Record, Seen, Sight, View, Vm, WaveChange, free_token,
-    next_action, plan,
+    Action, Change, Errand, Fleet, Grant, Health, Outcome, PathChange, Record, View, Vm,
+    WaveChange, plan,
 };
 use protocol::{EntryId, HallId, LogRecord, RecordId, encode};
-use rand::{Rng, SeedableRng, rngs::SmallRng, seq::IndexedRandom};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
 use settings::read_tree;
 use std::{
     collections::BTreeMap,
@@ -236,176 +237,6 @@
         }
     }
 
-    fn tasks(&self, entry: usize) -> Vec<(String, Vm, Grant)> {
-        let entry = &self.entries[entry];
-        let vms = entry.fleet.vms.iter();
-        vms.filter_map(|(id, vm)| Some((id.clone(), vm.clone(), vm.grant.clone()?)))
-            .filter(|(_, _, grant)| grant.holder == entry.name || !grant.has_lease())
-            .collect()
-    }
-
-    /// An entry looks at the platform and decides; what it decided waits to be carried out.
-    fn decide(&mut self, entry: usize) {
-        let members = self.members(entry);
-        let tasks = self.tasks(entry);
-        let Some((id, vm, grant)) = tasks.choose(&mut self.rng).cloned() else {
-            return self.settle_stray(entry);
-        };
-        let name = self.entries[entry].name.clone();
-        let view = view(&name, &members, self.now);
-        let sight = self.machines.get(&id).map(|machine| Sight {
-            boot: machine.boot,
-            up: machine.up,
-            drained: machine.drained,
-            running: machine.running,
-            pool: machine.pool.clone(),
-            token: machine.token,
-        });
-        let evidence = Evidence { sight, unseen: 0 };
-        let action = next_action(&self.entries[entry].fleet, &vm, &grant, &evidence, &view);
-        self.calls.push(Call {
-            entry,
-            vm: id,
-            grant,
-            action,
-        });
-    }
-
-    fn settle_stray(&mut self, entry: usize) {
-        let strays: Vec<(String, u64, String)> = self.entries[entry]
-            .fleet
-            .vms
-            .iter()
-            .filter(|(_, vm)| vm.grant.is_none())
-            .map(|(id, vm)| (id.clone(), free_token(vm), vm.pool.clone()))
-            .collect();
-        let Some((id, token, pool)) = strays.choose(&mut self.rng) else {
-            return;
-        };
-        if let Some(machine) = self.machines.get_mut(id)
-            && *token >= machine.token
-        {
-            machine.token = *token;
-            machine.drained = false;
-            machine.pool.clone_from(pool);
-        }
-    }
-
-    /// Carries out some decision, perhaps long after it was made.
-    fn make_call(&mut self) {
-        if self.calls.is_empty() {
-            return;
-        }
-        let place = if self.faulty {
-            self.rng.random_range(0..self.calls.len())
-        } else {
-            0
-        };
-        let call = self.calls.remove(place);
-        let name = self.entries[call.entry].name.clone();
-        let (vm, grant) = (call.vm.clone(), call.grant.id);
-        match call.action {
-            Action::Wait | Action::Lapsed => {}
-            Action::Renew => {
-                let deadline = self.now + LEASE;
-                let request = LeaseRequest {
-                    vm,
-                    grant,
-                    holder: name.clone(),
-                    deadline,
-                };
-                self.append(&name, vec![Change::Lease(request)]);
-            }
-            Action::Begin => {
-                self.append(&name, vec![Change::Begin { vm, grant }]);
-            }
-            Action::Finish(boot) => {
-                self.append(&name, vec![Change::Finish { vm, grant, boot }]);
-            }
-            // The last look at the clock. In a freeze after it, the token is what holds.
-            _ if call.grant.has_lease()
-                && self.now >= call.grant.deadline
-                && self.rng.random_bool(0.9) => {}
-            action => self.platform_call(&call.vm, &call.grant, action),
-        }
-    }
-
-    fn observe_all(&mut self, entry: usize) {
-        let name = self.entries[entry].name.clone();
-        let fleet = &self.entries[entry].fleet;
-        let mut seen: Vec<Observation> = Vec::new();
-        for (id, machine) in &self.machines {
-            let known = fleet.vms.get(id);
-            let what = if machine.up {
-                Seen::Up {
-                    hall: machine.hall.clone(),
-                    rack: machine.rack.clone(),
-                    addr: "addr".into(),
-                    slots: machine.slots,
-                    boot: machine.boot,
-                }
-            } else {
-                Seen::Down
-            };
-            let base = known.map_or(0, |vm| vm.version);
-            seen.push(Observation {
-                vm: id.clone(),
-                base,
-                seen: what,
-            });
-        }
-        for (id, vm) in &fleet.vms {
-            if !self.machines.contains_key(id) && vm.grant.is_none() {
-                let base = vm.version;
-                seen.push(Observation {
-                    vm: id.clone(),
-                    base,
-                    seen: Seen::Gone,
-                });
-            }
-        }
-        self.append(&name, vec![Change::Observe(seen)]);
-    }
-
-    /// Operators race: each bases its order on what some entry knows.
-    fn operate(&mut self, entry: usize) {
-        let fleet = &self.entries[entry].fleet;
-        let ids: Vec<(&String, &Vm)> = fleet.vms.iter().collect();
-        let Some((id, vm)) = ids.choose(&mut self.rng) else {
-            return;
-        };
-        let id = (*id).clone();
-        let waves: Vec<u64> = fleet.waves.keys().copied().collect();
-        let change = match self.rng.random_range(0..6) {
-            0 => Change::Wave(WaveChange::Start {
-                scope: "place".into(),
-            }),
-            1 if !waves.is_empty() => Change::Wave(WaveChange::Pause(waves[waves.len() - 1])),
-            2 if !waves.is_empty() => Change::Wave(WaveChange::Resume(waves[waves.len() - 1])),
-            3 if vm.grant.is_some() => {
-                let grant = vm.grant.as_ref().map_or(0, |grant| grant.id);
-                Change::Undo { vm: id, grant }
-            }
-            4 => Change::Grant(GrantRequest {
-                base: vm.version,
-                errand: Errand::Move {
-                    to: "place/two".into(),
-                },
-                holder: format!("entry-{}", self.rng.random_range(0..4)),
-                deadline: self.now + LEASE,
-                vm: id,
-            }),
-            _ => Change::Grant(GrantRequest {
-                base: vm.version,
-                errand: Errand::Drain,
-                holder: "entry-0".into(),
-                deadline: self.now + LEASE,
-                vm: id,
-            }),
-        };
-        self.append("operator", vec![change]);
-    }
-
     /// An entry is replaced by one with an empty memory; what it had decided may still happen.
     fn restart(&mut self, entry: usize) {
         self.entries[entry].fleet = Fleet::default();
