test(jobs,soak): the end of a worker whose VM an earlier owner may have told to go counts; fails, known red

Found by the soak, seed 7001 (4 entries, 8 VMs, 20 s): three tasks that end their workers were started six times, where five are allowed. In the logs of one: of five workers that ended under it, three were given up as ordered, 11 to 12 ms after the start, on trial, since an earlier owner might have given orders about their VMs (after a slow store all VMs are doubted). The case of blame.rs that took such an end for an order was wrong: a doubt is no order.

--- a/crates/havenladder/tests/soak.rs
+++ b/crates/havenladder/tests/soak.rs
@@ -8,20 +8,21 @@
 use yare::parameterized;
 
 /// Seed 10 failed once: a job was not over 20 s after the last fault, since each of four owners in a row
-/// waited 10.7 s for a worker that no list named.
+/// waited 10.7 s for a worker that no list named. Seed 7,001 did: tasks that end their workers were started six times,
+/// since an earlier owner might have told the workers' VMs to go, and their ends did not count.
 #[parameterized(
-    short = { 4, 10 },
-    a_lost_worker_and_four_owners = { 10, 20 },
-    connections_that_fall_silent = { 6_004, 10 },
-    tasks_that_end_their_workers = { 7_001, 10 },
+    short = { 4, 10, 3, 6 },
+    a_lost_worker_and_four_owners = { 10, 20, 3, 6 },
+    connections_that_fall_silent = { 6_004, 10, 3, 6 },
+    tasks_that_end_their_workers = { 7_001, 20, 4, 8 },
 )]
-fn a_soak_breaks_no_promise(seed: u64, seconds: u64) {
+fn a_soak_breaks_no_promise(seed: u64, seconds: u64, entries: usize, vms: usize) {
     let plan = Plan {
         program: PathBuf::from(env!("CARGO_BIN_EXE_havenladder")),
         seed,
         span: Duration::from_secs(seconds),
-        entries: 3,
-        vms: 6,
+        entries,
+        vms,
         logs: PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{seed}")),
     };
     let runtime = tokio::runtime::Builder::new_current_thread()
--- a/crates/jobs/tests/blame.rs
+++ b/crates/jobs/tests/blame.rs
@@ -91,7 +91,7 @@
     without_notice = { Before::Nothing, Loss::Ended, Ending::Crashed, 1 },
     its_vm_was_moved = { Before::Nothing, Loss::Ordered, Ending::Ordered, 0 },
     its_vm_was_told_to_go = { Before::Ordered, Loss::Ended, Ending::Ordered, 0 },
-    by_an_earlier_owner = { Before::Doubted, Loss::Ended, Ending::Ordered, 0 },
+    an_earlier_owner_may_have_told_its_vm_to_go = { Before::Doubted, Loss::Ended, Ending::Crashed, 1 },
     it_said_so = { Before::Draining, Loss::Ended, Ending::Announced, 0 },
     it_served_on = { Before::ServesOnUnlisted, Loss::Ended, Ending::Announced, 0 },
     its_entry_lapsed = { Before::SilentUnlisted, Loss::Ended, Ending::Crashed, 1 },
