fix(jobs): a doubt about a worker's VM does not excuse its end

Mend: only an order of this owner's own is one. Ruled out: not trying suspects on doubted workers (there may be no others).

--- a/crates/jobs/src/loss.rs
+++ b/crates/jobs/src/loss.rs
@@ -123,7 +123,9 @@
 impl Ending {
     /// How a worker came to its end that is given up for this reason; none if only records name it.
     pub(crate) fn of(loss: Loss, worker: Option<&Worker>) -> Self {
-        let ordered = worker.is_some_and(|worker| worker.taken || worker.doubted);
+        // That an earlier owner may have told its VM to go is no order: after a slow store all VMs are doubted for seconds,
+        // in which tasks that end their workers were started six times.
+        let ordered = worker.is_some_and(|worker| worker.taken);
         let announced = worker.is_some_and(Worker::has_announced);
         match loss {
             Loss::Ordered => Ending::Ordered,
