test(jobs): all repeats of a task under suspicion are tried; fails, known red

Found in reading the change: the end of a worker counts in the record of all repeats, but only the one that ran there was noted as a suspect, so that the others waited for a trial that nobody gave them. Seen: of two repeats one starts again, the other does not.

--- a/crates/jobs/tests/blame.rs
+++ b/crates/jobs/tests/blame.rs
@@ -263,8 +263,10 @@
             "one end counts once"
         );
     }
-    world.join("b1");
-    world.run();
+    for id in ["b1", "b2"] {
+        world.join(id);
+    }
+    assert_eq!(world.run().len(), 2, "each on a worker of its own");
     let lost = crash(&mut world, "b1");
     assert_eq!(lost.given_up.len(), 1);
     assert_eq!(world.cell.jobs[&1].phase, Phase::Failed);
