fix(jobs): a suspicion is for all repeats of a task; a trial prefers room near the data

Mend: all repeats are suspects together and are cleared together. Among workers with as few runs, a trial takes one near the task's data, as others do. Ruled out: trying only the repeat that ran (the others do the same work).

--- a/crates/jobs/src/cell/crashes.rs
+++ b/crates/jobs/src/cell/crashes.rs
@@ -38,12 +38,13 @@
                 case.insert(run.task);
             }
         }
-        let tasks: Vec<TaskId> = case.iter().copied().collect();
-        self.suspicions.open_case(worker, case, now);
-        let given_up: Vec<TaskId> = tasks
-            .into_iter()
+        let repeats: Vec<TaskId> = case.iter().flat_map(|task| self.repeats(*task)).collect();
+        let given_up = case.iter().copied();
+        let given_up: Vec<TaskId> = given_up
             .filter(|task| self.standing(*task, now) == Standing::GivenUp)
             .collect();
+        self.suspicions.tasks.extend(repeats);
+        self.suspicions.open_case(worker, case, now);
         for task in &given_up {
             self.finish(task.job, Phase::Failed);
         }
@@ -77,6 +78,14 @@
         counts
     }
 
+    /// The same task in all repeats of its job.
+    fn repeats(&self, task: TaskId) -> Vec<TaskId> {
+        let rounds = self.jobs.get(&task.job).map_or(0, |job| job.rounds.len());
+        (0..rounds as u32)
+            .map(|round| TaskId { round, ..task })
+            .collect()
+    }
+
     /// How a task stands, by the ends of workers under it.
     pub(crate) fn standing(&self, task: TaskId, now: Instant) -> Standing {
         let accidents = self.suspicions.accidents(now);
@@ -96,7 +105,7 @@
 
     /// The age that a run of a task must outlive to end its trial; none if the task is not on trial.
     pub(crate) fn trial_bar(&self, task: TaskId, now: Instant) -> Option<Duration> {
-        if self.suspicions.tasks.is_empty() {
+        if !self.suspicions.tasks.contains(&task) {
             return None;
         }
         match self.standing(task, now) {
@@ -142,30 +151,18 @@
 
     /// Clears a task that has been at work for so long, in all repeats of its job.
     pub(crate) fn clear(&mut self, task: TaskId, lived: Duration, now: Instant) {
-        let TaskId {
-            job: id,
-            step,
-            index,
-            ..
-        } = task;
-        let Some(job) = self.jobs.get_mut(&id) else {
+        let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
         };
-        for state in job.repeats_mut(step, index) {
+        for state in job.repeats_mut(task.step, task.index) {
             state.conduct.crashes.clear();
             let lived = lived.as_millis() as u64;
             state.conduct.outlived = state.conduct.outlived.max(lived);
         }
-        let is_repeat = |other: &TaskId| (other.job, other.step, other.index) == (id, step, index);
-        let repeats: Vec<TaskId> = self
-            .suspicions
-            .tasks
-            .iter()
-            .copied()
-            .filter(is_repeat)
-            .collect();
-        for repeat in repeats {
-            self.suspicions.clear(repeat, now);
+        if self.suspicions.tasks.contains(&task) {
+            for repeat in self.repeats(task) {
+                self.suspicions.clear(repeat, now);
+            }
         }
     }
 
--- a/crates/jobs/src/gang.rs
+++ b/crates/jobs/src/gang.rs
@@ -110,14 +110,10 @@
             .filter(may)
             .map(|worker| Host::new(worker, task))
             .collect();
-        let mut members: Vec<(bool, u32)> = (0..step.count)
-            .map(|index| {
-                (
-                    self.needs_own_worker(TaskId { index, ..task }, hosts.len(), now),
-                    index,
-                )
-            })
-            .collect();
+        let workers = hosts.len();
+        let needs_own = |index| self.needs_own_worker(TaskId { index, ..task }, workers, now);
+        let members = (0..step.count).map(|index| (needs_own(index), index));
+        let mut members: Vec<(bool, u32)> = members.collect();
         // Those that need a worker of their own choose first.
         members.sort_by_key(|(alone, _)| !alone);
         let mut places = vec![WorkerId::new(); members.len()];
--- a/crates/jobs/src/loss.rs
+++ b/crates/jobs/src/loss.rs
@@ -121,7 +121,8 @@
 }
 
 impl Ending {
-    /// How a worker came to its end that is given up for this reason; none if only records name it.
+    /// How a worker came to its end that is given up for this reason; there is none where only
+    /// records name it.
     pub(crate) fn of(loss: Loss, worker: Option<&Worker>) -> Self {
         // That an earlier owner may have told its VM to go is no order: after a slow store all VMs are doubted for seconds,
         // in which tasks that end their workers were started six times.
--- a/crates/jobs/src/suspicion.rs
+++ b/crates/jobs/src/suspicion.rs
@@ -153,7 +153,7 @@
 /// Who is under suspicion, and for the end of which worker.
 #[derive(Debug, Default)]
 pub(crate) struct Suspicions {
-    /// The tasks with ends of workers against them.
+    /// The tasks with ends of workers against them, in all repeats of their jobs.
     pub(crate) tasks: BTreeSet<TaskId>,
     /// Which tasks may have ended a worker.
     cases: BTreeMap<WorkerId, BTreeSet<TaskId>>,
@@ -188,15 +188,12 @@
         if tasks.is_empty() {
             return self.accidents.note(now);
         }
-        self.tasks.extend(tasks.iter().copied());
         self.cases.insert(worker.to_owned(), tasks);
     }
 
     /// A task is not the cause of what it was under suspicion for; where nothing else can be, nothing was.
     pub(crate) fn clear(&mut self, task: TaskId, now: Instant) {
-        if !self.tasks.remove(&task) {
-            return;
-        }
+        self.tasks.remove(&task);
         let mut solved = 0;
         self.cases.retain(|_, tasks| {
             solved += usize::from(tasks.remove(&task) && tasks.is_empty());
--- a/crates/jobs/src/trial.rs
+++ b/crates/jobs/src/trial.rs
@@ -104,7 +104,10 @@
                 && may_join(job.step(task.step), || worker.siblings(task))
         };
         let fitting = self.workers.of(&job.given.service).filter(may);
-        let worker = fitting.min_by_key(|worker| (worker.runs.len(), worker.used.cpu))?;
+        let near = job.step(task.step).near.as_ref();
+        let is_far = |worker: &Worker| near.is_some_and(|rack| !worker.info.has_label(rack));
+        let worker =
+            fitting.min_by_key(|worker| (worker.runs.len(), is_far(worker), worker.used.cpu))?;
         let is_free = worker.runs.is_empty() || self.may_keep(&job.given.service);
         is_free.then(|| worker.info.id.clone())
     }
