--- a/crates/jobs/tests/histories.rs
+++ b/crates/jobs/tests/histories.rs
@@ -5,7 +5,7 @@
 mod fixture;
 mod history;
 
-use history::{play, play_fatal};
+use history::{play, play_fatal, play_rooms};
 use rand::Rng;
 use yare::parameterized;
 
@@ -27,6 +27,14 @@
     seeds.for_each(play_fatal);
 }
 
+#[parameterized(
+    first = { 0..50 },
+    second = { 50..100 },
+)]
+fn histories_with_rooms_that_change_keep_the_promises(seeds: std::ops::Range<u64>) {
+    seeds.for_each(play_rooms);
+}
+
 /// Fresh seeds by hand, or those from `FIRST` on: `HISTORIES=1000 cargo test -p havenladder-jobs --test histories -- --ignored`.
 #[test]
 #[ignore = "takes minutes; run by hand"]
@@ -44,5 +52,6 @@
         println!("seed {seed}");
         play(seed);
         play_fatal(seed);
+        play_rooms(seed);
     }
 }
--- a/crates/jobs/tests/history/calls.rs
+++ b/crates/jobs/tests/history/calls.rs
@@ -1,7 +1,6 @@
 //! Calls to workers, which may be lost, or be carried out late.
 
 use super::{GRACE, History, LEASE, host::tell};
-use crate::fixture::worker;
 use havenladder_jobs::{EndRow, How, Loss, Order, Refusal, WorkerId};
 use rand::Rng;
 
@@ -49,7 +48,7 @@
                     self.cell.lapse_worker(&id, asked);
                 } else if lapsed {
                     self.cell.lose_worker(&id, Loss::Lapsed, asked);
-                    self.cell.see_worker(worker(&id), asked);
+                    self.cell.see_worker(self.entry(&id), asked);
                 }
                 continue;
             }
@@ -111,7 +110,7 @@
             }
             (Order::Start { worker, task, run }, _, true) => self.cell.unsure(worker, *task, *run),
             (Order::Start { worker, task, run }, ..) => {
-                match self.carry_out(self.fence, &order) {
+                match self.carry_out(self.fence, &order, false) {
                     Ok(()) => self.cell.started(worker, *task, *run, now),
                     Err(why) => self.cell.refused(worker, *task, *run, why, now),
                 }
@@ -119,7 +118,7 @@
                 *leased = (*leased).max(self.now + LEASE);
             }
             (Order::Stop { worker, task, run }, false, false) => {
-                let _ = self.carry_out(self.fence, &order);
+                let _ = self.carry_out(self.fence, &order, false);
                 self.cell.stop_answered(worker, *task, *run, now);
             }
             // A stop without an answer is sent again at the next step.
@@ -152,7 +151,7 @@
                 _ => true,
             };
             if !cut && late.deadline >= self.now {
-                let _ = self.carry_out(late.fence, &late.order);
+                let _ = self.carry_out(late.fence, &late.order, true);
             }
             if let Order::Stop { worker, task, run } = &late.order
                 && late.fence == self.fence
--- a/crates/jobs/tests/history/host.rs
+++ b/crates/jobs/tests/history/host.rs
@@ -57,7 +57,12 @@
     }
 
     /// What a worker does about an order, and the checks.
-    pub(super) fn carry_out(&mut self, fence: u64, order: &Order) -> Result<(), Refusal> {
+    pub(super) fn carry_out(
+        &mut self,
+        fence: u64,
+        order: &Order,
+        late: bool,
+    ) -> Result<(), Refusal> {
         let (Order::Start {
             worker: id,
             task,
@@ -72,6 +77,7 @@
             return Ok(());
         };
         let (task, run) = (*task, *run);
+        let room = self.room(id);
         let Some(host) = self.hosts.get_mut(id) else {
             return Err(Refusal::Unwell);
         };
@@ -95,8 +101,14 @@
         }
         let need = step(1).need;
         let used: u64 = host.running.values().map(|r| r.need.cpu).sum();
-        if used + need.cpu > 4_000 {
-            return Err(Refusal::Room);
+        match room {
+            Some(room) => assert!(
+                late || used + need.cpu <= room,
+                "{task} run {run} at {}: {used} of {room} were taken",
+                self.now
+            ),
+            None if used + need.cpu > 4_000 => return Err(Refusal::Room),
+            None => {}
         }
         let ends = self.now + self.rng.random_range(60..1_500);
         let fails = self.rng.random_ratio(1, 20);
--- a/crates/jobs/tests/history/mod.rs
+++ b/crates/jobs/tests/history/mod.rs
@@ -5,6 +5,7 @@
 mod calls;
 mod fatal;
 mod host;
+mod rooms;
 
 use crate::fixture::{job, step, worker};
 use calls::Late;
@@ -13,6 +14,7 @@
 use havenladder_jobs::{Batch, Cell, Decoded, Entry, Limits, Step, TaskId, WorkerId, decode_entry};
 use host::Host;
 use rand::{Rng, SeedableRng, rngs::StdRng};
+use rooms::Rooms;
 use std::{
     collections::{BTreeMap, BTreeSet},
     time::Duration,
@@ -54,6 +56,8 @@
     failed: BTreeMap<TaskId, u32>,
     /// The tasks that end their workers, if there are such.
     fatal: Option<Fatal>,
+    /// The rooms that change, if such do.
+    rooms: Option<Rooms>,
 }
 
 impl History {
@@ -79,6 +83,7 @@
             done: BTreeSet::new(),
             failed: BTreeMap::new(),
             fatal: None,
+            rooms: None,
         };
         (0..4).for_each(|_| history.boot());
         history
@@ -103,6 +108,7 @@
     fn step(&mut self) {
         self.now += TICK;
         self.end_hosts();
+        self.change_rooms();
         self.run_hosts();
         self.trouble();
         self.deliver_late();
@@ -188,7 +194,7 @@
         // The list still names workers that have ended a moment ago, and all that live.
         for id in self.hosts.keys() {
             self.leased.insert(id.clone(), self.now + GRACE + LEASE);
-            self.cell.see_worker(worker(id), now);
+            self.cell.see_worker(self.entry(id), now);
         }
         self.cell.mark_listed();
     }
@@ -238,6 +244,13 @@
     end(history, seed);
 }
 
+/// Plays a history in which rooms shrink and grow.
+pub fn play_rooms(seed: u64) {
+    let mut history = History::new(seed);
+    history.rooms = Some(Rooms::new(seed));
+    end(history, seed);
+}
+
 /// Plays a history on to its end, and checks how its jobs have ended.
 fn end(mut history: History, seed: u64) {
     while history.now < END {
