test(entry,jobs): entries at the address of another worker; fail, known red

Seen: an entry of a worker that there is not, at the address of one that lives, is taken for a new worker at each write, with three lines each time, and the end of a worker that never answered and ran nothing counts as an accident, after which tasks that end their workers are given up later. Conclusion: committed before the mend.

--- a/crates/havenladder/tests/foreign_entries.rs
+++ b/crates/havenladder/tests/foreign_entries.rs
@@ -107,3 +107,32 @@
 ) {
     block_on(overwrite(seed, foreign));
 }
+
+/// Entries of a worker that there is not, at the address of one that lives, written again and again.
+async fn haunt(seed: u64) {
+    let name = "foreign-address";
+    let site = entries::start(name, seed, 3).await;
+    time::sleep(BEGIN).await;
+    let (_, entry) = listed(&site).remove(0);
+    for id in ["i-ghost", "i-gone"] {
+        site.log.put(WORKERS, id, &entry);
+    }
+    time::sleep(SOON).await;
+    let before = count_lines(name, seed, "\"worker\":\"i-ghost\"");
+    assert!(before > 0, "it was looked at");
+    for _ in 0..5 {
+        site.log.put(WORKERS, "i-ghost", &entry);
+        site.log.put(WORKERS, "i-nobody", b"");
+        time::sleep(SOON / 4).await;
+    }
+    let after = count_lines(name, seed, "\"worker\":\"i-ghost\"");
+    assert_eq!(after, before, "one look is enough");
+    assert_eq!(count_lines(name, seed, "i-nobody"), 0);
+    let used = run_jobs(&site, 1..9).await;
+    assert!(!used.is_empty(), "the others hold");
+}
+
+#[test]
+fn an_entry_at_the_address_of_another_worker_is_looked_at_once() {
+    block_on(haunt(974));
+}
--- a/crates/jobs/tests/blame.rs
+++ b/crates/jobs/tests/blame.rs
@@ -303,3 +303,23 @@
         assert_eq!(beside, 1, "{again:?}");
     }
 }
+
+#[test]
+fn a_worker_that_never_answered_and_had_no_runs_is_no_accident() {
+    let mut world = World::new(&["a1"]);
+    for number in 0..4 {
+        let id = format!("ghost-{number}");
+        world.cell.see_worker(worker(&id), world.now);
+        world.cell.lose_worker(&id, Loss::Ended, world.now);
+    }
+    world.cell.accept(job(1, vec![step(1)]));
+    world.run();
+    crash(&mut world, "a1");
+    world.join("b1");
+    world.run();
+    assert_eq!(
+        crash(&mut world, "b1").given_up.len(),
+        1,
+        "two ends are proof"
+    );
+}
