fix(entry,jobs): an entry at the address of another worker is looked at once, and is no accident

Mend: where another life has answered at a worker's address, an entry that goes on to name it there is only counted; the loss of a worker that never answered and had no runs says nothing of how often workers end; entries of unknown ids that go are not logged. Two functions of the clock that nobody used are out. Ruled out: remembering addresses alone (addresses are given to other workers).

--- a/crates/clock/src/lib.rs
+++ b/crates/clock/src/lib.rs
@@ -37,16 +37,6 @@
     pub fn saturating_duration_since(&self, earlier: Self) -> Duration {
         self.0.saturating_sub(earlier.0)
     }
-
-    /// The same.
-    pub fn duration_since(&self, earlier: Self) -> Duration {
-        self.saturating_duration_since(earlier)
-    }
-
-    /// A moment before it; none before the start of the machine.
-    pub fn checked_sub(&self, span: Duration) -> Option<Self> {
-        self.0.checked_sub(span).map(Instant)
-    }
 }
 
 impl Add<Duration> for Instant {
--- a/crates/havenladder/src/entry/owner/mod.rs
+++ b/crates/havenladder/src/entry/owner/mod.rs
@@ -127,6 +127,8 @@
     pub renewed: Cell<Instant>,
     /// The entries that name no worker to use and have been logged, by id.
     pub foreign: RefCell<HashSet<WorkerId>>,
+    /// The workers at whose address another life has answered, with the address.
+    pub gone: RefCell<HashMap<WorkerId, String>>,
     /// Until when an earlier owner's leases may hold.
     pub inherited: Instant,
     /// Whether the store was in trouble when this owner began.
@@ -195,6 +197,7 @@
             cell: RefCell::new(cell),
             contacts: RefCell::default(),
             foreign: RefCell::default(),
+            gone: RefCell::default(),
             renewed: Cell::new(since),
             inherited: (extended + longest(LEASE)).max(now + before.waits),
             trouble: before.trouble,
--- a/crates/havenladder/src/entry/watch.rs
+++ b/crates/havenladder/src/entry/watch.rs
@@ -93,6 +93,9 @@
         Err(error) => return distrust(owner, record.key, &error),
     };
     let id = entry.id.clone();
+    if owner.gone.borrow().get(&id) == Some(&entry.address) {
+        return owner.node.metrics.foreign_entry("gone");
+    }
     owner.foreign.borrow_mut().remove(&id);
     if owner.contacts.borrow().contains_key(&id) {
         owner.cell.borrow_mut().see_worker(entry, Instant::now());
@@ -125,8 +128,22 @@
 
 /// A worker whose entry is gone gets no new runs; its own answers tell what becomes of the others.
 fn unlist(owner: &Rc<Owner>, id: &str) {
-    info!(worker = id, "worker no longer listed");
-    owner.cell.borrow_mut().unlist_worker(id, Instant::now());
+    if owner.cell.borrow().workers.get(id).is_some() {
+        info!(worker = id, "worker no longer listed");
+        owner.cell.borrow_mut().unlist_worker(id, Instant::now());
+    }
+    owner.gone.borrow_mut().remove(id);
+}
+
+/// Notes that another life has answered at the address of a worker: an entry that goes on to name it there is another
+/// writer's. Each would else be taken for a new worker, with a question and three lines every heartbeat.
+fn note_gone(owner: &Owner, id: &str) {
+    let mut gone = owner.gone.borrow_mut();
+    if let Some(info) = orders::find(owner, id)
+        && gone.len() < MOST_FOREIGN
+    {
+        gone.insert(id.to_owned(), info.address.clone());
+    }
 }
 
 /// Deals with the workers that a whole list does not name.
@@ -224,6 +241,7 @@
     match error {
         WorkerError::Replaced => {
             info!(worker = id, "another worker has its address");
+            note_gone(owner, id);
             return Watch::Ends(Loss::Ended);
         }
         WorkerError::Refused(Refusal::Fenced) => {
--- a/crates/jobs/src/cell/hosts.rs
+++ b/crates/jobs/src/cell/hosts.rs
@@ -85,6 +85,8 @@
             return None;
         }
         let ending = Ending::of(loss, worker.as_ref());
+        // The list may name workers that there never were: their end says nothing of how often workers end.
+        let is_real = orphans.is_some() || worker.as_ref().is_some_and(Worker::is_real);
         let runs = lost_runs(orphans.unwrap_or_default(), worker, now);
         for LostRun { task, run, .. } in &runs {
             if self.is_current(id, *task, *run) {
@@ -93,8 +95,8 @@
             }
         }
         let given_up = match ending {
-            Ending::Crashed => self.blame_end(id, &runs, now),
-            Ending::Ordered | Ending::Announced | Ending::Unclear => Vec::new(),
+            Ending::Crashed if is_real => self.blame_end(id, &runs, now),
+            Ending::Crashed | Ending::Ordered | Ending::Announced | Ending::Unclear => Vec::new(),
         };
         Some(LostWorker {
             ending,
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -220,6 +220,11 @@
         }
     }
 
+    /// Whether it has answered at any time, or may have runs.
+    pub fn is_real(&self) -> bool {
+        self.met || !self.runs.is_empty() || !self.lapsed.is_empty()
+    }
+
     /// For how long a run is known to have been at work: until the newest answer of the worker.
     pub fn lived(&self, state: &RunState) -> Duration {
         match (state.sent, self.heard) {
