refactor(jobs): what is started alone is in quarantine; a task has a crash history

Cause: the words of a court (trial, conduct, cases) stood for what the field calls quarantine and crash history. Ruled out: none; no behaviour meant.

--- a/crates/clock/src/timer.rs
+++ b/crates/clock/src/timer.rs
@@ -1,7 +1,7 @@
 //! Waits that end in time although the machine was suspended meanwhile.
 //!
-//! The runtime's timers stand on the steady clock: one that was to fire during a suspension of 5 s fires up to 5 s late.
-//! Waits in here look again as soon as somebody has noticed the suspension.
+//! The runtime's timers stand on the steady clock: one that was to fire during a suspension of 5 s fires up to 5 s
+//! late. Waits in here look again as soon as somebody has noticed the suspension.
 
 use crate::{Instant, ahead};
 use std::{
--- a/crates/havenladder/src/entry/callers.rs
+++ b/crates/havenladder/src/entry/callers.rs
@@ -207,7 +207,8 @@
     })
 }
 
-/// Puts a question to the owner, wherever it is, until the caller's time gets short; a suspension of the machine counts.
+/// Puts a question to the owner, wherever it is, until the caller's time gets short; a suspension of the machine
+/// counts.
 async fn ask(node: &Rc<Node>, ask: Ask, deadline: Instant) -> Reply {
     tokio::select! {
         reply = ask_in_time(node, ask, deadline) => reply,
--- a/crates/havenladder/src/entry/starts.rs
+++ b/crates/havenladder/src/entry/starts.rs
@@ -22,8 +22,8 @@
 /// one that is out of reach would draw starts, each of which extends its lease, for a second.
 const DOUBTED: Duration = Duration::from_millis(150);
 
-/// How long a start, or a stop, is waited for until it is sent once more, over a connection of its own: a healthy worker takes
-/// some ms, and an owner of 1,100 workers that is full reads its answer 76 ms later.
+/// How long a start, or a stop, is waited for until it is sent once more, over a connection of its own: a healthy
+/// worker takes some ms, and an owner of 1,100 workers that is full reads its answer 76 ms later.
 pub const REPEATED: Duration = Duration::from_millis(80);
 
 /// Sends a start, unless what it follows from has changed since it was decided.
@@ -78,26 +78,26 @@
     let started = outcome.is_ok();
     settle(owner, worker, task, run, outcome);
     if started {
-        look_after_trial(owner, worker, task, run);
+        look_after_quarantine(owner, worker, task, run);
     }
     owner.wake();
 }
 
-/// Has a worker asked once a run on trial there is old enough to be cleared: the questions that wait for ends come half
-/// a second apart, and until then nothing else begins there.
-fn look_after_trial(owner: &Rc<Owner>, worker: &str, task: TaskId, run: RunId) {
-    let trial = owner
+/// Has a worker asked once a run in quarantine there is old enough to be cleared: the questions that wait for ends
+/// come half a second apart, and until then nothing else begins there.
+fn look_after_quarantine(owner: &Rc<Owner>, worker: &str, task: TaskId, run: RunId) {
+    let quarantine = owner
         .cell
         .borrow()
         .workers
         .get(worker)
-        .and_then(|w| w.trial);
-    let Some(trial) = trial.filter(|trial| trial.key == (task, run)) else {
+        .and_then(|w| w.quarantine);
+    let Some(quarantine) = quarantine.filter(|quarantine| quarantine.key == (task, run)) else {
         return;
     };
     let (owner, worker) = (Rc::clone(owner), worker.to_owned());
     task::spawn_local(async move {
-        time::sleep(trial.bar).await;
+        time::sleep(quarantine.bar).await;
         watch::look(&owner, &worker);
     });
 }
--- a/crates/havenladder/src/entry/suspension.rs
+++ b/crates/havenladder/src/entry/suspension.rs
@@ -12,15 +12,15 @@
 /// The variable that names the file by which tests put the clock of an entry forward, in ms.
 const CLOCK_FILE: &str = "HAVENLADDER_CLOCK_FILE";
 
-/// Time between two looks for a suspension while a caller waits. Most are answered before the first, and an answer that is
-/// later by this is in nobody's way after seconds.
+/// Time between two looks for a suspension while a caller waits. Most are answered before the first, and an answer
+/// that is later by this is in nobody's way after seconds.
 const WATCH: Duration = Duration::from_millis(200);
 
 /// Time between two looks at that file.
 const LOOK: Duration = Duration::from_millis(20);
 
-/// Looks whether the machine was suspended, and ends the waits whose time has passed. Each entry reads the lease or renews
-/// it several times a second; so often it is called, at no cost but two reads of a clock.
+/// Looks whether the machine was suspended, and ends the waits whose time has passed. Each entry reads the lease or
+/// renews it several times a second; so often it is called, at no cost but two reads of a clock.
 pub fn notice(node: &Node) {
     if let Some(span) = timer::notice_suspension() {
         node.metrics.suspended();
@@ -28,8 +28,8 @@
     }
 }
 
-/// Looks for a suspension as long as somebody waits: nothing else may wake the entry before the caller's time is over by
-/// the steady clock.
+/// Looks for a suspension as long as somebody waits: nothing else may wake the entry before the caller's time is over
+/// by the steady clock.
 pub async fn watch(node: &Node) -> Infallible {
     loop {
         time::sleep(WATCH).await;
--- a/crates/havenladder/src/entry/watch.rs
+++ b/crates/havenladder/src/entry/watch.rs
@@ -113,8 +113,8 @@
     task::spawn_local(watch(Rc::clone(owner), id));
 }
 
-/// An entry names no worker to use: a worker that is known gets no new runs, and its own answers tell what becomes of the
-/// others. Logged once a change, for the first [`MOST_FOREIGN`] of them.
+/// An entry names no worker to use: a worker that is known gets no new runs, and its own answers tell what becomes of
+/// the others. Logged once a change, for the first [`MOST_FOREIGN`] of them.
 fn distrust(owner: &Owner, id: WorkerId, error: &EntryError) {
     owner.node.metrics.foreign_entry(error.reason());
     let changed = owner.cell.borrow_mut().distrust_worker(&id);
--- a/crates/jobs/src/cell/crashes.rs
+++ b/crates/jobs/src/cell/crashes.rs
@@ -1,7 +1,7 @@
 //! Counts ends of workers without notice against the tasks that may be the cause, and clears those that are not.
 
 use crate::{
-    Bearing, Cell, Conduct, JobId, LostRun, Phase, TaskId, TaskPhase,
+    Bearing, Cell, CrashHistory, JobId, LostRun, Phase, TaskId, TaskPhase,
     suspicion::{Crash, PROVEN, Standing},
 };
 use clock::Instant;
@@ -14,9 +14,9 @@
     /// Counts the end of a worker without notice against the runs that may be the cause. Returns the tasks that are
     /// given up for it.
     ///
-    /// A worker that has ended lists no ends: without this, four such tasks on 20 workers at half their load were started
-    /// up to 38 times in a minute and ended 1,679 runs of others; with it, twice each and 50 (tests/crashes.rs, means of
-    /// ten plays).
+    /// A worker that has ended lists no ends: without this, four such tasks on 20 workers at half their load were
+    /// started up to 38 times in a minute and ended 1,679 runs of others; with it, twice each and 50
+    /// (tests/crashes.rs, means of ten plays).
     pub(super) fn blame_end(
         &mut self,
         worker: &str,
@@ -28,23 +28,23 @@
         self.suspicions.note_ages(ages, now);
         let fresh = suspects.iter().filter(|run| run.bearing.is_fresh()).count();
         let mut seen: BTreeSet<Work> = BTreeSet::new();
-        let mut case = BTreeSet::new();
+        let mut blamed = BTreeSet::new();
         for run in &suspects {
             let TaskId {
                 job, step, index, ..
             } = run.task;
             let first = seen.insert((job, step, index));
             if first && self.blame_run(run, fresh == 1) {
-                case.insert(run.task);
+                blamed.insert(run.task);
             }
         }
-        let repeats: Vec<TaskId> = case.iter().flat_map(|task| self.repeats(*task)).collect();
-        let given_up = case.iter().copied();
+        let repeats: Vec<TaskId> = blamed.iter().flat_map(|task| self.repeats(*task)).collect();
+        let given_up = blamed.iter().copied();
         let given_up: Vec<TaskId> = given_up
             .filter(|task| self.standing(*task, now) == Standing::GivenUp)
             .collect();
         self.suspicions.tasks.extend(repeats);
-        self.suspicions.open_case(worker, case, now);
+        self.suspicions.note_end(worker, blamed, now);
         for task in &given_up {
             self.suspicions.note_proven(now);
             self.finish(task.job, Phase::Failed);
@@ -73,7 +73,7 @@
         let mut counts = false;
         let lived = run.lived.as_millis() as u64;
         for task in state.repeats_mut(step, index) {
-            counts |= task.conduct.blame(crash, lived);
+            counts |= task.history.blame(crash, lived);
         }
         self.mark_dirty(job);
         counts
@@ -90,29 +90,29 @@
     /// How a task stands, by the ends of workers under it.
     pub(crate) fn standing(&self, task: TaskId, now: Instant) -> Standing {
         let accidents = self.suspicions.accidents(now);
-        let conduct = self.conduct(task);
-        conduct.map_or(Standing::Clear, |conduct| conduct.standing(accidents))
+        let history = self.crash_history(task);
+        history.map_or(Standing::Clear, |history| history.standing(accidents))
     }
 
     /// What speaks for and against a task of a job that is not over.
-    fn conduct(&self, task: TaskId) -> Option<&Conduct> {
+    fn crash_history(&self, task: TaskId) -> Option<&CrashHistory> {
         let job = self
             .jobs
             .get(&task.job)
             .filter(|job| !job.phase.is_over())?;
         let state = job.task(task.round, task.step, task.index)?;
-        Some(&state.conduct)
+        Some(&state.history)
     }
 
-    /// The age that a run of a task must outlive to end its trial; none if the task is not on trial.
-    pub(crate) fn trial_bar(&self, task: TaskId, now: Instant) -> Option<Duration> {
+    /// The age that a run of a task must outlive to end its quarantine; none if the task is not in quarantine.
+    pub(crate) fn quarantine_bar(&self, task: TaskId, now: Instant) -> Option<Duration> {
         if !self.suspicions.tasks.contains(&task) {
             return None;
         }
         match self.standing(task, now) {
-            Standing::Trial(bar) => Some(bar),
+            Standing::Quarantined(bar) => Some(bar),
             // An earlier owner, who knew of accidents that this one does not know of, has not given it up.
-            Standing::GivenUp => Some(self.conduct(task)?.bar()),
+            Standing::GivenUp => Some(self.crash_history(task)?.bar()),
             Standing::Clear => None,
         }
     }
@@ -122,7 +122,7 @@
         let Some(host) = self.workers.get_mut(worker) else {
             return;
         };
-        host.end_trial();
+        host.end_quarantine();
         if self.suspicions.tasks.is_empty() {
             return;
         }
@@ -146,8 +146,8 @@
         if !self.suspicions.tasks.contains(&task) {
             return false;
         }
-        self.conduct(task)
-            .is_some_and(|conduct| lived >= conduct.bar())
+        self.crash_history(task)
+            .is_some_and(|history| lived >= history.bar())
     }
 
     /// Clears a task that has been at work for so long, in all repeats of its job.
@@ -156,9 +156,9 @@
             return;
         };
         for state in job.repeats_mut(task.step, task.index) {
-            state.conduct.crashes.clear();
+            state.history.crashes.clear();
             let lived = lived.as_millis() as u64;
-            state.conduct.outlived = state.conduct.outlived.max(lived);
+            state.history.outlived = state.history.outlived.max(lived);
         }
         if self.suspicions.tasks.contains(&task) {
             for repeat in self.repeats(task) {
@@ -174,17 +174,17 @@
         };
         let suspects = job
             .tasks()
-            .filter(|(_, state)| !state.conduct.crashes.is_empty());
+            .filter(|(_, state)| !state.history.crashes.is_empty());
         self.suspicions.tasks.extend(suspects.map(|(task, _)| task));
     }
 }
 
-/// The runs of a worker that may have ended it: the one on trial there, or else all whose starts were sent. Those that
-/// had gone on for a while count as well, since a task may end its worker some time after its start.
+/// The runs of a worker that may have ended it: the one in quarantine there, or else all whose starts were sent. Those
+/// that had gone on for a while count as well, since a task may end its worker some time after its start.
 fn suspects(runs: &[LostRun]) -> Vec<&LostRun> {
     let named: Vec<&LostRun> = runs
         .iter()
-        .filter(|run| run.bearing == Bearing::Trial)
+        .filter(|run| run.bearing == Bearing::Quarantined)
         .collect();
     if !named.is_empty() {
         return named;
--- a/crates/jobs/src/cell/hosts.rs
+++ b/crates/jobs/src/cell/hosts.rs
@@ -59,8 +59,8 @@
         }
     }
 
-    /// A worker's newest entry is none of a worker: it gets no new runs until another one is. True if the one before was,
-    /// or the worker is not known.
+    /// A worker's newest entry is none of a worker: it gets no new runs until another one is. True if the one before
+    /// was, or the worker is not known.
     pub fn distrust_worker(&mut self, id: &str) -> bool {
         match self.workers.get_mut(id) {
             Some(worker) => !mem::replace(&mut worker.unusable, true),
--- a/crates/jobs/src/gang.rs
+++ b/crates/jobs/src/gang.rs
@@ -40,7 +40,7 @@
     }
 
     /// Whether its end would name a member of the gang: no other run there has just begun.
-    fn suits_trial(&self) -> bool {
+    fn suits_quarantine(&self) -> bool {
         !self.joined && self.worker.is_settled()
     }
 
@@ -120,7 +120,7 @@
         for (alone, index) in members {
             let fitting = hosts
                 .iter_mut()
-                .filter(|host| host.fits(room, step) && (!alone || host.suits_trial()));
+                .filter(|host| host.fits(room, step) && (!alone || host.suits_quarantine()));
             let freest = fitting.max_by_key(|host| host.free())?;
             freest.join(room, alone);
             places[index as usize].clone_from(&freest.worker.info.id);
@@ -131,12 +131,12 @@
     /// Whether a member of a gang is to be the only one that begins on its worker, so that the end of the worker names
     /// it. Where the gang has more such members than there are workers, none is: it would never start.
     fn needs_own_worker(&self, member: TaskId, workers: usize, now: Instant) -> bool {
-        if self.trial_bar(member, now).is_none() {
+        if self.quarantine_bar(member, now).is_none() {
             return false;
         }
         let members = self.members(member);
-        let on_trial = |member: &&TaskId| self.trial_bar(**member, now).is_some();
-        let suspects = members.iter().filter(on_trial).count();
+        let in_quarantine = |member: &&TaskId| self.quarantine_bar(**member, now).is_some();
+        let suspects = members.iter().filter(in_quarantine).count();
         let others = usize::from(suspects < members.len());
         suspects + others <= workers
     }
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -1,6 +1,6 @@
 //! A job's state: its rounds, steps and tasks.
 
-use crate::{Conduct, RunId, Step, Submission, TaskId, WorkerId};
+use crate::{CrashHistory, RunId, Step, Submission, TaskId, WorkerId};
 use serde::{Deserialize, Serialize};
 
 /// How far a job is.
@@ -51,7 +51,7 @@
     pub saved: String,
     /// What the ends of workers say for and against it. Older records lack it.
     #[serde(default)]
-    pub conduct: Conduct,
+    pub history: CrashHistory,
 }
 
 impl Task {
@@ -81,7 +81,7 @@
             top: 0,
             failed: Vec::new(),
             saved: String::new(),
-            conduct: Conduct::default(),
+            history: CrashHistory::default(),
         };
         let tasks = |step: &Step| vec![fresh.clone(); step.count as usize];
         Round {
--- a/crates/jobs/src/loss.rs
+++ b/crates/jobs/src/loss.rs
@@ -56,14 +56,14 @@
     Older,
     /// It had just begun.
     Fresh,
-    /// It was on trial there, beside none that had just begun.
-    Trial,
+    /// It was in quarantine there, beside none that had just begun.
+    Quarantined,
 }
 
 impl Bearing {
     /// Whether the run had just begun.
     pub(crate) fn is_fresh(self) -> bool {
-        matches!(self, Bearing::Fresh | Bearing::Trial)
+        matches!(self, Bearing::Fresh | Bearing::Quarantined)
     }
 }
 
@@ -89,10 +89,12 @@
         let (task, run) = key;
         let end = worker.silent.unwrap_or(now);
         let lived = worker.lived(state);
-        let is_trial = worker.trial.is_some_and(|trial| trial.key == key);
+        let is_quarantined = worker
+            .quarantine
+            .is_some_and(|quarantine| quarantine.key == key);
         let bearing = match state.sent {
             None => Bearing::Unsent,
-            Some(_) if is_trial => Bearing::Trial,
+            Some(_) if is_quarantined => Bearing::Quarantined,
             Some(_) if lived >= PROVEN || state.earlier => Bearing::Older,
             Some(_) => Bearing::Fresh,
         };
@@ -124,8 +126,8 @@
     /// How a worker came to its end that is given up for this reason; there is none where only
     /// records name it.
     pub(crate) fn of(loss: Loss, worker: Option<&Worker>) -> Self {
-        // That an earlier owner may have told its VM to go is no order: after a slow store all VMs are doubted for seconds,
-        // in which tasks that end their workers were started six times.
+        // That an earlier owner may have told its VM to go is no order: after a slow store all VMs are doubted for
+        // seconds, in which tasks that end their workers were started six times.
         let ordered = worker.is_some_and(|worker| worker.taken);
         let announced = worker.is_some_and(Worker::has_announced);
         match loss {
--- a/crates/jobs/src/pass.rs
+++ b/crates/jobs/src/pass.rs
@@ -95,7 +95,7 @@
 
     /// Places a waiting task if its turn has come.
     fn try_rank(&mut self, service: &str, rank: &Rank, now: Instant, log: Log) -> Placing {
-        if self.is_held(service, rank, now, log) || self.needs_trial(rank.task(), now) {
+        if self.is_held(service, rank, now, log) || self.needs_quarantine(rank.task(), now) {
             Placing::Held
         } else if self.is_stale(rank.task()) {
             Placing::Done
--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -3,7 +3,7 @@
 use crate::{
     Cell, Job, Need, Order, Phase, RunId, Step, Task, TaskId, TaskPhase, Worker, WorkerId,
     cell::{load_of, room_of},
-    worker::{RunKind, RunState, Trial},
+    worker::{Quarantine, RunKind, RunState},
 };
 use clock::Instant;
 use std::collections::HashMap;
@@ -114,10 +114,10 @@
             state.phase = TaskPhase::Placed(worker.clone());
             state.run = run;
         }
-        let bar = self.trial_bar(task, now);
+        let bar = self.quarantine_bar(task, now);
         if let Some(host) = self.workers.get_mut(&worker) {
             host.add(task, run, RunState::ordered(load, now));
-            host.trial = bar.map(|bar| Trial {
+            host.quarantine = bar.map(|bar| Quarantine {
                 key: (task, run),
                 bar,
             });
--- a/crates/jobs/src/trial.rs
+++ b/crates/jobs/src/quarantine.rs
@@ -10,20 +10,20 @@
 use clock::Instant;
 use std::collections::BTreeSet;
 
-/// Which part of a service's workers may be kept for trials while they have other runs: the rest goes on with what is
-/// not under suspicion. Idle ones cost nothing.
-const TRIAL_PART: usize = 4;
+/// Which part of a service's workers may be kept for quarantine while they have other runs: the rest goes on with what
+/// is not under suspicion. Idle ones cost nothing.
+const QUARANTINE_PART: usize = 4;
 
 impl Cell {
-    /// Whether a task, or a member of its gang, is to be started on trial.
-    pub(crate) fn needs_trial(&self, task: TaskId, now: Instant) -> bool {
+    /// Whether a task, or a member of its gang, is to be started in quarantine.
+    pub(crate) fn needs_quarantine(&self, task: TaskId, now: Instant) -> bool {
         if self.suspicions.tasks.is_empty() {
             return false;
         }
         let members = self.members(task);
         members
             .into_iter()
-            .any(|member| self.trial_bar(member, now).is_some())
+            .any(|member| self.quarantine_bar(member, now).is_some())
     }
 
     /// The tasks that start together with one: itself, or all of its gang.
@@ -41,14 +41,14 @@
     pub(crate) fn place_suspects(&mut self, service: &str, now: Instant, log: Log) {
         for rank in self.waiting_suspects(service) {
             let task = rank.task();
-            if self.is_held(service, &rank, now, log) || !self.needs_trial(task, now) {
+            if self.is_held(service, &rank, now, log) || !self.needs_quarantine(task, now) {
                 continue;
             }
             if self.is_stale(task) {
                 self.drop_rank(service, &rank);
                 continue;
             }
-            match self.place_on_trial(task, now) {
+            match self.place_in_quarantine(task, now) {
                 Placing::Done => self.drop_rank(service, &rank),
                 Placing::Later | Placing::NoRoom | Placing::Held => self.ask_permits(task, now),
             }
@@ -76,16 +76,16 @@
             .find(|rank| queue.contains(rank))
     }
 
-    /// Starts a task on trial, or a gang whose members are under suspicion.
-    fn place_on_trial(&mut self, task: TaskId, now: Instant) -> Placing {
+    /// Starts a task in quarantine, or a gang whose members are under suspicion.
+    fn place_in_quarantine(&mut self, task: TaskId, now: Instant) -> Placing {
         let Some(job) = self.jobs.get(&task.job) else {
             return Placing::Done;
         };
         if job.step(task.step).gang {
             return self.place_gang(task, now);
         }
-        let Some(worker) = self.trial_worker(job, task, now) else {
-            self.keep_for_trial(task, now);
+        let Some(worker) = self.quarantine_worker(job, task, now) else {
+            self.keep_for_quarantine(task, now);
             return Placing::NoRoom;
         };
         let state = job.task(task.round, task.step, task.index);
@@ -95,7 +95,7 @@
     }
 
     /// The worker on which least is lost if a task ends it, of those that have room, and no run that has just begun.
-    fn trial_worker(&self, job: &Job, task: TaskId, now: Instant) -> Option<WorkerId> {
+    fn quarantine_worker(&self, job: &Job, task: TaskId, now: Instant) -> Option<WorkerId> {
         let room = room_of(job, task);
         let may = |worker: &&Worker| {
             room.fits(worker.used, worker.info.capacity)
@@ -112,7 +112,7 @@
         is_free.then(|| worker.info.id.clone())
     }
 
-    /// Whether one more worker that has other runs may be kept for a trial: as long as nothing else waits, any.
+    /// Whether one more worker that has other runs may be kept for a quarantine: as long as nothing else waits, any.
     fn may_keep(&self, service: &str) -> bool {
         let waiting = self.waiting.get(service).map_or(0, BTreeSet::len);
         if waiting <= self.waiting_suspects(service).len() {
@@ -120,16 +120,16 @@
         }
         let workers = || self.workers.of(service);
         let is_kept = |worker: &&Worker| {
-            let on_trial = worker.trial.is_some() && worker.runs.len() > 1;
-            on_trial || self.reserved.contains(&worker.info.id)
+            let in_quarantine = worker.quarantine.is_some() && worker.runs.len() > 1;
+            in_quarantine || self.reserved.contains(&worker.info.id)
         };
-        let most = (workers().count() / TRIAL_PART).max(1);
+        let most = (workers().count() / QUARANTINE_PART).max(1);
         workers().filter(is_kept).count() < most
     }
 
     /// Keeps the worker with the fewest runs free of new ones, in this pass, so that it soon has none that has just
     /// begun.
-    fn keep_for_trial(&mut self, task: TaskId, now: Instant) {
+    fn keep_for_quarantine(&mut self, task: TaskId, now: Instant) {
         let Some(job) = self.jobs.get(&task.job) else {
             return;
         };
--- a/crates/jobs/src/suspicion.rs
+++ b/crates/jobs/src/suspicion.rs
@@ -1,9 +1,9 @@
 //! What the ends of workers without notice say against the tasks that ran there.
 //!
-//! A task may end each worker that starts it, and with it a dozen runs of others. A worker that has ended lists no end,
-//! so each such end counts against the tasks that may be its cause: first those that had just begun. These are
-//! started again on trial: one at a time on a worker with little to lose, until the run has outlived the age at which
-//! the worker ended. The next end then names one of them, and all others are cleared.
+//! A task may end each worker that starts it, and with it a dozen runs of others. A worker that has ended lists no
+//! end, so each such end counts against the tasks that may be its cause: first those that had just begun. These are
+//! started again in quarantine: one at a time on a worker with little to lose, until the run has outlived the age at
+//! which the worker ended. The next end then names one of them, and all others are cleared.
 
 use crate::{JobId, TaskId, WorkerId};
 use clock::Instant;
@@ -14,7 +14,7 @@
 };
 
 /// Until a worker has answered for so long after a start, that run may be what ends it. Users saw workers end 2 to
-/// 10 ms after the start; 25 times that leaves room for slow workers. A trial takes as long, so that longer ones
+/// 10 ms after the start; 25 times that leaves room for slow workers. A quarantine takes as long, so that longer ones
 /// would keep room from others.
 pub(crate) const PROVEN: Duration = Duration::from_millis(250);
 
@@ -27,21 +27,21 @@
 /// owner that is full learns of it 76 ms later.
 const PROMPT: Duration = Duration::from_millis(100);
 
-/// How many ends of workers are proof, the last of them on trial, where all came promptly and accidents are rare: the
-/// first makes suspects, the trial names one.
+/// How many ends of workers are proof, the last of them in quarantine, where all came promptly and accidents are rare:
+/// the first makes suspects, the quarantine names one.
 const PROOF: usize = 2;
 
-/// How many are where the run was older, or workers may end by accident: where each of 20 ended every 8 s, two prompt ends
-/// met some of 3,000 harmless tasks within a minute.
+/// How many are where the run was older, or workers may end by accident: where each of 20 ended every 8 s, two prompt
+/// ends met some of 3,000 harmless tasks within a minute.
 const PROOF_OF_LATER: usize = 3;
 
-/// How many ends of workers are proof in any case. The users allow two starts after the third; one end in five may meet a
-/// start that no record names, and is not known.
+/// How many ends of workers are proof in any case. The users allow two starts after the third; one end in five may
+/// meet a start that no record names, and is not known.
 const MOST: usize = 4;
 
 /// How many ends of workers that no task has caused make accidents common, and within which time; and more than have
 /// been proven to be the doing of tasks. Where tasks end workers all the time, a few accidents beside them would else
-/// ask for four ends of each: with 40 such tasks in 20 s on 8 workers, harmless suspects waited 18 s for their trials.
+/// ask for four ends of each: with 40 such tasks in 20 s on 8 workers, harmless suspects waited 18 s for their turn.
 const COMMON: usize = 2;
 
 /// See [`COMMON`].
@@ -57,7 +57,7 @@
     pub age: Option<u64>,
     /// Whether the run had just begun.
     pub fresh: bool,
-    /// Whether it was the only one there that had just begun, or was on trial.
+    /// Whether it was the only one there that had just begun, or was in quarantine.
     pub alone: bool,
 }
 
@@ -80,22 +80,22 @@
 pub(crate) enum Standing {
     /// It is started like others.
     Clear,
-    /// It is started on trial, which ends when the run has outlived this age.
-    Trial(Duration),
+    /// It is started in quarantine, which ends when the run has outlived this age.
+    Quarantined(Duration),
     /// Its job is given up.
     GivenUp,
 }
 
 /// The record of a task: what speaks against it, and what for it.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Conduct {
+pub struct CrashHistory {
     /// The ends of workers that may have been caused by it.
     pub crashes: Vec<Crash>,
     /// For how long a run of it has been at work at the most, in ms.
     pub outlived: u64,
 }
 
-impl Conduct {
+impl CrashHistory {
     /// Takes note of the end of a worker under a run that had been at work for so long, in ms. True if it counts.
     pub(crate) fn blame(&mut self, crash: Crash, lived: u64) -> bool {
         let is_late = lived > LATEST.as_millis() as u64;
@@ -125,7 +125,7 @@
         if self.is_proven(accidents) || count >= MOST {
             Standing::GivenUp
         } else if count >= PROOF || one_is_enough && self.crashes.iter().any(|crash| crash.fresh) {
-            Standing::Trial(self.bar())
+            Standing::Quarantined(self.bar())
         } else {
             Standing::Clear
         }
@@ -161,7 +161,7 @@
     /// The tasks with ends of workers against them, in all repeats of their jobs.
     pub(crate) tasks: BTreeSet<TaskId>,
     /// Which tasks may have ended a worker.
-    cases: BTreeMap<WorkerId, BTreeSet<TaskId>>,
+    by_worker: BTreeMap<WorkerId, BTreeSet<TaskId>>,
     /// When ends of workers were found to have been caused by no task.
     accidents: Recent,
     /// When workers ended on which no run had just begun.
@@ -191,18 +191,18 @@
 
 impl Suspicions {
     /// A worker has ended; one of these tasks may be the cause.
-    pub(crate) fn open_case(&mut self, worker: &str, tasks: BTreeSet<TaskId>, now: Instant) {
+    pub(crate) fn note_end(&mut self, worker: &str, tasks: BTreeSet<TaskId>, now: Instant) {
         if tasks.is_empty() {
             return self.accidents.note(now);
         }
-        self.cases.insert(worker.to_owned(), tasks);
+        self.by_worker.insert(worker.to_owned(), tasks);
     }
 
     /// A task is not the cause of what it was under suspicion for; where nothing else can be, nothing was.
     pub(crate) fn clear(&mut self, task: TaskId, now: Instant) {
         self.tasks.remove(&task);
         let mut solved = 0;
-        self.cases.retain(|_, tasks| {
+        self.by_worker.retain(|_, tasks| {
             solved += usize::from(tasks.remove(&task) && tasks.is_empty());
             !tasks.is_empty()
         });
@@ -219,7 +219,7 @@
         if self.tasks.iter().any(|task| task.job == job) {
             self.tasks.retain(|task| task.job != job);
             let is_of_job = |tasks: &BTreeSet<TaskId>| tasks.iter().any(|task| task.job == job);
-            self.cases.retain(|_, tasks| !is_of_job(tasks));
+            self.by_worker.retain(|_, tasks| !is_of_job(tasks));
         }
     }
 
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -144,12 +144,12 @@
     }
 }
 
-/// A run on trial: nothing else begins on its worker meanwhile, so that the end of the worker names it.
+/// A run in quarantine: nothing else begins on its worker meanwhile, so that the end of the worker names it.
 #[derive(Clone, Copy, Debug)]
-pub struct Trial {
+pub struct Quarantine {
     /// The run.
     pub key: (TaskId, RunId),
-    /// The age that ends the trial.
+    /// The age that ends the quarantine.
     pub bar: Duration,
 }
 
@@ -189,8 +189,8 @@
     pub silent: Option<Instant>,
     /// When its entry was found to be gone from the list.
     pub unlisted: Option<Instant>,
-    /// The run that is on trial there.
-    pub trial: Option<Trial>,
+    /// The run that is in quarantine there.
+    pub quarantine: Option<Quarantine>,
     /// The runs that were given up because its lease ran out, while it may only be cut off.
     pub lapsed: Vec<LostRun>,
 }
@@ -215,7 +215,7 @@
             heard: None,
             silent: None,
             unlisted: None,
-            trial: None,
+            quarantine: None,
             lapsed: Vec::new(),
         }
     }
@@ -238,14 +238,14 @@
         self.runs.values().all(|state| self.lived(state) >= PROVEN)
     }
 
-    /// Ends the trial of a run that has outlived what it was to outlive.
-    pub fn end_trial(&mut self) {
-        let Some(trial) = self.trial else {
+    /// Ends the quarantine of a run that has outlived what it was to outlive.
+    pub fn end_quarantine(&mut self) {
+        let Some(quarantine) = self.quarantine else {
             return;
         };
-        let state = self.runs.get(&trial.key);
-        if state.is_none_or(|state| self.lived(state) >= trial.bar) {
-            self.trial = None;
+        let state = self.runs.get(&quarantine.key);
+        if state.is_none_or(|state| self.lived(state) >= quarantine.bar) {
+            self.quarantine = None;
         }
     }
 
@@ -262,7 +262,7 @@
     pub fn is_open(&self, now: Instant) -> bool {
         let aside = self.aside.is_some_and(|until| until > now);
         let stays = !self.closed && !self.taken && !self.unusable && !self.info.draining;
-        self.known && stays && !aside && self.trial.is_none()
+        self.known && stays && !aside && self.quarantine.is_none()
     }
 
     /// Adds a run and what it takes.
@@ -277,7 +277,8 @@
     /// Removes a run and gives its room back.
     pub fn remove(&mut self, task: TaskId, run: RunId) -> Option<RunState> {
         let state = self.runs.remove(&(task, run))?;
-        self.trial.take_if(|trial| trial.key == (task, run));
+        self.quarantine
+            .take_if(|quarantine| quarantine.key == (task, run));
         self.forget(state.load);
         Some(state)
     }
--- a/crates/jobs/tests/blame.rs
+++ b/crates/jobs/tests/blame.rs
@@ -6,7 +6,7 @@
 
 use fixture::{job, step, worker};
 use havenladder_jobs::{
-    Conduct, Ending, Loss, LostWorker, Phase, Report, Schedule, Step, Submission, TaskId,
+    CrashHistory, Ending, Loss, LostWorker, Phase, Report, Schedule, Step, Submission, TaskId,
     WorkerInfo,
 };
 use std::collections::BTreeMap;
@@ -17,9 +17,9 @@
 const PROVEN: u64 = 250;
 
 /// What speaks for and against a task.
-fn conduct(world: &World, task: TaskId) -> Conduct {
+fn crash_history(world: &World, task: TaskId) -> CrashHistory {
     let state = world.cell.jobs[&task.job].task(task.round, task.step, task.index);
-    state.expect("the job has it").conduct.clone()
+    state.expect("the job has it").history.clone()
 }
 
 /// A worker ends without notice, and that is known at once.
@@ -102,7 +102,7 @@
     prepare(&mut world, &before);
     let lost = world.cell.lose_worker("a1", loss, world.now);
     assert_eq!(lost.map(|lost| lost.ending), Some(ending));
-    assert_eq!(conduct(&world, task(1, 0, 0)).crashes.len(), count);
+    assert_eq!(crash_history(&world, task(1, 0, 0)).crashes.len(), count);
 }
 
 #[test]
@@ -110,9 +110,9 @@
     let mut world = running(1);
     world.cell.mute_worker("a1", world.now);
     world.cell.lapse_worker("a1", world.now);
-    assert!(conduct(&world, task(1, 0, 0)).crashes.is_empty());
+    assert!(crash_history(&world, task(1, 0, 0)).crashes.is_empty());
     world.cell.lose_worker("a1", Loss::Ended, world.now);
-    assert_eq!(conduct(&world, task(1, 0, 0)).crashes.len(), 1);
+    assert_eq!(crash_history(&world, task(1, 0, 0)).crashes.len(), 1);
 }
 
 #[test]
@@ -122,7 +122,7 @@
     world.cell.lapse_worker("a1", world.now);
     world.report("a1", Report::default());
     world.cell.lose_worker("a1", Loss::Ended, world.now);
-    assert!(conduct(&world, task(1, 0, 0)).crashes.is_empty());
+    assert!(crash_history(&world, task(1, 0, 0)).crashes.is_empty());
 }
 
 #[test]
@@ -132,7 +132,7 @@
     world.cell.schedule(world.now);
     let lost = crash(&mut world, "a1");
     assert_eq!(lost.runs.len(), 1);
-    assert!(conduct(&world, task(1, 0, 0)).crashes.is_empty());
+    assert!(crash_history(&world, task(1, 0, 0)).crashes.is_empty());
 }
 
 #[test]
@@ -155,13 +155,21 @@
     assert!(world.run().is_empty(), "nothing begins beside them");
     world.pass(PROVEN);
     confirm(&mut world, "b1");
-    assert_eq!(world.run().len(), 1, "the worker has outlived the trial");
+    assert_eq!(
+        world.run().len(),
+        1,
+        "the worker has outlived the quarantine"
+    );
     let (cleared, open) = match on(0).map(String::as_str) {
         Some("b1") => (0, 1),
         _ => (1, 0),
     };
-    assert!(conduct(&world, task(1, 0, cleared)).crashes.is_empty());
-    assert_eq!(conduct(&world, task(1, 0, open)).crashes.len(), 1);
+    assert!(
+        crash_history(&world, task(1, 0, cleared))
+            .crashes
+            .is_empty()
+    );
+    assert_eq!(crash_history(&world, task(1, 0, open)).crashes.len(), 1);
 }
 
 #[test]
@@ -184,8 +192,12 @@
     world.join("c1");
     world.cell.accept(job(3, vec![step(1)]));
     let started = world.run();
-    let trial = started.iter().find(|(_, task, _)| task.job == 2);
-    assert_eq!(trial.map(|(id, ..)| id.as_str()), Some("c1"), "{started:?}");
+    let quarantine = started.iter().find(|(_, task, _)| task.job == 2);
+    assert_eq!(
+        quarantine.map(|(id, ..)| id.as_str()),
+        Some("c1"),
+        "{started:?}"
+    );
     let other = started.iter().find(|(_, task, _)| task.job == 3);
     assert_eq!(other.map(|(id, ..)| id.as_str()), Some("a1"), "{started:?}");
 }
@@ -198,7 +210,7 @@
     assert_eq!(world.run().len(), 1);
     world.take_over();
     world.join("b1");
-    assert_eq!(conduct(&world, task(1, 0, 0)).crashes.len(), 1);
+    assert_eq!(crash_history(&world, task(1, 0, 0)).crashes.len(), 1);
     // It does not name the run: its start never came there.
     let started = world.run();
     assert_eq!(started.len(), 1);
@@ -229,12 +241,19 @@
             .cell
             .workers
             .values()
-            .filter(|w| w.trial.is_some())
+            .filter(|w| w.quarantine.is_some())
             .count()
             == 1
     );
-    let trial = world.cell.workers.values().find_map(|worker| worker.trial);
-    assert_eq!(trial.map(|trial| trial.key.0), Some(task(2, 0, 0)));
+    let quarantine = world
+        .cell
+        .workers
+        .values()
+        .find_map(|worker| worker.quarantine);
+    assert_eq!(
+        quarantine.map(|quarantine| quarantine.key.0),
+        Some(task(2, 0, 0))
+    );
 }
 
 #[test]
@@ -258,7 +277,7 @@
             ..task(1, 0, 0)
         };
         assert_eq!(
-            conduct(&world, task).crashes.len(),
+            crash_history(&world, task).crashes.len(),
             1,
             "one end counts once"
         );
@@ -294,7 +313,7 @@
     let again = world.run();
     assert_eq!(again.len(), 4, "{again:?}");
     for index in 0..4 {
-        if conduct(&world, task(1, 0, index)).crashes.is_empty() {
+        if crash_history(&world, task(1, 0, index)).crashes.is_empty() {
             continue;
         }
         let on = again.iter().find(|(_, task, _)| task.index == index);
--- a/crates/jobs/tests/crash/mod.rs
+++ b/crates/jobs/tests/crash/mod.rs
@@ -75,7 +75,7 @@
 struct Host {
     running: BTreeMap<(TaskId, RunId), Run>,
     asked: u64,
-    /// When it is asked once more, for a run on trial there.
+    /// When it is asked once more, for a run in quarantine there.
     look: Option<u64>,
     number: u64,
 }
@@ -396,10 +396,14 @@
             *self.outcome.starts.entry(task).or_default() += 1;
         }
         self.cell.started(id, task, run, now);
-        let trial = self.cell.workers.get(id).and_then(|worker| worker.trial);
-        if let Some(trial) = trial.filter(|trial| trial.key == (task, run)) {
+        let quarantine = self
+            .cell
+            .workers
+            .get(id)
+            .and_then(|worker| worker.quarantine);
+        if let Some(quarantine) = quarantine.filter(|quarantine| quarantine.key == (task, run)) {
             let host = self.hosts.get_mut(id).unwrap();
-            host.look = Some(self.now + trial.bar.as_millis() as u64);
+            host.look = Some(self.now + quarantine.bar.as_millis() as u64);
         }
     }
 
--- a/crates/jobs/tests/crashes.rs
+++ b/crates/jobs/tests/crashes.rs
@@ -46,7 +46,7 @@
         let most = outcome.starts.values().max().copied().unwrap_or(0);
         assert!(most <= STARTS, "seed {seed}: started {most} times");
         assert_eq!(outcome.kept, 0, "seed {seed}: jobs are not given up");
-        // An accident may meet a task just when it is on trial.
+        // An accident may meet a task just when it is in quarantine.
         let most_refused = match plan.accidents {
             0 => 0,
             _ => outcome.others / 100,
@@ -122,8 +122,8 @@
     check_accidents(plan, 1);
 }
 
-/// Each worker ends every 8 s. Four ends in a row then meet some tasks by chance, and the users allow five starts, of which
-/// one may be unknown; a new owner knows less of accidents.
+/// Each worker ends every 8 s. Four ends in a row then meet some tasks by chance, and the users allow five starts, of
+/// which one may be unknown; a new owner knows less of accidents.
 const DISASTER: Plan = Plan {
     accidents: 400,
     ..ACCIDENTS
--- a/crates/jobs/tests/decoders.rs
+++ b/crates/jobs/tests/decoders.rs
@@ -1,5 +1,5 @@
-//! Records of the cell's log that another writer may have left, and figures of callers that make no sense: no panic, and
-//! nothing taken for something else.
+//! Records of the cell's log that another writer may have left, and figures of callers that make no sense: no panic,
+//! and nothing taken for something else.
 
 mod fixture;
 
--- a/crates/jobs/tests/histories.rs
+++ b/crates/jobs/tests/histories.rs
@@ -35,7 +35,8 @@
     seeds.for_each(play_rooms);
 }
 
-/// Fresh seeds by hand, or those from `FIRST` on: `HISTORIES=1000 cargo test -p havenladder-jobs --test histories -- --ignored`.
+/// Fresh seeds by hand, or those from `FIRST` on: `HISTORIES=1000 cargo test -p havenladder-jobs --test histories --
+/// --ignored`.
 #[test]
 #[ignore = "takes minutes; run by hand"]
 fn fresh_histories_keep_the_promises() {
