fix(clock): a suspension before the process began is none; a look between two reads finds none

Cause, found in reading the change: the first look took all suspensions since the machine's start for one that had just ended, and a thread that lost its turn between the two reads found a suspension of that length. Both only told of it, and had waits look at the clock once more. Mend: the first look sets the measure; the clocks are read in the order in which too little is found, and only what is more than ever before counts.

--- a/crates/clock/src/lib.rs
+++ b/crates/clock/src/lib.rs
@@ -79,8 +79,10 @@
 /// By how much this clock is ahead of the steady one: it grows by the length of each suspension. Timers stand on the
 /// steady clock, and fire late by as much.
 pub fn ahead() -> Duration {
+    // Read in this order, a thread that loses its turn between the two finds too little rather than too much.
+    let now = Instant::now();
     let steady = read(ClockId::Monotonic);
-    Instant::now().0.saturating_sub(steady)
+    now.0.saturating_sub(steady)
 }
 
 /// Puts the clock forward by so much in all, as suspensions of the machine would: for tests, which cannot suspend it.
--- a/crates/clock/src/timer.rs
+++ b/crates/clock/src/timer.rs
@@ -5,20 +5,20 @@
 
 use crate::{Instant, ahead};
 use std::{
-    sync::atomic::{AtomicU64, Ordering},
+    sync::{Mutex, PoisonError},
     time::Duration,
 };
 use tokio::{sync::Notify, time};
 
-/// How much this clock may gain on the steady one without a suspension, in ms: the two are read one after the other,
-/// and a thread may lose its turn between.
+/// How much this clock may gain on the steady one without a suspension, in ms: both are read in ns and told in ms.
 const SLACK: u64 = 20;
 
 /// Told after each suspension that was noticed.
 static WOKE: Notify = Notify::const_new();
 
-/// By how much this clock was ahead of the steady one at the last look, in ms.
-static AHEAD: AtomicU64 = AtomicU64::new(0);
+/// By how much this clock was ahead of the steady one at the most so far, in ms; none before the first look. The machine
+/// may have been suspended before the process began.
+static AHEAD: Mutex<Option<u64>> = Mutex::new(None);
 
 /// The time for a wait has passed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -56,11 +56,19 @@
 /// for how long.
 pub fn notice_suspension() -> Option<Duration> {
     let now = ahead().as_millis() as u64;
-    let before = AHEAD.swap(now, Ordering::Relaxed);
-    let gained = now.saturating_sub(before);
+    let gained = note_ahead(now);
     if gained < SLACK {
         return None;
     }
     WOKE.notify_waiters();
     Some(Duration::from_millis(gained))
 }
+
+/// Notes by how much this clock is ahead, in ms, and returns by how much that is more than ever before.
+fn note_ahead(now: u64) -> u64 {
+    // A thread that panicked here has changed nothing by halves.
+    let mut most = AHEAD.lock().unwrap_or_else(PoisonError::into_inner);
+    let gained = most.map_or(0, |most| now.saturating_sub(most));
+    *most = (*most).max(Some(now));
+    gained
+}
