fix(soak): a suspension is one for all: the process stands still while time passes

Mend: the entry stands still for as long. The clock file is left to the tests in which nothing runs.

--- a/crates/soak/src/entries.rs
+++ b/crates/soak/src/entries.rs
@@ -98,7 +98,7 @@
     }
 
     /// Puts the clock of the process forward, as a suspension of its machine does; its timers, which stand still
-    /// meanwhile, do not take note of it.
+    /// meanwhile, do not take note of it. No time passes for others: nothing may run that they have a lease for.
     ///
     /// # Errors
     ///
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -68,7 +68,9 @@
     Hush,
     /// Open connections to a VM's worker fall silent, and new ones work.
     HushWorker,
-    /// An entry's machine wakes from a suspension of that length.
+    /// An entry's machine is suspended. Its process stands still while time passes for all others, which is all that can
+    /// be brought about from outside: a clock that is put forward alone would have leases run out before the workers'
+    /// time has come.
     Suspend,
 }
 
@@ -155,7 +157,7 @@
             fault.kind,
             fault.entry,
         ));
-        begin(site, &fault, &vm, seed, lasts)?;
+        begin(site, &fault, &vm, seed);
         open.push(fault);
     }
     Ok(told)
@@ -177,13 +179,13 @@
     (fault, vm, lasts)
 }
 
-fn begin(site: &mut Site, fault: &Open, vm: &str, seed: u64, lasts: Duration) -> io::Result<()> {
+fn begin(site: &mut Site, fault: &Open, vm: &str, seed: u64) {
     let entry = fault.entry;
     let link = &site.links[entry];
     match fault.kind {
         Kind::Kill => site.entries[entry].signal(Signal::KILL),
         Kind::Stop => site.entries[entry].signal(Signal::TERM),
-        Kind::Pause => site.entries[entry].signal(Signal::STOP),
+        Kind::Pause | Kind::Suspend => site.entries[entry].signal(Signal::STOP),
         Kind::KillAll => site.entries.iter_mut().for_each(|e| e.signal(Signal::KILL)),
         Kind::Cut => link.cut(true),
         Kind::MuteRequests => link.mute(true, false),
@@ -199,15 +201,15 @@
         Kind::Swallow => site.log.lose_answers(SWALLOWED, seed),
         Kind::Hush => link.hush(),
         Kind::HushWorker => fault.worker.hush(),
-        Kind::Suspend => site.entries[entry].suspend(lasts)?,
     }
-    Ok(())
 }
 
 fn end(site: &mut Site, fault: &Open) -> io::Result<()> {
     let link = &site.links[fault.entry];
     match fault.kind {
-        Kind::Kill | Kind::Stop | Kind::Pause => site.entries[fault.entry].revive()?,
+        Kind::Kill | Kind::Stop | Kind::Pause | Kind::Suspend => {
+            site.entries[fault.entry].revive()?
+        }
         Kind::KillAll => site.entries.iter_mut().try_for_each(|e| e.revive())?,
         Kind::Cut => link.cut(false),
         Kind::MuteRequests | Kind::MuteAnswers => link.mute(false, false),
@@ -216,13 +218,8 @@
         Kind::Dark => fault.worker.cut(false),
         Kind::Late => fault.worker.mute(false, false),
         Kind::Swallow => site.log.lose_answers(0.0, 0),
-        Kind::Lose
-        | Kind::Crash
-        | Kind::Configure
-        | Kind::Wave
-        | Kind::Hush
-        | Kind::HushWorker
-        | Kind::Suspend => {}
+        Kind::Lose | Kind::Crash | Kind::Configure | Kind::Wave | Kind::Hush | Kind::HushWorker => {
+        }
     }
     Ok(())
 }
