--- a/crates/havenladder/src/entry/metrics.rs
+++ b/crates/havenladder/src/entry/metrics.rs
@@ -36,6 +36,7 @@
     rounds: Histogram<f64>,
     lags: Histogram<f64>,
     foreign_entries: Counter<u64>,
+    odd_ends: Counter<u64>,
     owners: Counter<u64>,
     suspensions: Counter<u64>,
     store_calls: Counter<u64>,
@@ -78,6 +79,7 @@
             lags: seconds("havenladder_lag_seconds"),
             owners: meter.u64_counter("havenladder_ownerships").build(),
             foreign_entries: meter.u64_counter("havenladder_foreign_entries").build(),
+            odd_ends: meter.u64_counter("havenladder_odd_ends").build(),
             suspensions: meter.u64_counter("havenladder_suspensions").build(),
             store_calls: meter.u64_counter("havenladder_store_calls").build(),
             resends: meter.u64_counter("havenladder_store_resends").build(),
@@ -143,6 +145,11 @@
             .add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    /// Counts a run whose end does not fit what is known of it.
+    pub fn odd_end(&self, what: &'static str) {
+        self.odd_ends.add(1, &[KeyValue::new("what", what)]);
+    }
+
     /// Counts a suspension of the machine.
     pub fn suspended(&self) {
         self.suspensions.add(1, &[]);
--- a/crates/havenladder/src/entry/mod.rs
+++ b/crates/havenladder/src/entry/mod.rs
@@ -5,6 +5,7 @@
 //! duties share is in one [`Node`].
 
 mod callers;
+mod ends;
 mod fleet;
 mod follow;
 mod inner;
--- a/crates/havenladder/src/entry/watch.rs
+++ b/crates/havenladder/src/entry/watch.rs
@@ -1,6 +1,7 @@
 //! Watches the workers: the platform's list of them, and what each says of its runs.
 
 use super::{
+    ends,
     losses::{give_up, give_up_runs},
     orders,
     owner::{Contact, Owner},
@@ -12,7 +13,7 @@
     workers::{self, ClockMs, EntryError, WorkerError},
 };
 use clock::{Instant, timer};
-use jobs::{How, Loss, Refusal, Report, WorkerId};
+use jobs::{Loss, Refusal, Report, WorkerId};
 use std::{collections::HashSet, rc::Rc, time::Duration};
 use tokio::{task, time};
 use tracing::{info, warn};
@@ -231,8 +232,9 @@
     let now = Instant::now();
     let Answer { asked, told } = answer;
     set_clock(owner, id, told.clock, now);
-    log_ends(owner, id, &told.value);
-    owner.cell.borrow_mut().report(id, &told.value, *asked, now);
+    ends::log_listed(owner, id, &told.value);
+    let vanished = owner.cell.borrow_mut().report(id, &told.value, *asked, now);
+    ends::log_vanished(owner, id, &vanished);
     owner.wake();
 }
 
@@ -281,32 +283,6 @@
     }
 }
 
-/// The name of an end in the metrics.
-fn name_end(how: How) -> &'static str {
-    match how {
-        How::Done => "done",
-        How::Failed => "failed",
-        How::Stopped => "stopped",
-        How::Lapsed => "lapsed",
-        How::Broken => "broken",
-        How::Alone => "alone",
-    }
-}
-
-/// Logs and counts the ends that a worker listed for the first time.
-fn log_ends(owner: &Owner, worker: &str, report: &Report) {
-    let noted = owner
-        .cell
-        .borrow()
-        .workers
-        .get(worker)
-        .map_or(0, |w| w.noted);
-    for end in report.ended.iter().filter(|end| end.number > noted) {
-        info!(task = %end.task, run = end.run, worker, number = end.number, how = ?end.how, "ended");
-        owner.node.metrics.ended(name_end(end.how));
-    }
-}
-
 /// Whether the lease of a worker has run out for certain.
 fn has_lapsed(owner: &Owner, id: &str) -> bool {
     let contacts = owner.contacts.borrow();
--- a/crates/jobs/src/observe.rs
+++ b/crates/jobs/src/observe.rs
@@ -30,10 +30,17 @@
 const PACE_UP: u64 = 20;
 
 impl Cell {
-    /// Takes in what a worker said to a question that was sent at `asked`.
-    pub fn report(&mut self, worker: &str, report: &Report, asked: Instant, now: Instant) {
+    /// Takes in what a worker said to a question that was sent at `asked`. Returns the runs that it had said to be
+    /// there and that are gone without an end.
+    pub fn report(
+        &mut self,
+        worker: &str,
+        report: &Report,
+        asked: Instant,
+        now: Instant,
+    ) -> Vec<(TaskId, RunId)> {
         let Some(host) = self.workers.get_mut(worker) else {
-            return;
+            return Vec::new();
         };
         host.known = true;
         host.met = true;
@@ -48,9 +55,10 @@
         for row in &report.running {
             self.take_row(worker, row, asked, now);
         }
-        self.drop_missing(worker, report, asked);
+        let vanished = self.drop_missing(worker, report, asked);
         self.clear_proven(worker, now);
         self.pace(worker, report, now);
+        vanished
     }
 
     /// Stops runs that show no progress, so that they are tried elsewhere.
@@ -229,10 +237,16 @@
         }
     }
 
-    /// Runs that the worker no longer has and whose end it has not listed: they never came there.
-    fn drop_missing(&mut self, worker: &str, report: &Report, asked: Instant) {
+    /// Runs that the worker no longer has and whose end it has not listed: they never came there. Returns those that
+    /// it had said to be there.
+    fn drop_missing(
+        &mut self,
+        worker: &str,
+        report: &Report,
+        asked: Instant,
+    ) -> Vec<(TaskId, RunId)> {
         let Some(host) = self.workers.get(worker) else {
-            return;
+            return Vec::new();
         };
         let listed = |task: TaskId, run: RunId| {
             report
@@ -247,14 +261,20 @@
             .map(|(key, _)| *key)
             .filter(|(task, run)| !listed(*task, *run))
             .collect();
+        let mut vanished = Vec::new();
         for (task, run) in gone {
-            if let Some(host) = self.workers.get_mut(worker) {
-                host.remove(task, run);
+            let state = self
+                .workers
+                .get_mut(worker)
+                .and_then(|host| host.remove(task, run));
+            if state.is_some_and(|state| state.seen) {
+                vanished.push((task, run));
             }
             if self.is_current(worker, task, run) {
                 self.requeue(task);
             }
         }
+        vanished
     }
 
     /// Slows down what fills beside tasks whose answers take too long, and lets it go again.
--- a/crates/standin/src/users/cloud.rs
+++ b/crates/standin/src/users/cloud.rs
@@ -8,6 +8,7 @@
 use serde_json::{Value, json as value};
 use std::{
     collections::BTreeMap,
+    net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard},
     time::{Duration, Instant},
 };
@@ -42,8 +43,10 @@
     fence: u64,
     /// The waves in which it has had its upkeep.
     waves: Vec<u64>,
-    /// The life of its worker, while it is up.
+    /// Its worker, while it is up.
     worker: Option<Arc<Worker>>,
+    /// Where that takes calls.
+    address: Option<SocketAddr>,
     /// The faults of the way to its worker.
     link: Arc<Faults>,
 }
@@ -84,6 +87,7 @@
             fence: 0,
             waves: Vec::new(),
             worker: None,
+            address: None,
             link: Arc::default(),
         };
         self.vms().insert(name.to_owned(), vm);
@@ -105,6 +109,18 @@
         self.take_down(name, "down");
     }
 
+    /// Crashes a VM's worker without notice; it starts again under its id after a time, and writes its entry anew.
+    pub fn restart(&self, name: &str, away: Duration) {
+        let found = self.vms().get(name).and_then(|vm| vm.worker.clone());
+        let Some(worker) = found else { return };
+        worker.restart(away);
+        let (cloud, name) = (self.clone(), name.to_owned());
+        tokio::spawn(async move {
+            time::sleep(away).await;
+            cloud.write_entry(&name);
+        });
+    }
+
     /// Takes a VM down when a task ends its worker.
     fn watch_crash(&self, name: &str, worker: Arc<Worker>) {
         let (cloud, name) = (self.clone(), name.to_owned());
@@ -272,22 +288,31 @@
             return Ok(());
         };
         let proxy = Proxy::start(address).await?;
-        let id = worker.id.clone();
-        let mut pool = String::new();
         if let Some(vm) = self.vms().get_mut(name) {
             vm.state = "up";
             vm.worker = Some(Arc::clone(&worker));
+            vm.address = Some(proxy.addr);
             vm.link = Arc::clone(&proxy.faults);
-            pool.clone_from(&vm.pool);
         }
+        self.write_entry(name);
+        self.watch_crash(name, worker);
+        Ok(())
+    }
+
+    /// Writes the entry of a VM's worker, if it has one.
+    fn write_entry(&self, name: &str) {
+        let vms = self.vms();
+        let Some(vm) = vms.get(name) else { return };
+        let (Some(worker), Some(address)) = (&vm.worker, vm.address) else {
+            return;
+        };
         let entry = value!({
-            "service": pool, "address": proxy.addr.to_string(), "zone": "a", "version": "v1",
+            "service": vm.pool, "address": address.to_string(), "zone": "a", "version": "v1",
             "slots": 8, "state": "ready", "cold-remaining-ms": 0, "capacity": capacity(),
-            "labels": ["k", "r1"], "sequence": 1,
+            "labels": ["k", "r1"], "born": worker.born(), "sequence": 1,
         });
-        self.log.put(WORKERS, &id, entry.to_string().as_bytes());
-        self.watch_crash(name, worker);
-        Ok(())
+        self.log
+            .put(WORKERS, &worker.id, entry.to_string().as_bytes());
     }
 }
 
--- a/crates/standin/src/users/worker.rs
+++ b/crates/standin/src/users/worker.rs
@@ -17,7 +17,7 @@
         Arc, Mutex, MutexGuard,
         atomic::{AtomicBool, Ordering::Relaxed},
     },
-    time::{Duration, Instant},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 use tokio::{sync::Notify, time};
 
@@ -69,8 +69,12 @@
     how: &'static str,
 }
 
-#[derive(Default)]
+/// What one life of a worker holds and knows.
 struct State {
+    /// When this life began, or begins: before, there is no answer.
+    began: Instant,
+    /// The same as a time of day, in ms since 1970.
+    born: u64,
     fence: u64,
     deadline: u64,
     runs: BTreeMap<String, Run>,
@@ -81,6 +85,25 @@
 }
 
 impl State {
+    /// A life that begins after this time and knows nothing of any before.
+    fn beginning_in(away: Duration) -> Self {
+        State {
+            began: Instant::now() + away,
+            born: wall_ms(SystemTime::now() + away),
+            fence: 0,
+            deadline: 0,
+            runs: BTreeMap::new(),
+            ended: Vec::new(),
+            last_end: 0,
+            closed: HashMap::new(),
+        }
+    }
+
+    /// What its clock shows.
+    fn clock(&self) -> u64 {
+        CLOCK + self.began.elapsed().as_millis() as u64
+    }
+
     /// Takes note of a call's fence; false if a higher one was seen before.
     fn admit(&mut self, fence: u64) -> bool {
         let admitted = fence >= self.fence;
@@ -105,13 +128,12 @@
     }
 }
 
-/// One life of a worker.
+/// A worker, which may start again under its id.
 pub struct Worker {
-    /// This life.
+    /// The id under which it is listed.
     pub id: String,
     /// Where it takes calls.
     pub address: Mutex<Option<SocketAddr>>,
-    began: Instant,
     dead: AtomicBool,
     state: Mutex<State>,
     changed: Notify,
@@ -130,9 +152,8 @@
         let worker = Arc::new(Worker {
             id,
             address: Mutex::new(None),
-            began: Instant::now(),
             dead: AtomicBool::new(false),
-            state: Mutex::default(),
+            state: Mutex::new(State::beginning_in(Duration::ZERO)),
             changed: Notify::new(),
             crashed: Notify::new(),
             events,
@@ -143,17 +164,42 @@
         Ok(worker)
     }
 
-    /// Ends this life; all that it runs ends with it.
+    /// Ends it for good; all that it runs ends with it.
     pub fn kill(&self) {
         self.dead.store(true, Relaxed);
         self.changed.notify_waiters();
+        self.lose_runs(&mut self.state());
+    }
+
+    /// Ends this life without notice, and begins another under the same id after a time.
+    pub fn restart(&self, away: Duration) {
         let mut state = self.state();
+        self.lose_runs(&mut state);
+        *state = State::beginning_in(away);
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
+    /// When its life began, in ms since 1970.
+    pub fn born(&self) -> u64 {
+        self.state().born
+    }
+
+    /// All that it runs ends with it, without an end that is listed.
+    fn lose_runs(&self, state: &mut State) {
         for (task, run) in std::mem::take(&mut state.runs) {
             self.events
                 .note(&self.id, &task, run.number, RunEvent::Lost);
         }
     }
 
+    /// Its life that takes calls now; none while there is none.
+    fn life(&self) -> Option<u64> {
+        let state = self.state();
+        let lives = !self.dead.load(Relaxed) && state.began <= Instant::now();
+        lives.then_some(state.born)
+    }
+
     /// How many tasks it runs.
     pub fn running(&self) -> usize {
         self.state().runs.len()
@@ -163,14 +209,8 @@
         self.state.lock().expect("no thread panics here")
     }
 
-    fn clock(&self) -> u64 {
-        CLOCK + self.began.elapsed().as_millis() as u64
-    }
-
     async fn handle(self: Arc<Self>, call: Call) -> Answer {
-        if self.dead.load(Relaxed) {
-            return None;
-        }
+        let life = self.life()?;
         if call
             .headers
             .get("expect-instance")
@@ -185,12 +225,12 @@
             "/hold" => self.hold(&body).await,
             _ => answer(400, "application/json", "{}"),
         };
-        // What waits for an answer when a worker ends gets none.
-        (!self.dead.load(Relaxed)).then_some(answer)
+        // What waits for an answer when a life ends gets none.
+        (self.life() == Some(life)).then_some(answer)
     }
 
-    fn reply(&self, status: u16, reason: &str) -> Response<Full<Bytes>> {
-        let mut body = json!({ "clock-ms": self.clock() });
+    fn reply(state: &State, status: u16, reason: &str) -> Response<Full<Bytes>> {
+        let mut body = json!({ "clock-ms": state.clock() });
         if !reason.is_empty() {
             body["reason"] = reason.into();
         }
@@ -200,21 +240,21 @@
     fn start_run(&self, body: &Body) -> Response<Full<Bytes>> {
         let mut state = self.state();
         if !state.admit(body.fencing_token) {
-            return self.reply(409, "fence");
+            return Self::reply(&state, 409, "fence");
         }
         let deadline = body.deadline_ms.unwrap_or(0);
-        if deadline < self.clock() {
-            return self.reply(409, "late");
+        if deadline < state.clock() {
+            return Self::reply(&state, 409, "late");
         }
         state.deadline = state.deadline.max(deadline);
         if state.has_run(&body.task, body.run) {
-            return self.reply(200, "");
+            return Self::reply(&state, 200, "");
         }
         if state.has_closed(&body.task, body.run) || state.runs.contains_key(&body.task) {
-            return self.reply(409, "old");
+            return Self::reply(&state, 409, "old");
         }
         if state.runs.len() >= ROOM {
-            return self.reply(409, "room");
+            return Self::reply(&state, 409, "room");
         }
         let fatal = body.spec == ENDS_WORKER;
         let took = match body.spec.parse() {
@@ -230,13 +270,13 @@
         state.runs.insert(body.task.clone(), run);
         self.events
             .note(&self.id, &body.task, body.run, RunEvent::Started);
-        self.reply(200, "")
+        Self::reply(&state, 200, "")
     }
 
     fn stop_run(&self, body: &Body) -> Response<Full<Bytes>> {
         let mut state = self.state();
         if !state.admit(body.fencing_token) {
-            return self.reply(409, "fence");
+            return Self::reply(&state, 409, "fence");
         }
         state.close(&body.task, body.run);
         if state
@@ -246,14 +286,14 @@
         {
             self.end(&mut state, &body.task, "stopped");
         }
-        self.reply(200, "")
+        Self::reply(&state, 200, "")
     }
 
     async fn hold(&self, body: &Body) -> Response<Full<Bytes>> {
         {
             let mut state = self.state();
             if !state.admit(body.fencing_token) {
-                return self.reply(409, "fence");
+                return Self::reply(&state, 409, "fence");
             }
             state.deadline = state.deadline.max(body.deadline_ms.unwrap_or(0));
             self.forget(&mut state, body.last_seen);
@@ -265,10 +305,11 @@
 
     /// Waits until a run has ended that is not acknowledged, or the time is over.
     async fn wait_for_ends(&self, until: time::Instant) {
+        let life = self.life();
         loop {
             let changed = self.changed.notified();
-            let dead = self.dead.load(Relaxed);
-            if dead || !self.state().ended.is_empty() || time::Instant::now() >= until {
+            let over = self.life() != life;
+            if over || !self.state().ended.is_empty() || time::Instant::now() >= until {
                 return;
             }
             // The end of the wait is an answer without ends.
@@ -289,7 +330,9 @@
             .iter()
             .map(|end| json!([end.number, end.task, end.run, end.how, ""]))
             .collect();
-        let body = json!({ "clock-ms": self.clock(), "running": running, "ended-at": ended });
+        let body = json!({
+            "clock-ms": state.clock(), "born": state.born, "running": running, "ended-at": ended,
+        });
         answer(200, "application/json", body.to_string())
     }
 
@@ -328,6 +371,12 @@
     }
 }
 
+/// A time of day in ms since 1970.
+fn wall_ms(at: SystemTime) -> u64 {
+    let since = at.duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
+}
+
 /// A figure that changes as long as the run goes on.
 fn progress(run: &Run) -> u128 {
     let left = run.ends.saturating_duration_since(Instant::now());
@@ -339,8 +388,8 @@
     while !worker.dead.load(Relaxed) {
         time::sleep(TICK).await;
         let now = Instant::now();
-        let lapsed = worker.clock();
         let mut state = worker.state();
+        let lapsed = state.clock();
         if state.runs.values().any(|run| run.fatal && run.ends <= now) {
             drop(state);
             worker.kill();
