feat(soak): workers that start again under their ids, from seed 9,000 on

Before: no fault, no stand-in and no test had a worker that comes back under its id; neither had tasks that end their workers.

--- a/crates/havenladder/tests/crashing_tasks.rs
+++ b/crates/havenladder/tests/crashing_tasks.rs
@@ -131,6 +131,17 @@
     block_on(play(981, None));
 }
 
+/// From this seed on the stand-in's workers are back under their ids.
+#[test]
+fn a_task_that_ends_its_workers_is_given_up_where_these_start_again_under_their_ids() {
+    block_on(play(9_983, None));
+}
+
+#[test]
+fn a_task_that_ends_its_workers_is_given_up_where_ids_stay_and_owners_change() {
+    block_on(play(9_984, Some(1)));
+}
+
 #[test]
 fn a_task_that_ends_its_workers_is_given_up_across_owners() {
     block_on(play(982, Some(1)));
--- a/crates/havenladder/tests/soak.rs
+++ b/crates/havenladder/tests/soak.rs
@@ -15,6 +15,7 @@
     a_lost_worker_and_four_owners = { 10, 20, 3, 6 },
     connections_that_fall_silent = { 6_004, 10, 3, 6 },
     tasks_that_end_their_workers = { 7_001, 20, 4, 8 },
+    workers_that_start_again = { 9_900, 10, 3, 6 },
 )]
 fn a_soak_breaks_no_promise(seed: u64, seconds: u64, entries: usize, vms: usize) {
     let plan = Plan {
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -72,10 +72,14 @@
     /// be brought about from outside: a clock that is put forward alone would have leases run out before the workers'
     /// time has come.
     Suspend,
+    /// A VM's worker ends without notice and starts again under its id.
+    Restart,
+    /// All workers do.
+    RestartAll,
 }
 
 /// Kinds that earlier seeds draw from stand first.
-const KINDS: [Kind; 19] = [
+const KINDS: [Kind; 21] = [
     Kind::Kill,
     Kind::Stop,
     Kind::Pause,
@@ -95,6 +99,8 @@
     Kind::Hush,
     Kind::HushWorker,
     Kind::Suspend,
+    Kind::Restart,
+    Kind::RestartAll,
 ];
 
 /// How many of [`KINDS`] the seeds below [`SILENT_FROM`] draw from, so that they go on to mean the same faults.
@@ -109,6 +115,15 @@
 /// From which seed on machines are suspended as well, and some jobs have a task that ends its workers.
 pub const HARMFUL_FROM: u64 = 7_000;
 
+/// How many of them those from there up to [`RESTARTS_FROM`] draw from.
+const HARMFUL: usize = 19;
+
+/// From which seed on workers start again under their ids as well, also those that a task ends.
+pub const RESTARTS_FROM: u64 = 9_000;
+
+/// The longest time for which a worker is away that starts again: users saw 0.25 to 3 s.
+const LONGEST_AWAY: Duration = Duration::from_millis(3_000);
+
 /// The part of the answers to appends that is lost.
 const SWALLOWED: f64 = 0.35;
 
@@ -135,7 +150,8 @@
     let kinds = match seed {
         ..SILENT_FROM => &KINDS[..LOUD],
         SILENT_FROM..HARMFUL_FROM => &KINDS[..SILENT],
-        HARMFUL_FROM.. => &KINDS[..],
+        HARMFUL_FROM..RESTARTS_FROM => &KINDS[..HARMFUL],
+        RESTARTS_FROM.. => &KINDS[..],
     };
     let began = Instant::now();
     let mut open: Vec<Open> = Vec::new();
@@ -182,7 +198,14 @@
 fn begin(site: &mut Site, fault: &Open, vm: &str, seed: u64) {
     let entry = fault.entry;
     let link = &site.links[entry];
+    let away = fault.ends.saturating_duration_since(Instant::now());
+    let away = away.min(LONGEST_AWAY);
     match fault.kind {
+        Kind::Restart => site.cloud.restart(vm, away),
+        Kind::RestartAll => {
+            let names = site.cloud.names();
+            names.iter().for_each(|name| site.cloud.restart(name, away));
+        }
         Kind::Kill => site.entries[entry].signal(Signal::KILL),
         Kind::Stop => site.entries[entry].signal(Signal::TERM),
         Kind::Pause | Kind::Suspend => site.entries[entry].signal(Signal::STOP),
@@ -218,8 +241,14 @@
         Kind::Dark => fault.worker.cut(false),
         Kind::Late => fault.worker.mute(false, false),
         Kind::Swallow => site.log.lose_answers(0.0, 0),
-        Kind::Lose | Kind::Crash | Kind::Configure | Kind::Wave | Kind::Hush | Kind::HushWorker => {
-        }
+        Kind::Lose
+        | Kind::Crash
+        | Kind::Configure
+        | Kind::Wave
+        | Kind::Hush
+        | Kind::HushWorker
+        | Kind::Restart
+        | Kind::RestartAll => {}
     }
     Ok(())
 }
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -3,6 +3,7 @@
 use crate::{
     Plan,
     entries::{Entry, Ports},
+    faults::RESTARTS_FROM,
 };
 use standin::{
     proxy::{Faults, Proxy},
@@ -66,6 +67,9 @@
     pub async fn start(plan: &Plan) -> io::Result<Self> {
         let (log, events) = (Log::default(), Events::default());
         let cloud = Cloud::new(log.clone(), events.clone());
+        if plan.seed >= RESTARTS_FROM {
+            cloud.keep_ids();
+        }
         for number in 0..plan.vms {
             cloud.add(&format!("vm-{number}"), POOL).await?;
         }
--- a/crates/standin/src/users/cloud.rs
+++ b/crates/standin/src/users/cloud.rs
@@ -9,7 +9,10 @@
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard},
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicBool, Ordering::Relaxed},
+    },
     time::{Duration, Instant},
 };
 use tokio::time;
@@ -57,6 +60,8 @@
     log: Log,
     events: Events,
     vms: Arc<Mutex<BTreeMap<String, Vm>>>,
+    /// Whether a worker that a task ends starts again under its id, and not under another.
+    keeps_ids: Arc<AtomicBool>,
     /// How many lives of workers there have been.
     lives: Arc<Mutex<u64>>,
     /// The orders that were taken, in the order in which they came.
@@ -70,11 +75,17 @@
             log,
             events,
             vms: Arc::default(),
+            keeps_ids: Arc::default(),
             lives: Arc::default(),
             orders: Arc::default(),
         }
     }
 
+    /// Has workers that are added from now on start again under their ids when a task ends them.
+    pub fn keep_ids(&self) {
+        self.keeps_ids.store(true, Relaxed);
+    }
+
     /// Adds a VM to a pool.
     ///
     /// # Errors
@@ -126,6 +137,11 @@
         let (cloud, name) = (self.clone(), name.to_owned());
         tokio::spawn(async move {
             worker.crashed.notified().await;
+            while cloud.keeps_ids.load(Relaxed) {
+                time::sleep(AWAY).await;
+                cloud.write_entry(&name);
+                worker.crashed.notified().await;
+            }
             if cloud.lose(&name, &worker) {
                 cloud.boot_later(&name);
                 time::sleep(LAPSE).await;
@@ -282,7 +298,9 @@
             *lives += 1;
             *lives
         };
-        let worker = Worker::start(format!("i-{number:04}"), self.events.clone()).await?;
+        let back = self.keeps_ids.load(Relaxed).then_some(AWAY);
+        let id = format!("i-{number:04}");
+        let worker = Worker::start(id, back, self.events.clone()).await?;
         let address = *worker.address.lock().expect("no thread panics here");
         let Some(address) = address else {
             return Ok(());
--- a/crates/standin/src/users/worker.rs
+++ b/crates/standin/src/users/worker.rs
@@ -137,8 +137,10 @@
     dead: AtomicBool,
     state: Mutex<State>,
     changed: Notify,
-    /// Told when a task has ended this life.
+    /// Told when a task has ended a life of it.
     pub crashed: Notify,
+    /// Whether it starts again under its id when a task ends it, and after which time.
+    back: Option<Duration>,
     events: Events,
 }
 
@@ -148,7 +150,11 @@
     /// # Errors
     ///
     /// Fails when no port is free.
-    pub async fn start(id: String, events: Events) -> std::io::Result<Arc<Self>> {
+    pub async fn start(
+        id: String,
+        back: Option<Duration>,
+        events: Events,
+    ) -> std::io::Result<Arc<Self>> {
         let worker = Arc::new(Worker {
             id,
             address: Mutex::new(None),
@@ -156,6 +162,7 @@
             state: Mutex::new(State::beginning_in(Duration::ZERO)),
             changed: Notify::new(),
             crashed: Notify::new(),
+            back,
             events,
         });
         let address = listen(&worker, Worker::handle).await?;
@@ -392,9 +399,12 @@
         let lapsed = state.clock();
         if state.runs.values().any(|run| run.fatal && run.ends <= now) {
             drop(state);
-            worker.kill();
+            match worker.back {
+                Some(away) => worker.restart(away),
+                None => worker.kill(),
+            }
             worker.crashed.notify_one();
-            return;
+            continue;
         }
         let over = state.deadline < lapsed;
         let due: Vec<(String, bool)> = state
