--- a/crates/havenladder/src/entry/worker_list.rs
+++ b/crates/havenladder/src/entry/worker_list.rs
@@ -89,6 +89,7 @@
     let listing = owner.cell.borrow_mut().list_worker(entry, Instant::now());
     match listing {
         Listing::Past => owner.node.metrics.foreign_entry("past"),
+        Listing::Surplus => owner.node.metrics.foreign_entry("surplus"),
         Listing::Of(life) if owner.contacts.borrow().contains_key(&life) => {}
         Listing::Of(life) => {
             info!(worker = %life, service, draining, "worker listed");
--- a/crates/jobs/src/lives.rs
+++ b/crates/jobs/src/lives.rs
@@ -34,6 +34,10 @@
 /// How many lives of a worker that only entries name are waited for at a time: another writer could list any number.
 const MOST_LISTED: usize = 2;
 
+/// How many workers may be known: three times as many as the largest fleet has, 16,000. Another writer may list a million;
+/// each would be asked what it runs, over a connection of its own.
+const MOST_WORKERS: usize = 50_000;
+
 /// One life of a worker: its name and when that life began, as one text, which is what records and logs hold. Workers
 /// that do not tell when they began have a new name in each life.
 #[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -148,6 +152,8 @@
     Of(WorkerId),
     /// It is of a life that is over: it was read late.
     Past,
+    /// It names one worker more than there can be: another writer's.
+    Surplus,
 }
 
 /// The life of a worker that answered last.
@@ -283,6 +289,9 @@
 
     /// Takes in which life of a worker the newest entry names, if it says which.
     pub(crate) fn list(&mut self, name: &str, born: Option<BornMs>) -> Listing {
+        if self.workers.len() >= MOST_WORKERS && !self.workers.contains_key(name) {
+            return Listing::Surplus;
+        }
         let lives = self.get_mut(name);
         let life = WorkerId::new(name, born);
         if lives.past.contains(&life) {
--- a/crates/jobs/tests/lives.rs
+++ b/crates/jobs/tests/lives.rs
@@ -366,6 +366,26 @@
     assert!(world.cell.workers.get(&life(5)).is_some());
 }
 
+#[test]
+fn a_million_entries_of_workers_that_there_are_not_are_bounded() {
+    let mut world = met(5);
+    let mut refused = 0;
+    for number in 0..1_000_000 {
+        let info = WorkerInfo {
+            id: WorkerId::new(&format!("ghost-{number}"), None),
+            ..worker("a1")
+        };
+        let listing = world.cell.list_worker(info, world.now);
+        refused += usize::from(listing == Listing::Surplus);
+    }
+    assert!(refused >= 900_000, "{refused} of a million were left out");
+    assert_eq!(
+        list(&mut world, Some(5)),
+        Listing::Of(life(5)),
+        "it is known"
+    );
+}
+
 #[parameterized(
     plain = { "w-1", None },
     with_a_time = { "w-1", Some(1_796_262_123_456) },
