test(entry): a wave ends where workers are back under their ids

Stand-in: with ids that stay, a VM that is moved or kept up has its worker back under its id as well. Test with real processes: three VMs, one wave, jobs meanwhile; each VM has its upkeep, the wave is told as succeeded, nothing runs twice.

--- a/crates/havenladder/tests/restarted_workers.rs
+++ b/crates/havenladder/tests/restarted_workers.rs
@@ -18,7 +18,7 @@
 use havenladder_standin::users::events::RunEvent;
 use rustix::process::Signal;
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     time::{Duration, Instant},
 };
 use tokio::time;
@@ -228,3 +228,37 @@
         assert_eq!(starts.count() as u64, 5 * TASKS, "none is started again");
     });
 }
+
+/// From this seed on the stand-in's workers are back under their ids after the upkeep of their VMs as well.
+#[test]
+fn a_wave_ends_where_workers_are_back_under_their_ids() {
+    block_on(async {
+        const SEED: u64 = 9_975;
+        let before = odd_ends(SEED);
+        let mut site = entries::start(NAME, SEED, 3).await;
+        time::sleep(BEGIN).await;
+        for id in 1..=10 {
+            hand_in(&site, id).await;
+        }
+        site.ask_wave();
+        for id in 11..=40 {
+            hand_in(&site, id).await;
+        }
+        let until = Instant::now() + OVER;
+        while !is_succeeded(&site) {
+            assert!(Instant::now() < until, "the wave does not end");
+            time::sleep(Duration::from_millis(50)).await;
+        }
+        let orders = site.cloud.orders();
+        let vms: BTreeSet<String> = orders.into_iter().map(|order| order.vm).collect();
+        assert_eq!(vms.len(), 3, "each VM has had its upkeep");
+        all_done(&site, 40).await;
+        check(&site, SEED, before);
+    });
+}
+
+/// Whether operators have been told that the first wave has succeeded.
+fn is_succeeded(site: &Site) -> bool {
+    let told = site.log.get("keyed.status", "wave/1");
+    told.is_some_and(|told| String::from_utf8_lossy(&told).contains("succeeded"))
+}
--- a/crates/standin/src/users/cloud.rs
+++ b/crates/standin/src/users/cloud.rs
@@ -60,7 +60,7 @@
     log: Log,
     events: Events,
     vms: Arc<Mutex<BTreeMap<String, Vm>>>,
-    /// Whether a worker that a task ends starts again under its id, and not under another.
+    /// Whether a worker that has ended starts again under its id, and not under another.
     keeps_ids: Arc<AtomicBool>,
     /// How many lives of workers there have been.
     lives: Arc<Mutex<u64>>,
@@ -81,7 +81,8 @@
         }
     }
 
-    /// Has workers that are added from now on start again under their ids when a task ends them.
+    /// Has workers that are added from now on start again under their ids, when a task ends them or their VM is moved or
+    /// kept up.
     pub fn keep_ids(&self) {
         self.keeps_ids.store(true, Relaxed);
     }
@@ -281,6 +282,9 @@
 
     /// Ends the worker of a VM and starts another life of it later.
     fn take_down(&self, name: &str, state: &'static str) {
+        if self.keeps_ids.load(Relaxed) {
+            return self.take_down_for_a_while(name, state);
+        }
         let worker = self.vms().get_mut(name).and_then(|vm| {
             vm.state = state;
             vm.worker.take()
@@ -291,6 +295,21 @@
         self.boot_later(name);
     }
 
+    /// Ends the worker of a VM, which is back under its id when the VM is.
+    fn take_down_for_a_while(&self, name: &str, state: &'static str) {
+        if let Some(vm) = self.vms().get_mut(name) {
+            vm.state = state;
+        }
+        self.restart(name, AWAY);
+        let (cloud, name) = (self.clone(), name.to_owned());
+        tokio::spawn(async move {
+            time::sleep(AWAY).await;
+            if let Some(vm) = cloud.vms().get_mut(&name) {
+                vm.state = "up";
+            }
+        });
+    }
+
     /// Starts a new life of a VM's worker and lists it.
     async fn boot(&self, name: &str) -> std::io::Result<()> {
         let number = {
