--- a/crates/havenladder/tests/crashing_tasks.rs
+++ b/crates/havenladder/tests/crashing_tasks.rs
@@ -12,7 +12,7 @@
 
 mod entries;
 
-use entries::{ask, block_on, request};
+use entries::{block_on, hand_in};
 use havenladder_soak::site::Site;
 use havenladder_standin::users::{events::RunEvent, worker::ENDS_WORKER};
 use rustix::process::Signal;
@@ -47,21 +47,6 @@
     )
 }
 
-/// Hands a job in, to one entry after the other until one takes it.
-async fn hand_in(site: &Site, id: u64, body: &str) {
-    let until = Instant::now() + OVER;
-    while Instant::now() < until {
-        for entry in &site.entries {
-            let head = ask(entry.address, &request("POST", id, body)).await;
-            if head.starts_with("HTTP/1.1 200") {
-                return;
-            }
-        }
-        time::sleep(Duration::from_millis(50)).await;
-    }
-    panic!("job {id} is not taken in");
-}
-
 /// How often a job's first task was started.
 fn starts(site: &Site, id: u64) -> usize {
     let task = format!("{id:016x}.0.0.0");
--- a/crates/havenladder/tests/entries/mod.rs
+++ b/crates/havenladder/tests/entries/mod.rs
@@ -6,7 +6,12 @@
     Plan,
     site::{HOST, PREFIX, Site},
 };
-use std::{fs, io, net::SocketAddr, path::PathBuf, time::Duration};
+use std::{
+    fs, io,
+    net::SocketAddr,
+    path::PathBuf,
+    time::{Duration, Instant},
+};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
@@ -93,6 +98,26 @@
     Ok(String::from_utf8_lossy(&head).into_owned())
 }
 
+/// Hands a job in, to one entry after the other until one takes it.
+#[allow(
+    dead_code,
+    clippy::allow_attributes,
+    reason = "not every test hands jobs in"
+)]
+pub async fn hand_in(site: &Site, id: u64, body: &str) {
+    let until = Instant::now() + LIMIT;
+    while Instant::now() < until {
+        for entry in &site.entries {
+            let head = ask(entry.address, &request("POST", id, body)).await;
+            if head.starts_with("HTTP/1.1 200") {
+                return;
+            }
+        }
+        time::sleep(Duration::from_millis(50)).await;
+    }
+    panic!("job {id} is not taken in");
+}
+
 /// Runs a test to its end.
 pub fn block_on(test: impl Future<Output = ()>) {
     let runtime = tokio::runtime::Builder::new_current_thread()
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -8,6 +8,7 @@
 mod gate;
 mod hosts;
 mod limits;
+mod lives;
 mod queue;
 mod runs;
 mod takeover;
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -28,13 +28,14 @@
 mod suspicion;
 mod takeout;
 mod worker;
+mod worker_id;
 mod workers;
 
 pub use cell::{Accepted, Cancelled, Cell, Demand, Limits, Roomless};
 pub use duty::Holder;
 pub use explain::Obstacle;
 pub use job::{Job, Phase, Round, Task, TaskPhase};
-pub use lives::{BornMs, Hearing, Listing, WorkerId, WorkerName, name_of};
+pub use lives::{Hearing, Listing};
 pub use loss::{Bearing, Ending, Loss, LostRun, LostWorker};
 pub use need::{Need, Resource};
 pub use outbox::{Batch, Order};
@@ -45,6 +46,7 @@
 pub use suspicion::{Crash, CrashHistory};
 pub use takeout::Takeout;
 pub use worker::{RunPhase, Worker, WorkerInfo};
+pub use worker_id::{BornMs, WorkerId, WorkerName, name_of};
 pub use workers::Workers;
 
 use std::fmt;
