--- a/crates/jobs/tests/blame.rs
+++ b/crates/jobs/tests/blame.rs
@@ -338,3 +338,22 @@
         "two ends are proof"
     );
 }
+
+/// Users saw the job of a harmless task given up after one accident, in this order: its worker ended by accident 34 ms
+/// after its start; the task was to begin in quarantine on a worker that had ended as well, which nobody knew yet; that
+/// start had no answer, and when the second worker's end was known it counted as the proof. The evidence: `start failed`
+/// with `no answer`, and the same run `after 0 ms, Quarantined` in the line `worker lost`.
+#[test]
+fn a_start_without_an_answer_is_no_proof_against_its_task() {
+    let mut world = running(1);
+    crash(&mut world, "a1");
+    world.join("b1");
+    world.cell.schedule(world.now);
+    let starts = world.cell.take_batch().starts;
+    assert_eq!(starts.len(), 1, "it begins in quarantine");
+    let now = world.now;
+    assert!(world.cell.confirm_start("b1", task(1, 0, 0), 2, now));
+    world.cell.unsure("b1", task(1, 0, 0), 2);
+    let lost = crash(&mut world, "b1");
+    assert!(lost.given_up.is_empty(), "nothing shows that it began");
+}
