fix(jobs): a start without an answer is no proof against its task

Cause: the age of a run whose start had no answer counted as known where it was short, so that a quarantine that was sent to a worker that had ended before, which nobody knew, was the second prompt end and gave the job up. Change: only a run that its worker has answered for, or listed, has an age; without one the end counts, but four are proof. Ruled out: a restart that is counted twice (one line for each life).

--- a/crates/jobs/src/loss.rs
+++ b/crates/jobs/src/loss.rs
@@ -1,10 +1,6 @@
 //! Why a worker is given up, and what that says of the runs that it had.
 
-use crate::{
-    RunId, TaskId, Worker,
-    suspicion::{LATEST, PROVEN},
-    worker::RunState,
-};
+use crate::{RunId, TaskId, Worker, suspicion::PROVEN, worker::RunState};
 use clock::Instant;
 use std::time::Duration;
 
@@ -98,13 +94,14 @@
             Some(_) if lived >= PROVEN || state.earlier => Bearing::Older,
             Some(_) => Bearing::Fresh,
         };
-        // A start without an answer may have been carried out much later than it was sent.
-        let is_known = |age: &Duration| !state.earlier && (state.seen || *age <= LATEST);
+        // A start without an answer may have been carried out much later than it was sent, or never, where its worker had
+        // ended before: it is no proof. Of a task that ends its workers before they answer, four ends are.
+        let is_known = !state.earlier && state.seen;
         let sent = state.sent.map(|sent| end.saturating_duration_since(sent));
         LostRun {
             task,
             run,
-            age: sent.filter(is_known),
+            age: sent.filter(|_| is_known),
             lived,
             bearing,
         }
