--- /dev/null
+++ b/crates/havenladder/src/entry/callers/ask.rs
@@ -0,0 +1,178 @@
+//! Puts what a caller wants to the owner, wherever it is, and writes the answer.
+
+use super::reply;
+use crate::entry::{
+    follow,
+    inner::{self, Ask, Request, Tell},
+    listen::Reply,
+    node::{LifeId, Node},
+    suspension,
+};
+use adapter::{
+    callers::{write_pending, write_state},
+    http::CallError,
+};
+use clock::{Instant, timer};
+use hyper::{StatusCode, header};
+use std::{rc::Rc, time::Duration};
+use tokio::time;
+use tracing::info;
+
+/// Part of the caller's time after which an entry gives a request up that no owner has answered: the rest
+/// is for the way back, and for another try at another entry. Under half, so that one more try fits.
+const ANSWER_SHARE: f64 = 0.4;
+
+/// What is kept of that time for the owner's answer to come back: 2 to 10 ms as a rule, several times that
+/// while the owner is busy. An owner that gives a job back later than its entry waits would do so in vain.
+const WAY_BACK: Duration = Duration::from_millis(100);
+
+/// Time until an owner that was not there is looked for again.
+const RETRY_INTERVAL: Duration = Duration::from_millis(40);
+
+/// What became of a question to the owner.
+pub(super) enum Answer {
+    /// The answer for the caller.
+    Final(Reply),
+    /// The owner knows a newer configuration, which this entry knows now as well: the call is to be judged anew.
+    Outdated {
+        /// Whether it may have been done before, by the configuration that was in force then.
+        sent: bool,
+    },
+}
+
+/// Puts a question to the owner, wherever it is, until the caller's time gets short; a suspension of the machine
+/// counts.
+///
+/// `sent` says whether the same may have been done before.
+pub(super) async fn ask(
+    node: &Rc<Node>,
+    request: Request,
+    sent: bool,
+    deadline: Instant,
+) -> Answer {
+    tokio::select! {
+        answer = ask_in_time(node, request, sent, deadline) => answer,
+        never = suspension::watch(node) => match never {},
+    }
+}
+
+/// The same, as far as waits are ended that a suspension has outlasted.
+async fn ask_in_time(
+    node: &Rc<Node>,
+    mut request: Request,
+    mut sent: bool,
+    deadline: Instant,
+) -> Answer {
+    let now = Instant::now();
+    let give_up = now + (deadline - now).mul_f64(ANSWER_SHARE);
+    loop {
+        let left = give_up.saturating_duration_since(Instant::now());
+        request.set_left(left.saturating_sub(WAY_BACK));
+        let asked = Instant::now();
+        let tell = match node.own() {
+            Some(owner) => {
+                let answer = timer::timeout_at(give_up, owner.answer(request.clone())).await;
+                answer.unwrap_or(Tell::Unsure)
+            }
+            None if node.cut_off.get() => return Answer::Final(turn_away(&request, sent)),
+            None => forward(node, &request, give_up).await,
+        };
+        sent |= tell == Tell::Unsure;
+        if tell == Tell::Refused {
+            return Answer::Final(refuse(&request, sent));
+        }
+        if let Tell::News(news) = tell {
+            follow::take_news(node, news, asked);
+            if node.in_force.borrow().version() > request.version {
+                return Answer::Outdated { sent };
+            }
+        } else if let Some(reply) = write(&tell) {
+            return Answer::Final(reply);
+        }
+        if Instant::now() >= give_up {
+            return Answer::Final(refuse(&request, sent));
+        }
+        let _ = time::timeout(RETRY_INTERVAL, node.lease_changed.notified()).await;
+    }
+}
+
+/// Puts a question to the entry that owns the cell.
+async fn forward(node: &Rc<Node>, request: &Request, deadline: Instant) -> Tell {
+    let lease = node.lease.borrow().clone();
+    let Some(lease) = lease.filter(|lease| lease.life != node.life && !lease.released) else {
+        return Tell::NotOwner;
+    };
+    let ask = Ask::For(Box::new(request.clone()));
+    let answer = tokio::select! {
+        answer = inner::ask(node, &lease.address, &ask, deadline) => answer,
+        () = node.reach_changed.notified() => Err(CallError::Unanswered),
+    };
+    match answer {
+        Ok(tell) => {
+            node.suspect.set(None);
+            tell
+        }
+        Err(CallError::Refused) => {
+            suspect(node, lease.life);
+            Tell::NotOwner
+        }
+        Err(error) => {
+            node.reach_due.notify_one();
+            if error.is_unsent() {
+                Tell::NotOwner
+            } else {
+                Tell::Unsure
+            }
+        }
+    }
+}
+
+/// The owner's port refuses connections. Where it does so twice in a row, 40 ms apart, its process has
+/// ended, and nobody needs to wait for its lease to run out.
+fn suspect(node: &Node, life: LifeId) {
+    if node.suspect.replace(Some(life)) == Some(life) && node.refused.get() != Some(life) {
+        info!(life, "the owner's process has ended");
+        node.refused.set(Some(life));
+        node.claim_due.notify_one();
+    }
+}
+
+/// The answer for a caller; none if the owner has to be asked again.
+fn write(tell: &Tell) -> Option<Reply> {
+    match tell {
+        Tell::Accepted | Tell::Cancelled => Some(reply(StatusCode::OK, "{}")),
+        Tell::TooLarge => Some(reply(
+            StatusCode::BAD_REQUEST,
+            "{\"error\":\"the job can never run under its workspace's bound\"}",
+        )),
+        Tell::Unknown => Some(reply(StatusCode::GONE, "")),
+        Tell::State(phase) => Some(reply(StatusCode::OK, write_state(*phase))),
+        Tell::Pending(count) => Some(reply(StatusCode::OK, write_pending(*count))),
+        Tell::NotOwner
+        | Tell::HandedOver
+        | Tell::Life(_)
+        | Tell::Refused
+        | Tell::Outage { .. }
+        | Tell::News(_)
+        | Tell::Unsure => None,
+    }
+}
+
+/// The answer of an entry that is cut off: the caller is to connect anew, to an entry that is not.
+fn turn_away(request: &Request, sent: bool) -> Reply {
+    let mut reply = refuse(request, sent);
+    let close = header::HeaderValue::from_static("close");
+    reply.headers_mut().insert(header::CONNECTION, close);
+    reply
+}
+
+/// A job that may have been kept is never said to be refused.
+fn refuse(request: &Request, sent: bool) -> Reply {
+    info!(ask = %request, sent, "given up");
+    let status = if sent {
+        StatusCode::GATEWAY_TIMEOUT
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
+    };
+    reply(status, "")
+}
--- a/crates/havenladder/src/entry/follow.rs
+++ b/crates/havenladder/src/entry/follow.rs
@@ -1,20 +1,20 @@
 //! Follows what operators publish: the configuration and waves of upkeep.
 
 use super::{
-    inner::{self, Ask, Tell},
+    inner::{self, Ask, News, Tell},
     lease::set_lease,
     node::Node,
     store_calls,
 };
 use adapter::{
-    operator::{self, CONFIG_KEY, TOPIC, WAVE_KEY},
+    operator::{CONFIG_KEY, TOPIC},
     store::{Keyed, Offset, Read, split_keyed},
 };
-use bytes::Bytes;
-use clock::Instant;
+use clock::{Instant, timer};
 use std::{rc::Rc, time::Duration};
-use tokio::time;
-use tracing::{info, warn};
+use tokio::{task, time};
+use tracing::info;
+use workspaces::Next;
 
 /// How long a read waits for the next record. A connection that fell silent is noticed soon after
 /// this, and a change must be in force within 2 s.
@@ -26,14 +26,20 @@
 /// Time until the store is asked again after it did not answer.
 const RETRY_INTERVAL: Duration = Duration::from_millis(250);
 
+/// How long a call waits for a look at what is newest: an answer takes some ms, a fifth of a second at 50 times the
+/// usual.
+const LOOK_WAIT: Duration = Duration::from_millis(250);
+
 /// Follows the topic for ever.
 pub async fn run(node: Rc<Node>) {
     loop {
+        let sent = Instant::now();
         if let Ok(Some(newest)) = store_calls::newest(&node, TOPIC).await {
             newest
                 .records
                 .into_iter()
-                .for_each(|record| apply(&node, record));
+                .for_each(|record| node.in_force.borrow_mut().take(record));
+            node.note_freshness(|freshness| freshness.confirm(sent, sent));
             read_on(&node, newest.end).await;
         }
         ask_peers(&node).await;
@@ -44,22 +50,18 @@
 /// Reads on until the records asked for are gone.
 async fn read_on(node: &Node, mut from: Offset) {
     loop {
-        match store_calls::read(node, TOPIC, from, WAIT).await {
-            Ok(Read::Records(_, records)) => {
-                from += records.len() as Offset;
-                records
-                    .into_iter()
-                    .filter_map(split_keyed)
-                    .for_each(|r| apply(node, r));
-            }
-            Ok(Read::Gone(first)) => {
+        node.followed.set(Some(from));
+        match read(node, from, WAIT).await {
+            Some(Read::Records(_, records)) => from += records.len() as Offset,
+            Some(Read::Gone(first)) => {
                 info!(
                     from,
                     first, "records of operators are gone; the newest are read again"
                 );
+                node.followed.set(None);
                 return;
             }
-            Ok(Read::Busy) | Err(_) => {
+            Some(Read::Busy) | None => {
                 ask_peers(node).await;
                 time::sleep(RETRY_INTERVAL).await;
             }
@@ -67,67 +69,121 @@
     }
 }
 
-/// Asks other entries for what the platform does not tell this one.
-async fn ask_peers(node: &Node) {
-    let version = node.config().map_or(0, |config| config.version);
+/// Reads what stands from an offset on, waiting for it if there is nothing, and takes it in. None without an answer.
+async fn read(node: &Node, from: Offset, wait: Duration) -> Option<Read> {
+    let sent = Instant::now();
+    let read = store_calls::read(node, TOPIC, from, wait).await.ok()?;
+    if let Read::Records(_, records) = &read {
+        // An answer without records is given when the wait is over; one with records, at any time. This process may have
+        // stood still since.
+        let given = if records.is_empty() {
+            sent + wait
+        } else {
+            sent
+        };
+        let confirmed = given.min(Instant::now());
+        node.note_freshness(|freshness| freshness.confirm(sent, confirmed));
+        let keyed = records.iter().cloned().filter_map(split_keyed);
+        keyed.for_each(|record| node.in_force.borrow_mut().take(record));
+    }
+    Some(read)
+}
+
+/// Asks other entries for what the platform does not tell this one; true if one has answered.
+async fn ask_peers(node: &Node) -> bool {
+    let version = node.in_force.borrow().version();
     let ask = Ask::News {
         version,
         end: node.lease_end.get(),
     };
     for peer in node.peers() {
-        let Ok(Tell::News(news)) = inner::ask(node, &peer, &ask, Instant::now() + PEER).await
-        else {
-            continue;
-        };
-        if let Some((lease, end)) = news.lease {
-            set_lease(node, lease, end);
+        let sent = Instant::now();
+        if let Ok(Tell::News(news)) = inner::ask(node, &peer, &ask, sent + PEER).await {
+            take_news(node, news, sent);
+            return true;
         }
-        if let Some(config) = news.config {
-            info!(peer, "a peer has a newer configuration");
-            let (key, value) = (CONFIG_KEY.to_owned(), Some(config.into()));
-            apply(node, Keyed { key, value });
-        }
-        return;
     }
+    false
 }
 
-/// Takes in a record of operators.
-fn apply(node: &Node, record: Keyed) {
-    let Some(value) = record.value else { return };
-    if record.key == CONFIG_KEY {
-        match operator::read_config(&value) {
-            Ok(config) => apply_config(node, config, value),
-            Err(error) => warn!(%error, "a configuration cannot be read; the old one stays"),
-        }
-    } else if record.key.starts_with(WAVE_KEY) {
-        match operator::read_wave(&value) {
-            Ok(wave) => {
-                info!(
-                    wave = wave.number,
-                    vms = wave.vms.len(),
-                    most = wave.most,
-                    "wave asked for"
-                );
-                node.waves.borrow_mut().entry(wave.number).or_insert(wave);
+/// Takes in what another entry knows, which was asked at `sent`.
+pub fn take_news(node: &Node, news: News, sent: Instant) {
+    if let Some((lease, end)) = news.lease {
+        set_lease(node, lease, end);
+    }
+    if let Some(config) = news.config {
+        info!("another entry has a newer configuration");
+        let (key, value) = (CONFIG_KEY.to_owned(), Some(config.0.into()));
+        node.in_force.borrow_mut().take(Keyed { key, value });
+    }
+    let confirmed = sent - Duration::from_millis(news.age);
+    node.note_freshness(|freshness| freshness.confirm(sent, confirmed));
+}
+
+/// What a call is about to rely on.
+#[derive(Clone, Copy)]
+pub enum Reliance {
+    /// That the configuration is the newest.
+    Newest,
+    /// That what it does not know of does not exist, at the moment when the call came.
+    Unknown(Instant),
+}
+
+/// Makes sure of the configuration before a call relies on it, as far as that can be done in a short time. False if the
+/// call is to be refused because that has not been possible for too long.
+pub async fn make_sure(node: &Rc<Node>, reliance: Reliance) -> bool {
+    let until = Instant::now() + LOOK_WAIT;
+    loop {
+        let now = Instant::now();
+        let looked = node.looked.notified();
+        let next = match reliance {
+            Reliance::Newest => node.freshness.get().next(now),
+            Reliance::Unknown(came) => node.freshness.get().next_unknown(came, now),
+        };
+        match next {
+            Next::Go => return true,
+            Next::Refuse => return false,
+            Next::Look => begin_look(node),
+            Next::Join => {}
+            Next::Wait(due) => {
+                timer::sleep_until(due.min(until)).await;
+                if due < until {
+                    continue;
+                }
             }
-            Err(error) => warn!(%error, key = record.key, "a wave cannot be read"),
         }
+        let ended = now < until && timer::timeout_at(until, looked).await.is_ok();
+        if !ended {
+            return node.freshness.get().unsure(Instant::now()) != Next::Refuse;
+        }
+    }
+}
+
+/// Begins a look, unless one is under way or was a moment ago.
+pub fn look_soon(node: &Rc<Node>) {
+    let now = Instant::now();
+    if node.freshness.get().next_unknown(now, now) == Next::Look {
+        begin_look(node);
     }
 }
 
-/// Puts a configuration in force, unless a newer one is.
-fn apply_config(node: &Node, config: operator::Config, raw: Bytes) {
-    let mut current = node.config.borrow_mut();
-    let old = current.as_ref().map_or(0, |config| config.version);
-    if current.is_some() && config.version <= old {
-        return;
+/// Begins a look for what is newer than what this entry knows; all calls that wait share it.
+fn begin_look(node: &Rc<Node>) {
+    node.note_freshness(|freshness| freshness.begin_look(Instant::now()));
+    let node = Rc::clone(node);
+    task::spawn_local(async move {
+        let answered = look(&node).await;
+        node.note_freshness(|freshness| freshness.end_look(answered));
+        node.looked.notify_waiters();
+    });
+}
+
+/// Asks the store, then other entries, for what is newer; true if one has answered.
+async fn look(node: &Node) -> bool {
+    if let Some(from) = node.followed.get()
+        && let Some(Read::Records(..)) = read(node, from, Duration::ZERO).await
+    {
+        return true;
     }
-    info!(
-        version = config.version,
-        old,
-        queues = config.routes.len(),
-        "configuration in force"
-    );
-    *current = Some(Rc::new(config));
-    *node.raw_config.borrow_mut() = Some(raw);
+    ask_peers(node).await
 }
--- a/crates/havenladder/src/entry/inner.rs
+++ b/crates/havenladder/src/entry/inner.rs
@@ -1,16 +1,20 @@
 //! What entries ask of the cell's owner, over HTTP with MessagePack.
 
 use super::{
+    in_force::{Caller, Written},
     listen::{self, Reply, accept_each},
     node::{Lease, Node},
     outage,
     reach::{self, Presence},
 };
-use adapter::http::{Call, CallError, Connection};
+use adapter::{
+    http::{Call, CallError, Connection},
+    operator::Version,
+};
 use clock::Instant;
 use fleet::MilliCpu;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::{Method, Request, Response, StatusCode, body::Incoming};
+use hyper::{Method, Response, StatusCode, body::Incoming};
 use jobs::{JobId, Phase, QueueId, Submission};
 use serde::{Deserialize, Serialize};
 use std::{fmt, rc::Rc, time::Duration};
@@ -23,9 +27,9 @@
 /// The longest question: a job's body may have 262,144 bytes.
 const LONGEST: usize = 1 << 20;
 
-/// A question for the owner.
+/// What a caller wants.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-pub enum Ask {
+pub enum Wish {
     /// Take this job.
     Submit {
         /// The job.
@@ -37,8 +41,28 @@
     Cancel(JobId),
     /// How far is this job?
     State(JobId),
-    /// How many jobs of this queue have not begun?
-    Pending(QueueId),
+    /// How many jobs of the queue have not begun?
+    Pending,
+}
+
+/// A caller's wish, as the entry that took the call has judged it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Request {
+    /// Who makes the call. Keys stay at the entry that takes it.
+    pub caller: Caller,
+    /// The queue that was called.
+    pub queue: QueueId,
+    /// The configuration by which the call was judged: an owner that knows a newer one has it judged anew.
+    pub version: Version,
+    /// What the caller wants.
+    pub wish: Wish,
+}
+
+/// A question for the owner.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Ask {
+    /// Do this for a caller.
+    For(Box<Request>),
     /// Will you hand the cell over to this entry, which has so much of a core?
     HandOver {
         /// Its part of a core.
@@ -52,28 +76,36 @@
     /// entry answers this, for one that the platform turns away.
     News {
         /// The newest version that is known.
-        version: u64,
+        version: Version,
         /// The end of the lease's log, as far as it is known.
         end: u64,
     },
 }
 
-impl Ask {
+impl Request {
     /// Says how much time is left for the answer, where the owner has to know.
     pub fn set_left(&mut self, left: Duration) {
-        if let Ask::Submit { within, .. } = self {
+        if let Wish::Submit { within, .. } = &mut self.wish {
             *within = left.as_millis() as u64;
         }
     }
 }
 
+impl fmt::Display for Request {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match &self.wish {
+            Wish::Submit { given, .. } => write!(f, "submit {:016x}", given.id),
+            Wish::Cancel(id) => write!(f, "cancel {id:016x}"),
+            Wish::State(id) => write!(f, "state {id:016x}"),
+            Wish::Pending => write!(f, "pending {}", self.queue),
+        }
+    }
+}
+
 impl fmt::Display for Ask {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Ask::Submit { given, .. } => write!(f, "submit {:016x}", given.id),
-            Ask::Cancel(id) => write!(f, "cancel {id:016x}"),
-            Ask::State(id) => write!(f, "state {id:016x}"),
-            Ask::Pending(queue) => write!(f, "pending {queue}"),
+            Ask::For(request) => request.fmt(f),
             Ask::HandOver { cpu } => write!(f, "hand over to {cpu}"),
             Ask::Life => write!(f, "life"),
             Ask::Outage => write!(f, "outage"),
@@ -86,10 +118,11 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct News {
     /// The configuration, as operators wrote it, if it is newer.
-    #[serde(with = "serde_bytes")]
-    pub config: Option<Vec<u8>>,
+    pub config: Option<Written>,
     /// The lease and the end of its log, if it is newer.
     pub lease: Option<(Lease, u64)>,
+    /// How many ms ago the entry's configuration was the newest for certain.
+    pub age: u64,
 }
 
 /// An answer of the owner.
@@ -101,6 +134,8 @@
     Cancelled,
     /// The job is not taken, and nothing of it was sent to the log.
     Refused,
+    /// The job is not taken: it asks for more than its workspace may ever have running.
+    TooLarge,
     /// There is no such job.
     Unknown,
     /// The job is this far.
@@ -139,7 +174,7 @@
 }
 
 /// Answers a question of another entry.
-async fn answer(node: Rc<Node>, request: Request<Incoming>) -> Reply {
+async fn answer(node: Rc<Node>, request: hyper::Request<Incoming>) -> Reply {
     let body = Limited::new(request.into_body(), LONGEST).collect().await;
     let ask = body
         .ok()
@@ -154,7 +189,7 @@
         (Ask::Life, _) => Tell::Life(reach::presence(&node)),
         (Ask::Outage, _) => outage::tell(&node).await,
         (Ask::HandOver { cpu }, Some(owner)) => owner.hand_over(cpu),
-        (ask, Some(owner)) => owner.answer(ask).await,
+        (Ask::For(request), Some(owner)) => owner.answer(*request).await,
         (_, None) => Tell::NotOwner,
     };
     let bytes = rmp_serde::to_vec(&tell).expect("plain data has a form in MessagePack");
@@ -162,18 +197,16 @@
 }
 
 /// What this entry knows beyond a version of the configuration and an end of the lease's log.
-fn news(node: &Node, version: u64, end: u64) -> News {
-    let newer = node.config().is_some_and(|config| config.version > version);
-    let raw = node.raw_config.borrow();
-    let config = raw.as_ref().filter(|_| newer).map(|raw| raw.to_vec());
+fn news(node: &Node, version: Version, end: u64) -> News {
     let lease = node
         .lease
         .borrow()
         .clone()
         .map(|lease| (lease, node.lease_end.get()));
     News {
-        config,
+        config: node.in_force.borrow().written_after(version),
         lease: lease.filter(|(_, known)| *known > end),
+        age: node.freshness.get().age(Instant::now()).as_millis() as u64,
     }
 }
 
--- a/crates/havenladder/src/entry/metrics.rs
+++ b/crates/havenladder/src/entry/metrics.rs
@@ -40,6 +40,8 @@
     restarted_workers: Counter<u64>,
     owners: Counter<u64>,
     suspensions: Counter<u64>,
+    barred: Counter<u64>,
+    bound_waits: Counter<u64>,
     store_calls: Counter<u64>,
     resends: Counter<u64>,
     _provider: SdkMeterProvider,
@@ -83,6 +85,8 @@
             odd_ends: meter.u64_counter("havenladder_odd_ends").build(),
             restarted_workers: meter.u64_counter("havenladder_restarted_workers").build(),
             suspensions: meter.u64_counter("havenladder_suspensions").build(),
+            barred: meter.u64_counter("havenladder_barred_calls").build(),
+            bound_waits: meter.u64_counter("havenladder_bound_waits").build(),
             store_calls: meter.u64_counter("havenladder_store_calls").build(),
             resends: meter.u64_counter("havenladder_store_resends").build(),
             registry,
@@ -157,6 +161,16 @@
         self.restarted_workers.add(1, &[]);
     }
 
+    /// Counts a call that was not let in for its key.
+    pub fn barred(&self, reason: &'static str) {
+        self.barred.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
+    /// Counts that a workspace begins, or ceases, to wait for its bound.
+    pub fn waited_for_bound(&self, begins: bool) {
+        self.bound_waits.add(1, &[KeyValue::new("begins", begins)]);
+    }
+
     /// Counts a suspension of the machine.
     pub fn suspended(&self) {
         self.suspensions.add(1, &[]);
--- a/crates/havenladder/src/entry/mod.rs
+++ b/crates/havenladder/src/entry/mod.rs
@@ -8,6 +8,7 @@
 mod ends;
 mod fleet;
 mod follow;
+mod in_force;
 mod inner;
 mod lease;
 mod listen;
--- a/crates/havenladder/src/entry/node.rs
+++ b/crates/havenladder/src/entry/node.rs
@@ -1,26 +1,25 @@
 //! What the duties of an entry share.
 
-use super::{metrics::Metrics, owner::Owner, reach::Directory};
+use super::{in_force::InForce, metrics::Metrics, owner::Owner, reach::Directory};
 use adapter::{
     advice::Advice,
     cloud::Cloud,
     http::Client,
-    operator::{Config, Wave},
+    operator::Config,
     settings::Settings,
-    store::Store,
+    store::{Offset, Store},
     workers::Workers,
 };
-use bytes::Bytes;
 use clock::Instant;
 use fleet::{AnswerTime, MilliCpu, Reach};
 use serde::{Deserialize, Serialize};
 use std::{
     cell::{Cell, RefCell},
-    collections::BTreeMap,
     rc::Rc,
     time::{SystemTime, UNIX_EPOCH},
 };
 use tokio::sync::Notify;
+use workspaces::Freshness;
 
 /// One life of an entry's process.
 pub type LifeId = u64;
@@ -80,12 +79,14 @@
     pub list_times: Cell<AnswerTime>,
     /// The service that tells which workers may run a step.
     pub advice: Option<Advice>,
-    /// The newest configuration.
-    pub config: RefCell<Option<Rc<Config>>>,
-    /// The same as operators wrote it.
-    pub raw_config: RefCell<Option<Bytes>>,
-    /// The waves that operators asked for, by number.
-    pub waves: RefCell<BTreeMap<u64, Wave>>,
+    /// What operators have put in force.
+    pub in_force: RefCell<InForce>,
+    /// How sure this entry may be that nothing newer is.
+    pub freshness: Cell<Freshness>,
+    /// Up to where the operators' topic has been read.
+    pub followed: Cell<Option<Offset>>,
+    /// Told when a look for something newer has ended.
+    pub looked: Notify,
     /// Who owns the cell.
     pub lease: RefCell<Option<Lease>>,
     /// The end of the lease's log, as far as it is known.
@@ -122,6 +123,7 @@
     /// What an entry knows when it starts.
     pub fn new(settings: Settings) -> Rc<Self> {
         let client = Client::default();
+        let patience = settings.patience;
         Rc::new(Node {
             life: rand::random(),
             began: Instant::now(),
@@ -137,10 +139,11 @@
             cloud: Cloud::new(client.clone(), &settings.cloud, &settings.node),
             client,
             settings,
-            config: RefCell::default(),
-            raw_config: RefCell::default(),
+            in_force: RefCell::default(),
+            freshness: Cell::new(Freshness::new(Instant::now(), patience)),
+            followed: Cell::new(None),
+            looked: Notify::new(),
             lease_end: Cell::new(0),
-            waves: RefCell::default(),
             lease: RefCell::default(),
             lease_changed: Notify::new(),
             suspect: Cell::new(None),
@@ -203,7 +206,14 @@
 
     /// The newest configuration.
     pub fn config(&self) -> Option<Rc<Config>> {
-        self.config.borrow().clone()
+        self.in_force.borrow().config()
+    }
+
+    /// Changes what is known of how new this entry's configuration is.
+    pub fn note_freshness(&self, note: impl FnOnce(&mut Freshness)) {
+        let mut freshness = self.freshness.get();
+        note(&mut freshness);
+        self.freshness.set(freshness);
     }
 }
 
--- a/crates/havenladder/src/entry/owner/answer.rs
+++ b/crates/havenladder/src/entry/owner/answer.rs
@@ -1,7 +1,12 @@
 //! Answers what callers ask, once it is durable.
 
 use super::Owner;
-use crate::entry::inner::{Ask, News, Tell};
+use crate::entry::{
+    follow,
+    in_force::Caller,
+    inner::{News, Request, Tell, Wish},
+};
+use clock::Instant;
 use fleet::{MilliCpu, outranks};
 use jobs::{Accepted, Cancelled, JobId, Phase, Submission};
 use std::{rc::Rc, time::Duration};
@@ -12,24 +17,60 @@
 const AWAY: Duration = Duration::from_millis(500);
 
 impl Owner {
-    /// Answers a question of an entry.
-    pub async fn answer(self: &Rc<Self>, ask: Ask) -> Tell {
+    /// Does what a caller wants.
+    pub async fn answer(self: &Rc<Self>, request: Request) -> Tell {
         while !self.loaded.get() {
             if !self.is_alive() {
                 return Tell::NotOwner;
             }
             self.settled.notified().await;
         }
-        match ask {
-            Ask::Submit { given, within } => {
+        if let Some(news) = self.newer(&request) {
+            return Tell::News(news);
+        }
+        let Request {
+            caller,
+            queue,
+            wish,
+            ..
+        } = request;
+        match wish {
+            Wish::Submit { given, within } => {
                 self.submit(given, Duration::from_millis(within)).await
             }
-            Ask::Cancel(id) => self.cancel(id).await,
-            Ask::State(id) => self.state(id).await,
-            Ask::News { .. } | Ask::Outage | Ask::Life | Ask::HandOver { .. } => {
-                Tell::News(News::default())
-            }
-            Ask::Pending(queue) => Tell::Pending(self.cell.borrow().pending(&queue)),
+            Wish::Cancel(id) if self.may_see(&caller, &queue, id) => self.cancel(id).await,
+            Wish::State(id) if self.may_see(&caller, &queue, id) => self.state(id).await,
+            Wish::Cancel(_) | Wish::State(_) => self.deny(),
+            Wish::Pending => Tell::Pending(self.cell.borrow().pending(&queue)),
+        }
+    }
+
+    /// The configuration, where the one by which a request was judged is older: keys may have been taken away since. An
+    /// entry that the platform turns away learns of that here with its next call, and not 0.4 s later from a peer.
+    fn newer(&self, request: &Request) -> Option<News> {
+        let version = self.node.in_force.borrow().version();
+        if version < request.version {
+            follow::look_soon(&self.node);
+        }
+        let config = self.node.in_force.borrow().written_after(request.version)?;
+        Some(News {
+            config: Some(config),
+            lease: None,
+            age: self.node.freshness.get().age(Instant::now()).as_millis() as u64,
+        })
+    }
+
+    /// Whether a caller may learn of a job: only its workspace may, or whoever calls the queue that it was handed in to,
+    /// where that is open to all by now. To others it does not exist.
+    fn may_see(&self, caller: &Caller, queue: &str, id: JobId) -> bool {
+        let cell = self.cell.borrow();
+        let Some(job) = cell.jobs.get(&id) else {
+            return true;
+        };
+        match (&job.given.workspace, caller) {
+            (None, _) => true,
+            (Some(workspace), Caller::Of(by)) => workspace == by,
+            (Some(_), Caller::Anyone) => job.given.queue == queue,
         }
     }
 
@@ -50,6 +91,18 @@
     async fn submit(self: &Rc<Self>, given: Submission, within: Duration) -> Tell {
         let id = given.id;
         let job = format!("{id:016x}");
+        match self.admit(&given) {
+            Admission::Open => {}
+            Admission::Taken => return Tell::Refused,
+            Admission::TooLarge => {
+                info!(
+                    job,
+                    workspace = given.workspace,
+                    "refused: it can never run under its workspace's bound"
+                );
+                return Tell::TooLarge;
+            }
+        }
         if self.has_waited(AWAY) && !self.cell.borrow().jobs.contains_key(&id) {
             info!(job, "refused: the store is away");
             return Tell::Refused;
@@ -67,6 +120,24 @@
         }
     }
 
+    /// Whether a job may be taken in for its workspace.
+    fn admit(&self, given: &Submission) -> Admission {
+        self.update_bounds();
+        let cell = self.cell.borrow();
+        if let Some(job) = cell.jobs.get(&given.id) {
+            return match job.given.workspace == given.workspace {
+                true => Admission::Open,
+                // It is another workspace's: nothing may tell that it is there.
+                false => Admission::Taken,
+            };
+        }
+        let steps = &given.spec.steps;
+        match &given.workspace {
+            Some(workspace) if cell.exceeds_bound(workspace, steps) => Admission::TooLarge,
+            _ => Admission::Open,
+        }
+    }
+
     /// Gives a job back of which nothing was sent; what becomes of any other is not known.
     fn give_back(&self, id: JobId) -> Tell {
         if !self.cell.borrow_mut().withdraw(id) {
@@ -149,6 +220,16 @@
     }
 }
 
+/// Whether a job may be taken in for its workspace.
+enum Admission {
+    /// It may, or it was handed in before.
+    Open,
+    /// Its id is that of another workspace's job.
+    Taken,
+    /// It asks for more than its workspace may ever have running.
+    TooLarge,
+}
+
 /// What a wait for a job's record has led to.
 enum Settled {
     /// There is no such job, or not any more.
--- a/crates/havenladder/src/entry/owner/mod.rs
+++ b/crates/havenladder/src/entry/owner/mod.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod append;
+mod bound_waits;
 mod duties;
 mod load;
 mod pulse;
@@ -15,7 +16,7 @@
     suspension, worker_list,
 };
 use ::fleet::{MilliCpu, RateLimit, Stall, TROUBLE, Trouble};
-use adapter::{settings::Settings, workers::ClockMs};
+use adapter::{operator::Version, settings::Settings, workers::ClockMs};
 use append::{SLOW, append};
 use clock::{Instant, timer};
 use jobs::{Batch, Cell as JobCell, Limits, WorkerId, WorkerName};
@@ -165,6 +166,8 @@
     unrecorded: Cell<Option<Instant>>,
     /// Since when an append is under way.
     appending: Cell<Option<Instant>>,
+    /// The version of the configuration whose bounds are in force in the cell; none before there is one.
+    bounds: Cell<Option<Version>>,
     /// Whether it may still decide.
     alive: Cell<bool>,
     /// Whether what earlier owners recorded has been taken in.
@@ -219,6 +222,7 @@
             status_end: Cell::new(0),
             outage: Cell::default(),
             appending: Cell::new(None),
+            bounds: Cell::new(None),
             alive: Cell::new(true),
             loaded: Cell::new(false),
             successor: Cell::new(None),
@@ -404,10 +408,12 @@
 /// Decides what is to be done now, and what has to be recorded for it.
 fn decide(owner: &Rc<Owner>) -> Batch {
     let now = Instant::now();
+    owner.update_bounds();
     let mut cell = owner.cell.borrow_mut();
     cell.mark_due(wall_ms());
     cell.stop_still(now);
     cell.schedule(now);
+    bound_waits::tell(&owner.node, cell.take_bound_waits());
     cell.take_batch()
 }
 
--- a/crates/havenladder/src/entry/upkeep.rs
+++ b/crates/havenladder/src/entry/upkeep.rs
@@ -74,8 +74,9 @@
 impl Waves {
     /// Whether a wave that operators asked for has not succeeded.
     pub fn is_open(&self, owner: &Owner) -> bool {
-        let asked = owner.node.waves.borrow();
-        asked.keys().any(|number| !self.has_succeeded(*number))
+        let in_force = owner.node.in_force.borrow();
+        let mut asked = in_force.waves();
+        asked.any(|wave| !self.has_succeeded(wave.number))
     }
 
     /// Whether a VM is about to go down, or is down.
@@ -94,7 +95,7 @@
 
     /// Takes the next steps of all waves; true if the list of VMs has changed by that.
     pub async fn advance(&mut self, owner: &Rc<Owner>, vms: &VmList) -> bool {
-        let waves: Vec<Wave> = owner.node.waves.borrow().values().cloned().collect();
+        let waves: Vec<Wave> = owner.node.in_force.borrow().waves().cloned().collect();
         let mut changed = false;
         for wave in &waves {
             if self.has_succeeded(wave.number) {
--- a/crates/jobs/benches/placement.rs
+++ b/crates/jobs/benches/placement.rs
@@ -64,6 +64,7 @@
             steps: vec![step],
             schedule: None,
         },
+        workspace: None,
     }
 }
 
--- a/crates/jobs/src/cell/carry_over.rs
+++ b/crates/jobs/src/cell/carry_over.rs
@@ -1,7 +1,9 @@
 //! Runs that began with another life of a worker than the one that they were ordered from.
 
 use crate::{
-    Cell, Report, RunId, RunPhase, TaskId, TaskPhase, WorkerId, cell::load_of, name_of,
+    Cell, Report, RunId, RunPhase, TaskId, TaskPhase, WorkerId,
+    cell::{Orphan, load_of},
+    name_of,
     worker::RunState,
 };
 use clock::Instant;
@@ -54,9 +56,10 @@
             return worker.remove(task, run);
         }
         let placed = self.orphans.get_mut(from)?;
-        let place = placed.iter().position(|key| *key == (task, run))?;
-        placed.swap_remove(place);
+        let is_it = |orphan: &Orphan| orphan.task == task && orphan.run == run;
+        let place = placed.iter().position(is_it)?;
+        let Orphan { charge, .. } = placed.swap_remove(place);
         let load = load_of(self.jobs.get(&task.job)?, task);
-        Some(RunState::inherited(load, now))
+        Some(RunState::inherited(load, charge, now))
     }
 }
--- a/crates/jobs/src/cell/gate.rs
+++ b/crates/jobs/src/cell/gate.rs
@@ -31,6 +31,17 @@
             wants_vms: troubled,
             ..Gate::default()
         };
+        self.charge_unrecorded();
+    }
+
+    /// Frees the accounts of what an earlier owner may have started without a record, by service, once nothing of it can
+    /// run unknown.
+    pub(crate) fn settle_unrecorded(&mut self, now: Instant) {
+        for service in self.unrecorded_services() {
+            if !self.is_gated(0, &service, now) {
+                self.forget_unrecorded(&service);
+            }
+        }
     }
 
     /// The list of workers has been read for the first time.
--- a/crates/jobs/src/cell/hosts.rs
+++ b/crates/jobs/src/cell/hosts.rs
@@ -2,7 +2,10 @@
 
 use crate::{
     Cell, Ending, Loss, LostRun, LostWorker, RunId, TaskId, Worker, WorkerId, WorkerInfo,
-    WorkerName, cell::load_of, name_of, worker::RunState,
+    WorkerName,
+    cell::{Orphan, load_of},
+    name_of,
+    worker::RunState,
 };
 use clock::Instant;
 use std::{collections::BTreeSet, mem, sync::Arc};
@@ -18,11 +21,12 @@
         }
         let mut worker = Worker::new(info);
         worker.met = self.gate.listed;
-        for (task, run) in self.orphans.remove(&worker.info.id).unwrap_or_default() {
+        let orphans = self.orphans.remove(&worker.info.id);
+        for Orphan { task, run, charge } in orphans.unwrap_or_default() {
             let Some(job) = self.jobs.get(&task.job) else {
                 continue;
             };
-            let mut state = RunState::inherited(load_of(job, task), now);
+            let mut state = RunState::inherited(load_of(job, task), charge, now);
             // The worker's first answer shuts out what the earlier owner may still have under way,
             // so a report that was asked for from now on tells whether the run is there.
             state.settled = Some(now);
@@ -154,10 +158,10 @@
 
 /// The runs of a worker that is given up, the youngest first: those that only records name, and those that are
 /// known of it.
-fn lost_runs(orphans: Vec<(TaskId, RunId)>, worker: Option<Worker>, now: Instant) -> Vec<LostRun> {
+fn lost_runs(orphans: Vec<Orphan>, worker: Option<Worker>, now: Instant) -> Vec<LostRun> {
     let earlier = orphans.into_iter();
     let mut lost: Vec<LostRun> = earlier
-        .map(|(task, run)| LostRun::of_earlier(task, run))
+        .map(|orphan| LostRun::of_earlier(orphan.task, orphan.run))
         .collect();
     if let Some(worker) = worker {
         let known = worker
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -7,6 +7,7 @@
 mod ends;
 mod gate;
 mod hosts;
+mod ledger;
 mod limits;
 mod lives;
 mod queue;
@@ -15,11 +16,13 @@
 mod withdraw;
 
 pub use demand::{Demand, Roomless};
+pub use ledger::BoundWait;
+pub(crate) use ledger::charge_of;
 pub use limits::Limits;
 
 use crate::{
-    Job, JobId, Need, Order, Phase, QueueId, RunId, ServiceId, Submission, TaskId, TaskPhase,
-    WorkerId, Workers,
+    Charge, Job, JobId, Need, Order, Phase, QueueId, RunId, ServiceId, Submission, TaskId,
+    TaskPhase, WorkerId, Workers,
     duty::Duty,
     lives::LifeTable,
     near::Near,
@@ -30,6 +33,7 @@
 };
 use clock::Instant;
 use gate::Gate;
+use ledger::Ledger;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 
 /// What became of a job that was handed in.
@@ -50,6 +54,17 @@
     Unknown,
 }
 
+/// A run that an earlier owner placed on a worker that no list has named since.
+#[derive(Clone, Debug)]
+struct Orphan {
+    /// The task.
+    task: TaskId,
+    /// The run.
+    run: RunId,
+    /// What it takes of its workspace's account.
+    charge: Option<Charge>,
+}
+
 /// The jobs and workers of one owner.
 #[derive(Debug, Default)]
 pub struct Cell {
@@ -66,7 +81,9 @@
     /// Which lives of each worker are known.
     lives: LifeTable,
     /// The runs that an earlier owner placed on workers that no list has named since.
-    orphans: HashMap<WorkerId, Vec<(TaskId, RunId)>>,
+    orphans: HashMap<WorkerId, Vec<Orphan>>,
+    /// What workspaces have running, and the tasks that wait for it to be less.
+    ledger: Ledger,
     /// The jobs of which nothing has been recorded.
     fresh: HashSet<JobId>,
     /// The jobs whose state has changed since the last batch.
@@ -134,11 +151,15 @@
         }
         if !given.spec.lasts() {
             self.begun.insert(given.service.clone());
-            self.note_inflow(&given);
+            // What waits for its workspace's bound needs no more VMs, however much of it comes.
+            if !self.is_at_bound(&given) {
+                self.note_inflow(&given);
+            }
         }
         let job = Job::new(given, self.next_order);
         self.next_order += 1;
         self.jobs.insert(id, job);
+        self.open_account(id);
         self.note_spread(id);
         self.fresh.insert(id);
         self.dirty.insert(id);
--- a/crates/jobs/src/cell/takeover.rs
+++ b/crates/jobs/src/cell/takeover.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     Cell, Job, JobId, JobSpec, QueueId, RunId, ServiceId, Submission, Task, TaskId, TaskPhase,
-    WorkerId, record::Decoded,
+    WorkerId, cell::Orphan, record::Decoded,
 };
 use std::collections::HashMap;
 
@@ -35,6 +35,9 @@
             let job = self.jobs.entry(id).or_insert_with(|| Job::new(over(id), 0));
             job.phase = state.phase;
             job.shown = Some(state.phase);
+            if state.phase.is_over() {
+                job.given.workspace = state.workspace.or(job.given.workspace.take());
+            }
             if !state.phase.is_over() && job.fits(&state.rounds) {
                 job.rounds = state.rounds;
             } else if !state.phase.is_over() {
@@ -63,11 +66,14 @@
             return;
         }
         let placed = placed_runs(job);
+        self.open_account(id);
         self.note_spread(id);
         self.restore_suspicions(id);
         for (worker, task, run) in placed {
             self.lives.know(&worker, None);
-            self.orphans.entry(worker).or_default().push((task, run));
+            let charge = self.charge(task);
+            let orphan = Orphan { task, run, charge };
+            self.orphans.entry(worker).or_default().push(orphan);
         }
         self.set_timers(id);
         self.enqueue_all(id);
@@ -92,6 +98,7 @@
         stretch: 1.0,
         slack: 0,
         spec,
+        workspace: None,
     }
 }
 
--- a/crates/jobs/src/cell/withdraw.rs
+++ b/crates/jobs/src/cell/withdraw.rs
@@ -28,6 +28,7 @@
                 host.remove(task, run);
             }
         }
+        self.unpark_job(id);
         self.jobs.remove(&id);
         true
     }
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -1,7 +1,8 @@
 //! A job's state: its rounds, steps and tasks.
 
-use crate::{CrashHistory, RunId, Step, Submission, TaskId, WorkerId};
+use crate::{Account, CrashHistory, RunId, Step, Submission, TaskId, WorkerId};
 use serde::{Deserialize, Serialize};
+use std::rc::Rc;
 
 /// How far a job is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -118,6 +119,8 @@
     pub order: u64,
     /// For each step, the longest chain of estimated work that begins with it, in ms.
     pub tails: Vec<u64>,
+    /// The account of its workspace; none if it belongs to none.
+    pub account: Option<Rc<Account>>,
 }
 
 impl Job {
@@ -133,6 +136,7 @@
             rounds,
             order,
             tails,
+            account: None,
         }
     }
 
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -5,6 +5,7 @@
 //! a socket, a clock or a thread: time is an argument, and what has to be done next is returned as
 //! values that the caller carries out once the records that belong to them are durable.
 
+mod account;
 mod cell;
 mod duty;
 mod evacuate;
@@ -30,8 +31,10 @@
 mod worker;
 mod worker_id;
 mod workers;
+mod workspace;
 
-pub use cell::{Accepted, Cancelled, Cell, Demand, Limits, Roomless};
+pub use account::{Account, Charge};
+pub use cell::{Accepted, BoundWait, Cancelled, Cell, Demand, Limits, Roomless};
 pub use duty::Holder;
 pub use explain::Obstacle;
 pub use job::{Job, Phase, Round, Task, TaskPhase};
@@ -48,6 +51,7 @@
 pub use worker::{RunPhase, Worker, WorkerInfo};
 pub use worker_id::{BornMs, WorkerId, WorkerName, name_of};
 pub use workers::Workers;
+pub use workspace::{Bound, WorkspaceId};
 
 use std::fmt;
 
--- a/crates/jobs/src/observe.rs
+++ b/crates/jobs/src/observe.rs
@@ -212,6 +212,7 @@
             kind: RunKind::Finite,
         };
         let load = job.map_or(free, |job| load_of(job, row.task));
+        let charge = self.charge(row.task);
         let TaskId {
             round, step, index, ..
         } = row.task;
@@ -220,7 +221,7 @@
             !job.step(step).gang && task.is_some_and(|task| is_newer(task, row.run))
         });
         if let Some(host) = self.workers.get_mut(worker) {
-            host.add(row.task, row.run, RunState::inherited(load, now));
+            host.add(row.task, row.run, RunState::inherited(load, charge, now));
         }
         if newer {
             self.reclaim(worker, row.task, row.run);
--- a/crates/jobs/src/pass.rs
+++ b/crates/jobs/src/pass.rs
@@ -41,6 +41,8 @@
     /// Gives room to the waiting tasks of all services.
     fn schedule_all(&mut self, now: Instant, log: Log) {
         self.duty.forget_old(now);
+        self.settle_unrecorded(now);
+        self.unpark();
         let services: Vec<_> = self.waiting.keys().cloned().collect();
         for service in services {
             self.schedule_service(&service, now, log);
@@ -68,6 +70,7 @@
             after = Some(rank);
             match self.try_rank(service, &rank, now, log) {
                 Placing::Held => {}
+                Placing::Bound => self.park(service, &rank),
                 Placing::Done => {
                     self.near.forget(rank.task());
                     self.drop_rank(service, &rank);
@@ -99,6 +102,8 @@
             Placing::Held
         } else if self.is_stale(rank.task()) {
             Placing::Done
+        } else if self.waits_for_bound(rank) {
+            Placing::Bound
         } else {
             self.place(rank.task(), now)
         }
--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     Cell, Job, Need, Order, Phase, RunId, Step, Task, TaskId, TaskPhase, Worker, WorkerId,
-    cell::{load_of, room_of},
+    cell::{charge_of, load_of, room_of},
     worker::{Quarantine, RunKind, RunState},
 };
 use clock::Instant;
@@ -38,6 +38,8 @@
     NoRoom,
     /// Its turn has not come: it may run somewhere, or must not start yet.
     Held,
+    /// Its workspace has as much running as it may.
+    Bound,
 }
 
 impl Cell {
@@ -107,6 +109,7 @@
             return;
         };
         let load = load_of(job, task);
+        let charge = charge_of(job, task);
         if job.phase == Phase::Pending {
             job.phase = Phase::Running;
         }
@@ -116,7 +119,7 @@
         }
         let bar = self.quarantine_bar(task, now);
         if let Some(host) = self.workers.get_mut(&worker) {
-            host.add(task, run, RunState::ordered(load, now));
+            host.add(task, run, RunState::ordered(load, charge, now));
             host.quarantine = bar.map(|bar| Quarantine {
                 key: (task, run),
                 bar,
--- a/crates/jobs/src/quarantine.rs
+++ b/crates/jobs/src/quarantine.rs
@@ -48,9 +48,15 @@
                 self.drop_rank(service, &rank);
                 continue;
             }
+            if self.waits_for_bound(&rank) {
+                self.park(service, &rank);
+                continue;
+            }
             match self.place_in_quarantine(task, now) {
                 Placing::Done => self.drop_rank(service, &rank),
-                Placing::Later | Placing::NoRoom | Placing::Held => self.ask_permits(task, now),
+                Placing::Later | Placing::NoRoom | Placing::Held | Placing::Bound => {
+                    self.ask_permits(task, now)
+                }
             }
         }
     }
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -1,7 +1,7 @@
 //! The form in which jobs are kept in the log: for each job what was handed in, written once, and
 //! its state, written at each change.
 
-use crate::{Holder, Job, JobId, Phase, Round, Submission};
+use crate::{Holder, Job, JobId, Phase, Round, Submission, WorkspaceId};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -50,6 +50,9 @@
     pub phase: Phase,
     /// Its repeats; empty once it is over.
     pub rounds: Vec<Round>,
+    /// The workspace that handed it in, once it is over and the record that says so is gone. Older records lack it.
+    #[serde(default)]
+    pub workspace: Option<WorkspaceId>,
 }
 
 /// The first letter of the key of what was handed in.
@@ -89,14 +92,15 @@
 
 /// The record of a job's state.
 pub fn encode_state(job: &Job) -> Entry {
-    let rounds = if job.phase.is_over() {
-        Vec::new()
+    let (rounds, workspace) = if job.phase.is_over() {
+        (Vec::new(), job.given.workspace.clone())
     } else {
-        job.rounds.clone()
+        (job.rounds.clone(), None)
     };
     let state = State {
         phase: job.phase,
         rounds,
+        workspace,
     };
     let value = rmp_serde::to_vec(&state).expect("plain data has a form in MessagePack");
     Entry {
--- a/crates/jobs/src/spec.rs
+++ b/crates/jobs/src/spec.rs
@@ -1,6 +1,6 @@
 //! What a caller hands in, and what is wrong with it.
 
-use crate::{JobId, Need, QueueId, ServiceId};
+use crate::{JobId, Need, QueueId, ServiceId, WorkspaceId};
 use serde::{Deserialize, Serialize};
 
 /// The longest text of a job, in bytes; the workers' interface takes no longer one.
@@ -95,6 +95,9 @@
     pub slack: u64,
     /// What it is to do.
     pub spec: JobSpec,
+    /// The workspace that handed it in; none for a queue that is open to all. Older records lack it.
+    #[serde(default)]
+    pub workspace: Option<WorkspaceId>,
 }
 
 /// Why a job is not taken.
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -1,6 +1,6 @@
 //! A worker as the owner of its cell sees it: its room, and the runs that it may have.
 
-use crate::{LostRun, Need, RunId, ServiceId, Step, TaskId, WorkerId, suspicion::PROVEN};
+use crate::{Charge, LostRun, Need, RunId, ServiceId, Step, TaskId, WorkerId, suspicion::PROVEN};
 use clock::Instant;
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
@@ -116,11 +116,13 @@
     pub pace: u64,
     /// When that was last changed.
     pub paced: Option<Instant>,
+    /// What it takes of its workspace's account.
+    pub charge: Option<Charge>,
 }
 
 impl RunState {
     /// A run that is being ordered.
-    pub fn ordered(load: Load, now: Instant) -> Self {
+    pub fn ordered(load: Load, charge: Option<Charge>, now: Instant) -> Self {
         let phase = RunPhase::Ordered;
         RunState {
             load,
@@ -135,15 +137,16 @@
             moved: now,
             pace: 100,
             paced: None,
+            charge,
         }
     }
 
     /// A run that an earlier owner may have started.
-    pub fn inherited(load: Load, now: Instant) -> Self {
+    pub fn inherited(load: Load, charge: Option<Charge>, now: Instant) -> Self {
         RunState {
             sent: Some(now),
             earlier: true,
-            ..RunState::ordered(load, now)
+            ..RunState::ordered(load, charge, now)
         }
     }
 }
--- /dev/null
+++ b/crates/jobs/tests/bounds.rs
@@ -0,0 +1,393 @@
+//! What workspaces may have running: their bounds under every change of runs, owners and configurations.
+
+#![expect(clippy::unwrap_used, reason = "a test stops where it fails")]
+
+mod fixture;
+mod world;
+
+use fixture::{job, step, worker};
+use havenladder_jobs::{
+    Bound, How, JobId, Limits, Loss, Need, Refusal, Report, Step, Submission, decode_entry,
+};
+use std::time::Duration;
+use world::{World, row, task};
+
+/// The workspace of most jobs here.
+const SCHOOL: &str = "school";
+
+/// A bound of so many cores.
+fn cores(count: u64) -> Bound {
+    Bound::new(Need {
+        cpu: count * 1_000,
+        memory: 0,
+        gpu: 0,
+    })
+}
+
+/// A job of a workspace.
+fn job_of(workspace: &str, id: JobId, steps: Vec<Step>) -> Submission {
+    Submission {
+        workspace: Some(workspace.to_owned()),
+        ..job(id, steps)
+    }
+}
+
+/// A cell with three workers of four cores each, in which the workspace has a bound.
+fn world(bound: Bound) -> World {
+    let mut world = World::new(&["a1", "b1", "c1"]);
+    set(&mut world, bound);
+    world
+}
+
+fn set(world: &mut World, bound: Bound) {
+    world.cell.set_bounds([(SCHOOL.to_owned(), bound)]);
+}
+
+/// How many cores the workspace has running, or may have.
+fn used(world: &World) -> u64 {
+    world
+        .cell
+        .account(SCHOOL)
+        .map_or(0, |a| a.used().cpu / 1_000)
+}
+
+#[test]
+fn no_start_goes_over_the_bound() {
+    let mut world = world(cores(3));
+    world.cell.accept(job_of(SCHOOL, 1, vec![step(5)]));
+    let started = world.run();
+    assert_eq!(started.len(), 3);
+    assert_eq!(world.cell.parked(SCHOOL), 2);
+    let (id, task, run) = started[0].clone();
+    world.end(&id, 1, task, run, How::Done);
+    assert_eq!(world.run().len(), 1, "one ended, one starts");
+    assert_eq!(used(&world), 3);
+}
+
+#[test]
+fn what_waits_for_its_bound_holds_up_nobody_and_asks_for_no_room() {
+    let mut world = world(cores(1));
+    world.cell.accept(job_of(SCHOOL, 1, vec![step(40)]));
+    world.cell.accept(job_of("other", 2, vec![step(2)]));
+    world.cell.accept(job(3, vec![step(2)]));
+    world.cell.set_bounds([
+        (SCHOOL.to_owned(), cores(1)),
+        ("other".to_owned(), cores(9)),
+    ]);
+    assert_eq!(world.run().len(), 5);
+    let demand = world.cell.demand("s");
+    assert_eq!(demand.waiting, Need::default());
+    assert_eq!(demand.roomless.need, Need::default());
+}
+
+#[test]
+fn a_lasting_task_that_waits_for_its_bound_asks_for_no_room() {
+    let mut world = world(cores(2));
+    let lasting = Step {
+        lasting: true,
+        ..step(4)
+    };
+    world.cell.accept(job_of(SCHOOL, 1, vec![lasting]));
+    assert_eq!(world.run().len(), 2);
+    assert_eq!(world.cell.demand("s").roomless.need, Need::default());
+    assert!(world.cell.waiting_lasting().is_empty());
+}
+
+#[test]
+fn a_raised_bound_counts_at_once_and_a_lowered_one_stops_nothing() {
+    let mut world = world(cores(2));
+    world.cell.accept(job_of(SCHOOL, 1, vec![step(9)]));
+    assert_eq!(world.run().len(), 2);
+    set(&mut world, cores(5));
+    let started = world.run();
+    assert_eq!(started.len(), 3);
+    set(&mut world, cores(1));
+    assert!(world.run().is_empty());
+    assert!(world.stops().is_empty());
+    let (id, task, run) = started[0].clone();
+    world.end(&id, 1, task, run, How::Done);
+    assert!(world.run().is_empty(), "four still run");
+    set(&mut world, Bound::NONE);
+    assert_eq!(world.run().len(), 4, "the bound is off");
+}
+
+#[test]
+fn a_run_counts_until_it_is_known_to_be_gone() {
+    let mut world = world(cores(1));
+    world.cell.accept(job_of(SCHOOL, 1, vec![step(1)]));
+    let (id, first, run) = world.run().remove(0);
+    assert_eq!(first, task(1, 0, 0));
+    world.cell.cancel(1);
+    world.cell.accept(job_of(SCHOOL, 2, vec![step(1)]));
+    assert!(world.run().is_empty(), "the first is being stopped");
+    world.cell.stop_answered(&id, first, run, world.now);
+    assert!(world.run().is_empty(), "it has its time to end");
+    world.pass(1_000);
+    let gone = Report::default();
+    world.report(&id, gone);
+    assert_eq!(world.run().len(), 1);
+}
+
+#[test]
+fn a_start_without_an_answer_counts() {
+    let mut world = world(cores(1));
+    world.cell.accept(job_of(SCHOOL, 1, vec![step(1)]));
+    let (id, task, run) = world.run().remove(0);
+    world.cell.unsure(&id, task, run);
+    world.cell.accept(job_of(SCHOOL, 2, vec![step(1)]));
+    assert!(world.run().is_empty());
+    assert_eq!(used(&world), 1);
+}
+
+#[test]
+fn a_start_that_was_refused_gives_its_part_back() {
+    let mut world = world(cores(1));
+    world.cell.accept(job_of(SCHOOL, 1, vec![step(1)]));
+    let (id, task, run) = world.run().remove(0);
+    world.cell.refused(&id, task, run, Refusal::Room, world.now);
+    assert_eq!(used(&world), 0);
+}
+
+#[test]
+fn what_a_lost_worker_ran_counts_until_its_lease_has_run_out() {
+    let mut world = world(cores(1));
+    world.cell.accept(job_of(SCHOOL, 1, vec![step(1)]));
+    let (id, ..) = world.run().remove(0);
+    world.cell.accept(job_of(SCHOOL, 2, vec![step(1)]));
+    world.cell.mute_worker(&id, world.now);
+    assert!(world.run().is_empty());
+    world.cell.lose_worker(&id, Loss::Lapsed, world.now);
+    assert_eq!(world.run().len(), 1);
+    assert_eq!(used(&world), 1);
+}
+
+#[test]
+fn a_new_owner_counts_what_the_earlier_ones_placed() {
+    let mut world = world(cores(2));
+    world.cell.accept(job_of(SCHOOL, 1, vec![step(4)]));
+    let started = world.run();
+    assert_eq!(started.len(), 2);
+    world.take_over();
+    world.take_over();
+    set(&mut world, cores(2));
+    assert_eq!(used(&world), 2, "on workers that no list has named");
+    world.join("d1");
+    assert!(world.run().is_empty());
+    for id in ["a1", "b1", "c1"] {
+        world.cell.see_worker(worker(id), world.now);
+    }
+    assert_eq!(used(&world), 2, "on workers that have not answered");
+    assert!(world.run().is_empty());
+}
+
+#[test]
+fn a_new_owner_starts_nothing_before_it_knows_the_bounds() {
+    let mut world = world(cores(2));
+    world.cell.accept(job_of(SCHOOL, 1, vec![step(4)]));
+    world.cell.schedule(world.now);
+    let batch = world.cell.take_batch();
+    world.log.extend(batch.entries);
+    world.take_over();
+    world.join("d1");
+    assert!(world.run().is_empty());
+    set(&mut world, cores(4));
+    // The two that the earlier owner placed may run.
+    assert_eq!(world.run().len(), 2);
+}
+
+#[test]
+fn a_workspace_that_a_configuration_does_not_name_any_more_goes_on() {
+    let mut world = world(cores(2));
+    world.cell.accept(job_of(SCHOOL, 1, vec![step(4)]));
+    assert_eq!(world.run().len(), 2);
+    world.cell.set_bounds([]);
+    assert!(world.run().is_empty(), "it keeps the bound that it had");
+    world.take_over();
+    for id in ["a1", "b1", "c1"] {
+        world.join(id);
+    }
+    world.cell.set_bounds([]);
+    assert_eq!(world.run().len(), 4, "nobody knows a bound any more");
+}
+
+#[test]
+fn runs_that_an_earlier_owner_may_have_started_without_a_record_count_until_all_workers_are_met() {
+    let mut world = world(cores(3));
+    world.cell.accept(job_of(SCHOOL, 1, vec![step(2)]));
+    // Handed in, recorded and not started: the earlier owner may have done so without a record.
+    world.cell.take_batch();
+    let batch = {
+        world.cell.accept(job_of(SCHOOL, 2, vec![step(1)]));
+        world.cell.take_batch()
+    };
+    world.log.extend(batch.entries);
+    world.take_over();
+    let expires = world.now + Duration::from_secs(9);
+    world.cell.close_gate(expires, false);
+    set(&mut world, cores(1));
+    world.cell.accept(job_of(SCHOOL, 3, vec![step(1)]));
+    world.cell.see_worker(worker("a1"), world.now);
+    world.cell.mark_listed();
+    assert!(world.run().is_empty(), "job 2 may run on a1");
+    world.report("a1", Report::default());
+    assert_eq!(world.run().len(), 1);
+    assert_eq!(used(&world), 1);
+}
+
+#[test]
+fn a_gang_starts_whole_or_not_at_all() {
+    let mut world = world(cores(3));
+    let gang = Step {
+        gang: true,
+        ..step(3)
+    };
+    world.cell.accept(job_of(SCHOOL, 1, vec![step(1)]));
+    world.cell.accept(job_of(SCHOOL, 2, vec![gang]));
+    let started = world.run();
+    assert_eq!(started.len(), 1, "a part of the gang would fit");
+    // A small one that comes later does not pass the gang by.
+    world.cell.accept(job_of(SCHOOL, 3, vec![step(1)]));
+    assert!(world.run().is_empty());
+    let (id, task, run) = started[0].clone();
+    world.end(&id, 1, task, run, How::Done);
+    assert_eq!(world.run().len(), 3);
+}
+
+#[test]
+fn what_fills_counts_with_all_that_it_asks_for() {
+    let mut world = world(cores(1));
+    let fills = Step {
+        fills: true,
+        lasting: true,
+        ..step(2)
+    };
+    world.cell.accept(job_of(SCHOOL, 1, vec![fills]));
+    assert_eq!(world.run().len(), 1);
+}
+
+#[test]
+fn a_resource_that_a_task_does_not_take_does_not_hold_it() {
+    let bound = Bound::new(Need {
+        cpu: 0,
+        memory: 1,
+        gpu: 0,
+    });
+    let memory = Need {
+        cpu: 0,
+        memory: 100,
+        gpu: 0,
+    };
+    assert!(!bound.allows(Need::default(), memory));
+    let cpu = Need {
+        cpu: 100,
+        ..Need::default()
+    };
+    assert!(bound.allows(memory, cpu), "memory is far over its bound");
+}
+
+#[test]
+fn a_run_that_nobody_knew_counts_once_a_report_names_it() {
+    let mut world = world(cores(1));
+    world.cell.accept(job_of(SCHOOL, 1, vec![step(1)]));
+    let (id, task, run) = world.run().remove(0);
+    world.cell.lose_worker(&id, Loss::Lapsed, world.now);
+    world.cell.see_worker(worker("a1"), world.now);
+    assert_eq!(used(&world), 0);
+    let report = Report {
+        running: vec![row(task, run, 10)],
+        ended: vec![],
+    };
+    world.report("a1", report);
+    assert_eq!(used(&world), 1);
+}
+
+#[test]
+fn a_job_that_can_never_run_is_known_at_once() {
+    let world = world(cores(2));
+    let large = Step {
+        need: Need {
+            cpu: 2_001,
+            ..step(1).need
+        },
+        ..step(1)
+    };
+    let gang = Step {
+        gang: true,
+        ..step(3)
+    };
+    assert!(world.cell.exceeds_bound(SCHOOL, &[step(1), large.clone()]));
+    assert!(world.cell.exceeds_bound(SCHOOL, &[gang]));
+    assert!(!world.cell.exceeds_bound(SCHOOL, &[step(40)]));
+    assert!(
+        !world.cell.exceeds_bound("other", &[large]),
+        "nothing is known of it"
+    );
+}
+
+#[test]
+fn the_workspace_of_a_job_outlasts_its_end() {
+    let mut world = world(cores(2));
+    world.cell.accept(job_of(SCHOOL, 1, vec![step(1)]));
+    world.run();
+    world.cell.cancel(1);
+    world.run();
+    world.take_over();
+    let kept = world.cell.jobs[&1].given.workspace.clone();
+    assert_eq!(kept.as_deref(), Some(SCHOOL));
+}
+
+#[test]
+fn records_without_a_workspace_load_as_before() {
+    /// What was handed in, as it was recorded before there were workspaces.
+    #[derive(serde::Serialize)]
+    struct Before(
+        u64,
+        String,
+        String,
+        u32,
+        u32,
+        bool,
+        u64,
+        f64,
+        u64,
+        havenladder_jobs::JobSpec,
+    );
+    let given = job(7, vec![step(1)]);
+    let before = Before(
+        given.id,
+        given.queue.clone(),
+        given.service.clone(),
+        given.priority,
+        given.attempts,
+        given.permits,
+        given.at,
+        given.stretch,
+        given.slack,
+        given.spec.clone(),
+    );
+    let value = rmp_serde::to_vec(&(3u64, before)).unwrap();
+    let state = rmp_serde::to_vec(&(havenladder_jobs::Phase::Succeeded, Vec::<u8>::new())).unwrap();
+    let records = vec![
+        decode_entry("g0000000000000007", &value).unwrap(),
+        decode_entry("s0000000000000008", &state).unwrap(),
+    ];
+    let mut cell = havenladder_jobs::Cell::new(Limits::default());
+    let odd = cell.load(records);
+    assert_eq!(odd, [7], "its state is missing, the record itself is read");
+    assert_eq!(cell.jobs[&8].given.workspace, None);
+}
+
+#[test]
+fn the_wait_for_a_bound_is_told_once_as_it_begins_and_ends() {
+    let mut world = world(cores(1));
+    world.cell.accept(job_of(SCHOOL, 1, vec![step(2)]));
+    let (id, task, run) = world.run().remove(0);
+    world.run();
+    let waits = world.cell.take_bound_waits();
+    assert_eq!(waits.iter().map(|w| w.waits).collect::<Vec<_>>(), [true]);
+    assert_eq!(waits[0].used.cpu, 1_000);
+    world.end(&id, 1, task, run, How::Done);
+    world.run();
+    let waits = world.cell.take_bound_waits();
+    assert_eq!(waits.iter().map(|w| w.waits).collect::<Vec<_>>(), [false]);
+}
--- a/crates/jobs/tests/decoders.rs
+++ b/crates/jobs/tests/decoders.rs
@@ -81,13 +81,13 @@
     ) {
         let given = job(1, steps);
         let rounds = vec![Round::new(&others); rounds];
-        let state = State { phase: Phase::Running, rounds };
+        let state = State { phase: Phase::Running, rounds, workspace: None };
         let sound = Job::new(job(2, vec![step(1)]), 1);
         let records = vec![
             Decoded::Given(0, given),
             Decoded::State(1, state),
             Decoded::Given(1, sound.given.clone()),
-            Decoded::State(2, State { phase: Phase::Pending, rounds: sound.rounds }),
+            Decoded::State(2, State { phase: Phase::Pending, rounds: sound.rounds, workspace: None }),
         ];
         let cell = take_over(records);
         prop_assert_eq!(cell.jobs[&2].phase, Phase::Running, "the others hold");
--- a/crates/jobs/tests/histories.rs
+++ b/crates/jobs/tests/histories.rs
@@ -5,7 +5,7 @@
 mod fixture;
 mod history;
 
-use history::{play, play_fatal, play_restarts, play_rooms};
+use history::{play, play_bounds, play_fatal, play_restarts, play_rooms};
 use rand::Rng;
 use yare::parameterized;
 
@@ -45,6 +45,14 @@
     seeds.for_each(play_restarts);
 }
 
+#[parameterized(
+    first = { 0..50 },
+    second = { 50..100 },
+)]
+fn histories_with_bounds_that_change_keep_the_promises(seeds: std::ops::Range<u64>) {
+    seeds.for_each(play_bounds);
+}
+
 /// Fresh seeds by hand, or those from `FIRST` on: `HISTORIES=1000 cargo test -p havenladder-jobs --test histories --
 /// --ignored`.
 #[test]
@@ -65,5 +73,6 @@
         play_fatal(seed);
         play_rooms(seed);
         play_restarts(seed);
+        play_bounds(seed);
     }
 }
--- a/crates/jobs/tests/history/host.rs
+++ b/crates/jobs/tests/history/host.rs
@@ -126,6 +126,7 @@
             .insert((task, run), Running { ends, fails, need });
         self.note_fatal_start(id, task);
         self.check_start(task, run);
+        self.check_bound(task.job);
         Ok(())
     }
 
--- a/crates/jobs/tests/history/mod.rs
+++ b/crates/jobs/tests/history/mod.rs
@@ -2,6 +2,7 @@
 
 #![expect(clippy::unwrap_used, reason = "a test stops where it fails")]
 
+mod bounds;
 mod calls;
 mod fatal;
 mod host;
@@ -9,6 +10,7 @@
 mod rooms;
 
 use crate::fixture::{job, step};
+use bounds::Bounds;
 use calls::Late;
 use clock::Instant;
 use fatal::Fatal;
@@ -62,6 +64,8 @@
     rooms: Option<Rooms>,
     /// The workers that start again under their ids, if such do.
     restarts: Option<Restarts>,
+    /// The bounds of workspaces, if there are such.
+    bounds: Option<Bounds>,
 }
 
 impl History {
@@ -89,6 +93,7 @@
             fatal: None,
             rooms: None,
             restarts: None,
+            bounds: None,
         };
         (0..4).for_each(|_| history.boot());
         history
@@ -116,6 +121,7 @@
         self.end_hosts();
         self.restart_hosts();
         self.change_rooms();
+        self.change_bounds();
         self.run_hosts();
         self.trouble();
         self.deliver_late();
@@ -167,8 +173,10 @@
                 ..step(count)
             });
         }
+        let workspace = self.choose_workspace(id);
         self.cell.accept(havenladder_jobs::Submission {
             attempts: 50,
+            workspace,
             ..job(id, steps)
         });
         self.choose_fatal(id);
@@ -195,6 +203,7 @@
         self.cell.load(decoded);
         let expires = self.instant() + Duration::from_millis(GRACE + self.lease());
         self.cell.close_gate(expires, false);
+        self.tell_bounds();
         self.leased.clear();
         self.noted.clear();
         let now = self.instant();
@@ -273,6 +282,16 @@
     end(history, seed);
 }
 
+/// Plays a history with workspaces whose bounds change, and every other time with workers that start again.
+pub fn play_bounds(seed: u64) {
+    let mut history = History::new(seed);
+    history.bounds = Some(Bounds::new(seed));
+    if seed.is_multiple_of(2) {
+        history.begin_restarts(seed);
+    }
+    end(history, seed);
+}
+
 /// Plays a history in which workers start again under their ids: by accident, or under tasks that end them.
 pub fn play_restarts(seed: u64) {
     let mut history = History::new(seed);
--- /dev/null
+++ b/crates/workspaces/tests/keys.rs
@@ -0,0 +1,130 @@
+//! What opens a workspace, and what does not.
+
+use havenladder_workspaces::{Authorization, Key, Keyring, Workspace, read_authorization};
+use jobs::Bound;
+use std::rc::Rc;
+use yare::parameterized;
+
+fn key(text: &str) -> Key {
+    Key::new(text).expect("a key")
+}
+
+fn workspace(id: &str, keys: &[&str]) -> Rc<Workspace> {
+    Rc::new(Workspace {
+        id: id.to_owned(),
+        keys: keys.iter().map(|text| key(text).digest()).collect(),
+        rate: 1.0,
+        bound: Bound::NONE,
+    })
+}
+
+#[test]
+fn a_key_opens_its_workspace_and_no_other_does() {
+    let mut ring = Keyring::default();
+    ring.replace(&[workspace("a", &["k1", "k2"]), workspace("b", &["k3"])]);
+    assert_eq!(ring.find(&key("k2")).map(String::as_str), Some("a"));
+    assert_eq!(ring.find(&key("k3")).map(String::as_str), Some("b"));
+    assert_eq!(ring.find(&key("k4")), None);
+}
+
+#[test]
+fn a_key_that_two_workspaces_hold_opens_neither_until_one_has_lost_it() {
+    let mut ring = Keyring::default();
+    let b = workspace("b", &["k1"]);
+    ring.replace(&[workspace("a", &["k1", "k2"]), Rc::clone(&b)]);
+    assert_eq!(ring.find(&key("k1")), None);
+    assert_eq!(ring.shared_keys(), 1);
+    ring.replace(&[workspace("a", &["k2"]), b]);
+    assert_eq!(ring.find(&key("k1")).map(String::as_str), Some("b"));
+}
+
+#[test]
+fn a_key_that_was_taken_away_opens_nothing_until_it_is_given_back() {
+    let mut ring = Keyring::default();
+    ring.replace(&[workspace("a", &["k1"])]);
+    ring.replace(&[workspace("a", &[])]);
+    assert_eq!(ring.find(&key("k1")), None);
+    ring.replace(&[workspace("b", &["k1"])]);
+    assert_eq!(
+        ring.find(&key("k1")).map(String::as_str),
+        Some("b"),
+        "it moved"
+    );
+    ring.replace(&[]);
+    assert_eq!(ring.find(&key("k1")), None);
+}
+
+#[test]
+fn of_two_workspaces_with_one_name_the_first_counts() {
+    let mut ring = Keyring::default();
+    ring.replace(&[workspace("a", &["k1"]), workspace("a", &["k2"])]);
+    assert!(ring.find(&key("k1")).is_some());
+    assert!(ring.find(&key("k2")).is_none());
+}
+
+#[test]
+fn folded_by_difference_a_ring_is_the_same_as_one_made_anew() {
+    let rows = [
+        workspace("a", &["k1", "k9"]),
+        workspace("b", &["k2", "k9"]),
+        workspace("c", &["k3"]),
+    ];
+    let mut folded = Keyring::default();
+    folded.replace(&rows);
+    let next = [
+        Rc::clone(&rows[0]),
+        workspace("b", &["k4"]),
+        workspace("d", &["k3"]),
+    ];
+    folded.replace(&next);
+    let mut anew = Keyring::default();
+    anew.replace(&next);
+    for text in ["k1", "k2", "k3", "k4", "k9"] {
+        assert_eq!(folded.find(&key(text)), anew.find(&key(text)), "{text}");
+    }
+}
+
+#[parameterized(
+    nothing = { &[], "missing" },
+    key = { &["Token abc"], "key" },
+    other_case = { &["token abc"], "key" },
+    blanks = { &[" Token   abc "], "key" },
+    other_scheme = { &["Bearer abc"], "malformed" },
+    no_key = { &["Token"], "malformed" },
+    empty_key = { &["Token "], "malformed" },
+    two_words = { &["Token abc def"], "malformed" },
+    twice = { &["Token abc", "Token abc"], "malformed" },
+)]
+fn an_authorization_is_one_scheme_and_one_key(values: &[&str], expected: &str) {
+    let read = read_authorization("Token", values.iter().map(|value| Some(*value)));
+    let name = match read {
+        Authorization::Missing => "missing",
+        Authorization::Malformed => "malformed",
+        Authorization::Key(_) => "key",
+    };
+    assert_eq!(name, expected);
+}
+
+#[test]
+fn a_header_that_is_no_text_is_malformed() {
+    assert!(matches!(
+        read_authorization("Token", [None]),
+        Authorization::Malformed
+    ));
+    let long = format!("Token {}", "k".repeat(600));
+    let read = read_authorization("Token", [Some(long.as_str())]);
+    assert!(matches!(read, Authorization::Malformed));
+}
+
+#[test]
+fn no_debug_form_tells_a_key() {
+    let secret = "verysecretkey";
+    let shown = format!(
+        "{:?} {:?} {:?} {:?}",
+        key(secret),
+        key(secret).digest(),
+        read_authorization("Token", [Some("Token verysecretkey")]),
+        workspace("a", &[secret]),
+    );
+    assert!(!shown.contains(secret), "{shown}");
+}
