--- a/crates/havenladder/tests/soak.rs
+++ b/crates/havenladder/tests/soak.rs
@@ -4,7 +4,7 @@
 #![expect(clippy::unwrap_used, reason = "a test stops where it fails")]
 
 use havenladder_soak::{Plan, run};
-use std::{path::PathBuf, time::Duration};
+use std::{fs, path::PathBuf, time::Duration};
 use yare::parameterized;
 
 /// Seed 10 failed once: a job was not over 20 s after the last fault, since each of four owners in a row
@@ -16,6 +16,7 @@
     connections_that_fall_silent = { 6_004, 10, 3, 6 },
     tasks_that_end_their_workers = { 7_001, 20, 4, 8 },
     workers_that_start_again = { 9_900, 10, 3, 6 },
+    workspaces_with_keys_and_bounds = { 10_000, 12, 3, 8 },
 )]
 fn a_soak_breaks_no_promise(seed: u64, seconds: u64, entries: usize, vms: usize) {
     let plan = Plan {
@@ -32,6 +33,11 @@
         .unwrap();
     let report = runtime.block_on(run(&plan)).unwrap();
     assert!(report.accepted > 0, "{report:?}");
+    for file in fs::read_dir(&plan.logs).unwrap() {
+        let path = file.unwrap().path();
+        let tells_key = fs::read_to_string(&path).unwrap().contains("secret-");
+        assert!(!tells_key, "{} tells a key", path.display());
+    }
     assert!(
         report.breaches.is_empty(),
         "{:?}, logs in {}",
--- a/crates/jobs/tests/history/bounds.rs
+++ b/crates/jobs/tests/history/bounds.rs
@@ -95,8 +95,8 @@
             return;
         };
         let heard = |changes: &VecDeque<Change>| {
-            let known = changes.iter().filter(|change| change.heard <= self.now);
-            known.last().map_or(0, |change| change.cores)
+            let mut known = changes.iter().filter(|change| change.heard <= self.now);
+            known.next_back().map_or(0, |change| change.cores)
         };
         let known = bounds.changes.iter();
         let known: Vec<_> = known
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -2,8 +2,8 @@
 //! what they were told.
 
 use crate::{
-    faults::HARMFUL_FROM,
-    site::{HOST, PREFIX, Site},
+    faults::{HARMFUL_FROM, WORKSPACES_FROM},
+    site::{self, HOST, PREFIX, Site, WORKSPACES},
 };
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -61,6 +61,10 @@
     pub fatal: bool,
     /// When an entry denied that it exists, after it was accepted.
     pub denied: Option<Instant>,
+    /// Its workspace, where there are such.
+    pub workspace: Option<&'static str>,
+    /// Whether a call with a wrong key, or one of another workspace, was let in.
+    pub leaked: bool,
 }
 
 /// All jobs by their ids; clones share them.
@@ -83,6 +87,13 @@
         self.count(Job::is_open) > 0
     }
 
+    /// The key of a job's workspace.
+    fn key(&self, id: u64) -> Option<String> {
+        let jobs = self.0.lock().expect("no thread panics here");
+        let workspace = jobs.get(&id)?.workspace?;
+        Some(site::key(workspace, 0))
+    }
+
     fn change(&self, id: u64, change: impl FnOnce(&mut Job)) {
         let mut jobs = self.0.lock().expect("no thread panics here");
         change(jobs.entry(id).or_default());
@@ -121,6 +132,7 @@
             },
             lines: entries.iter().map(|at| Line::new(*at)).collect(),
             ledger: ledger.clone(),
+            keyed: seed >= WORKSPACES_FROM,
         };
         tokio::spawn(call(caller, Arc::clone(&stop)));
     }
@@ -144,6 +156,8 @@
     fatal: Option<u32>,
     lines: Vec<Line>,
     ledger: Ledger,
+    /// Whether callers belong to workspaces.
+    keyed: bool,
 }
 
 /// Hands in jobs and asks for them until told to stop.
@@ -151,6 +165,7 @@
     let mut known = Vec::new();
     while !stop.load(Relaxed) {
         let id = caller.rng.random();
+        caller.choose_workspace(id);
         if let Some(share) = caller.fatal
             && caller.rng.random_ratio(1, share)
         {
@@ -167,12 +182,39 @@
         if caller.rng.random_bool(0.15) {
             caller.cancel(id).await;
         }
+        if caller.keyed && caller.rng.random_bool(0.1) {
+            caller.pry(asked).await;
+        }
         let pause = caller.rng.random_range(20..120);
         time::sleep(Duration::from_millis(pause)).await;
     }
 }
 
 impl Caller {
+    /// Chooses the workspace of a job.
+    fn choose_workspace(&mut self, id: u64) {
+        if self.keyed {
+            let workspace = WORKSPACES[self.rng.random_range(0..WORKSPACES.len())];
+            self.ledger
+                .change(id, |job| job.workspace = Some(workspace));
+        }
+    }
+
+    /// Asks for a job with a key that there never was, and with one of another workspace.
+    async fn pry(&mut self, id: u64) {
+        let own = self.ledger.all().get(&id).and_then(|job| job.workspace);
+        let others = WORKSPACES.iter().filter(|name| Some(**name) != own);
+        let mut wrong: Vec<String> = others.map(|name| site::key(name, 0)).collect();
+        wrong.push("secret-of-nobody".to_owned());
+        for key in wrong {
+            let line = self.pick();
+            let answer = self.lines[line].call(Method::GET, id, "", Some(key)).await;
+            if answer.is_some_and(|(status, _)| status == 200) {
+                self.ledger.change(id, |job| job.leaked = true);
+            }
+        }
+    }
+
     fn pick(&mut self) -> usize {
         self.rng.random_range(0..self.lines.len())
     }
@@ -190,10 +232,13 @@
 
     /// Hands in a job until it is accepted or refused for good.
     async fn hand_in(&mut self, id: u64, body: &str) {
+        let key = self.ledger.key(id);
         let mut refused = true;
         for _ in 0..TRIES {
             let line = self.pick();
-            let answer = self.lines[line].call(Method::POST, id, body).await;
+            let answer = self.lines[line]
+                .call(Method::POST, id, body, key.clone())
+                .await;
             let now = Instant::now();
             match answer.map(|(status, _)| status) {
                 Some(200..=299) => {
@@ -211,8 +256,9 @@
         let now = Instant::now();
         self.ledger
             .change(id, |job| job.cancelling = job.cancelling.or(Some(now)));
+        let key = self.ledger.key(id);
         let line = self.pick();
-        let answer = self.lines[line].call(Method::DELETE, id, "").await;
+        let answer = self.lines[line].call(Method::DELETE, id, "", key).await;
         let told = Instant::now();
         if let Some((200..=299, _)) = answer {
             self.ledger.change(id, |job| job.cancelled = Some(told));
@@ -233,7 +279,7 @@
 /// Asks for a job's state and notes what was told.
 async fn ask(line: &mut Line, ledger: &Ledger, id: u64) {
     let asked = Instant::now();
-    let Some((status, body)) = line.call(Method::GET, id, "").await else {
+    let Some((status, body)) = line.call(Method::GET, id, "", ledger.key(id)).await else {
         return;
     };
     let state = serde_json::from_slice::<Value>(&body).unwrap_or_default();
@@ -262,8 +308,14 @@
     }
 
     /// Makes a call; none if it has no answer in time.
-    async fn call(&mut self, method: Method, id: u64, body: &str) -> Option<(u16, Bytes)> {
-        let exchange = self.exchange(method, id, body);
+    async fn call(
+        &mut self,
+        method: Method,
+        id: u64,
+        body: &str,
+        key: Option<String>,
+    ) -> Option<(u16, Bytes)> {
+        let exchange = self.exchange(method, id, body, key);
         let answer = time::timeout(PATIENCE, exchange).await.ok().flatten();
         if answer.is_none() {
             self.sender = None;
@@ -271,7 +323,13 @@
         answer
     }
 
-    async fn exchange(&mut self, method: Method, id: u64, body: &str) -> Option<(u16, Bytes)> {
+    async fn exchange(
+        &mut self,
+        method: Method,
+        id: u64,
+        body: &str,
+        key: Option<String>,
+    ) -> Option<(u16, Bytes)> {
         if self.sender.as_ref().is_none_or(|sender| sender.is_closed()) {
             let stream = TcpStream::connect(self.address).await.ok()?;
             let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
@@ -281,7 +339,11 @@
         }
         let sender = self.sender.as_mut()?;
         sender.ready().await.ok()?;
-        let request = Request::builder()
+        let mut request = Request::builder();
+        if let Some(key) = key {
+            request = request.header("authorization", format!("Token {key}"));
+        }
+        let request = request
             .method(method)
             .uri(format!("{PREFIX}{id:016x}"))
             .header("host", HOST)
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -1,7 +1,7 @@
 //! What goes wrong in a soak: series of faults that overlap, by signals, by the proxies in front of the
 //! log, by VMs that end, and by what operators change.
 
-use crate::site::Site;
+use crate::site::{CORES, Site};
 use rand::{Rng, rngs::StdRng};
 use rustix::process::Signal;
 use standin::proxy::Faults;
@@ -76,10 +76,14 @@
     Restart,
     /// All workers do.
     RestartAll,
+    /// Each workspace loses a key and gets another.
+    Keys,
+    /// The bounds of workspaces are lowered far below what they use, until the fault ends.
+    Bounds,
 }
 
 /// Kinds that earlier seeds draw from stand first.
-const KINDS: [Kind; 21] = [
+const KINDS: [Kind; 23] = [
     Kind::Kill,
     Kind::Stop,
     Kind::Pause,
@@ -101,6 +105,8 @@
     Kind::Suspend,
     Kind::Restart,
     Kind::RestartAll,
+    Kind::Keys,
+    Kind::Bounds,
 ];
 
 /// How many of [`KINDS`] the seeds below [`SILENT_FROM`] draw from, so that they go on to mean the same faults.
@@ -121,6 +127,15 @@
 /// From which seed on workers start again under their ids as well, also those that a task ends.
 pub const RESTARTS_FROM: u64 = 9_000;
 
+/// How many of them those from there up to [`WORKSPACES_FROM`] draw from.
+const RESTARTS: usize = 21;
+
+/// From which seed on callers belong to workspaces, whose keys and bounds change.
+pub const WORKSPACES_FROM: u64 = 10_000;
+
+/// How many cores a workspace may have running while its bound is lowered.
+const LOWERED: u64 = 2;
+
 /// The longest time for which a worker is away that starts again: users saw 0.25 to 3 s.
 const LONGEST_AWAY: Duration = Duration::from_millis(3_000);
 
@@ -151,7 +166,8 @@
         ..SILENT_FROM => &KINDS[..LOUD],
         SILENT_FROM..HARMFUL_FROM => &KINDS[..SILENT],
         HARMFUL_FROM..RESTARTS_FROM => &KINDS[..HARMFUL],
-        RESTARTS_FROM.. => &KINDS[..],
+        RESTARTS_FROM..WORKSPACES_FROM => &KINDS[..RESTARTS],
+        WORKSPACES_FROM.. => &KINDS[..],
     };
     let began = Instant::now();
     let mut open: Vec<Open> = Vec::new();
@@ -220,6 +236,8 @@
         Kind::Late => fault.worker.mute(true, false),
         Kind::Crash => site.cloud.crash(vm),
         Kind::Configure => site.configure(),
+        Kind::Keys => site.change_keys(),
+        Kind::Bounds => site.set_bounds(LOWERED),
         Kind::Wave => site.ask_wave(),
         Kind::Swallow => site.log.lose_answers(SWALLOWED, seed),
         Kind::Hush => link.hush(),
@@ -241,9 +259,11 @@
         Kind::Dark => fault.worker.cut(false),
         Kind::Late => fault.worker.mute(false, false),
         Kind::Swallow => site.log.lose_answers(0.0, 0),
+        Kind::Bounds => site.set_bounds(CORES),
         Kind::Lose
         | Kind::Crash
         | Kind::Configure
+        | Kind::Keys
         | Kind::Wave
         | Kind::Hush
         | Kind::HushWorker
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -81,7 +81,7 @@
     callers.stop();
     let calm = Instant::now();
     wait_for_jobs(&mut site, &ledger, calm + SETTLE).await?;
-    let breaches = promises::check(&ledger.all(), &site.events.all());
+    let breaches = promises::check(&ledger.all(), &site.events.all(), &site.bounds);
     Ok(Report {
         jobs: ledger.all().len(),
         accepted: ledger.count(|job| job.accepted.is_some()),
--- a/crates/soak/src/promises.rs
+++ b/crates/soak/src/promises.rs
@@ -11,6 +11,10 @@
 /// How long after a cancel was told a start may still come: it may have been on its way.
 const CANCEL: Duration = Duration::from_millis(3_000);
 
+/// For how long an owner that the log does not reach may go by an older bound: the 6 s for which it goes on, and what its
+/// last starts may take.
+const UNHEARD: Duration = Duration::from_millis(8_000);
+
 /// How often a task may be started that ends its workers: twice after the third of them.
 const FATAL_STARTS: usize = 5;
 
@@ -43,6 +47,10 @@
     DoneIsTrue,
     /// A task that ends its workers is not started again and again.
     HarmEnds,
+    /// A workspace has no more running than it may.
+    WithinBound,
+    /// A wrong key, or another workspace's, opens nothing.
+    KeysHold,
 }
 
 impl fmt::Display for Breach {
@@ -51,9 +59,13 @@
     }
 }
 
+/// A bound of a workspace: from when on, whose, and how many cores.
+type BoundChange = (Instant, String, u64);
+
 /// Checks all promises.
-pub fn check(jobs: &BTreeMap<u64, Job>, events: &[Event]) -> Vec<Breach> {
+pub fn check(jobs: &BTreeMap<u64, Job>, events: &[Event], bounds: &[BoundChange]) -> Vec<Breach> {
     let mut breaches = Vec::new();
+    check_bounds(jobs, events, bounds, &mut breaches);
     check_runs(events, &mut breaches);
     check_order(events, &mut breaches);
     for (id, job) in jobs {
@@ -64,6 +76,51 @@
     breaches
 }
 
+/// Each task takes a core: no start may bring its workspace over the highest bound that its owner may have known.
+fn check_bounds(
+    jobs: &BTreeMap<u64, Job>,
+    events: &[Event],
+    bounds: &[BoundChange],
+    breaches: &mut Vec<Breach>,
+) {
+    let mut running: HashMap<&str, HashSet<(&str, &str, u64)>> = HashMap::new();
+    for event in events {
+        let job = jobs.get(&job_of(&event.task));
+        let Some(workspace) = job.and_then(|job| job.workspace) else {
+            continue;
+        };
+        let runs = running.entry(workspace).or_default();
+        let run = (event.worker.as_str(), event.task.as_str(), event.run);
+        match event.what {
+            RunEvent::Started => {
+                runs.insert(run);
+                if runs.len() as u64 > highest_bound(bounds, workspace, event.at) {
+                    breaches.push(breach(Promise::WithinBound, &event.task));
+                }
+            }
+            RunEvent::Done | RunEvent::Ended | RunEvent::Lost => {
+                runs.remove(&run);
+            }
+            RunEvent::Noted => {}
+        }
+    }
+}
+
+/// The highest bound of a workspace that may be in force at a moment.
+fn highest_bound(bounds: &[BoundChange], workspace: &str, at: Instant) -> u64 {
+    let own = bounds.iter().filter(|(_, name, _)| name == workspace);
+    let before = own
+        .clone()
+        .take_while(|(from, ..)| *from + UNHEARD < at)
+        .last();
+    let recent = own.filter(|(from, ..)| *from + UNHEARD >= at && *from <= at);
+    let cores = before.into_iter().chain(recent).map(|(.., cores)| *cores);
+    match cores.max() {
+        Some(0) | None => u64::MAX,
+        Some(cores) => cores,
+    }
+}
+
 fn breach(promise: Promise, about: impl fmt::Display) -> Breach {
     Breach {
         promise,
@@ -134,6 +191,9 @@
     if job.refused && job.accepted.is_none() && own().any(|event| started(&event)) {
         breaches.push(breach(Promise::RefusedIsTrue, &name));
     }
+    if job.leaked {
+        breaches.push(breach(Promise::KeysHold, &name));
+    }
     check_kept(&name, job, own(), breaches);
     if job.fatal && own().filter(started).count() > FATAL_STARTS {
         breaches.push(breach(Promise::HarmEnds, &name));
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -3,7 +3,7 @@
 use crate::{
     Plan,
     entries::{Entry, Ports},
-    faults::RESTARTS_FROM,
+    faults::{RESTARTS_FROM, WORKSPACES_FROM},
 };
 use standin::{
     proxy::{Faults, Proxy},
@@ -12,10 +12,14 @@
         events::Events,
         listen,
         log::Log,
-        operator::{self, Config},
+        operator::{self, Config, Workspace},
     },
 };
-use std::{io, sync::Arc, time::Duration};
+use std::{
+    io,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 /// The pool whose workers run the jobs.
 const POOL: &str = "renders";
@@ -28,18 +32,30 @@
 /// See [`HOST`].
 pub const PREFIX: &str = "/render/";
 
-/// The configuration, in all its versions.
-const CONFIG: Config<'_> = Config {
-    host: HOST,
-    prefix: PREFIX,
-    pool: POOL,
-    reserve: RESERVE,
-};
+/// The workspaces of soaks that have such.
+pub const WORKSPACES: [&str; 2] = ["year-9", "year-13"];
+
+/// How many cores each may have running as a rule: together a little less than 8 VMs have.
+pub const CORES: u64 = 14;
+
+/// The key of a workspace by its number: 0 is the one that its callers use.
+pub fn key(workspace: &str, number: u64) -> String {
+    format!("secret-{workspace}-{number}")
+}
 
 /// How much higher each version of the configuration is than the one before: versions need not follow on
 /// each other.
 const VERSION_STEP: u64 = 3;
 
+/// A workspace at the start of a soak: two keys, of which callers use the first.
+fn first_workspace(name: &str) -> Workspace {
+    Workspace {
+        name: name.to_owned(),
+        keys: vec![key(name, 0), key(name, 1)],
+        cores: CORES,
+    }
+}
+
 /// All that runs.
 pub struct Site {
     /// The entries.
@@ -52,6 +68,10 @@
     pub log: Log,
     /// What the workers ran.
     pub events: Events,
+    /// The workspaces of the newest configuration; none where calls need no keys.
+    pub workspaces: Option<Vec<Workspace>>,
+    /// The bounds that were in force: from when on, of which workspace, in cores.
+    pub bounds: Vec<(Instant, String, u64)>,
     /// The version of the newest configuration.
     version: u64,
     /// How many waves were asked for.
@@ -85,9 +105,14 @@
             cloud,
             log,
             events,
+            workspaces: None,
+            bounds: Vec::new(),
             version: 0,
             waves: 0,
         };
+        if plan.seed >= WORKSPACES_FROM {
+            site.workspaces = Some(WORKSPACES.map(first_workspace).into());
+        }
         site.configure();
         let ports = Ports::pick(plan.seed);
         for number in 0..plan.entries {
@@ -102,7 +127,35 @@
     /// Writes another version of the configuration; only its version and time-out differ.
     pub fn configure(&mut self) {
         self.version += VERSION_STEP;
-        operator::write_config(&self.log, self.version, &CONFIG);
+        let now = Instant::now();
+        let workspaces = self.workspaces.iter().flatten();
+        let bounds = workspaces.map(|workspace| (now, workspace.name.clone(), workspace.cores));
+        self.bounds.extend(bounds);
+        let config = Config {
+            host: HOST,
+            prefix: PREFIX,
+            pool: POOL,
+            reserve: RESERVE,
+            workspaces: self.workspaces.as_deref(),
+        };
+        operator::write_config(&self.log, self.version, &config);
+    }
+
+    /// Takes a key away from each workspace and gives it another, where there are such.
+    pub fn change_keys(&mut self) {
+        let next = self.version;
+        for workspace in self.workspaces.iter_mut().flatten() {
+            workspace.keys.truncate(1);
+            workspace.keys.push(key(&workspace.name, next));
+        }
+        self.configure();
+    }
+
+    /// Sets how many cores each workspace may have running.
+    pub fn set_bounds(&mut self, cores: u64) {
+        let workspaces = self.workspaces.iter_mut().flatten();
+        workspaces.for_each(|workspace| workspace.cores = cores);
+        self.configure();
     }
 
     /// Asks for the upkeep of all VMs, one at a time.
@@ -124,6 +177,10 @@
             link.lose_answers(0);
         }
         self.log.lose_answers(0.0, 0);
+        let mut workspaces = self.workspaces.iter().flatten();
+        if workspaces.any(|workspace| workspace.cores != CORES) {
+            self.set_bounds(CORES);
+        }
         for name in self.cloud.names() {
             if let Some(link) = self.cloud.link(&name) {
                 link.cut(false);
--- a/crates/soak/tests/promises.rs
+++ b/crates/soak/tests/promises.rs
@@ -37,7 +37,7 @@
 
 fn promises(job: Job, events: &[Event]) -> Vec<Promise> {
     let jobs = BTreeMap::from([(ID, job)]);
-    let found = check(&jobs, events);
+    let found = check(&jobs, events, &[]);
     found.into_iter().map(|breach| breach.promise).collect()
 }
 
@@ -141,6 +141,7 @@
     let found = check(
         &BTreeMap::new(),
         &events(from, &[("w1", "0.0", 1, Started)]),
+        &[],
     );
     assert_eq!(found[0].promise, Promise::RefusedIsTrue);
 }
--- a/crates/standin/src/users/operator.rs
+++ b/crates/standin/src/users/operator.rs
@@ -1,7 +1,7 @@
 //! What the users' operators write into the log: configurations and waves of upkeep.
 
 use super::log::Log;
-use serde_json::json;
+use serde_json::{Value, json};
 
 /// The topic with what operators ask for.
 const TOPIC: &str = "keyed.op";
@@ -19,6 +19,17 @@
 /// away, so that none counts as overdue.
 const UPKEEP: u64 = 20;
 
+/// A workspace of the configuration.
+#[derive(Clone, Debug)]
+pub struct Workspace {
+    /// Its name.
+    pub name: String,
+    /// Its keys.
+    pub keys: Vec<String>,
+    /// How many cores it may have running; 0 is no bound.
+    pub cores: u64,
+}
+
 /// What a configuration says: one route for jobs, the pool that runs them, and the reserve.
 #[derive(Clone, Copy, Debug)]
 pub struct Config<'c> {
@@ -30,12 +41,14 @@
     pub pool: &'c str,
     /// The pool of VMs that are off.
     pub reserve: &'c str,
+    /// The workspaces; none on a deployment without them.
+    pub workspaces: Option<&'c [Workspace]>,
 }
 
 /// Writes a version of the configuration. The time-out differs with the version, so that each version
 /// changes something.
 pub fn write_config(log: &Log, version: u64, config: &Config<'_>) {
-    let text = json!({
+    let mut text = json!({
         "version": version,
         "routes": [{
             "name": "r-1", "host": config.host, "path-prefix": config.prefix, "type": "unsafe",
@@ -48,9 +61,20 @@
         ],
         "limits": {},
     });
+    if let Some(workspaces) = config.workspaces {
+        text["tenants"] = workspaces.iter().map(row).collect();
+    }
     log.put(TOPIC, "config", text.to_string().as_bytes());
 }
 
+/// A workspace as operators write it.
+fn row(workspace: &Workspace) -> Value {
+    json!({
+        "name": workspace.name, "api-keys": workspace.keys, "weight": 100,
+        "upper-bound": { "cpu": workspace.cores * 1_000, "mem-mb": 0, "gpu": 0 },
+    })
+}
+
 /// Asks for the upkeep of these VMs, one at a time.
 pub fn write_wave(log: &Log, wave: u64, vms: &[String]) {
     let text = json!({
