test(jobs): unrecorded runs of an earlier owner count; the test needs a worker with room

Cause: the test passed without its guard: the only worker had not answered, so that nothing could start in any case. Ruled out: the other guards of the ledger (orphans, adopted runs, unknown bounds, order within a workspace): each removed once, one test fails for each. Before: passes without charge_unrecorded; after: fails without it. Conclusion: kept.

--- a/crates/jobs/tests/bounds.rs
+++ b/crates/jobs/tests/bounds.rs
@@ -227,6 +227,7 @@
     set(&mut world, cores(1));
     world.cell.accept(job_of(SCHOOL, 3, vec![step(1)]));
     world.cell.see_worker(worker("a1"), world.now);
+    world.join("b1");
     world.cell.mark_listed();
     assert!(world.run().is_empty(), "job 2 may run on a1");
     world.report("a1", Report::default());
