feat(jobs): how much time in hand a job needs at its start is learned

Change: a job that ended late though it began with more in hand raises what its queue asks for, one that ended in time though it began with less lowers it; what has less goes behind, before it has begun.

--- a/crates/jobs/src/cell/ends.rs
+++ b/crates/jobs/src/cell/ends.rs
@@ -93,6 +93,7 @@
                 .for_each(|(on, task, run)| self.stop_run(on, *task, *run));
         }
         if over {
+            self.learn_margin(task.job);
             self.finish(task.job, Phase::Succeeded);
         } else if ended {
             self.enqueue_round(task.job, task.round);
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -10,6 +10,7 @@
 mod ledger;
 mod limits;
 mod lives;
+mod margins;
 mod queue;
 mod runs;
 mod takeover;
@@ -34,6 +35,7 @@
 use clock::Instant;
 use gate::Gate;
 use ledger::Ledger;
+use margins::Margins;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 
 /// What became of a job that was handed in.
@@ -118,6 +120,8 @@
     begun: HashSet<ServiceId>,
     /// How long the runs of a queue take, as a multiple of what their callers estimate.
     pub(crate) pace: HashMap<QueueId, f64>,
+    /// How much time in hand the jobs of a queue need at their start.
+    margins: Margins,
     /// The tasks that wait for room near their data.
     pub(crate) near: Near,
     /// When runs are to be looked at next that may stand still.
--- a/crates/jobs/src/cell/queue.rs
+++ b/crates/jobs/src/cell/queue.rs
@@ -30,7 +30,7 @@
         };
         let pace = self.pace_of(&job.given.queue);
         let left = job.tails[task.step as usize] as f64 * pace;
-        self.wall as f64 + left > job.goal(task.round, pace)
+        self.wall as f64 + left * (1.0 + self.margin_of(job)) > job.goal(task.round, pace)
     }
 
     /// Puts a task back among those that wait.
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -119,6 +119,8 @@
     pub order: u64,
     /// For each step, the longest chain of estimated work that begins with it, in ms.
     pub tails: Vec<u64>,
+    /// How much time it had in hand as it began, as a part of its work; none before.
+    pub in_hand: Option<f64>,
     /// The account of its workspace; none if it belongs to none.
     pub account: Option<Rc<Account>>,
 }
@@ -136,6 +138,7 @@
             rounds,
             order,
             tails,
+            in_hand: None,
             account: None,
         }
     }
