--- a/crates/havenladder/src/entry/lease/mod.rs
+++ b/crates/havenladder/src/entry/lease/mod.rs
@@ -12,6 +12,7 @@
 use super::{
     inner::{self, Ask},
     node::{Lease, Node},
+    own_cell,
     owner::{Owner, Predecessor},
     suspension,
 };
@@ -25,10 +26,6 @@
 /// How often the owner renews. Three renewals fit into [`fleet::EXPIRY`], so that two may be lost.
 const RENEW: Duration = Duration::from_millis(400);
 
-/// How long an owner may believe in its last renewal where two owners must not act in turn. Shorter
-/// than [`fleet::EXPIRY`] by what clocks and answers may be late.
-pub const TRUST: Duration = Duration::from_millis(1_100);
-
 /// How long a read waits at the least: one that comes back at once would be repeated at once.
 const LEAST_WAIT: Duration = Duration::from_millis(50);
 
@@ -231,7 +228,7 @@
 async fn own(node: &Rc<Node>, log: &mut Log) {
     // One that cannot tell since when others may have read its record relies on the next renewal.
     let since = log.taken().unwrap_or(node.began);
-    let owner = Owner::start(node, log.end, log.before, since);
+    let owner = own_cell::start(node, log.end, log.before, since);
     loop {
         wait_for_turn(node, &owner).await;
         suspension::notice(node);
--- a/crates/havenladder/src/entry/mod.rs
+++ b/crates/havenladder/src/entry/mod.rs
@@ -19,6 +19,7 @@
 mod node;
 mod orders;
 mod outage;
+mod own_cell;
 mod owner;
 mod questions;
 mod reach;
--- a/crates/havenladder/src/entry/orders.rs
+++ b/crates/havenladder/src/entry/orders.rs
@@ -20,7 +20,7 @@
 const STOP_AGAIN: Duration = Duration::from_millis(250);
 
 /// Sends orders, without waiting for their answers.
-pub fn send_all(owner: &Rc<Owner>, orders: impl IntoIterator<Item = Order>) {
+pub fn send_all(owner: &Rc<Owner>, orders: Vec<Order>) {
     orders.into_iter().for_each(|order| send(owner, order));
 }
 
--- a/crates/havenladder/src/entry/owner/append.rs
+++ b/crates/havenladder/src/entry/owner/append.rs
@@ -3,7 +3,7 @@
 use super::Owner;
 use crate::entry::{
     node::wall_ms,
-    orders, outage,
+    outage,
     store_calls::{self, Matter},
 };
 use adapter::store::{Appended, Condition, frame_keyed};
@@ -30,7 +30,7 @@
 
 /// Makes records durable, however often it takes; false if a newer owner shut this one out. What can
 /// be done without them is done meanwhile.
-pub(super) async fn append(
+pub async fn append(
     owner: &Rc<Owner>,
     entries: &[Entry],
     sequence: u64,
@@ -115,5 +115,5 @@
     known.extend(cell.take_unrecorded());
     drop(cell);
     owner.send_urgent();
-    orders::send_all(owner, known);
+    owner.send(known);
 }
--- a/crates/havenladder/src/entry/owner/bound_waits.rs
+++ b/crates/havenladder/src/entry/owner/bound_waits.rs
@@ -7,7 +7,7 @@
 
 impl Owner {
     /// Puts the bounds of the newest configuration in force, unless they are.
-    pub(super) fn update_bounds(&self) {
+    pub fn update_bounds(&self) {
         let in_force = self.node.in_force.borrow();
         let version = in_force.config().map(|config| config.version);
         if !self.loaded.get() || self.bounds.get() == version {
@@ -25,7 +25,7 @@
 }
 
 /// One line for each workspace that begins or ceases to wait for its bound.
-pub(super) fn tell(node: &Node, waits: Vec<BoundWait>) {
+pub fn tell(node: &Node, waits: Vec<BoundWait>) {
     let version = node.in_force.borrow().version();
     for BoundWait {
         workspace,
--- a/crates/havenladder/src/entry/owner/load.rs
+++ b/crates/havenladder/src/entry/owner/load.rs
@@ -15,7 +15,7 @@
 const MOST_ODD: usize = 100;
 
 /// Shuts out earlier owners and takes in what they recorded; false if this owner was shut out.
-pub(super) async fn load(owner: &Rc<Owner>) -> bool {
+pub async fn load(owner: &Rc<Owner>) -> bool {
     let began = Instant::now();
     if !append(owner, &[], 0, &mut Vec::new()).await {
         owner.end("a newer owner was there first");
--- a/crates/havenladder/src/entry/owner/mod.rs
+++ b/crates/havenladder/src/entry/owner/mod.rs
@@ -1,27 +1,21 @@
-//! The owner of the cell: takes what earlier owners left, makes decisions durable, then acts.
+//! The owner of the cell: what it knows, what it answers, and how decisions are made durable.
 
 mod answer;
-mod append;
-mod bound_waits;
-mod duties;
-mod load;
-mod pulse;
+pub mod append;
+pub mod bound_waits;
+pub mod duties;
+pub mod load;
+pub mod pulse;
 
 use super::{
-    fleet,
-    lease::TRUST,
-    node::{Lease, LifeId, Node, wall_ms},
-    orders,
+    node::{Lease, LifeId, Node},
     outage::Outage,
-    suspension, worker_list,
 };
-use ::fleet::{MilliCpu, RateLimit, Stall, TROUBLE, Trouble};
 use adapter::{operator::Version, settings::Settings, workers::ClockMs};
-use append::{SLOW, append};
-use clock::{Instant, timer};
-use jobs::{Batch, Cell as JobCell, Limits, WorkerId, WorkerName};
-use load::load;
-use pulse::Pulse;
+use append::SLOW;
+use clock::Instant;
+use fleet::{MilliCpu, RateLimit, Stall, TROUBLE, Trouble};
+use jobs::{Cell as JobCell, Limits, Order, WorkerId, WorkerName};
 use std::{
     cell::{Cell, RefCell},
     collections::{HashMap, HashSet},
@@ -29,10 +23,7 @@
     sync::Arc,
     time::Duration,
 };
-use tokio::{
-    sync::{Notify, Semaphore},
-    task, time,
-};
+use tokio::sync::{Notify, Semaphore};
 use tracing::info;
 
 /// How long a worker keeps its runs without a word from the owner. Long enough for the next question to a
@@ -51,26 +42,12 @@
 /// which it may have gone 20 ms astray.
 const DRIFT: Duration = Duration::from_millis(50);
 
-/// The least time between two rounds of decisions: each append has a price and each pass over what waits
-/// costs processor time, and what comes up meanwhile shares one. 350 workers wake the owner 2,000 times
-/// a second.
-const ROUND_GAP: Duration = Duration::from_millis(8);
-
-/// Time between two looks at what only time changes: due rounds and runs that stand still.
-const LONGEST_GAP: Duration = Duration::from_millis(200);
-
-/// Time between two lines about lasting tasks that wait for room.
-const LOG_INTERVAL: Duration = Duration::from_millis(2_000);
-
 /// How many starts are under way to one worker at a time. A step of eight tasks that one worker gets would
 /// otherwise open eight connections, of which each takes 12 KB: 7,000 of them made 80 MB on 1,100 workers. A
 /// start takes some ms, so that eight of them wait for less than 20; and where a worker falls silent, only these
 /// wait for its lease.
 const STARTS: usize = 3;
 
-/// How long a takeover may take before the store counts as troubled: it takes 50 ms as a rule.
-const LOADED: Duration = Duration::from_millis(300);
-
 /// How long a lease of this length may hold at the most, after it was given.
 pub fn longest(lease: Duration) -> Duration {
     lease.mul_f64(SLOWNESS) + DRIFT
@@ -111,6 +88,13 @@
     }
 }
 
+/// How an owner sends orders to workers: by what stands above it.
+pub type SendOrders = fn(&Rc<Owner>, Vec<Order>);
+
+/// How long an owner may believe in its last renewal where two owners must not act in turn. Shorter
+/// than [`fleet::EXPIRY`] by what clocks and answers may be late.
+pub const TRUST: Duration = Duration::from_millis(1_100);
+
 /// What is known of the owner before.
 #[derive(Clone, Copy, Debug)]
 pub struct Predecessor {
@@ -143,7 +127,7 @@
     /// Until when an earlier owner's leases may hold.
     pub inherited: Instant,
     /// Whether the store was in trouble when this owner began.
-    trouble: Trouble,
+    pub trouble: Trouble,
     /// When an order about VMs was last to be given without a record.
     order_due: Cell<Option<Instant>>,
     /// Whether the last renewal told of such orders.
@@ -168,33 +152,31 @@
     appending: Cell<Option<Instant>>,
     /// The version of the configuration whose bounds are in force in the cell; none before there is one.
     bounds: Cell<Option<Version>>,
+    /// What sends orders to workers.
+    send: SendOrders,
     /// Whether it may still decide.
     alive: Cell<bool>,
     /// Whether what earlier owners recorded has been taken in.
-    loaded: Cell<bool>,
+    pub loaded: Cell<bool>,
     /// The part of a core of a stronger entry that has asked for the cell.
     pub successor: Cell<Option<MilliCpu>>,
     /// Told when the lease is to be looked at before its next renewal is due.
     pub lease_due: Notify,
     /// Told when something has changed in the cell.
-    wake: Notify,
+    pub wake: Notify,
     /// Told after each append, and when the owner ends.
     pub settled: Notify,
 }
 
 impl Owner {
-    /// Begins to own the cell, by a record that others may have read since `since`.
-    pub fn start(node: &Rc<Node>, epoch: u64, before: Predecessor, since: Instant) -> Rc<Self> {
-        let owner = Rc::new(Owner::new(node, epoch, before, since));
-        node.metrics.owned("gained");
-        info!(epoch, ?before, "owns the cell");
-        *node.owner.borrow_mut() = Some(Rc::clone(&owner));
-        task::spawn_local(run(Rc::clone(&owner)));
-        owner
-    }
-
     /// An owner that knows nothing yet but its predecessor.
-    fn new(node: &Rc<Node>, epoch: u64, before: Predecessor, since: Instant) -> Self {
+    pub fn new(
+        node: &Rc<Node>,
+        epoch: u64,
+        before: Predecessor,
+        since: Instant,
+        send: SendOrders,
+    ) -> Self {
         let now = Instant::now();
         let extended = match before.renewed {
             Some(at) => at + GRACE,
@@ -223,6 +205,7 @@
             outage: Cell::default(),
             appending: Cell::new(None),
             bounds: Cell::new(None),
+            send,
             alive: Cell::new(true),
             loaded: Cell::new(false),
             successor: Cell::new(None),
@@ -303,9 +286,14 @@
     }
 
     /// Sends the orders that need no record.
-    fn send_urgent(self: &Rc<Self>) {
+    pub fn send_urgent(self: &Rc<Self>) {
         let urgent = self.cell.borrow_mut().take_urgent();
-        orders::send_all(self, urgent);
+        self.send(urgent);
+    }
+
+    /// Sends orders to workers, without waiting for their answers.
+    pub fn send(self: &Rc<Self>, orders: Vec<Order>) {
+        (self.send)(self, orders);
     }
 
     /// What is known of an append that is under way.
@@ -335,96 +323,3 @@
         ..Limits::default()
     }
 }
-
-/// Takes the cell over, then works until the owner ends.
-async fn run(owner: Rc<Owner>) {
-    let began = Instant::now();
-    if !load(&owner).await {
-        return;
-    }
-    close_gate(&owner, began.elapsed());
-    owner.loaded.set(true);
-    owner.settled.notify_waiters();
-    task::spawn_local(worker_list::run(Rc::clone(&owner)));
-    task::spawn_local(fleet::run(Rc::clone(&owner)));
-    task::spawn_local(duties::watch_holders(Rc::clone(&owner)));
-    task::spawn_local(complain(Rc::clone(&owner)));
-    work(&owner).await;
-    owner.end("the loop ends");
-}
-
-/// Holds back what waited until all workers are met, if the earlier owner may have started some of it
-/// without a record: a takeover that took long counts as trouble of the store as well.
-fn close_gate(owner: &Owner, took: Duration) {
-    let trouble = owner.trouble;
-    if trouble != Trouble::None || took >= LOADED {
-        let troubled = trouble != Trouble::Unknown;
-        owner
-            .cell
-            .borrow_mut()
-            .close_gate(owner.inherited, troubled);
-    }
-}
-
-/// Decides, records and acts in turn until the owner ends.
-async fn work(owner: &Rc<Owner>) {
-    let mut sequence = 1;
-    let mut pulse = Pulse::new(Instant::now());
-    while owner.is_alive() {
-        let _ = time::timeout(LONGEST_GAP, owner.wake.notified()).await;
-        suspension::notice(&owner.node);
-        let began = Instant::now();
-        let mut batch = decide(owner);
-        pulse.note_round(owner, began.elapsed());
-        owner.send_urgent();
-        if !batch.entries.is_empty() {
-            if !append(owner, &batch.entries, sequence, &mut batch.starts).await {
-                break;
-            }
-            sequence += 1;
-        }
-        if !batch.is_empty() {
-            carry_out(owner, batch);
-        }
-        let due = Instant::now() + ROUND_GAP;
-        timer::sleep_until(due).await;
-        pulse.note_sleep(owner, due.elapsed());
-    }
-}
-
-/// Tells for a lasting task that waits what keeps it from the workers.
-async fn complain(owner: Rc<Owner>) {
-    while owner.is_alive() {
-        time::sleep(LOG_INTERVAL).await;
-        let cell = owner.cell.borrow();
-        let waiting = cell.waiting_lasting();
-        if let Some(task) = waiting.first() {
-            let obstacles = cell.obstacles(*task, Instant::now());
-            info!(%task, waiting = waiting.len(), ?obstacles, "lasting task waits for room");
-        }
-    }
-}
-
-/// Decides what is to be done now, and what has to be recorded for it.
-fn decide(owner: &Rc<Owner>) -> Batch {
-    let now = Instant::now();
-    owner.update_bounds();
-    let mut cell = owner.cell.borrow_mut();
-    cell.mark_due(wall_ms());
-    cell.stop_still(now);
-    cell.schedule(now);
-    bound_waits::tell(&owner.node, cell.take_bound_waits());
-    cell.take_batch()
-}
-
-/// Does what waited for its records, which are durable now.
-fn carry_out(owner: &Rc<Owner>, batch: Batch) {
-    owner.cell.borrow_mut().confirm(&batch);
-    for (worker, number) in batch.noted {
-        if let Some(contact) = owner.contacts.borrow_mut().get_mut(&worker) {
-            contact.noted = contact.noted.max(number);
-        }
-    }
-    orders::send_all(owner, batch.starts);
-    owner.settled.notify_waiters();
-}
