--- a/crates/havenladder/src/entry/callers/call.rs
+++ b/crates/havenladder/src/entry/callers/call.rs
@@ -109,28 +109,17 @@
         Judged::In(admitted) => admitted,
         Judged::Out(reply) => return reply,
     };
-    let Some(wish) = read_wish(&head, &admitted) else {
-        return reply(
-            StatusCode::BAD_REQUEST,
-            "{\"error\":\"a job's id is 16 hex digits\"}",
-        );
-    };
-    let spec = match wish {
-        Named::Submit(id) => match read_spec(id, request.into_body()).await {
-            Ok(spec) => Some(spec),
-            Err(reply) => return reply,
-        },
-        Named::State(_) | Named::Cancel(_) | Named::Pending => None,
-        Named::Other => return reply(StatusCode::METHOD_NOT_ALLOWED, ""),
+    let wanted = match read_wanted(&head, &admitted, request.into_body()).await {
+        Ok(wanted) => wanted,
+        Err(reply) => return reply,
     };
     let mut unsure = false;
     loop {
-        let wish = wish.write(&admitted, spec.as_ref());
         let request = inner::Request {
             caller: admitted.caller.clone(),
             queue: admitted.queue.name.clone(),
             version: admitted.version,
-            wish,
+            wish: wanted.put(&admitted),
         };
         unsure = match ask(node, request, unsure, head.deadline).await {
             Answer::Final(reply) => return reply,
@@ -196,44 +185,48 @@
     reply
 }
 
-/// What a call's method and path name.
-#[derive(Clone, Copy)]
-enum Named {
-    Submit(JobId),
+/// What a call asks for, by its method, path and body.
+enum Wanted {
+    Submit(JobId, JobSpec),
     Cancel(JobId),
     State(JobId),
     Pending,
-    /// A job, by a method that there is not.
-    Other,
 }
 
-impl Named {
+impl Wanted {
     /// The same as it is put to the owner; a job that is handed in takes what its queue says now.
-    fn write(self, admitted: &Admitted, spec: Option<&JobSpec>) -> Wish {
-        match (self, spec) {
-            (Named::Submit(id), Some(spec)) => Wish::Submit {
-                given: submission(admitted, id, spec.clone()),
+    fn put(&self, admitted: &Admitted) -> Wish {
+        match self {
+            Wanted::Submit(id, spec) => Wish::Submit {
+                given: submission(admitted, *id, spec.clone()),
                 within: 0,
             },
-            (Named::Cancel(id), _) => Wish::Cancel(id),
-            (Named::State(id), _) => Wish::State(id),
-            (Named::Pending | Named::Other | Named::Submit(_), _) => Wish::Pending,
+            Wanted::Cancel(id) => Wish::Cancel(*id),
+            Wanted::State(id) => Wish::State(*id),
+            Wanted::Pending => Wish::Pending,
         }
     }
 }
 
-/// Reads what a call's method and path name; none if the path is no job's.
-fn read_wish(head: &Head, admitted: &Admitted) -> Option<Named> {
+/// Reads what a call asks for.
+///
+/// # Errors
+///
+/// Fails with the answer for its caller where the path is no job's, there is no such method, or the body is odd.
+async fn read_wanted(head: &Head, admitted: &Admitted, body: Incoming) -> Result<Wanted, Reply> {
     if head.method == Method::GET && admitted.rest.is_empty() {
-        return Some(Named::Pending);
+        return Ok(Wanted::Pending);
+    }
+    let Some(id) = read_id(&admitted.rest) else {
+        let body = "{\"error\":\"a job's id is 16 hex digits\"}";
+        return Err(reply(StatusCode::BAD_REQUEST, body));
+    };
+    match head.method {
+        Method::GET => Ok(Wanted::State(id)),
+        Method::DELETE => Ok(Wanted::Cancel(id)),
+        Method::POST => Ok(Wanted::Submit(id, read_spec(id, body).await?)),
+        _ => Err(reply(StatusCode::METHOD_NOT_ALLOWED, "")),
     }
-    let id = read_id(&admitted.rest)?;
-    Some(match head.method {
-        Method::GET => Named::State(id),
-        Method::DELETE => Named::Cancel(id),
-        Method::POST => Named::Submit(id),
-        _ => Named::Other,
-    })
 }
 
 /// Reads what a job is to do.
--- a/crates/jobs/src/cell/outlook.rs
+++ b/crates/jobs/src/cell/outlook.rs
@@ -34,8 +34,10 @@
     /// Counts the work of a job.
     fn add(&mut self, workspace: Option<&WorkspaceId>, work: f64) {
         self.work += work;
-        if let Some(workspace) = workspace {
-            *self.parts.entry(workspace.clone()).or_default() += work;
+        let Some(workspace) = workspace else { return };
+        match self.parts.get_mut(workspace) {
+            Some(part) => *part += work,
+            None => drop(self.parts.insert(workspace.clone(), work)),
         }
     }
 
