fix(jobs): a start whose record took long goes by the bound that is in force when it is sent

Cause: starts were held to their workspace's bound when they were decided, not when they were sent, after the log was back. Ruled out: charges that are lost (the account told five cores as well). A gang is taken back whole, as far as none of it has been sent.

--- a/crates/jobs/src/account.rs
+++ b/crates/jobs/src/account.rs
@@ -48,6 +48,13 @@
         self.bound.get().allows(self.used.get(), more)
     }
 
+    /// Whether what it takes already, of which this is a part, goes beyond the bound in something that this takes.
+    pub(crate) fn is_over(&self, part: Need) -> bool {
+        let mut others = self.used.get();
+        others.remove(part);
+        !self.bound.get().allows(others, part)
+    }
+
     fn change(&self, change: impl FnOnce(&mut Need)) {
         let mut used = self.used.get();
         change(&mut used);
--- a/crates/jobs/src/cell/ledger.rs
+++ b/crates/jobs/src/cell/ledger.rs
@@ -5,8 +5,8 @@
 //! task is not passed by smaller ones of its workspace for ever.
 
 use crate::{
-    Account, Bound, Cell, Charge, Job, JobId, Need, ServiceId, Step, Submission, TaskId, TaskPhase,
-    WorkspaceId, rank::Rank,
+    Account, Bound, Cell, Charge, Job, JobId, Need, RunId, ServiceId, Step, Submission, TaskId,
+    TaskPhase, WorkerId, WorkspaceId, rank::Rank,
 };
 use std::{
     collections::{BTreeSet, HashMap},
@@ -145,6 +145,40 @@
         !account.allows(start_need(step)) || self.ledger.has_before(&account.id, rank)
     }
 
+    /// Whether a start that has been decided goes over its workspace's bound by now: it may have waited for its record while
+    /// the bound was lowered.
+    pub(super) fn is_over_bound(&self, task: TaskId) -> bool {
+        let Some((job, account)) = self.account_of(task) else {
+            return false;
+        };
+        let step = job.find_step(task);
+        step.is_some_and(|step| account.is_over(start_need(step)))
+    }
+
+    /// Takes the starts of a task, or of its whole gang, back that have not been sent.
+    pub(super) fn take_back(&mut self, task: TaskId) {
+        for member in self.members(task) {
+            let Some((worker, run)) = self.unsent_run(member) else {
+                continue;
+            };
+            if let Some(host) = self.workers.get_mut(&worker) {
+                host.remove(member, run);
+            }
+            self.requeue(member);
+        }
+    }
+
+    /// Where a task's current run is to start, if its start has not been sent.
+    fn unsent_run(&self, task: TaskId) -> Option<(WorkerId, RunId)> {
+        let job = self.jobs.get(&task.job)?;
+        let state = job.task(task.round, task.step, task.index)?;
+        let TaskPhase::Placed(worker) = &state.phase else {
+            return None;
+        };
+        let run = self.workers.get(worker)?.runs.get(&(task, state.run))?;
+        run.sent.is_none().then(|| (worker.clone(), state.run))
+    }
+
     /// A task's job and the account of its workspace.
     fn account_of(&self, task: TaskId) -> Option<(&Job, &Rc<Account>)> {
         let job = self.jobs.get(&task.job)?;
--- a/crates/jobs/src/cell/runs.rs
+++ b/crates/jobs/src/cell/runs.rs
@@ -15,6 +15,9 @@
 impl Cell {
     /// Whether a start whose record is durable is still to be sent. One that is not is taken back.
     pub fn confirm_start(&mut self, worker: &str, task: TaskId, run: RunId, now: Instant) -> bool {
+        if self.is_over_bound(task) {
+            self.take_back(task);
+        }
         let current = self.is_current(worker, task, run);
         let Some(host) = self.workers.get_mut(worker) else {
             return false;
