--- a/crates/jobs/tests/histories.rs
+++ b/crates/jobs/tests/histories.rs
@@ -56,26 +56,35 @@
     seeds.for_each(play_bounds);
 }
 
+/// How many fresh seeds to play by hand, and the first of them.
+fn fresh_seeds() -> std::ops::Range<u64> {
+    let number = |name| std::env::var(name).ok().and_then(|n| n.parse().ok());
+    let count = number("HISTORIES").unwrap_or(200);
+    let first = number("FIRST").unwrap_or_else(|| rand::rng().random_range(1_000..1_000_000_000));
+    println!("seeds from {first}");
+    first..first + count
+}
+
 /// Fresh seeds by hand, or those from `FIRST` on: `HISTORIES=1000 cargo test -p havenladder-jobs --test histories --
 /// --ignored`.
 #[test]
 #[ignore = "takes minutes; run by hand"]
 fn fresh_histories_keep_the_promises() {
-    let count = std::env::var("HISTORIES")
-        .ok()
-        .and_then(|n| n.parse().ok())
-        .unwrap_or(200);
-    let first: u64 = std::env::var("FIRST")
-        .ok()
-        .and_then(|n| n.parse().ok())
-        .unwrap_or_else(|| rand::rng().random_range(1_000..1_000_000_000));
-    println!("seeds from {first}");
-    for seed in first..first + count {
+    for seed in fresh_seeds() {
         println!("seed {seed}");
         play(seed);
         play_fatal(seed);
         play_rooms(seed);
         play_restarts(seed);
+    }
+}
+
+/// The same with bounds that change.
+#[test]
+#[ignore = "takes minutes; run by hand"]
+fn fresh_histories_with_bounds_keep_the_promises() {
+    for seed in fresh_seeds() {
+        println!("seed {seed}");
         play_bounds(seed);
     }
 }
