--- a/crates/havenladder/src/entry/callers/ask.rs
+++ b/crates/havenladder/src/entry/callers/ask.rs
@@ -85,17 +85,14 @@
             None => forward(node, &request, give_up).await,
         };
         sent |= tell == Tell::Unsure;
-        if tell == Tell::Refused {
-            return Answer::Final(refuse(&request, sent));
-        }
-        if let Tell::Outdated(version) = tell {
-            if wait_for_version(node, version, give_up).await {
+        match next(&tell, sent) {
+            Next::Answer(reply) => return Answer::Final(reply),
+            Next::Refuse => return Answer::Final(refuse(&request, sent)),
+            Next::JudgeAnew(version) if wait_for_version(node, version, give_up).await => {
                 return Answer::Outdated { sent };
             }
-            return Answer::Final(refuse(&request, sent));
-        }
-        if let Some(reply) = write(&tell) {
-            return Answer::Final(reply);
+            Next::JudgeAnew(_) => return Answer::Final(refuse(&request, sent)),
+            Next::AskAgain => {}
         }
         if Instant::now() >= give_up {
             return Answer::Final(refuse(&request, sent));
@@ -131,6 +128,7 @@
     let answer = tokio::select! {
         answer = inner::ask(node, &lease.address, &ask, deadline) => answer,
         () = node.reach_changed.notified() => Err(CallError::Unanswered),
+        () = replaced(node, lease.life) => Err(CallError::Unanswered),
     };
     match answer {
         Ok(tell) => {
@@ -152,6 +150,20 @@
     }
 }
 
+/// Waits until an owner has been replaced, and for as long again as an answer that is on its way takes: one that stands still
+/// answers nobody, while the next one may do so in time.
+async fn replaced(node: &Node, life: LifeId) {
+    loop {
+        let changed = node.lease_changed.notified();
+        let lease = node.lease.borrow().as_ref().map(|lease| lease.life);
+        if lease != Some(life) {
+            break;
+        }
+        changed.await;
+    }
+    time::sleep(WAY_BACK).await;
+}
+
 /// The owner's port refuses connections. Where it does so twice in a row, 40 ms apart, its process has
 /// ended, and nobody needs to wait for its lease to run out.
 fn suspect(node: &Node, life: LifeId) {
@@ -162,26 +174,41 @@
     }
 }
 
-/// The answer for a caller; none if the owner has to be asked again.
-fn write(tell: &Tell) -> Option<Reply> {
+/// What follows from the owner's answer.
+enum Next {
+    /// This is the answer for the caller.
+    Answer(Reply),
+    /// The caller is told that the job is not taken, or, where it may be, that this is not known.
+    Refuse,
+    /// The call is to be judged by this version of the configuration.
+    JudgeAnew(Version),
+    /// The owner has to be asked again.
+    AskAgain,
+}
+
+/// What follows from the owner's answer; `sent` says whether the same may have been done before. A reason for which a job is
+/// not taken says that nothing of it runs: that is not certain after an attempt without an answer, which may still be
+/// carried out.
+fn next(tell: &Tell, sent: bool) -> Next {
     match tell {
-        Tell::Accepted | Tell::Cancelled => Some(reply(StatusCode::OK, "{}")),
-        Tell::Hopeless(ms) => Some(reject(*ms)),
-        Tell::TooLarge => Some(reply(
+        Tell::Accepted | Tell::Cancelled => Next::Answer(reply(StatusCode::OK, "{}")),
+        Tell::Refused => Next::Refuse,
+        Tell::Hopeless(_) | Tell::TooLarge if sent => Next::Refuse,
+        Tell::Hopeless(ms) => Next::Answer(reject(*ms)),
+        Tell::TooLarge => Next::Answer(reply(
             StatusCode::BAD_REQUEST,
             "{\"error\":\"the job can never run under its workspace's bound\"}",
         )),
-        Tell::Unknown => Some(reply(StatusCode::GONE, "")),
-        Tell::State(phase) => Some(reply(StatusCode::OK, write_state(*phase))),
-        Tell::Pending(count) => Some(reply(StatusCode::OK, write_pending(*count))),
+        Tell::Unknown => Next::Answer(reply(StatusCode::GONE, "")),
+        Tell::State(phase) => Next::Answer(reply(StatusCode::OK, write_state(*phase))),
+        Tell::Pending(count) => Next::Answer(reply(StatusCode::OK, write_pending(*count))),
+        Tell::Outdated(version) => Next::JudgeAnew(*version),
         Tell::NotOwner
         | Tell::HandedOver
         | Tell::Life(_)
-        | Tell::Refused
         | Tell::Outage { .. }
         | Tell::News(_)
-        | Tell::Outdated(_)
-        | Tell::Unsure => None,
+        | Tell::Unsure => Next::AskAgain,
     }
 }
 
--- a/crates/havenladder/tests/entries/mod.rs
+++ b/crates/havenladder/tests/entries/mod.rs
@@ -31,8 +31,10 @@
     PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}-{seed}"))
 }
 
-/// Starts three entries, the first and the last in one data centre, and so many VMs; the logs lie under `name`.
+/// Starts three entries, the first and the last in one data centre, and so many VMs; the logs lie under `name`, without
+/// those of an earlier run.
 pub async fn start(name: &str, seed: u64, vms: usize) -> Site {
+    let _ = fs::remove_dir_all(logs(name, seed));
     let plan = Plan {
         program: PathBuf::from(env!("CARGO_BIN_EXE_havenladder")),
         seed,
@@ -60,6 +62,20 @@
     texts.map(|log| log.matches(text).count()).sum()
 }
 
+/// Which entry owns the cell, by its log.
+#[allow(
+    dead_code,
+    clippy::allow_attributes,
+    reason = "not every test asks for the owner"
+)]
+pub fn owner(name: &str, seed: u64, entries: usize) -> usize {
+    let owns = |number: &usize| {
+        let log = fs::read_to_string(logs(name, seed).join(format!("entry-{number}.log")));
+        log.is_ok_and(|log| log.contains("\"owns the cell\""))
+    };
+    (0..entries).find(owns).expect("an entry owns the cell")
+}
+
 /// How long a caller waits for an answer, in ms; an entry gives up after two fifths of it.
 const PATIENCE: u64 = 3_000;
 
--- a/crates/havenladder/tests/keys.rs
+++ b/crates/havenladder/tests/keys.rs
@@ -5,7 +5,7 @@
 
 mod entries;
 
-use entries::{ask, block_on, logs};
+use entries::{ask, block_on, logs, owner};
 use havenladder_soak::site::{CORES, HOST, PREFIX, Site, WORKSPACES, key};
 use havenladder_standin::users::events::RunEvent;
 use rustix::process::Signal;
@@ -78,16 +78,6 @@
     site
 }
 
-/// Which entry owns the cell, by its log.
-fn owner(name: &str, seed: u64, entries: usize) -> usize {
-    let logs = logs(name, seed);
-    let owns = |number: &usize| {
-        let log = fs::read_to_string(logs.join(format!("entry-{number}.log")));
-        log.is_ok_and(|log| log.contains("\"owns the cell\""))
-    };
-    (0..entries).find(owns).expect("an entry owns the cell")
-}
-
 #[test]
 fn only_its_workspace_may_touch_a_job() {
     block_on(async {
--- a/crates/jobs/src/cell/ledger.rs
+++ b/crates/jobs/src/cell/ledger.rs
@@ -50,7 +50,7 @@
         }
         let bounds = self.bounds.as_ref();
         let bound = bounds.and_then(|bounds| bounds.get(id)).copied();
-        let account = Account::new(id.clone(), bound.unwrap_or(Bound::CLOSED));
+        let account = Account::new(id.clone(), bound);
         self.accounts.insert(id.clone(), Rc::clone(&account));
         account
     }
@@ -80,8 +80,7 @@
         for (id, account) in &self.ledger.accounts {
             match bounds.get(id) {
                 Some(bound) => account.set_bound(*bound),
-                None if account.bound() == Bound::CLOSED => account.set_bound(Bound::NONE),
-                None => {}
+                None => account.keep_bound(),
             }
         }
         self.ledger.bounds = Some(bounds);
