test: threads of an entry are counted without those that look addresses up

Cause of the failed run (39 threads after, 40 before): the client of the platform and of peers begins a thread of 0 to 3 ms for each new connection, to look the address up; one was there when the test counted first. Trace: of 105 threads that an entry had in 5 s, 66 ended within 3 ms, named after the duties that open connections (watch, follow, steward), some ten a second; the 39 others stayed throughout. Ruled out: threads of callers' connections, which live as long as these (2 s). The check is as strict: any thread that is there twice, 0.2 s apart, counts, and the number must be the same before and after.

--- a/crates/havenladder/tests/site/client.rs
+++ b/crates/havenladder/tests/site/client.rs
@@ -3,7 +3,7 @@
 #![expect(clippy::unwrap_used, reason = "a test stops when its site is broken")]
 
 use super::LIMIT;
-use std::fs;
+use std::{collections::HashSet, ffi::OsString, fs, thread, time::Duration};
 
 /// What a caller got; all empty when the connection broke.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -16,9 +16,24 @@
 
 /// Threads of a process.
 pub fn threads_of(process: u32) -> usize {
-    fs::read_dir(format!("/proc/{process}/task"))
-        .unwrap()
-        .count()
+    thread_ids(process).len()
+}
+
+/// How many threads of a process live for longer than a look-up of an address does: clients of an entry begin one of 0 to
+/// 3 ms for each new connection to others, some ten a second, which have nothing to do with connections of callers.
+pub fn lasting_threads_of(process: u32) -> usize {
+    let before = thread_ids(process);
+    thread::sleep(LOOK_UP);
+    before.intersection(&thread_ids(process)).count()
+}
+
+/// Longer than a thread that looks an address up lives, many times over.
+const LOOK_UP: Duration = Duration::from_millis(200);
+
+/// The threads that a process has now.
+fn thread_ids(process: u32) -> HashSet<OsString> {
+    let tasks = fs::read_dir(format!("/proc/{process}/task")).unwrap();
+    tasks.map(|task| task.unwrap().file_name()).collect()
 }
 
 /// A fresh key.
--- a/crates/havenladder/tests/site/mod.rs
+++ b/crates/havenladder/tests/site/mod.rs
@@ -12,6 +12,7 @@
 mod client;
 mod config;
 
+use client::lasting_threads_of;
 pub use client::{Reply, key, threads_of};
 pub use config::Pace;
 
@@ -371,7 +372,7 @@
 
     /// Threads of an entry's process.
     pub fn threads(&self, index: usize) -> usize {
-        threads_of(self.entries[index].child.as_ref().unwrap().id())
+        lasting_threads_of(self.entries[index].child.as_ref().unwrap().id())
     }
 
     /// The id of some VM of a pool that `fits` holds for.
