feat(entry): an owner that the store turns away gives the cell up through an entry that the store answers

The owner's own question to the others (is the store away for all?) told it 0.3 s after the first record without an answer that it is not, and it made nothing of that. Change: where the store answers most of the entries that tell, and none of three new questions of the owner, the owner ends and has one of them append its release. What the release says of runs without records is what there is, not what might have come. Ruled out: a shorter lease for all (1.5 s lets two renewals be lost); that peers judge by the owner's age (they cannot know why no renewal comes).

--- a/crates/fleet/src/silence.rs
+++ b/crates/fleet/src/silence.rs
@@ -17,3 +17,9 @@
     let most = told.len() * 2 > asked;
     all && most && told.iter().any(|hearing| hearing.hall != own)
 }
+
+/// Whether the service answers others and not this entry: most of the entries that told say that it does.
+pub fn is_turned_away(told: &[Hearing]) -> bool {
+    let answered = told.iter().filter(|hearing| !hearing.silent).count();
+    answered * 2 > told.len()
+}
--- a/crates/fleet/tests/silence.rs
+++ b/crates/fleet/tests/silence.rs
@@ -1,6 +1,6 @@
 //! Whether a service is away for all.
 
-use havenladder_fleet::{Hearing, is_away};
+use havenladder_fleet::{Hearing, is_away, is_turned_away};
 use yare::parameterized;
 
 fn told(rows: &[(&str, bool)]) -> Vec<Hearing> {
@@ -31,3 +31,17 @@
     assert!(is_away("a", &told, 3));
     assert!(!is_away("a", &told, 4), "as many did not answer");
 }
+
+#[parameterized(
+    nobody = { &[], false },
+    one_hears_it = { &[("a", false)], true },
+    most_hear_it = { &[("a", false), ("b", false), ("c", true)], true },
+    as_many_do_not = { &[("a", false), ("b", true)], false },
+    away_for_all = { &[("a", true), ("b", true)], false },
+)]
+fn a_service_turns_an_entry_away_if_it_answers_most_of_the_others(
+    rows: &[(&str, bool)],
+    turned_away: bool,
+) {
+    assert_eq!(is_turned_away(&told(rows)), turned_away);
+}
--- a/crates/havenladder/src/entry/inner.rs
+++ b/crates/havenladder/src/entry/inner.rs
@@ -2,6 +2,7 @@
 
 use super::{
     in_force::{Caller, Written},
+    lease,
     listen::{self, Reply, accept_each},
     node::{Lease, Node},
     outage,
@@ -68,6 +69,8 @@
         /// Its part of a core.
         cpu: MilliCpu,
     },
+    /// Append this record for me, with which I give the cell up: the store does not answer me.
+    Release(Box<Lease>),
     /// Which life of the process are you, in which data centre? Any entry answers this at once.
     Life,
     /// Does the platform's store answer you? Any entry answers this.
@@ -107,6 +110,7 @@
         match self {
             Ask::For(request) => request.fmt(f),
             Ask::HandOver { cpu } => write!(f, "hand over to {cpu}"),
+            Ask::Release(lease) => write!(f, "release for {}", lease.node),
             Ask::Life => write!(f, "life"),
             Ask::Outage => write!(f, "outage"),
             Ask::News { version, end } => write!(f, "news since {version} and {end}"),
@@ -192,6 +196,7 @@
         (Ask::News { version, end }, _) => Tell::News(news(&node, version, end)),
         (Ask::Life, _) => Tell::Life(reach::presence(&node)),
         (Ask::Outage, _) => outage::tell(&node).await,
+        (Ask::Release(lease), _) => lease::write_for(&node, *lease).await,
         (Ask::HandOver { cpu }, Some(owner)) => owner.hand_over(cpu),
         (Ask::For(request), Some(owner)) => owner.answer(*request).await,
         (_, None) => Tell::NotOwner,
--- a/crates/havenladder/src/entry/lease/log.rs
+++ b/crates/havenladder/src/entry/lease/log.rs
@@ -173,7 +173,7 @@
 }
 
 /// Appends a record, on the condition that the log ends at `at`; none if the store did not answer.
-async fn append(node: &Node, at: Offset, lease: &Lease) -> Option<Appended> {
+pub(super) async fn append(node: &Node, at: Offset, lease: &Lease) -> Option<Appended> {
     let bytes = rmp_serde::to_vec(lease).expect("plain data has a form in MessagePack");
     let body = frame_plain([bytes.as_slice()]);
     let call = store_calls::append(node, Matter::Lease, TOPIC, Condition::At(at), body);
--- a/crates/havenladder/src/entry/lease/mod.rs
+++ b/crates/havenladder/src/entry/lease/mod.rs
@@ -6,8 +6,10 @@
 //! is decided in [`Tenure`]; this module reads, claims, renews and releases.
 
 mod log;
+mod relay;
 
 pub use log::set_lease;
+pub use relay::write_for;
 
 use super::{
     inner::{self, Ask},
@@ -204,6 +206,9 @@
     if node.stopping.get() {
         return Step::Release("the process stops");
     }
+    if !owner.relays.borrow().is_empty() {
+        return Step::Release("the store answers others, not this entry");
+    }
     match owner.successor.get() {
         Some(_) => Step::Release("a stronger entry asks for the cell"),
         None => Step::Renew,
@@ -233,7 +238,11 @@
         wait_for_turn(node, &owner).await;
         suspension::notice(node);
         match next_step(node, &owner) {
-            Step::Renew => renew(node, log, &owner).await,
+            Step::Renew => tokio::select! {
+                () = renew(node, log, &owner) => {}
+                // A renewal that the store does not answer takes 1.5 s.
+                () = owner.relays_known.notified() => {}
+            },
             Step::Release(why) => return release(node, log, &owner, why).await,
             Step::Lost => {
                 info!("the cell was lost to a newer owner");
@@ -253,11 +262,12 @@
     // What is known of its runs is told as of now: an owner that has ended knows nothing.
     let released = Lease {
         cpu: owner.successor.get().unwrap_or(node.settings.cpu),
-        unrecorded: owner.may_be_unrecorded(),
+        unrecorded: owner.has_unrecorded(),
         orders: owner.may_order_unrecorded(),
         ..record(node, Some(owner.inherited_for()))
     };
     owner.end(why);
+    relay::ask(node, &owner.relays.take(), &released).await;
     // Only this record says what the next owner must look for: an owner that began anew in this process would know
     // nothing of it, and release the cell without (six runs of tasks that had ended, on one of 40 days).
     while holds(node) {
--- /dev/null
+++ b/crates/havenladder/src/entry/lease/relay.rs
@@ -0,0 +1,59 @@
+//! An owner that the store turns away gives the cell up through an entry that the store answers.
+//!
+//! Nobody else knows that it cannot go on: it answers other entries, and they would wait for its lease to run out. It has
+//! ended before it asks, so that the record that the other entry appends for it is as true as one of its own. A record that
+//! comes late does no harm: it is taken only in the place behind the owner's newest one.
+
+use super::log::{append, set_lease};
+use crate::entry::{
+    inner::{self, Ask, News, Tell},
+    node::{Lease, Node},
+};
+use adapter::store::Appended;
+use clock::Instant;
+use std::time::Duration;
+use tracing::info;
+
+/// How long an entry may take to append the record: 20 ms as a rule.
+const APPENDED: Duration = Duration::from_millis(250);
+
+/// Asks one entry after the other to append the record with which this one gives the cell up, until one has.
+pub(super) async fn ask(node: &Node, relays: &[String], released: &Lease) {
+    for relay in relays {
+        let ask = Ask::Release(Box::new(released.clone()));
+        let answer = inner::ask(node, relay, &ask, Instant::now() + APPENDED).await;
+        if let Ok(Tell::News(News {
+            lease: Some((lease, end)),
+            ..
+        })) = answer
+        {
+            return set_lease(node, lease, end);
+        }
+        info!(
+            relay,
+            ?answer,
+            "the cell is not given up through this entry"
+        );
+    }
+}
+
+/// Appends the record with which an owner gives the cell up that the store turns away.
+pub async fn write_for(node: &Node, released: Lease) -> Tell {
+    let place = node.lease_end.get();
+    let lease = node.lease.borrow().clone();
+    let owns = lease.is_some_and(|lease| lease.life == released.life && !lease.released);
+    if !owns || !released.released {
+        return Tell::NotOwner;
+    }
+    info!(
+        owner = released.node,
+        place, "gives the cell up for its owner"
+    );
+    match append(node, place, &released).await {
+        Some(Appended::Done(end)) => Tell::News(News {
+            lease: Some((released, end)),
+            ..News::default()
+        }),
+        Some(_) | None => Tell::Unsure,
+    }
+}
--- a/crates/havenladder/src/entry/outage.rs
+++ b/crates/havenladder/src/entry/outage.rs
@@ -1,15 +1,17 @@
 //! Whether the store is away for all, or this entry is cut off from it.
 //!
 //! An owner whose appends stall asks entries that it knows whether the store answers them. Only where one
-//! in another data centre says that it does not, and none says that it does, nobody can have taken over.
+//! in another data centre says that it does not, and none says that it does, nobody can have taken over. Where it answers
+//! most of them, and not this entry, the owner gives the cell up through one of them.
 
 use super::{
     inner::{self, Ask, Tell},
     node::Node,
     owner::Owner,
 };
+use adapter::http::Connection;
 use clock::Instant;
-use fleet::{Hearing, is_away};
+use fleet::{Hearing, is_away, is_turned_away};
 use std::{rc::Rc, time::Duration};
 use tokio::{task, time};
 use tracing::info;
@@ -36,6 +38,14 @@
     }
 }
 
+/// How many questions of an owner the store must leave without an answer, each on a connection of its own, to count as
+/// turning it away: where a third of all answers is lost, one time in 27 that is by chance.
+const PROBES: usize = 3;
+
+/// How long an owner must have had the cell before it gives it up for this: its workers are met by then, and the cell does
+/// not go round while the store is in trouble for all.
+const SETTLED: Duration = fleet::SETTLED;
+
 /// What the last round of questions showed.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Outage {
@@ -69,23 +79,43 @@
 }
 
 async fn ask_all(owner: &Rc<Owner>) {
-    let deadline = Instant::now() + TELL_TIMEOUT;
+    let began = Instant::now();
+    let own = task::spawn_local(is_answered(Rc::clone(&owner.node)));
+    let deadline = began + TELL_TIMEOUT;
     let peers = owner.node.known_entries();
     let asked = peers.len();
     let asks: Vec<_> = peers
         .into_iter()
         .map(|peer| {
             let node = Rc::clone(&owner.node);
-            task::spawn_local(async move { inner::ask(&node, &peer, &Ask::Outage, deadline).await })
+            task::spawn_local(async move {
+                let answer = inner::ask(&node, &peer, &Ask::Outage, deadline).await;
+                (peer, answer)
+            })
         })
         .collect();
     let mut told = Vec::new();
+    let mut reaching = Vec::new();
     for ask in asks {
         // An entry that does not answer tells nothing.
-        if let Ok(Ok(Tell::Outage { hall, silent })) = ask.await {
+        if let Ok((peer, Ok(Tell::Outage { hall, silent }))) = ask.await {
             told.push(Hearing { hall, silent });
+            reaching.extend((!silent).then_some(peer));
         }
     }
+    let settled = owner.began.elapsed() >= SETTLED;
+    // The store may have answered by now.
+    let stalls = || owner.is_alive() && owner.has_waited(began.elapsed());
+    if settled && is_turned_away(&told) && !own.await.unwrap_or(true) && stalls() {
+        info!(
+            epoch = owner.epoch,
+            reaching = reaching.len(),
+            "the store answers others, not this entry"
+        );
+        *owner.relays.borrow_mut() = reaching;
+        owner.lease_due.notify_one();
+        owner.relays_known.notify_one();
+    }
     if is_away(&owner.node.settings.hall, &told, asked) {
         let last = owner.outage.get();
         if !last.is_confirmed() {
@@ -97,3 +127,19 @@
         });
     }
 }
+
+/// Whether the store answers this entry, asked on new connections: kept ones may have fallen silent.
+async fn is_answered(node: Rc<Node>) -> bool {
+    let probes: Vec<_> = (0..PROBES)
+        .map(|_| {
+            let store = node.store.over(Connection::Fresh);
+            task::spawn_local(async move { time::timeout(PROBE_TIMEOUT, store.probe()).await })
+        })
+        .collect();
+    for probe in probes {
+        if let Ok(Ok(true)) = probe.await {
+            return true;
+        }
+    }
+    false
+}
--- a/crates/havenladder/src/entry/owner/mod.rs
+++ b/crates/havenladder/src/entry/owner/mod.rs
@@ -114,6 +114,8 @@
     pub node: Rc<Node>,
     /// The number that fences the owner's appends and orders.
     pub epoch: u64,
+    /// When it came to own the cell.
+    pub began: Instant,
     /// The jobs and workers.
     pub cell: RefCell<JobCell>,
     /// The ways to the lives of workers.
@@ -160,6 +162,10 @@
     pub loaded: Cell<bool>,
     /// The part of a core of a stronger entry that has asked for the cell.
     pub successor: Cell<Option<MilliCpu>>,
+    /// Entries that the store answers while it does not answer this one; none as a rule.
+    pub relays: RefCell<Vec<String>>,
+    /// Told when there are some.
+    pub relays_known: Notify,
     /// Told when the lease is to be looked at before its next renewal is due.
     pub lease_due: Notify,
     /// Told when something has changed in the cell.
@@ -189,6 +195,7 @@
         Owner {
             node: Rc::clone(node),
             epoch,
+            began: now,
             cell: RefCell::new(cell),
             contacts: RefCell::default(),
             foreign: RefCell::default(),
@@ -209,6 +216,8 @@
             alive: Cell::new(true),
             loaded: Cell::new(false),
             successor: Cell::new(None),
+            relays: RefCell::default(),
+            relays_known: Notify::new(),
             lease_due: Notify::new(),
             announced: Cell::new(None),
             unrecorded: Cell::new(None),
@@ -273,10 +282,15 @@
 
     /// Whether runs may have been started without a record, or may be soon: the next owner is to know.
     pub fn may_be_unrecorded(&self) -> bool {
+        self.has_unrecorded() || self.has_waited(SLOW)
+    }
+
+    /// Whether runs may have been started without a record by now.
+    pub fn has_unrecorded(&self) -> bool {
         let recent = self.unrecorded.get();
         // What an earlier owner started so may still run until its leases have run out.
         let inherited = self.trouble != Trouble::None && Instant::now() < self.inherited;
-        inherited || self.has_waited(SLOW) || recent.is_some_and(|at| at.elapsed() < TROUBLE)
+        inherited || recent.is_some_and(|at| at.elapsed() < TROUBLE)
     }
 
     /// Something has changed in the cell: what follows is to be decided and done.
@@ -307,7 +321,7 @@
     }
 
     /// Whether an append is under way that has taken at least this long.
-    fn has_waited(&self, least: Duration) -> bool {
+    pub fn has_waited(&self, least: Duration) -> bool {
         self.appending
             .get()
             .is_some_and(|since| since.elapsed() >= least)
