--- a/crates/jobs/tests/odd_bounds.rs
+++ b/crates/jobs/tests/odd_bounds.rs
@@ -3,6 +3,7 @@
 #![expect(clippy::unwrap_used, reason = "a test stops where it fails")]
 
 mod fixture;
+#[expect(dead_code, reason = "stops and ends are not looked at here")]
 mod world;
 
 use fixture::{job, step, worker};
--- a/crates/jobs/tests/world/mod.rs
+++ b/crates/jobs/tests/world/mod.rs
@@ -71,11 +71,6 @@
     }
 
     /// A worker lists one end.
-    #[allow(
-        dead_code,
-        clippy::allow_attributes,
-        reason = "not every test ends runs"
-    )]
     pub fn end(&mut self, id: &str, number: u64, task: TaskId, run: RunId, how: How) {
         let end = EndRow {
             number,
@@ -123,11 +118,6 @@
     }
 
     /// The stops that are to be sent.
-    #[allow(
-        dead_code,
-        clippy::allow_attributes,
-        reason = "not every test looks at stops"
-    )]
     pub fn stops(&mut self) -> Vec<(WorkerId, TaskId, RunId)> {
         let stop = |order| match order {
             Order::Stop { worker, task, run } => Some((worker, task, run)),
