--- a/crates/havenladder/src/entry/own_cell.rs
+++ b/crates/havenladder/src/entry/own_cell.rs
@@ -5,7 +5,10 @@
     fleet,
     node::{Node, wall_ms},
     orders,
-    owner::{Owner, Predecessor, append::append, bound_waits, duties, load::load, pulse::Pulse},
+    owner::{
+        Owner, Predecessor, append::append, duties, load::load, pulse::Pulse,
+        workspaces::tell_bound_waits,
+    },
     suspension, worker_list,
 };
 use ::fleet::Trouble;
@@ -111,12 +114,12 @@
 /// Decides what is to be done now, and what has to be recorded for it.
 fn decide(owner: &Rc<Owner>) -> Batch {
     let now = Instant::now();
-    owner.update_bounds();
+    owner.update_workspaces();
     let mut cell = owner.cell.borrow_mut();
     cell.mark_due(wall_ms());
     cell.stop_still(now);
     cell.schedule(now);
-    bound_waits::tell(&owner.node, cell.take_bound_waits());
+    tell_bound_waits(&owner.node, cell.take_bound_waits());
     cell.take_batch()
 }
 
--- a/crates/havenladder/src/entry/owner/answer.rs
+++ b/crates/havenladder/src/entry/owner/answer.rs
@@ -128,7 +128,7 @@
 
     /// Whether a job may be taken in for its workspace.
     fn admit(&self, given: &Submission) -> Admission {
-        self.update_bounds();
+        self.update_workspaces();
         let cell = self.cell.borrow();
         if let Some(job) = cell.jobs.get(&given.id) {
             return match job.given.workspace == given.workspace {
--- a/crates/havenladder/src/entry/owner/append.rs
+++ b/crates/havenladder/src/entry/owner/append.rs
@@ -106,7 +106,7 @@
 /// new owner meets all workers before it starts what waited.
 fn go_on(owner: &Rc<Owner>, starts: &mut Vec<Order>) {
     let now = Instant::now();
-    owner.update_bounds();
+    owner.update_workspaces();
     let mut cell = owner.cell.borrow_mut();
     cell.mark_due(wall_ms());
     cell.stop_still(now);
--- a/crates/havenladder/src/entry/owner/mod.rs
+++ b/crates/havenladder/src/entry/owner/mod.rs
@@ -2,10 +2,11 @@
 
 mod answer;
 pub mod append;
-pub mod bound_waits;
+
 pub mod duties;
 pub mod load;
 pub mod pulse;
+pub mod workspaces;
 
 use super::{
     node::{Lease, LifeId, Node},
--- a/crates/havenladder/src/entry/owner/bound_waits.rs
+++ b/crates/havenladder/src/entry/owner/workspaces.rs
@@ -1,4 +1,4 @@
-//! Puts the bounds of workspaces in force, and tells which of them wait for theirs.
+//! Puts what a configuration says of workspaces in force in the cell, and tells which of them wait for their bounds.
 
 use super::Owner;
 use crate::entry::node::Node;
@@ -6,26 +6,27 @@
 use tracing::info;
 
 impl Owner {
-    /// Puts the bounds of the newest configuration in force, unless they are.
-    pub fn update_bounds(&self) {
+    /// Puts the bounds and weights of the newest configuration's workspaces in force, unless they are.
+    pub fn update_workspaces(&self) {
         let in_force = self.node.in_force.borrow();
         let version = in_force.config().map(|config| config.version);
         if !self.loaded.get() || self.bounds.get() == version {
             return;
         }
         let workspaces = in_force.keyring().workspaces();
-        let bounds = workspaces.map(|workspace| (workspace.id.clone(), workspace.bound));
+        let (bounds, weights): (Vec<_>, Vec<_>) = workspaces
+            .map(|row| ((row.id.clone(), row.bound), (row.id.clone(), row.rate)))
+            .unzip();
         let mut cell = self.cell.borrow_mut();
         cell.set_bounds(bounds);
-        let workspaces = in_force.keyring().workspaces();
-        cell.set_weights(workspaces.map(|workspace| (workspace.id.clone(), workspace.rate)));
+        cell.set_weights(weights);
         drop(cell);
         self.bounds.set(version);
     }
 }
 
 /// One line for each workspace that begins or ceases to wait for its bound.
-pub fn tell(node: &Node, waits: Vec<BoundWait>) {
+pub fn tell_bound_waits(node: &Node, waits: Vec<BoundWait>) {
     let version = node.in_force.borrow().version();
     for BoundWait {
         workspace,
