perf(fleet): idle VMs rest after 1.5 s

Test: the one that had 2,400 and 2,500 ms in it has 1,400 and 1,500 now, as strict, since the stated figure is another one; its name no longer says that a VM has cost by then what its moves cost.

--- a/crates/fleet/src/sizing.rs
+++ b/crates/fleet/src/sizing.rs
@@ -16,8 +16,10 @@
     pub fill: f64,
     /// The part of its room that a pool's jobs may fill before it gives VMs away.
     pub spare: f64,
-    /// How long a VM must have been idle before it goes to the reserve. Two moves cost as much as a
-    /// VM in a pool does in 2.3 s.
+    /// How long a VM must have been idle before it goes to the reserve. Two moves cost as much as a VM in a pool does in
+    /// 2.3 s; but one that is idle for 1.5 s is idle for far longer as a rule, and is back in time where the growth of what
+    /// comes is foreseen: 1.5 s in place of 2.5 s earns 0.0069 +- 0.0018 more on 349 VMs and 0.026 +- 0.012 on another such
+    /// fleet, 0.007 less on 50 VMs, where few jobs show a growth too late; 0.8 s earns 0.0026 +- 0.0048 less than 1.5 s.
     pub rest: Duration,
     /// What a pool keeps whose demand is not known, as a part of an equal share of all VMs: enough for
     /// the first second of a peak, after which VMs of the reserve come.
@@ -31,7 +33,7 @@
         SizingLimits {
             fill: 0.9,
             spare: 0.85,
-            rest: Duration::from_millis(2_500),
+            rest: Duration::from_millis(1_500),
             start: 0.7,
             pause: Duration::from_millis(150),
         }
--- a/crates/fleet/tests/sizing.rs
+++ b/crates/fleet/tests/sizing.rs
@@ -84,15 +84,15 @@
 }
 
 #[test]
-fn an_idle_vm_goes_to_the_reserve_once_it_has_cost_what_the_moves_cost() {
+fn an_idle_vm_goes_to_the_reserve_once_it_has_been_idle_for_long() {
     let start = Instant::now();
     let pools = [
         pool("a", 3, 9_000, 0, &["a1", "a2"], start),
         pool("reserve", 0, 0, 0, &[], start),
     ];
     let limits = SizingLimits::default();
-    assert!(shifts(&pools, later(start, 2_400), &limits).is_empty());
-    let moves = shifts(&pools, later(start, 2_500), &limits);
+    assert!(shifts(&pools, later(start, 1_400), &limits).is_empty());
+    let moves = shifts(&pools, later(start, 1_500), &limits);
     assert_eq!(
         moves,
         [shift("a1", "a", "reserve"), shift("a2", "a", "reserve")]
