refactor(entry): records of the lease are appended by a module below what entries ask each other

Cause: the owner's release through another entry made inner.rs import the lease, which asks others through inner.rs: the largest loop of files of entry/ that import each other grew from 7 to 28. The append and the release for another owner stand in lease_record.rs now, which knows neither.

--- a/crates/havenladder/src/entry/inner.rs
+++ b/crates/havenladder/src/entry/inner.rs
@@ -2,7 +2,7 @@
 
 use super::{
     in_force::{Caller, Written},
-    lease,
+    lease_record::release_for,
     listen::{self, Reply, accept_each},
     node::{Lease, Node},
     outage,
@@ -196,7 +196,7 @@
         (Ask::News { version, end }, _) => Tell::News(news(&node, version, end)),
         (Ask::Life, _) => Tell::Life(reach::presence(&node)),
         (Ask::Outage, _) => outage::tell(&node).await,
-        (Ask::Release(lease), _) => lease::write_for(&node, *lease).await,
+        (Ask::Release(lease), _) => release(&node, *lease).await,
         (Ask::HandOver { cpu }, Some(owner)) => owner.hand_over(cpu),
         (Ask::For(request), Some(owner)) => owner.answer(*request).await,
         (_, None) => Tell::NotOwner,
@@ -205,6 +205,17 @@
     Response::new(Full::new(bytes.into()))
 }
 
+/// Gives the cell up for an owner that the store turns away, and tells it what the log says now.
+async fn release(node: &Node, lease: Lease) -> Tell {
+    match release_for(node, lease).await {
+        None => Tell::Unsure,
+        lease => Tell::News(News {
+            lease,
+            ..News::default()
+        }),
+    }
+}
+
 /// What this entry knows beyond a version of the configuration and an end of the lease's log.
 fn news(node: &Node, version: Version, end: u64) -> News {
     let lease = node
--- a/crates/havenladder/src/entry/lease/log.rs
+++ b/crates/havenladder/src/entry/lease/log.rs
@@ -1,11 +1,12 @@
 //! The log of the lease's records: reading on, what the newest record says, and appending one.
 
 use crate::entry::{
+    lease_record::{TOPIC, append},
     node::{Lease, Node},
     owner::Predecessor,
-    store_calls::{self, Matter},
+    store_calls,
 };
-use adapter::store::{Appended, Condition, Offset, Read, frame_plain};
+use adapter::store::{Appended, Offset, Read};
 use bytes::Bytes;
 use clock::Instant;
 use fleet::{FirstSent, Tenure};
@@ -13,9 +14,6 @@
 use tokio::time;
 use tracing::{info, warn};
 
-/// The topic with the lease's records.
-const TOPIC: &str = "owner";
-
 /// Time until the store is asked again after it did not answer.
 pub(super) const RETRY_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -171,11 +169,3 @@
     let lease = node.lease.borrow();
     lease.as_ref().is_some_and(|lease| lease.life == node.life)
 }
-
-/// Appends a record, on the condition that the log ends at `at`; none if the store did not answer.
-pub(super) async fn append(node: &Node, at: Offset, lease: &Lease) -> Option<Appended> {
-    let bytes = rmp_serde::to_vec(lease).expect("plain data has a form in MessagePack");
-    let body = frame_plain([bytes.as_slice()]);
-    let call = store_calls::append(node, Matter::Lease, TOPIC, Condition::At(at), body);
-    call.await.ok()
-}
--- a/crates/havenladder/src/entry/lease/mod.rs
+++ b/crates/havenladder/src/entry/lease/mod.rs
@@ -9,7 +9,6 @@
 mod relay;
 
 pub use log::set_lease;
-pub use relay::write_for;
 
 use super::{
     inner::{self, Ask},
--- a/crates/havenladder/src/entry/lease/relay.rs
+++ b/crates/havenladder/src/entry/lease/relay.rs
@@ -4,12 +4,11 @@
 //! ended before it asks, so that the record that the other entry appends for it is as true as one of its own. A record that
 //! comes late does no harm: it is taken only in the place behind the owner's newest one.
 
-use super::log::{append, set_lease};
+use super::log::set_lease;
 use crate::entry::{
     inner::{self, Ask, News, Tell},
     node::{Lease, Node},
 };
-use adapter::store::Appended;
 use clock::Instant;
 use std::time::Duration;
 use tracing::info;
@@ -36,24 +35,3 @@
         );
     }
 }
-
-/// Appends the record with which an owner gives the cell up that the store turns away.
-pub async fn write_for(node: &Node, released: Lease) -> Tell {
-    let place = node.lease_end.get();
-    let lease = node.lease.borrow().clone();
-    let owns = lease.is_some_and(|lease| lease.life == released.life && !lease.released);
-    if !owns || !released.released {
-        return Tell::NotOwner;
-    }
-    info!(
-        owner = released.node,
-        place, "gives the cell up for its owner"
-    );
-    match append(node, place, &released).await {
-        Some(Appended::Done(end)) => Tell::News(News {
-            lease: Some((released, end)),
-            ..News::default()
-        }),
-        Some(_) | None => Tell::Unsure,
-    }
-}
--- /dev/null
+++ b/crates/havenladder/src/entry/lease_record.rs
@@ -0,0 +1,38 @@
+//! Records of the lease, as they are appended to the log: of this entry, or for an owner that the store turns away.
+
+use super::{
+    node::{Lease, Node},
+    store_calls::{self, Matter},
+};
+use adapter::store::{Appended, Condition, Offset, frame_plain};
+use tracing::info;
+
+/// The topic with the lease's records.
+pub const TOPIC: &str = "owner";
+
+/// Appends a record, on the condition that the log ends at `at`; none if the store did not answer.
+pub async fn append(node: &Node, at: Offset, lease: &Lease) -> Option<Appended> {
+    let bytes = rmp_serde::to_vec(lease).expect("plain data has a form in MessagePack");
+    let body = frame_plain([bytes.as_slice()]);
+    let call = store_calls::append(node, Matter::Lease, TOPIC, Condition::At(at), body);
+    call.await.ok()
+}
+
+/// Appends the record with which an owner gives the cell up that the store turns away. The record and the end of the log
+/// behind it; none if it is not the owner's turn to give anything up, or it is not known what came of it.
+pub async fn release_for(node: &Node, released: Lease) -> Option<(Lease, Offset)> {
+    let place = node.lease_end.get();
+    let lease = node.lease.borrow().clone();
+    let owns = lease.is_some_and(|lease| lease.life == released.life && !lease.released);
+    if !owns || !released.released {
+        return None;
+    }
+    info!(
+        owner = released.node,
+        place, "gives the cell up for its owner"
+    );
+    match append(node, place, &released).await {
+        Some(Appended::Done(end)) => Some((released, end)),
+        Some(_) | None => None,
+    }
+}
--- a/crates/havenladder/src/entry/mod.rs
+++ b/crates/havenladder/src/entry/mod.rs
@@ -11,6 +11,7 @@
 mod in_force;
 mod inner;
 mod lease;
+mod lease_record;
 mod listen;
 mod logs;
 mod losses;
