--- a/crates/havenladder/tests/strict_revocation.rs
+++ b/crates/havenladder/tests/strict_revocation.rs
@@ -1,6 +1,8 @@
 //! Strict revocation: an entry that cannot make sure of its configuration for long takes no calls, since keys may have been
 //! taken away meanwhile.
 
+#![expect(clippy::unwrap_used, reason = "a test stops where it fails")]
+
 mod entries;
 
 use entries::{ask, block_on, logs};
