--- a/crates/havenladder/tests/strict_revocation.rs
+++ b/crates/havenladder/tests/strict_revocation.rs
@@ -67,8 +67,11 @@
         fs::write(&file, text).unwrap();
         entry.signal(Signal::KILL);
     }
-    time::sleep(Duration::from_millis(200)).await;
     for entry in &mut site.entries {
+        // One that has not ended yet would not be started anew.
+        while entry.is_running() {
+            time::sleep(Duration::from_millis(10)).await;
+        }
         entry.revive().unwrap();
     }
     for entry in 0..site.entries.len() {
--- a/crates/soak/src/entries.rs
+++ b/crates/soak/src/entries.rs
@@ -122,7 +122,8 @@
         Ok(())
     }
 
-    fn is_running(&mut self) -> bool {
+    /// Whether the process runs.
+    pub fn is_running(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(None))
     }
 }
