--- a/crates/havenladder/src/entry/fleet.rs
+++ b/crates/havenladder/src/entry/fleet.rs
@@ -9,7 +9,7 @@
 };
 use adapter::cloud::{self, VmState};
 use clock::Instant;
-use jobs::{Loss, Need, WorkerId, WorkerName};
+use jobs::{HallId, Loss, Need, WorkerId, WorkerName};
 use std::{
     collections::{BTreeMap, HashSet},
     rc::Rc,
@@ -27,6 +27,8 @@
     pub pool: String,
     /// How it is.
     pub state: VmState,
+    /// Its data centre.
+    pub hall: HallId,
     /// Its room.
     pub capacity: Need,
     /// The worker that runs on it, if any: the life that counts by what is known, or the name alone of one that is not
@@ -46,6 +48,7 @@
             name: listed.name,
             pool: listed.pool,
             state: listed.state,
+            hall: listed.hall,
             capacity: listed.capacity,
             worker: listed.worker.map(life),
         }
@@ -127,6 +130,7 @@
                 continue;
             }
         }
+        owner.empty_halls();
         if read.is_some() {
             moves.advance(&owner, &list, &waves).await;
         }
--- a/crates/havenladder/src/entry/follow.rs
+++ b/crates/havenladder/src/entry/follow.rs
@@ -7,8 +7,8 @@
     store_calls,
 };
 use adapter::{
-    operator::{CONFIG_KEY, TOPIC},
-    store::{Keyed, Offset, Read, split_keyed},
+    operator::TOPIC,
+    store::{Offset, Read, split_keyed},
 };
 use clock::{Instant, timer};
 use std::{rc::Rc, time::Duration};
@@ -35,10 +35,9 @@
     loop {
         let sent = Instant::now();
         if let Ok(Some(newest)) = store_calls::newest(&node, TOPIC).await {
-            newest
-                .records
-                .into_iter()
-                .for_each(|record| node.in_force.borrow_mut().take(record));
+            node.in_force
+                .borrow_mut()
+                .restart(newest.records, newest.end);
             node.note_freshness(|freshness| freshness.confirm(sent, sent));
             read_on(&node, newest.end).await;
         }
@@ -73,12 +72,12 @@
 async fn read(node: &Node, from: Offset) -> Option<Read> {
     let sent = Instant::now();
     let read = store_calls::read(node, TOPIC, from, WAIT).await.ok()?;
-    take_read(node, &read, sent, WAIT);
+    take_read(node, &read, from, sent, WAIT);
     Some(read)
 }
 
-/// Takes in what a read has brought that was sent at `sent` and waited for so long if there was nothing.
-fn take_read(node: &Node, read: &Read, sent: Instant, wait: Duration) {
+/// Takes in what a read from an offset on has brought that was sent at `sent` and waited for so long if there was nothing.
+fn take_read(node: &Node, read: &Read, from: Offset, sent: Instant, wait: Duration) {
     let Read::Records(_, records) = read else {
         return;
     };
@@ -91,8 +90,12 @@
     };
     let confirmed = given.min(Instant::now());
     node.note_freshness(|freshness| freshness.confirm(sent, confirmed));
-    let keyed = records.iter().cloned().filter_map(split_keyed);
-    keyed.for_each(|record| node.in_force.borrow_mut().take(record));
+    let mut in_force = node.in_force.borrow_mut();
+    for (offset, record) in (from..).zip(records) {
+        if let Some(record) = split_keyed(record.clone()) {
+            in_force.take(record, offset);
+        }
+    }
 }
 
 /// Asks other entries for what the platform does not tell this one; true if one has answered.
@@ -117,11 +120,9 @@
     if let Some((lease, end)) = news.lease {
         set_lease(node, lease, end);
     }
-    if let Some(config) = news.config {
-        info!("another entry has a newer configuration");
-        let (key, value) = (CONFIG_KEY.to_owned(), Some(config.0.into()));
-        node.in_force.borrow_mut().take(Keyed { key, value });
-    }
+    node.in_force
+        .borrow_mut()
+        .adopt(news.config, news.evacuations);
     let confirmed = sent - Duration::from_millis(news.age);
     node.note_freshness(|freshness| freshness.confirm(sent, confirmed));
 }
@@ -190,7 +191,7 @@
     if let Some(from) = node.followed.get()
         && let Ok(read @ Read::Records(..)) = store_calls::read_once(node, TOPIC, from).await
     {
-        take_read(node, &read, sent, Duration::ZERO);
+        take_read(node, &read, from, sent, Duration::ZERO);
         return true;
     }
     ask_peers(node).await
--- a/crates/havenladder/src/entry/in_force.rs
+++ b/crates/havenladder/src/entry/in_force.rs
@@ -1,14 +1,19 @@
-//! What operators have put in force: the configuration, as decoded and as written, its keys, and waves of upkeep.
+//! What operators have put in force: the configuration, as decoded and as written, its keys, waves of upkeep, and data
+//! centres to be emptied.
 
 use adapter::{
-    operator::{self, CONFIG_KEY, Config, Queue, Version, WAVE_KEY, Wave},
-    store::Keyed,
+    operator::{self, CONFIG_KEY, Config, EVACUATE_KEY, Queue, Version, WAVE_KEY, Wave},
+    store::{Keyed, Offset},
     workspaces::Rows,
 };
 use bytes::Bytes;
-use jobs::WorkspaceId;
+use jobs::{Evacuations, HallId, HallOrder, WorkspaceId};
 use serde::{Deserialize, Serialize};
-use std::{collections::BTreeMap, fmt, rc::Rc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fmt,
+    rc::Rc,
+};
 use tracing::{info, warn};
 use workspaces::{Authorization, Keyring};
 
@@ -61,9 +66,20 @@
     rows: Rows,
     keyring: Keyring,
     waves: BTreeMap<u64, Wave>,
+    evacuations: Evacuations,
+    /// The data centres of the deployment; none if they are not known.
+    halls: BTreeSet<HallId>,
 }
 
 impl InForce {
+    /// Nothing in force yet, on a deployment with these data centres.
+    pub fn new(halls: BTreeSet<HallId>) -> Self {
+        InForce {
+            halls,
+            ..InForce::default()
+        }
+    }
+
     /// The newest configuration.
     pub fn config(&self) -> Option<Rc<Config>> {
         self.config.clone()
@@ -110,8 +126,77 @@
         }
     }
 
-    /// Takes in a record of operators.
-    pub fn take(&mut self, record: Keyed) {
+    /// The data centres that are to be emptied.
+    pub fn evacuations(&self) -> &Evacuations {
+        &self.evacuations
+    }
+
+    /// Takes in the newest record of each key of the operators' topic, which ended at `end`.
+    pub fn restart(&mut self, newest: Vec<Keyed>, end: Offset) {
+        let orders = newest.iter().filter_map(|record| self.read_order(record));
+        let halls = orders.filter_map(|order| match order {
+            HallOrder::Empty(hall) => Some(hall),
+            HallOrder::TakeBack(_) => None,
+        });
+        // What has no record has been taken back.
+        self.adopt_evacuations(Evacuations::new(halls.collect(), end));
+        newest.into_iter().for_each(|record| self.put(record));
+    }
+
+    /// Takes in the record at an offset of the operators' topic.
+    pub fn take(&mut self, record: Keyed, offset: Offset) {
+        let order = self.read_order(&record);
+        if self.evacuations.take(order, offset) {
+            self.tell_evacuations();
+        }
+        self.put(record);
+    }
+
+    /// Takes in what another entry knows.
+    pub fn adopt(&mut self, config: Option<Written>, evacuations: Evacuations) {
+        if let Some(config) = config {
+            info!("another entry has a newer configuration");
+            self.take_config(config.0.into());
+        }
+        self.adopt_evacuations(evacuations);
+    }
+
+    /// Takes over which data centres are to be emptied, unless something newer is known.
+    fn adopt_evacuations(&mut self, evacuations: Evacuations) {
+        if self.evacuations.adopt(evacuations) {
+            self.tell_evacuations();
+        }
+    }
+
+    /// One line for each change of what is to be emptied.
+    fn tell_evacuations(&self) {
+        let halls = self.evacuations.halls();
+        info!(?halls, "data centres to be emptied");
+    }
+
+    /// The order about a data centre of the deployment that a record holds; one that makes no sense is logged and changes
+    /// nothing.
+    fn read_order(&self, record: &Keyed) -> Option<HallOrder> {
+        let key = &record.key;
+        let hall = key.strip_prefix(EVACUATE_KEY)?;
+        let Some(value) = &record.value else {
+            return Some(HallOrder::TakeBack(hall.to_owned()));
+        };
+        if hall.is_empty() || !(self.halls.is_empty() || self.halls.contains(hall)) {
+            warn!(key, halls = ?self.halls, "an order to empty a data centre that does not exist");
+            return None;
+        }
+        match operator::read_evacuation(value) {
+            Ok(()) => Some(HallOrder::Empty(hall.to_owned())),
+            Err(error) => {
+                warn!(%error, key, "an order to empty a data centre cannot be read");
+                None
+            }
+        }
+    }
+
+    /// Puts a configuration or a wave in force.
+    fn put(&mut self, record: Keyed) {
         let Some(value) = record.value else { return };
         if record.key == CONFIG_KEY {
             self.take_config(value);
--- a/crates/havenladder/src/entry/inner.rs
+++ b/crates/havenladder/src/entry/inner.rs
@@ -16,7 +16,7 @@
 use fleet::MilliCpu;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{Method, Response, StatusCode, body::Incoming};
-use jobs::{JobId, Phase, QueueId, Submission};
+use jobs::{Evacuations, JobId, Phase, QueueId, Submission};
 use serde::{Deserialize, Serialize};
 use std::{fmt, rc::Rc, time::Duration};
 use tokio::net::{TcpListener, TcpStream};
@@ -125,6 +125,9 @@
     pub config: Option<Written>,
     /// The lease and the end of its log, if it is newer.
     pub lease: Option<(Lease, u64)>,
+    /// The data centres that are to be emptied.
+    #[serde(default)]
+    pub evacuations: Evacuations,
     /// How many ms ago the entry's configuration was the newest for certain.
     pub age: u64,
 }
@@ -226,6 +229,7 @@
     News {
         config: node.in_force.borrow().written_after(version),
         lease: lease.filter(|(_, known)| *known > end),
+        evacuations: node.in_force.borrow().evacuations().clone(),
         age: node.freshness.get().age(Instant::now()).as_millis() as u64,
     }
 }
--- a/crates/havenladder/src/entry/metrics.rs
+++ b/crates/havenladder/src/entry/metrics.rs
@@ -40,6 +40,7 @@
     barred: Counter<u64>,
     bound_waits: Counter<u64>,
     hopeless: Counter<u64>,
+    left_halls: Counter<u64>,
     store_calls: Counter<u64>,
     resends: Counter<u64>,
     _provider: SdkMeterProvider,
@@ -85,6 +86,7 @@
             suspensions: meter.u64_counter("havenladder_suspensions").build(),
             barred: meter.u64_counter("havenladder_barred_calls").build(),
             bound_waits: meter.u64_counter("havenladder_bound_waits").build(),
+            left_halls: meter.u64_counter("havenladder_left_data_centres").build(),
             hopeless: meter.u64_counter("havenladder_hopeless_jobs").build(),
             store_calls: meter.u64_counter("havenladder_store_calls").build(),
             resends: meter.u64_counter("havenladder_store_resends").build(),
@@ -170,6 +172,11 @@
         self.hopeless.add(1, &[]);
     }
 
+    /// Counts runs that leave a data centre that is to be emptied.
+    pub fn left_halls(&self, runs: usize) {
+        self.left_halls.add(runs as u64, &[]);
+    }
+
     /// Counts that a workspace begins, or ceases, to wait for its bound.
     pub fn waited_for_bound(&self, begins: bool) {
         self.bound_waits.add(1, &[KeyValue::new("begins", begins)]);
--- a/crates/havenladder/src/entry/moves/demands.rs
+++ b/crates/havenladder/src/entry/moves/demands.rs
@@ -63,7 +63,7 @@
             pool.vms += usize::from(moving.to == pool.pool);
             return;
         }
-        if vm.pool != pool.pool {
+        if vm.pool != pool.pool || round.owner.cell.borrow().is_emptied(&vm.hall) {
             return;
         }
         pool.vms += 1;
@@ -87,7 +87,9 @@
     pub(super) fn find_loose(&self, round: Round<'_>, pools: &mut [PoolDemand]) {
         for pool in pools.iter_mut().filter(|pool| !pool.reserve) {
             let of_pool = |vm: &&Vm| {
-                let may_go = vm.state == VmState::Up && !self.moving.contains_key(&vm.name);
+                let may_go = vm.state == VmState::Up
+                    && !self.moving.contains_key(&vm.name)
+                    && !round.owner.cell.borrow().is_emptied(&vm.hall);
                 may_go && vm.pool == pool.pool && !round.waves.holds(&vm.name)
             };
             let is_idle = |vm: &&Vm| self.idle.contains_key(&vm.name);
--- a/crates/havenladder/src/entry/node.rs
+++ b/crates/havenladder/src/entry/node.rs
@@ -124,6 +124,7 @@
     pub fn new(settings: Settings) -> Rc<Self> {
         let client = Client::default();
         let patience = settings.patience;
+        let in_force = RefCell::new(InForce::new(settings.halls.clone()));
         Rc::new(Node {
             life: rand::random(),
             began: Instant::now(),
@@ -139,7 +140,7 @@
             cloud: Cloud::new(client.clone(), &settings.cloud, &settings.node),
             client,
             settings,
-            in_force: RefCell::default(),
+            in_force,
             freshness: Cell::new(Freshness::new(Instant::now(), patience)),
             followed: Cell::new(None),
             looked: Notify::new(),
--- a/crates/havenladder/src/entry/own_cell.rs
+++ b/crates/havenladder/src/entry/own_cell.rs
@@ -115,10 +115,13 @@
 fn decide(owner: &Rc<Owner>) -> Batch {
     let now = Instant::now();
     owner.update_workspaces();
+    let may_start = owner.update_evacuations();
     let mut cell = owner.cell.borrow_mut();
     cell.mark_due(wall_ms());
     cell.stop_still(now);
-    cell.schedule(now);
+    if may_start {
+        cell.schedule(now);
+    }
     tell_bound_waits(&owner.node, cell.take_bound_waits());
     cell.take_batch()
 }
--- a/crates/havenladder/src/entry/owner/mod.rs
+++ b/crates/havenladder/src/entry/owner/mod.rs
@@ -2,8 +2,8 @@
 
 mod answer;
 pub mod append;
-
 pub mod duties;
+mod evacuations;
 pub mod load;
 pub mod pulse;
 pub mod workspaces;
@@ -12,7 +12,7 @@
     node::{Lease, LifeId, Node},
     outage::Outage,
 };
-use adapter::{operator::Version, settings::Settings, workers::ClockMs};
+use adapter::{operator::Version, settings::Settings, store::Offset, workers::ClockMs};
 use append::SLOW;
 use clock::Instant;
 use fleet::{MilliCpu, RateLimit, Stall, TROUBLE, Trouble};
@@ -157,6 +157,8 @@
     appending: Cell<Option<Instant>>,
     /// The version of the configuration whose bounds are in force in the cell; none before there is one.
     bounds: Cell<Option<Version>>,
+    /// As of which offset of the operators' topic the cell knows which data centres are to be emptied.
+    evacuated: Cell<Offset>,
     /// What sends orders to workers.
     send: SendOrders,
     /// Whether it may still decide.
@@ -216,6 +218,7 @@
             renewing: Cell::new(None),
             appending: Cell::new(None),
             bounds: Cell::new(None),
+            evacuated: Cell::new(0),
             send,
             alive: Cell::new(true),
             loaded: Cell::new(false),
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -25,7 +25,7 @@
 pub use outlook::Foreseen;
 
 use crate::{
-    Charge, Job, JobId, Need, Order, Phase, QueueId, RunId, ServiceId, Submission, TaskId,
+    Charge, HallId, Job, JobId, Need, Order, Phase, QueueId, RunId, ServiceId, Submission, TaskId,
     TaskPhase, WorkerId, Workers,
     arrivals::Arrivals,
     duty::Duty,
@@ -80,6 +80,8 @@
     pub limits: Limits,
     /// The workers that the platform lists.
     pub workers: Workers,
+    /// The data centres that are to be emptied.
+    pub(crate) emptied: BTreeSet<HallId>,
     /// The jobs, also those that are over.
     pub jobs: HashMap<JobId, Job>,
     /// The tasks that wait for room, in the order in which they get it.
--- a/crates/jobs/src/cell/runs.rs
+++ b/crates/jobs/src/cell/runs.rs
@@ -24,7 +24,7 @@
         };
         // Its room may have shrunk since the start was decided.
         let fits = host.used.is_within(host.info.capacity);
-        let open = !host.taken && !host.unusable && !host.info.draining && fits;
+        let open = host.may_start() && fits;
         if let Some(state) = host.runs.get_mut(&(task, run))
             && current
             && open
--- a/crates/jobs/src/explain.rs
+++ b/crates/jobs/src/explain.rs
@@ -15,6 +15,8 @@
     Silent,
     /// Its VM is to be taken out.
     Leaving,
+    /// Its data centre is to be emptied.
+    Emptied,
     /// It is set aside after bad ends.
     Aside,
     /// It lacks a label.
@@ -59,6 +61,8 @@
             Obstacle::Silent
         } else if worker.closed || worker.taken || worker.info.draining {
             Obstacle::Leaving
+        } else if worker.emptied {
+            Obstacle::Emptied
         } else if worker.aside.is_some_and(|until| until > now) {
             Obstacle::Aside
         } else if !allows(worker, step) {
--- a/crates/jobs/src/takeout.rs
+++ b/crates/jobs/src/takeout.rs
@@ -104,7 +104,7 @@
     }
 
     /// How many other tasks of a task's step are not at work, or on the worker that leaves.
-    fn away(&self, task: TaskId, leaving: Option<&str>) -> u32 {
+    pub(crate) fn away(&self, task: TaskId, leaving: Option<&str>) -> u32 {
         let round = self
             .jobs
             .get(&task.job)
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -174,6 +174,8 @@
     pub closed: bool,
     /// Whether its VM has been told to go down or to move.
     pub taken: bool,
+    /// Whether its data centre is to be emptied.
+    pub emptied: bool,
     /// Whether its newest entry is none of a worker: another writer may have left it.
     pub unusable: bool,
     /// Whether an earlier owner may have told its VM so, and the order may still be under way.
@@ -211,6 +213,7 @@
             met: false,
             closed: false,
             taken: false,
+            emptied: false,
             unusable: false,
             doubted: false,
             used: Need::default(),
@@ -268,10 +271,15 @@
     /// Whether it may get new runs.
     pub fn is_open(&self, now: Instant) -> bool {
         let aside = self.aside.is_some_and(|until| until > now);
-        let stays = !self.closed && !self.taken && !self.unusable && !self.info.draining;
+        let stays = !self.closed && self.may_start();
         self.known && stays && !aside && self.quarantine.is_none()
     }
 
+    /// Whether what was decided for it may still be sent.
+    pub fn may_start(&self) -> bool {
+        !self.taken && !self.emptied && !self.unusable && !self.info.draining
+    }
+
     /// Adds a run and what it takes.
     pub fn add(&mut self, task: TaskId, run: RunId, state: RunState) {
         self.used.add(state.load.need);
--- a/crates/jobs/src/workers.rs
+++ b/crates/jobs/src/workers.rs
@@ -81,6 +81,11 @@
         self.slots.iter().flatten()
     }
 
+    /// All workers, to be changed; their services and ids must stay as they are.
+    pub fn values_mut(&mut self) -> impl Iterator<Item = &mut Worker> {
+        self.slots.iter_mut().flatten()
+    }
+
     /// The ids of all workers.
     pub fn keys(&self) -> impl Iterator<Item = &WorkerId> {
         self.values().map(|worker| &worker.info.id)
--- a/crates/standin/src/users/cloud.rs
+++ b/crates/standin/src/users/cloud.rs
@@ -62,8 +62,8 @@
     vms: Arc<Mutex<BTreeMap<String, Vm>>>,
     /// Whether a worker that has ended starts again under its id, and not under another.
     keeps_ids: Arc<AtomicBool>,
-    /// How many lives of workers there have been.
-    lives: Arc<Mutex<u64>>,
+    /// The VM of each life of a worker that there has been, in the order in which they began.
+    lives: Arc<Mutex<Vec<String>>>,
     /// The orders that were taken, in the order in which they came.
     orders: Arc<Mutex<Vec<Ordered>>>,
 }
@@ -111,6 +111,18 @@
         self.vms().keys().cloned().collect()
     }
 
+    /// The VM that a worker has, or had.
+    pub fn vm_of(&self, worker: &str) -> Option<String> {
+        let number: String = worker
+            .chars()
+            .filter(char::is_ascii_digit)
+            .take(4)
+            .collect();
+        let life = number.parse::<usize>().ok()?.checked_sub(1)?;
+        let lives = self.lives.lock().expect("no thread panics here");
+        lives.get(life).cloned()
+    }
+
     /// The orders that were taken so far.
     pub fn orders(&self) -> Vec<Ordered> {
         self.orders.lock().expect("no thread panics here").clone()
@@ -218,7 +230,7 @@
                 "machine": name,
                 "pool": vm.pool,
                 "state": vm.state,
-                "zone": "a",
+                "zone": hall_of(name),
                 "labels": ["k", "r1"],
                 "capacity": capacity(),
                 "id": vm.worker.as_ref().map(|worker| worker.id.clone()),
@@ -314,8 +326,8 @@
     async fn boot(&self, name: &str) -> std::io::Result<()> {
         let number = {
             let mut lives = self.lives.lock().expect("no thread panics here");
-            *lives += 1;
-            *lives
+            lives.push(name.to_owned());
+            lives.len()
         };
         let back = self.keeps_ids.load(Relaxed).then_some(AWAY);
         let id = format!("i-{number:04}");
@@ -344,7 +356,7 @@
             return;
         };
         let entry = value!({
-            "service": vm.pool, "address": address.to_string(), "zone": "a", "version": "v1",
+            "service": vm.pool, "address": address.to_string(), "zone": hall_of(name), "version": "v1",
             "slots": 8, "state": "ready", "cold-remaining-ms": 0, "capacity": capacity(),
             "labels": ["k", "r1"], "born": worker.born(), "sequence": 1,
         });
@@ -353,6 +365,12 @@
     }
 }
 
+/// The data centre of a VM: `b` for every second one, by the number that its name ends with.
+pub fn hall_of(name: &str) -> &'static str {
+    let odd = name.ends_with(['1', '3', '5', '7', '9']);
+    if odd { "b" } else { "a" }
+}
+
 /// The room of a VM: eight tasks of one core.
 fn capacity() -> Value {
     value!({ "cpu": 8_000, "mem-mb": 8_000, "gpu": 0 })
--- a/crates/standin/src/users/operator.rs
+++ b/crates/standin/src/users/operator.rs
@@ -75,6 +75,12 @@
     })
 }
 
+/// Asks for a data centre to be emptied, or takes it back.
+pub fn write_evacuation(log: &Log, hall: &str, emptied: bool) {
+    let value: &[u8] = if emptied { b"{}" } else { b"" };
+    log.put(TOPIC, &format!("evacuate/{hall}"), value);
+}
+
 /// Asks for the upkeep of these VMs, one at a time.
 pub fn write_wave(log: &Log, wave: u64, vms: &[String]) {
     let text = json!({
