--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -5,8 +5,10 @@
 //! the records carry, or an argument.
 
 mod answer_time;
+mod backoff;
 mod bound;
 mod budget;
+mod feed;
 mod first_sent;
 mod fold;
 mod grant;
@@ -26,8 +28,12 @@
 mod wave;
 
 pub use answer_time::{AnswerTime, next_wait};
+pub use backoff::Backoff;
 pub use bound::{Whereabouts, room_to_go};
 pub use budget::{Count, Hold, holds};
+pub use feed::{
+    Address, Admission, FOLLOWERS, Followers, PLACE_EXPIRY, READERS, Readers, STALE, Seeker, Source,
+};
 pub use first_sent::{FirstSent, Place};
 pub use moves::{Room, Wanted, least_moves, next_moves};
 pub use plan::{Action, Evidence, Sight, View, free_token, next_action, plan};
@@ -38,7 +44,9 @@
     Seen, WaveChange,
 };
 pub use silence::{Hearing, is_away, is_turned_away};
-pub use sizing::{IdleVm, LooseVm, PoolDemand, Resize, Shift, SizingLimits, lacks_vms, resize};
+pub use sizing::{
+    IdleVm, LooseVm, PoolDemand, Resize, Shift, SizingLimits, lacks_vms, resize, used_vms,
+};
 pub use snapshot::{Chunk, SnapshotError, assemble, chunks, decode_snapshot, encode_snapshot};
 pub use state::{Fleet, Grant, Health, Mark, SPARE, Step, Vm, Wave, WaveId, WaveState};
 pub use tenure::{
--- a/crates/fleet/src/reach.rs
+++ b/crates/fleet/src/reach.rs
@@ -56,7 +56,12 @@
 
     /// The store answered.
     pub fn note_store(&mut self, now: Instant) {
-        self.outside = now;
+        self.outside = self.outside.max(now);
+    }
+
+    /// For how long neither the store nor another data centre has been heard of.
+    pub fn quiet_for(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.outside)
     }
 
     /// An entry of another data centre answered.
--- a/crates/havenladder/src/entry/callers/ask.rs
+++ b/crates/havenladder/src/entry/callers/ask.rs
@@ -208,6 +208,10 @@
         | Tell::Life(_)
         | Tell::Outage { .. }
         | Tell::News(_)
+        | Tell::Place(_)
+        | Tell::Feed(_)
+        | Tell::FeedAt(_)
+        | Tell::NoFeed
         | Tell::Unsure => Next::AskAgain,
     }
 }
--- /dev/null
+++ b/crates/havenladder/src/entry/feed/serve.rs
@@ -0,0 +1,67 @@
+//! Gives entries their places, and tells followers what is new.
+
+use super::{HOLD, News, Question};
+use crate::entry::{inner::Tell, node::Node};
+use clock::{Instant, timer};
+use fleet::{Admission, Seeker};
+use serde_bytes::ByteBuf;
+use std::time::Duration;
+
+/// Tells an entry where it is to have its news from; only an owner does.
+pub fn place(node: &Node, seeker: Seeker) -> Tell {
+    let mut readers = node.feed.readers.borrow_mut();
+    Tell::Place(readers.place(seeker, rand::random::<u32>() as usize, Instant::now()))
+}
+
+/// Answers a follower once there is news for it, or sends it on.
+pub async fn answer(node: &Node, question: Question) -> Tell {
+    let began = Instant::now();
+    let admission = {
+        let mut followers = node.feed.followers.borrow_mut();
+        followers.admit(
+            question.seeker.clone(),
+            rand::random::<u32>() as usize,
+            began,
+        )
+    };
+    if let Admission::At(other) = admission {
+        return Tell::FeedAt(other);
+    }
+    loop {
+        let news = node.feed.news.notified();
+        if is_behind(node, &question) {
+            break;
+        }
+        if timer::timeout_at(began + HOLD, news).await.is_err() {
+            break;
+        }
+    }
+    tell(node, &question, began.elapsed())
+}
+
+/// Whether this entry knows what a follower does not.
+fn is_behind(node: &Node, question: &Question) -> bool {
+    let end = node.feed.recent.borrow().end();
+    end.is_none_or(|end| end > question.from) || node.lease_end.get() > question.end
+}
+
+/// What a follower is told that was kept waiting for so long.
+fn tell(node: &Node, question: &Question, held: Duration) -> Tell {
+    let now = Instant::now();
+    let recent = node.feed.recent.borrow();
+    let (Some(records), Some(age)) = (recent.since(question.from), recent.age(now)) else {
+        return Tell::NoFeed;
+    };
+    let lease = node.lease.borrow().clone();
+    let lease = lease.map(|lease| (lease, node.lease_end.get()));
+    Tell::Feed(News {
+        records: records
+            .iter()
+            .map(|record| ByteBuf::from(record.to_vec()))
+            .collect(),
+        lease: lease.filter(|(_, end)| *end > question.end),
+        held,
+        age,
+        heard: node.reach.get().quiet_for(now),
+    })
+}
--- a/crates/havenladder/src/entry/follow.rs
+++ b/crates/havenladder/src/entry/follow.rs
@@ -10,7 +10,9 @@
     operator::TOPIC,
     store::{Offset, Read, split_keyed},
 };
+use bytes::Bytes;
 use clock::{Instant, timer};
+use fleet::Backoff;
 use std::{rc::Rc, time::Duration};
 use tokio::{task, time};
 use tracing::info;
@@ -23,64 +25,74 @@
 /// How long a peer may take to tell what is new.
 const PEER: Duration = Duration::from_millis(150);
 
-/// Time until the store is asked again after it did not answer.
+/// Time until the store is asked again after it did not answer once.
 const RETRY_INTERVAL: Duration = Duration::from_millis(250);
 
+/// The same after several times: a change must be in force within 2 s.
+const LONGEST_RETRY: Duration = Duration::from_millis(750);
+
 /// How long a call waits for a look at what is newest: an answer takes some ms, a fifth of a second at 50 times the
 /// usual.
 const LOOK_WAIT: Duration = Duration::from_millis(250);
 
-/// Follows the topic for ever.
+/// Follows the topic for ever, while no other entry tells what is new.
 pub async fn run(node: Rc<Node>) {
+    let mut backoff = Backoff::new(RETRY_INTERVAL, LONGEST_RETRY);
     loop {
-        let sent = Instant::now();
-        if let Ok(Some(newest)) = store_calls::newest(&node, TOPIC).await {
-            node.in_force
-                .borrow_mut()
-                .restart(newest.records, newest.end);
-            node.note_freshness(|freshness| freshness.confirm(sent, sent));
-            read_on(&node, newest.end).await;
+        node.feed.wait_unfed().await;
+        let known = node.feed.recent.borrow().end();
+        let answered = match known {
+            None => restart(&node).await,
+            Some(from) => read_on(&node, from).await,
+        };
+        if answered {
+            backoff.reset();
+        } else {
+            ask_peers(&node).await;
+            time::sleep(backoff.pause(rand::random())).await;
         }
-        ask_peers(&node).await;
-        time::sleep(RETRY_INTERVAL).await;
     }
 }
 
-/// Reads on until the records asked for are gone.
-async fn read_on(node: &Node, mut from: Offset) {
-    loop {
-        node.followed.set(Some(from));
-        match read(node, from).await {
-            Some(Read::Records(_, records)) => from += records.len() as Offset,
-            Some(Read::Gone(first)) => {
-                info!(
-                    from,
-                    first, "records of operators are gone; the newest are read again"
-                );
-                node.followed.set(None);
-                return;
-            }
-            Some(Read::Busy) | None => {
-                ask_peers(node).await;
-                time::sleep(RETRY_INTERVAL).await;
-            }
-        }
-    }
+/// Reads the newest records; false without an answer.
+async fn restart(node: &Node) -> bool {
+    let sent = Instant::now();
+    let Ok(Some(newest)) = store_calls::newest(node, TOPIC).await else {
+        return false;
+    };
+    let mut recent = node.feed.recent.borrow_mut();
+    recent.restart(Some(newest.end));
+    recent.confirm(sent);
+    drop(recent);
+    node.in_force
+        .borrow_mut()
+        .restart(newest.records, newest.end);
+    node.note_freshness(|freshness| freshness.confirm(sent, sent));
+    true
 }
 
-/// Reads what stands from an offset on, waiting for it if there is nothing, and takes it in. None without an answer.
-async fn read(node: &Node, from: Offset) -> Option<Read> {
+/// Reads what stands from an offset on, waiting for it if there is nothing; false without an answer.
+async fn read_on(node: &Node, from: Offset) -> bool {
     let sent = Instant::now();
-    let read = store_calls::read(node, TOPIC, from, WAIT).await.ok()?;
-    take_read(node, &read, from, sent, WAIT);
-    Some(read)
+    match store_calls::read(node, TOPIC, from, WAIT).await {
+        Ok(Read::Records(_, records)) => {
+            take_read(node, from, &records, sent, WAIT);
+            true
+        }
+        Ok(Read::Gone(first)) => {
+            info!(
+                from,
+                first, "records of operators are gone; the newest are read again"
+            );
+            node.feed.recent.borrow_mut().restart(None);
+            true
+        }
+        Ok(Read::Busy) | Err(_) => false,
+    }
 }
 
 /// Takes in what a read from an offset on has brought that was sent at `sent` and waited for so long if there was nothing.
-fn take_read(node: &Node, read: &Read, from: Offset, sent: Instant, wait: Duration) {
-    let Read::Records(_, records) = read else {
-        return;
-    };
+fn take_read(node: &Node, from: Offset, records: &[Bytes], sent: Instant, wait: Duration) {
     // An answer without records is given when the wait is over; one with records, at any time. This process may have stood
     // still since.
     let given = if records.is_empty() {
@@ -90,12 +102,23 @@
     };
     let confirmed = given.min(Instant::now());
     node.note_freshness(|freshness| freshness.confirm(sent, confirmed));
+    node.feed.recent.borrow_mut().confirm(confirmed);
+    take_records(node, from, records);
+}
+
+/// Takes in the records of operators from an offset on.
+pub fn take_records(node: &Node, from: Offset, records: &[Bytes]) {
     let mut in_force = node.in_force.borrow_mut();
+    let mut recent = node.feed.recent.borrow_mut();
     for (offset, record) in (from..).zip(records) {
+        recent.note(offset, record);
         if let Some(record) = split_keyed(record.clone()) {
             in_force.take(record, offset);
         }
     }
+    if !records.is_empty() {
+        node.feed.news.notify_waiters();
+    }
 }
 
 /// Asks other entries for what the platform does not tell this one; true if one has answered.
@@ -188,10 +211,11 @@
 /// Asks the store, then other entries, for what is newer; true if one has answered.
 async fn look(node: &Node) -> bool {
     let sent = Instant::now();
-    if let Some(from) = node.followed.get()
-        && let Ok(read @ Read::Records(..)) = store_calls::read_once(node, TOPIC, from).await
+    let known = node.feed.recent.borrow().end();
+    if let Some(from) = known
+        && let Ok(Read::Records(_, records)) = store_calls::read_once(node, TOPIC, from).await
     {
-        take_read(node, &read, from, sent, Duration::ZERO);
+        take_read(node, from, &records, sent, Duration::ZERO);
         return true;
     }
     ask_peers(node).await
--- a/crates/havenladder/src/entry/inner.rs
+++ b/crates/havenladder/src/entry/inner.rs
@@ -1,6 +1,7 @@
 //! What entries ask of the cell's owner, over HTTP with MessagePack.
 
 use super::{
+    feed,
     in_force::{Caller, Written},
     lease_record::release_for,
     listen::{self, Reply, accept_each},
@@ -13,7 +14,7 @@
     operator::Version,
 };
 use clock::Instant;
-use fleet::MilliCpu;
+use fleet::{Address, MilliCpu, Seeker, Source};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{Method, Response, StatusCode, body::Incoming};
 use jobs::{Evacuations, JobId, Phase, QueueId, Submission};
@@ -83,6 +84,10 @@
         /// The end of the lease's log, as far as it is known.
         end: u64,
     },
+    /// Where is this entry to have its news from? Only the owner answers this.
+    Place(Seeker),
+    /// What is new? It is answered once there is something.
+    Feed(feed::Question),
 }
 
 impl Request {
@@ -114,6 +119,8 @@
             Ask::Life => write!(f, "life"),
             Ask::Outage => write!(f, "outage"),
             Ask::News { version, end } => write!(f, "news since {version} and {end}"),
+            Ask::Place(seeker) => write!(f, "place for {}", seeker.address),
+            Ask::Feed(question) => write!(f, "news for {}", question.seeker.address),
         }
     }
 }
@@ -161,6 +168,14 @@
     HandedOver,
     /// What is newer.
     News(News),
+    /// This is where news come from.
+    Place(Source),
+    /// This is new.
+    Feed(feed::News),
+    /// This entry is to be followed instead.
+    FeedAt(Address),
+    /// The entry that was asked has not kept what is asked for.
+    NoFeed,
     /// Whether the store is silent for an entry, and in which data centre that entry is.
     Outage {
         /// The entry's data centre.
@@ -198,6 +213,8 @@
     let tell = match (ask, node.own()) {
         (Ask::News { version, end }, _) => Tell::News(news(&node, version, end)),
         (Ask::Life, _) => Tell::Life(reach::presence(&node)),
+        (Ask::Feed(question), _) => feed::answer(&node, question).await,
+        (Ask::Place(seeker), Some(_)) => feed::place(&node, seeker),
         (Ask::Outage, _) => outage::tell(&node).await,
         (Ask::Release(lease), _) => release(&node, *lease).await,
         (Ask::HandOver { cpu }, Some(owner)) => owner.hand_over(cpu),
--- a/crates/havenladder/src/entry/lease/log.rs
+++ b/crates/havenladder/src/entry/lease/log.rs
@@ -2,7 +2,7 @@
 
 use crate::entry::{
     lease_record::{TOPIC, append},
-    node::{Lease, Node},
+    node::{Lease, LifeId, Node},
     owner::Predecessor,
     store_calls,
 };
@@ -23,6 +23,8 @@
     pub(super) end: Offset,
     /// When this entry may claim, and from whom it should.
     pub(super) tenure: Tenure,
+    /// Which life of an entry has written the newest record, and whether it gave the cell up with it.
+    pub(super) holder: Option<(LifeId, bool)>,
     /// When a renewal of the current owner was last read.
     pub(super) renewed: Option<Instant>,
     /// When the store last did not answer.
@@ -47,6 +49,8 @@
     Records,
     /// None, and the store answered.
     Nothing,
+    /// The store was not asked: there is news of another kind.
+    Unasked,
     /// The store did not answer.
     Failed,
 }
@@ -77,15 +81,51 @@
     }
 }
 
-/// Takes in new records, of which the last one counts.
-fn take_records(node: &Node, log: &mut Log, records: &[Bytes]) {
+/// Waits for the next records: those that the entry tells that this one follows, or those that it reads.
+pub(super) async fn next(node: &Node, log: &mut Log, wait: Duration) -> Seen {
+    if wait.is_zero() || !node.feed.follows() {
+        return read(node, log, wait).await;
+    }
+    let news = node.feed.news.notified();
+    if take_told(node, log) {
+        return Seen::Records;
+    }
+    match time::timeout(wait, news).await {
+        Ok(()) if take_told(node, log) => Seen::Records,
+        Ok(()) => Seen::Unasked,
+        // It is time to claim, if the log has nothing newer.
+        Err(_) => read(node, log, Duration::ZERO).await,
+    }
+}
+
+/// Takes in what another entry has told of the lease; false if that is nothing new.
+fn take_told(node: &Node, log: &mut Log) -> bool {
+    let end = node.lease_end.get();
+    let lease = node.lease.borrow().clone();
+    let Some(lease) = lease.filter(|_| end > log.end) else {
+        return false;
+    };
     let now = Instant::now();
-    log.end += records.len() as Offset;
+    log.end = end;
+    note_heard(node, log, now);
+    note_tenure(log, &lease, now);
+    true
+}
+
+/// Takes note that the owner has written a record.
+fn note_heard(node: &Node, log: &mut Log, now: Instant) {
     log.renewed = Some(now);
     node.note_reach(|reach| reach.note_renewal(now));
     // Whoever writes here lives, whatever its port did behind a cut.
     node.refused.set(None);
     node.suspect.set(None);
+}
+
+/// Takes in new records, of which the last one counts.
+fn take_records(node: &Node, log: &mut Log, records: &[Bytes]) {
+    let now = Instant::now();
+    log.end += records.len() as Offset;
+    note_heard(node, log, now);
     match records
         .last()
         .map(|record| rmp_serde::from_slice::<Lease>(record))
@@ -101,6 +141,7 @@
     if end < node.lease_end.replace(end.max(node.lease_end.get())) {
         return;
     }
+    node.feed.news.notify_waiters();
     let mut current = node.lease.borrow_mut();
     let known = current.replace(lease.clone());
     if known.is_some_and(|known| known.is_same(&lease)) {
@@ -120,16 +161,17 @@
 
 /// Takes in a record of the lease, read or appended at `now`.
 pub(super) fn note_lease(node: &Node, log: &mut Log, lease: Lease, now: Instant) {
+    note_tenure(log, &lease, now);
+    set_lease(node, lease, log.end);
+}
+
+/// Takes note of who has the lease.
+fn note_tenure(log: &mut Log, lease: &Lease, now: Instant) {
     log.tenure.note_record(lease.cpu, now);
-    let same = node
-        .lease
-        .borrow()
-        .as_ref()
-        .is_some_and(|known| known.is_same(&lease));
-    if !same {
+    let known = log.holder.replace((lease.life, lease.released));
+    if known != log.holder {
         log.tenure.note_change(now);
     }
-    set_lease(node, lease, log.end);
 }
 
 /// What came of a record that was to be appended.
--- a/crates/havenladder/src/entry/lease/mod.rs
+++ b/crates/havenladder/src/entry/lease/mod.rs
@@ -19,7 +19,7 @@
 };
 use clock::Instant;
 use fleet::{Claim, Holder, Tenure, Told, Trouble};
-use log::{Log, RETRY_INTERVAL, Seen, Written, read, write};
+use log::{Log, RETRY_INTERVAL, Seen, Written, write};
 use std::{convert::Infallible, rc::Rc, time::Duration};
 use tokio::{task, time};
 use tracing::info;
@@ -48,6 +48,7 @@
     let mut log = Log {
         end: 0,
         tenure: Tenure::new(node.settings.cpu, Instant::now()),
+        holder: None,
         renewed: None,
         trouble: None,
         before: Predecessor {
@@ -62,14 +63,14 @@
     let mut wait = Duration::ZERO;
     loop {
         let seen = tokio::select! {
-            seen = read(&node, &mut log, wait) => seen,
+            seen = log::next(&node, &mut log, wait) => seen,
             () = node.claim_due.notified() => Seen::Records,
         };
         suspension::notice(&node);
         match seen {
             Seen::Nothing if next(&node, &mut log) == Claim::Now => claim(&node, &mut log).await,
             Seen::Records => ask_for(&node, &log),
-            Seen::Nothing | Seen::Failed => {}
+            Seen::Nothing | Seen::Unasked | Seen::Failed => {}
         }
         if holds(&node) {
             own(&node, &mut log).await;
--- a/crates/havenladder/src/entry/mod.rs
+++ b/crates/havenladder/src/entry/mod.rs
@@ -6,6 +6,7 @@
 
 mod callers;
 mod ends;
+mod feed;
 mod fleet;
 mod follow;
 mod in_force;
@@ -87,6 +88,7 @@
     suspension::follow_test_clock();
     tokio::task::spawn_local(follow::run(Rc::clone(&node)));
     tokio::task::spawn_local(lease::run(Rc::clone(&node)));
+    tokio::task::spawn_local(feed::run(Rc::clone(&node)));
     tokio::task::spawn_local(reach::run(Rc::clone(&node)));
     tokio::task::spawn_local(callers::listen(Rc::clone(&node), callers));
     tokio::task::spawn_local(callers::listen_ready(Rc::clone(&node), ready));
--- a/crates/havenladder/src/entry/node.rs
+++ b/crates/havenladder/src/entry/node.rs
@@ -1,13 +1,8 @@
 //! What the duties of an entry share.
 
-use super::{in_force::InForce, metrics::Metrics, owner::Owner, reach::Directory};
+use super::{feed::Feed, in_force::InForce, metrics::Metrics, owner::Owner, reach::Directory};
 use adapter::{
-    advice::Advice,
-    cloud::Cloud,
-    http::Client,
-    operator::Config,
-    settings::Settings,
-    store::{Offset, Store},
+    advice::Advice, cloud::Cloud, http::Client, operator::Config, settings::Settings, store::Store,
     workers::Workers,
 };
 use clock::Instant;
@@ -83,8 +78,8 @@
     pub in_force: RefCell<InForce>,
     /// How sure this entry may be that nothing newer is.
     pub freshness: Cell<Freshness>,
-    /// Up to where the operators' topic has been read.
-    pub followed: Cell<Option<Offset>>,
+    /// Where news come from, and who is told.
+    pub feed: Feed,
     /// Told when a look for something newer has ended.
     pub looked: Notify,
     /// Who owns the cell.
@@ -142,7 +137,7 @@
             settings,
             in_force,
             freshness: Cell::new(Freshness::new(Instant::now(), patience)),
-            followed: Cell::new(None),
+            feed: Feed::default(),
             looked: Notify::new(),
             lease_end: Cell::new(0),
             lease: RefCell::default(),
--- a/crates/havenladder/src/entry/outage.rs
+++ b/crates/havenladder/src/entry/outage.rs
@@ -87,7 +87,11 @@
     let began = Instant::now();
     let own = task::spawn_local(is_answered(Rc::clone(&owner.node)));
     let deadline = began + TELL_TIMEOUT;
-    let peers = owner.node.known_entries();
+    // Those that read say most: an owner may know few others, all turned away together with it.
+    let mut peers = owner.node.known_entries();
+    peers.extend(owner.node.feed.readers());
+    peers.sort();
+    peers.dedup();
     let asked = peers.len();
     let asks: Vec<_> = peers
         .into_iter()
--- a/crates/havenladder/tests/entries/mod.rs
+++ b/crates/havenladder/tests/entries/mod.rs
@@ -33,13 +33,23 @@
 
 /// Starts three entries, the first and the last in one data centre, and so many VMs; the logs lie under `name`, without
 /// those of an earlier run.
+#[allow(
+    dead_code,
+    clippy::allow_attributes,
+    reason = "not every test needs three entries"
+)]
 pub async fn start(name: &str, seed: u64, vms: usize) -> Site {
+    start_with(name, seed, vms, 3).await
+}
+
+/// The same with so many entries, in two data centres in turn.
+pub async fn start_with(name: &str, seed: u64, vms: usize, entries: usize) -> Site {
     let _ = fs::remove_dir_all(logs(name, seed));
     let plan = Plan {
         program: PathBuf::from(env!("CARGO_BIN_EXE_havenladder")),
         seed,
         span: Duration::ZERO,
-        entries: 3,
+        entries,
         vms,
         logs: logs(name, seed),
     };
--- a/crates/standin/src/users/log.rs
+++ b/crates/standin/src/users/log.rs
@@ -54,12 +54,18 @@
     topics: Arc<Mutex<HashMap<String, Topic>>>,
     changed: Arc<Notify>,
     loss: Arc<Mutex<Option<Loss>>>,
+    /// How many reads were made of each topic.
+    reads: Arc<Mutex<BTreeMap<String, usize>>>,
 }
 
 impl Log {
     /// Answers a call.
     pub async fn handle(&self, call: Call) -> Answer {
         let topic = call.query.get("topic").cloned().unwrap_or_default();
+        if call.method == "GET" {
+            let mut reads = self.reads.lock().expect("no thread panics here");
+            *reads.entry(topic.clone()).or_default() += 1;
+        }
         match (call.method.as_str(), call.path.as_str()) {
             ("POST", "/log-append") => {
                 let answer = self.append(&topic, &call);
@@ -75,6 +81,12 @@
         }
     }
 
+    /// How many reads were made of a topic so far.
+    pub fn reads(&self, topic: &str) -> usize {
+        let reads = self.reads.lock().expect("no thread panics here");
+        reads.get(topic).copied().unwrap_or(0)
+    }
+
     /// Loses this part of the answers to appends, which are done, until the share is 0. Which ones a seed decides.
     pub fn lose_answers(&self, share: f64, seed: u64) {
         let rng = StdRng::seed_from_u64(seed);
