--- a/crates/fleet/src/sizing.rs
+++ b/crates/fleet/src/sizing.rs
@@ -16,11 +16,12 @@
     pub fill: f64,
     /// The part of its room that a pool's jobs may fill before it gives VMs away.
     pub spare: f64,
-    /// How long a VM must have been idle before it goes to the reserve. Two moves cost as much as a VM in a pool does in
-    /// 2.3 s; but one that is idle for 1.5 s is idle for far longer as a rule, and is back in time where the growth of what
-    /// comes is foreseen: 1.5 s in place of 2.5 s earns 0.0069 +- 0.0018 more on 349 VMs and 0.026 +- 0.012 on another such
-    /// fleet, 0.007 less on 50 VMs, where few jobs show a growth too late; 0.8 s earns 0.0026 +- 0.0048 less than 1.5 s.
+    /// How long a VM must have been idle before it goes to the reserve, where all pools together have more VMs than they
+    /// have used at once of late.
     pub rest: Duration,
+    /// The same for the others. Pools have their peaks in turn: one whose turn comes gets them without the way by the
+    /// reserve, which takes two moves.
+    pub hold: Duration,
     /// What a pool keeps whose demand is not known, as a part of an equal share of all VMs: enough for
     /// the first second of a peak, after which VMs of the reserve come.
     pub start: f64,
@@ -34,6 +35,7 @@
             fill: 0.9,
             spare: 0.85,
             rest: Duration::from_millis(1_500),
+            hold: Duration::from_millis(6_000),
             start: 0.7,
             pause: Duration::from_millis(150),
         }
@@ -154,15 +156,23 @@
     pub drains: Vec<String>,
 }
 
-/// Chooses the moves that are worth making now, and the VMs to be emptied for later ones.
-pub fn resize(pools: &[PoolDemand], now: Instant, limits: &SizingLimits) -> Resize {
+/// How many VMs all pools together use now, those that must be apart included.
+pub fn used_vms(pools: &[PoolDemand], limits: &SizingLimits) -> usize {
+    let working = pools.iter().filter(|pool| !pool.reserve);
+    let used = working.map(|pool| pool.vms_for(pool.busy, limits.spare).max(pool.least));
+    used.sum()
+}
+
+/// Chooses the moves that are worth making now, and the VMs to be emptied for later ones. `recent` is how many VMs all
+/// pools together have used at once of late.
+pub fn resize(pools: &[PoolDemand], recent: usize, now: Instant, limits: &SizingLimits) -> Resize {
     let mut books = Books::new(pools, limits);
     let mut resize = Resize::default();
     for source in [Source::Surplus, Source::Reserve, Source::Fair] {
         fill(&mut books, source, now, &mut resize);
     }
     resize.drains = drains(&books);
-    rest(&mut books, now, &mut resize);
+    rest(&books, recent, now, &mut resize);
     resize
 }
 
@@ -327,12 +337,16 @@
     (there as f64 / served.max(1) as f64 * limits.start).ceil() as usize
 }
 
-/// Sends VMs to the reserve that have been idle for long and that no pool needs.
-fn rest(books: &mut Books<'_>, now: Instant, resize: &mut Resize) {
+/// Sends VMs to the reserve that have been idle for long and that no pool needs, those idle for the longest time first.
+fn rest(books: &Books<'_>, recent: usize, now: Instant, resize: &mut Resize) {
     let Some(reserve) = books.pools.iter().find(|pool| pool.reserve) else {
         return;
     };
     let start = start_size(books.pools, books.limits);
+    let working = books.pools.iter().filter(|pool| !pool.reserve);
+    let there: usize = working.map(|pool| pool.vms).sum();
+    let mut spare = there.saturating_sub(recent);
+    let mut idle: Vec<(&IdleVm, &PoolDemand)> = Vec::new();
     for (place, pool) in books.pools.iter().enumerate() {
         if pool.reserve {
             continue;
@@ -341,14 +355,20 @@
         if pool.unknown {
             most = most.min(pool.vms.saturating_sub(start));
         }
-        let rested = books.idle[place]
-            .iter()
-            .take(most)
-            .filter(|vm| now >= vm.since + books.limits.rest);
-        resize.shifts.extend(rested.map(|vm| Shift {
+        let given = books.idle[place].iter().take(most);
+        idle.extend(given.map(|vm| (*vm, pool)));
+    }
+    idle.sort_by_key(|(vm, _)| vm.since);
+    for (vm, pool) in idle {
+        let held = now < vm.since + books.limits.hold;
+        if now < vm.since + books.limits.rest || (held && spare == 0) {
+            continue;
+        }
+        spare = spare.saturating_sub(1);
+        resize.shifts.push(Shift {
             vm: vm.vm.clone(),
             from: pool.pool.clone(),
             to: reserve.pool.clone(),
-        }));
+        });
     }
 }
--- a/crates/havenladder/src/entry/feed/mod.rs
+++ b/crates/havenladder/src/entry/feed/mod.rs
@@ -17,8 +17,8 @@
     lease::set_lease,
     node::{Lease, Node},
 };
-use adapter::store::Offset;
-use clock::Instant;
+use adapter::store::{Offset, split_keyed};
+use clock::{Instant, timer};
 use fleet::{Address, Followers, Readers, STALE, Seeker, Source};
 use serde::{Deserialize, Serialize};
 use serde_bytes::ByteBuf;
@@ -39,6 +39,12 @@
 /// How long the owner may take to give a place.
 const PLACE_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// How old what an entry knows counts as that knows nothing.
+const NEVER: Duration = Duration::from_secs(3_600);
+
+/// How long an entry that begins waits for what a seed tells until it reads for itself.
+const SEED_WAIT: Duration = Duration::from_millis(400);
+
 /// How often an entry is sent on from one to another before it gives up: the depth of a tree of many thousands.
 const MOST_HOPS: usize = 16;
 
@@ -95,8 +101,8 @@
 pub struct Question {
     /// Who asks.
     pub seeker: Seeker,
-    /// The offset from which on it has no records of operators.
-    pub from: Offset,
+    /// The offset from which on it has no records of operators; none if it has none at all.
+    pub from: Option<Offset>,
     /// The end of the lease's log, as far as it knows.
     pub end: Offset,
 }
@@ -106,6 +112,8 @@
 pub struct News {
     /// The records of operators that it does not have.
     records: Vec<ByteBuf>,
+    /// The end of the topic of which these are the newest records of each key; none if they go on from what it has.
+    newest: Option<Offset>,
     /// The lease and the end of its log, if it is newer.
     lease: Option<(Lease, Offset)>,
     /// For how long the answer was held back.
@@ -116,19 +124,44 @@
     heard: Duration,
 }
 
-/// What this entry says of itself; none before it knows anything.
-fn seeker(node: &Node) -> Option<Seeker> {
-    let age = node.feed.recent.borrow().age(Instant::now())?;
-    Some(Seeker {
+/// What this entry says of itself.
+fn seeker(node: &Node) -> Seeker {
+    let age = node.feed.recent.borrow().age(Instant::now());
+    Seeker {
         address: node.inner_address(),
         hall: node.settings.hall.clone(),
         cpu: node.settings.cpu,
-        age,
-    })
+        age: age.unwrap_or(NEVER),
+    }
 }
 
-/// Finds a source whenever there is none, and follows it.
+/// Waits until an entry that has just begun has been told something, or is to read for itself: all entries may begin
+/// together, and what each of them needs to know has many bytes. Those that all others know read at once.
+pub async fn wait_begun(node: &Node) {
+    let seeds = &node.settings.seeds;
+    if seeds.is_empty() || node.settings.is_seed {
+        return;
+    }
+    let until = Instant::now() + SEED_WAIT;
+    while node.feed.recent.borrow().end().is_none() {
+        if timer::timeout_at(until, node.feed.news.notified())
+            .await
+            .is_err()
+        {
+            return;
+        }
+    }
+}
+
+/// Finds a source whenever there is none, and follows it: a seed at first.
 pub async fn run(node: Rc<Node>) {
+    let seeds = &node.settings.seeds;
+    if !node.settings.is_seed && !seeds.is_empty() {
+        let seed = &seeds[rand::random_range(0..seeds.len())];
+        let address = format!("{seed}:{}", node.settings.inner_port);
+        follow_from(&node, address).await;
+        node.feed.set_source(None);
+    }
     time::sleep(PLACE_INTERVAL.mul_f64(rand::random())).await;
     loop {
         if let Some(Source::Entry(source)) = ask_place(&node).await {
@@ -144,11 +177,10 @@
     if node.own().is_some() || node.stopping.get() {
         return None;
     }
-    let seeker = seeker(node)?;
     let lease = node.lease.borrow().clone();
     let owner = lease.filter(|lease| lease.life != node.life && !lease.released)?;
     let deadline = Instant::now() + PLACE_TIMEOUT;
-    match inner::ask(node, &owner.address, &Ask::Place(seeker), deadline).await {
+    match inner::ask(node, &owner.address, &Ask::Place(seeker(node)), deadline).await {
         Ok(Tell::Place(source)) => Some(source),
         Ok(_) | Err(_) => None,
     }
@@ -158,13 +190,10 @@
 async fn follow_from(node: &Node, mut source: Address) {
     let mut hops = 0;
     while node.own().is_none() && !node.stopping.get() {
-        let known = node.feed.recent.borrow().end();
-        let (Some(from), Some(seeker)) = (known, seeker(node)) else {
-            return;
-        };
+        let from = node.feed.recent.borrow().end();
         let sent = Instant::now();
         let question = Ask::Feed(Question {
-            seeker,
+            seeker: seeker(node),
             from,
             end: node.lease_end.get(),
         });
@@ -186,11 +215,10 @@
 }
 
 /// Takes in news that were asked for at `sent`; false if their source knows too little to be followed.
-fn take(node: &Node, from: Offset, news: News, sent: Instant) -> bool {
+fn take(node: &Node, from: Option<Offset>, news: News, sent: Instant) -> bool {
     // The answer was given when it had been held back, or later: this process may have stood still since.
     let given = (sent + news.held).min(Instant::now());
     let (confirmed, heard) = (given - news.age, given - news.heard);
-    node.feed.recent.borrow_mut().confirm(confirmed);
     let records = news.records.into_iter();
     let records: Vec<_> = records.map(|record| record.into_vec().into()).collect();
     node.note_freshness(|freshness| freshness.confirm(confirmed, confirmed));
@@ -198,6 +226,13 @@
     if let Some((lease, end)) = news.lease {
         set_lease(node, lease, end);
     }
-    follow::take_records(node, from, &records);
+    match news.newest {
+        Some(end) => {
+            let newest = records.into_iter().filter_map(split_keyed).collect();
+            follow::take_newest(node, newest, end);
+        }
+        None => follow::take_records(node, from.unwrap_or_default(), &records),
+    }
+    node.feed.recent.borrow_mut().confirm(confirmed);
     confirmed.elapsed() <= STALE
 }
--- a/crates/havenladder/src/entry/feed/recent.rs
+++ b/crates/havenladder/src/entry/feed/recent.rs
@@ -1,20 +1,34 @@
-//! The records of operators that an entry has taken in last, for those that follow it.
+//! The records of operators that an entry has taken in, for those that follow it.
 
-use adapter::store::Offset;
+use adapter::store::{Keyed, Offset, join_keyed, split_keyed};
 use bytes::Bytes;
 use clock::Instant;
-use std::{collections::VecDeque, time::Duration};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
 
-/// How many bytes are kept: some configurations. A follower that lags by more reads from the platform.
+/// How many bytes of records in their order are kept: some configurations. A follower that lags by more gets the newest
+/// record of each key.
 const MOST_BYTES: usize = 512 << 10;
 
-/// Records of one topic without gaps.
+/// What a follower lacks.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Lacking {
+    /// These records, in their order.
+    Records(Vec<Bytes>),
+    /// All it knows may be old: these are the newest records of each key.
+    Newest(Vec<Bytes>),
+}
+
+/// Records of one topic: the last ones without gaps, and the newest of each key.
 #[derive(Debug, Default)]
 pub struct Recent {
     /// The offset behind the last record that was taken in; none where it is not known.
     end: Option<Offset>,
     records: VecDeque<Bytes>,
     bytes: usize,
+    newest: BTreeMap<String, Bytes>,
     /// Until when there was no other record for certain. What peers tell beside the records does not count.
     confirmed: Option<Instant>,
 }
@@ -36,20 +50,35 @@
         Some(now.saturating_duration_since(confirmed))
     }
 
-    /// Begins anew: all records before an offset are known, and none of them is kept.
-    pub fn restart(&mut self, end: Option<Offset>) {
+    /// Begins anew with the newest record of each key of a topic that ended at `end`.
+    pub fn restart(&mut self, newest: &[Keyed], end: Offset) {
+        let newest = newest.iter();
         *self = Recent {
-            end,
+            end: Some(end),
+            newest: newest
+                .map(|record| (record.key.clone(), join_keyed(record)))
+                .collect(),
             ..Recent::default()
         };
     }
 
+    /// Nothing is known any more.
+    pub fn lose(&mut self) {
+        *self = Recent::default();
+    }
+
     /// Takes in the record at an offset, unless it is known.
     pub fn note(&mut self, offset: Offset, record: &Bytes) {
         match self.end {
             Some(end) if offset < end => return,
             Some(end) if offset == end => {}
-            Some(_) | None => self.restart(None),
+            Some(_) | None => self.lose(),
+        }
+        if let Some(Keyed { key, value }) = split_keyed(record.clone()) {
+            match value {
+                Some(_) => self.newest.insert(key, record.clone()),
+                None => self.newest.remove(&key),
+            };
         }
         self.end = Some(offset + 1);
         self.bytes += record.len();
@@ -61,10 +90,15 @@
         }
     }
 
-    /// The records from an offset on; none if some of them are not kept.
-    pub fn since(&self, from: Offset) -> Option<Vec<Bytes>> {
-        let missing = self.end?.checked_sub(from)? as usize;
-        let known = self.records.len().checked_sub(missing)?;
-        Some(self.records.range(known..).cloned().collect())
+    /// What a follower lacks that knows all records before an offset, or none; none where this entry knows nothing itself,
+    /// or less.
+    pub fn since(&self, from: Option<Offset>) -> Option<Lacking> {
+        let end = self.end?;
+        let missing = end.checked_sub(from.unwrap_or_default())? as usize;
+        let known = from.and_then(|_| self.records.len().checked_sub(missing));
+        Some(match known {
+            Some(known) => Lacking::Records(self.records.range(known..).cloned().collect()),
+            None => Lacking::Newest(self.newest.values().cloned().collect()),
+        })
     }
 }
--- a/crates/havenladder/src/entry/feed/serve.rs
+++ b/crates/havenladder/src/entry/feed/serve.rs
@@ -1,6 +1,6 @@
 //! Gives entries their places, and tells followers what is new.
 
-use super::{HOLD, News, Question};
+use super::{HOLD, News, Question, recent::Lacking};
 use crate::entry::{inner::Tell, node::Node};
 use clock::{Instant, timer};
 use fleet::{Admission, Seeker};
@@ -41,17 +41,24 @@
 
 /// Whether this entry knows what a follower does not.
 fn is_behind(node: &Node, question: &Question) -> bool {
-    let end = node.feed.recent.borrow().end();
-    end.is_none_or(|end| end > question.from) || node.lease_end.get() > question.end
+    let Some(end) = node.feed.recent.borrow().end() else {
+        // This entry may just have begun, and know more at once.
+        return false;
+    };
+    question.from.is_none_or(|from| end > from) || node.lease_end.get() > question.end
 }
 
 /// What a follower is told that was kept waiting for so long.
 fn tell(node: &Node, question: &Question, held: Duration) -> Tell {
     let now = Instant::now();
     let recent = node.feed.recent.borrow();
-    let (Some(records), Some(age)) = (recent.since(question.from), recent.age(now)) else {
+    let (Some(lacking), Some(age)) = (recent.since(question.from), recent.age(now)) else {
         return Tell::NoFeed;
     };
+    let (records, newest) = match lacking {
+        Lacking::Records(records) => (records, None),
+        Lacking::Newest(records) => (records, recent.end()),
+    };
     let lease = node.lease.borrow().clone();
     let lease = lease.map(|lease| (lease, node.lease_end.get()));
     Tell::Feed(News {
@@ -59,6 +66,7 @@
             .iter()
             .map(|record| ByteBuf::from(record.to_vec()))
             .collect(),
+        newest,
         lease: lease.filter(|(_, end)| *end > question.end),
         held,
         age,
--- a/crates/havenladder/src/entry/fleet.rs
+++ b/crates/havenladder/src/entry/fleet.rs
@@ -75,6 +75,9 @@
 /// 2 s, and each reading has a price.
 const BUSY_LIST_AGE: Duration = Duration::from_millis(250);
 
+/// Which part of the time the list may be on its way while VMs are: the number of its pages grows with the fleet.
+const READING_SHARE: u32 = 4;
+
 /// Age of the list at which it is read again in any case.
 const CALM_LIST_AGE: Duration = Duration::from_millis(3_000);
 
@@ -113,16 +116,24 @@
     let mut list = VmList::new();
     let mut read: Option<Instant> = None;
     let mut absences = Absences::default();
+    let mut took = Duration::ZERO;
     while owner.is_alive() {
-        let busy = waves.is_open(&owner) || moves.is_open() || !absences.is_settled(&owner);
-        let age = if busy { BUSY_LIST_AGE } else { CALM_LIST_AGE };
+        let age = if !absences.is_settled(&owner) {
+            BUSY_LIST_AGE
+        } else if waves.is_open(&owner) || moves.is_open() {
+            BUSY_LIST_AGE.max(took * READING_SHARE).min(CALM_LIST_AGE)
+        } else {
+            CALM_LIST_AGE
+        };
+        let began = Instant::now();
         if read.is_none_or(|at| at.elapsed() >= age)
             && let Some(vms) = read_list(&owner).await
         {
             let vms = vms.into_iter().map(|vm| Vm::of(vm, &owner));
             list = vms.map(|vm| (vm.name.clone(), vm)).collect();
+            took = began.elapsed();
             read = Some(Instant::now());
-            absences.see(&owner, &list);
+            absences.see(&owner, &list, began);
             doubt_workers(&owner, &list);
             moves.see(&owner, &list);
             if waves.advance(&owner, &list).await {
@@ -151,10 +162,10 @@
         owner.cell.borrow().silent_workers().is_empty()
     }
 
-    /// Gives up the silent workers that a new list of VMs does not name, as earlier ones did not: a worker
-    /// belongs to its VM, so that what ran there has ended. Where the list names a worker, its own answers tell which
-    /// life of it goes on.
-    fn see(&mut self, owner: &Rc<Owner>, list: &VmList) {
+    /// Gives up the silent workers that a new list of VMs, asked for at `asked`, does not name, as earlier ones did not: a
+    /// worker belongs to its VM, so that what ran there has ended. One list does for a worker whose port had refused a
+    /// connection by then. Where the list names a worker, its own answers tell which life of it goes on.
+    fn see(&mut self, owner: &Rc<Owner>, list: &VmList, asked: Instant) {
         let silent = owner.cell.borrow().silent_workers();
         let named: HashSet<&str> = list
             .values()
@@ -166,7 +177,8 @@
         let now = Instant::now();
         for id in absent {
             let since = *self.since.entry(id.clone()).or_insert(now);
-            if now >= since + ABSENT {
+            let refused = owner.cell.borrow().has_refused(&id, asked);
+            if refused || now >= since + ABSENT {
                 info!(worker = %id, "silent worker is on no VM any more");
                 give_up(owner, &id, Loss::Ended);
             }
--- a/crates/havenladder/src/entry/follow.rs
+++ b/crates/havenladder/src/entry/follow.rs
@@ -1,6 +1,7 @@
 //! Follows what operators publish: the configuration and waves of upkeep.
 
 use super::{
+    feed,
     inner::{self, Ask, News, Tell},
     lease::set_lease,
     node::Node,
@@ -8,7 +9,7 @@
 };
 use adapter::{
     operator::TOPIC,
-    store::{Offset, Read, split_keyed},
+    store::{Keyed, Offset, Read, split_keyed},
 };
 use bytes::Bytes;
 use clock::{Instant, timer};
@@ -37,6 +38,7 @@
 
 /// Follows the topic for ever, while no other entry tells what is new.
 pub async fn run(node: Rc<Node>) {
+    feed::wait_begun(&node).await;
     let mut backoff = Backoff::new(RETRY_INTERVAL, LONGEST_RETRY);
     loop {
         node.feed.wait_unfed().await;
@@ -60,17 +62,19 @@
     let Ok(Some(newest)) = store_calls::newest(node, TOPIC).await else {
         return false;
     };
-    let mut recent = node.feed.recent.borrow_mut();
-    recent.restart(Some(newest.end));
-    recent.confirm(sent);
-    drop(recent);
-    node.in_force
-        .borrow_mut()
-        .restart(newest.records, newest.end);
+    take_newest(node, newest.records, newest.end);
+    node.feed.recent.borrow_mut().confirm(sent);
     node.note_freshness(|freshness| freshness.confirm(sent, sent));
     true
 }
 
+/// Takes in the newest record of each key of the topic, which ended at `end`.
+pub fn take_newest(node: &Node, newest: Vec<Keyed>, end: Offset) {
+    node.feed.recent.borrow_mut().restart(&newest, end);
+    node.in_force.borrow_mut().restart(newest, end);
+    node.feed.news.notify_waiters();
+}
+
 /// Reads what stands from an offset on, waiting for it if there is nothing; false without an answer.
 async fn read_on(node: &Node, from: Offset) -> bool {
     let sent = Instant::now();
@@ -84,7 +88,7 @@
                 from,
                 first, "records of operators are gone; the newest are read again"
             );
-            node.feed.recent.borrow_mut().restart(None);
+            node.feed.recent.borrow_mut().lose();
             true
         }
         Ok(Read::Busy) | Err(_) => false,
--- a/crates/havenladder/src/entry/watch.rs
+++ b/crates/havenladder/src/entry/watch.rs
@@ -8,7 +8,10 @@
     questions::{Answer, Answers, ask_worker, question},
     worker_list::{meet, note_gone},
 };
-use adapter::workers::{ClockMs, WorkerError};
+use adapter::{
+    http::CallError,
+    workers::{ClockMs, WorkerError},
+};
 use clock::Instant;
 use jobs::{Hearing, Loss, Refusal, Report, WorkerId};
 use std::{rc::Rc, time::Duration};
@@ -206,6 +209,9 @@
             owner.end("a worker has seen a newer owner");
             return Watch::Ends(Loss::Lapsed);
         }
+        WorkerError::Call(CallError::Refused) => {
+            owner.cell.borrow_mut().note_refusal(id, Instant::now());
+        }
         WorkerError::Refused(_) | WorkerError::Call(_) | WorkerError::Odd(_) => {}
     }
     if last == Answers::Given {
--- a/crates/havenladder/tests/feed.rs
+++ b/crates/havenladder/tests/feed.rs
@@ -79,7 +79,7 @@
         time::sleep(SETTLE).await;
         let owner = owner(name, seed, ENTRIES);
         // Every third entry ends and every third stands still, readers and others.
-        let lost = |entry: &usize| *entry != owner && entry % 3 != 0;
+        let lost = |entry: &usize| *entry != owner && !entry.is_multiple_of(3);
         for entry in (0..ENTRIES).filter(lost) {
             let signal = [Signal::KILL, Signal::STOP][entry % 3 - 1];
             site.entries[entry].signal(signal);
--- a/crates/jobs/src/cell/hosts.rs
+++ b/crates/jobs/src/cell/hosts.rs
@@ -102,6 +102,19 @@
         }
     }
 
+    /// A worker's port has refused a connection: no process listens there, or a cut in between says so.
+    pub fn note_refusal(&mut self, id: &str, now: Instant) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.refused = Some(now);
+        }
+    }
+
+    /// Whether a worker's port has refused a connection before a moment, and it has not answered since.
+    pub fn has_refused(&self, id: &str, before: Instant) -> bool {
+        let worker = self.workers.get(id);
+        worker.is_some_and(|worker| worker.refused.is_some_and(|at| at < before))
+    }
+
     /// Gives a worker up: its life has ended, or its lease has run out for certain. None if nothing is known of it.
     pub fn lose_worker(&mut self, id: &str, loss: Loss, now: Instant) -> Option<LostWorker> {
         self.gate.expected.remove(name_of(id));
--- a/crates/jobs/src/observe.rs
+++ b/crates/jobs/src/observe.rs
@@ -46,6 +46,7 @@
         host.known = true;
         host.met = true;
         host.silent = None;
+        host.refused = None;
         host.lapsed.clear();
         host.heard = host.heard.max(Some(asked));
         self.gate.expected.remove(name_of(worker));
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -196,6 +196,8 @@
     pub heard: Option<Instant>,
     /// When it was first found to be silent, since it last answered.
     pub silent: Option<Instant>,
+    /// When its port last refused a connection, since it last answered.
+    pub refused: Option<Instant>,
     /// When its entry was found to be gone from the list.
     pub unlisted: Option<Instant>,
     /// The run that is in quarantine there.
@@ -224,6 +226,7 @@
             aside: None,
             heard: None,
             silent: None,
+            refused: None,
             unlisted: None,
             quarantine: None,
             lapsed: Vec::new(),
