--- a/crates/havenladder/src/entry/fleet.rs
+++ b/crates/havenladder/src/entry/fleet.rs
@@ -97,6 +97,7 @@
 
 /// Reads the list of VMs; none if the platform turned the call away or did not answer.
 async fn read_list(owner: &Owner) -> Option<Vec<cloud::Vm>> {
+    owner.node.metrics.read("vms");
     let send = |connection| {
         let cloud = owner.node.cloud.over(connection);
         async move { cloud.vms().await }
--- a/crates/havenladder/src/entry/metrics.rs
+++ b/crates/havenladder/src/entry/metrics.rs
@@ -43,6 +43,8 @@
     left_halls: Counter<u64>,
     store_calls: Counter<u64>,
     resends: Counter<u64>,
+    reads: Counter<u64>,
+    vm_orders: Counter<u64>,
     _provider: SdkMeterProvider,
 }
 
@@ -90,6 +92,8 @@
             hopeless: meter.u64_counter("havenladder_hopeless_jobs").build(),
             store_calls: meter.u64_counter("havenladder_store_calls").build(),
             resends: meter.u64_counter("havenladder_store_resends").build(),
+            reads: meter.u64_counter("havenladder_store_reads").build(),
+            vm_orders: meter.u64_counter("havenladder_vm_orders").build(),
             registry,
             _provider: provider,
         }
@@ -197,6 +201,16 @@
         self.resends.add(again, &[KeyValue::new("matter", matter)]);
     }
 
+    /// Counts a read of a topic of the store, or of the list of VMs.
+    pub fn read(&self, what: &'static str) {
+        self.reads.add(1, &[KeyValue::new("what", what)]);
+    }
+
+    /// Counts an order about a VM.
+    pub fn ordered_vm(&self, errand: &'static str) {
+        self.vm_orders.add(1, &[KeyValue::new("errand", errand)]);
+    }
+
     /// All of them in the text form of Prometheus.
     pub fn text(&self) -> Vec<u8> {
         let mut text = Vec::new();
--- a/crates/havenladder/src/entry/store_calls.rs
+++ b/crates/havenladder/src/entry/store_calls.rs
@@ -94,6 +94,7 @@
         };
         async move { store.read(topic, from, wait).await }
     };
+    node.metrics.read(topic);
     let limit = READ_LIMIT;
     let answered = until_answered(&node.store_times, Timeouts { hold, limit }, send).await;
     answered.outcome
@@ -106,6 +107,7 @@
 ///
 /// Fails when the store does not answer.
 pub async fn read_once(node: &Node, topic: &'static str, from: Offset) -> Result<Read, CallError> {
+    node.metrics.read(topic);
     let store = node.store.over(Connection::Kept);
     store.read(topic, from, Duration::ZERO).await
 }
@@ -119,6 +121,7 @@
     let mut newest = Newest::default();
     loop {
         let after = newest.next.take();
+        node.metrics.read(topic);
         let send = |connection| {
             let (store, after) = (node.store.over(connection), after.clone());
             async move { store.newest(topic, after.as_deref()).await }
--- a/crates/havenladder/src/entry/vm_orders.rs
+++ b/crates/havenladder/src/entry/vm_orders.rs
@@ -16,6 +16,16 @@
     Upkeep(u64),
 }
 
+impl Errand {
+    /// Its name in the metrics.
+    fn name(&self) -> &'static str {
+        match self {
+            Errand::Move(_) => "move",
+            Errand::Upkeep(_) => "upkeep",
+        }
+    }
+}
+
 /// An order about a VM.
 #[derive(Clone, Debug)]
 pub struct VmOrder {
@@ -55,6 +65,7 @@
         return Some(Ordered::Later);
     }
     owner.vm_rate.borrow_mut().take();
+    owner.node.metrics.ordered_vm(order.errand.name());
     let cloud = &owner.node.cloud;
     let outcome = match &order.errand {
         Errand::Move(pool) => cloud.move_vm(&order.vm, pool, owner.epoch).await,
--- a/crates/jobs/src/arrivals.rs
+++ b/crates/jobs/src/arrivals.rs
@@ -1,8 +1,7 @@
 //! How much work comes to a service, now and once a VM that is ordered now is there.
 //!
 //! A turn grows for some 3 s, and a VM that changes its pool takes 1.5 s: ordered by what comes now, VMs were always as many as
-//! were wanted 2 s before. With what comes foreseen to grow on, the first two seconds of a turn earn 0.96 of what is asked for
-//! in place of 0.89 (calm days without processor time; worth 0.726 to 0.736, on other fleets by 0.018 to 0.027 more).
+//! were wanted 2 s before. So what comes is foreseen to grow on, up to what came in earlier turns where that is known.
 
 use crate::Need;
 use std::{collections::VecDeque, time::Duration};
@@ -35,12 +34,29 @@
 /// By how much a growth may raise what comes at the most, as a part of it: it ends some time.
 const MOST_GROWTH: f64 = 2.0;
 
+/// By how much more than in earlier turns may be foreseen, as a multiple: turns differ.
+const HIGHER: f64 = 1.25;
+
+/// How long ago a peak must have been at the least to belong to an earlier turn.
+const EARLIER: Duration = Duration::from_millis(6_000);
+
+/// For how long a peak is remembered: some rounds of turns.
+const REMEMBERED: Duration = Duration::from_secs(120);
+
+/// In which steps peaks are remembered.
+const STEP: Duration = Duration::from_millis(1_000);
+
 /// A moment, in ms since 1970.
 type WallMs = u64;
 
-/// The jobs that came of late, oldest first: when, and their work as needs times seconds.
+/// The jobs that came of late.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct Arrivals(VecDeque<(WallMs, Need)>);
+pub(crate) struct Arrivals {
+    /// When each came, and its work as needs times seconds; the oldest first.
+    jobs: VecDeque<(WallMs, Need)>,
+    /// The most that came in each [`STEP`], oldest first: when it began, and what came over [`LONGEST`].
+    peaks: VecDeque<(WallMs, Need)>,
+}
 
 /// What comes to a service, as what it takes for as long as it comes so.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -55,22 +71,57 @@
     /// Notes the work of a job.
     pub(crate) fn note(&mut self, now: WallMs, work: Need) {
         let since = before(now, LONGEST * 2);
-        self.0.push_back((now, work));
-        while self.0.front().is_some_and(|(at, _)| *at < since) {
-            self.0.pop_front();
+        self.jobs.push_back((now, work));
+        while self.jobs.front().is_some_and(|(at, _)| *at < since) {
+            self.jobs.pop_front();
         }
+        self.note_peak(now);
+    }
+
+    /// Notes what comes now, if that is the most in its step.
+    fn note_peak(&mut self, now: WallMs) {
+        let rate = self.rate(LONGEST, now);
+        match self.peaks.back_mut() {
+            Some((began, most)) if now < *began + STEP.as_millis() as WallMs => {
+                *most = most.max(rate);
+            }
+            Some(_) | None => self.peaks.push_back((now, rate)),
+        }
+        let since = before(now, REMEMBERED);
+        while self.peaks.front().is_some_and(|(at, _)| *at < since) {
+            self.peaks.pop_front();
+        }
+    }
+
+    /// The most that came in earlier turns.
+    fn earlier_peak(&self, now: WallMs) -> Need {
+        let until = before(now, EARLIER);
+        let earlier = self.peaks.iter().take_while(|(at, _)| *at <= until);
+        earlier.fold(Need::default(), |most, (_, rate)| most.max(*rate))
+    }
+
+    /// What came over a span.
+    fn rate(&self, span: Duration, now: WallMs) -> Need {
+        let since = before(now, span);
+        let recent = self.jobs.iter().rev().take_while(|(at, _)| *at >= since);
+        Need::sum(recent.map(|(_, work)| *work)).times(1.0 / span.as_secs_f64())
     }
 
     /// What comes: over the shortest span in which [`ENOUGH`] came.
     pub(crate) fn inflow(&self, now: WallMs) -> Inflow {
         let enough = |span: &Duration| self.count(before(now, *span), now) >= ENOUGH;
         let span = SHORT.into_iter().find(enough).unwrap_or(LONGEST);
-        let since = before(now, span);
-        let recent = self.0.iter().rev().take_while(|(at, _)| *at >= since);
-        let rate = Need::sum(recent.map(|(_, work)| *work)).times(1.0 / span.as_secs_f64());
+        let rate = self.rate(span, now);
+        let ahead = rate.times(1.0 + self.growth(span, now).min(MOST_GROWTH));
+        let known = self.earlier_peak(now).times(HIGHER);
         Inflow {
             now: rate,
-            ahead: rate.times(1.0 + self.growth(span, now).min(MOST_GROWTH)),
+            // A turn that is higher than all before may grow to anything.
+            ahead: if rate.is_within(known) {
+                ahead.min(known)
+            } else {
+                ahead
+            },
         }
     }
 
@@ -95,7 +146,7 @@
 
     /// How many jobs came between two moments, both included.
     fn count(&self, since: WallMs, until: WallMs) -> usize {
-        let late = self.0.iter().rev().skip_while(|(at, _)| *at > until);
+        let late = self.jobs.iter().rev().skip_while(|(at, _)| *at > until);
         late.take_while(|(at, _)| *at >= since).count()
     }
 }
--- a/crates/jobs/src/need.rs
+++ b/crates/jobs/src/need.rs
@@ -67,6 +67,15 @@
         }
     }
 
+    /// The smaller of both, resource by resource.
+    pub fn min(self, other: Need) -> Need {
+        Need {
+            cpu: self.cpu.min(other.cpu),
+            memory: self.memory.min(other.memory),
+            gpu: self.gpu.min(other.gpu),
+        }
+    }
+
     /// So many times this amount.
     pub fn times(self, factor: f64) -> Need {
         let times = |amount: u64| (amount as f64 * factor) as u64;
--- a/crates/jobs/tests/demand.rs
+++ b/crates/jobs/tests/demand.rs
@@ -173,3 +173,21 @@
         "ten in place of five may be chance"
     );
 }
+
+#[test]
+fn a_turn_is_foreseen_to_be_as_high_as_earlier_ones() {
+    let mut world = World::new(&["a1"]);
+    grow(&mut world, 10_000, 12_000, 10.0, 300.0);
+    let first = world.cell.demand("s").inflow.cpu;
+    grow(&mut world, 12_000, 13_000, 300.0, 10.0);
+    grow(&mut world, 13_000, 22_000, 10.0, 10.0);
+    // The next turn, a second on: the growth alone would foresee three times what comes now.
+    grow(&mut world, 22_000, 23_600, 10.0, 240.0);
+    let demand = world.cell.demand("s");
+    assert!(demand.ahead.cpu > demand.inflow.cpu, "{demand:?}");
+    assert!(demand.ahead.cpu <= first * 5 / 4, "{first} {demand:?}");
+    // One that is higher than all before is foreseen as the first was.
+    grow(&mut world, 23_600, 25_000, 240.0, 900.0);
+    let demand = world.cell.demand("s");
+    assert!(demand.ahead.cpu > first * 5 / 2, "{first} {demand:?}");
+}
