--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -44,9 +44,7 @@
     Seen, WaveChange,
 };
 pub use silence::{Hearing, is_away, is_turned_away};
-pub use sizing::{
-    IdleVm, LooseVm, PoolDemand, Resize, Shift, SizingLimits, lacks_vms, resize, used_vms,
-};
+pub use sizing::{IdleVm, LooseVm, PoolDemand, Resize, Shift, SizingLimits, lacks_vms, resize};
 pub use snapshot::{Chunk, SnapshotError, assemble, chunks, decode_snapshot, encode_snapshot};
 pub use state::{Fleet, Grant, Health, Mark, SPARE, Step, Vm, Wave, WaveId, WaveState};
 pub use tenure::{
--- a/crates/fleet/src/sizing.rs
+++ b/crates/fleet/src/sizing/mod.rs
@@ -6,8 +6,11 @@
 //! does not do, VMs of such pools are emptied. An idle VM that nobody needs goes to the reserve once it
 //! has cost as much as the way there and back.
 
+mod books;
+
+use books::{Books, Source};
 use clock::Instant;
-use std::{cmp::Reverse, collections::VecDeque, time::Duration};
+use std::time::Duration;
 
 /// The figures that sizing depends on.
 #[derive(Clone, Debug)]
@@ -16,12 +19,9 @@
     pub fill: f64,
     /// The part of its room that a pool's jobs may fill before it gives VMs away.
     pub spare: f64,
-    /// How long a VM must have been idle before it goes to the reserve, where all pools together have more VMs than they
-    /// have used at once of late.
+    /// How long a VM must have been idle before it goes to the reserve: one that is idle for so long stays so for far longer
+    /// as a rule, and is back in time where the growth of what comes is foreseen.
     pub rest: Duration,
-    /// The same for the others. Pools have their peaks in turn: one whose turn comes gets them without the way by the
-    /// reserve, which takes two moves.
-    pub hold: Duration,
     /// What a pool keeps whose demand is not known, as a part of an equal share of all VMs: enough for
     /// the first second of a peak, after which VMs of the reserve come.
     pub start: f64,
@@ -35,7 +35,6 @@
             fill: 0.9,
             spare: 0.85,
             rest: Duration::from_millis(1_500),
-            hold: Duration::from_millis(6_000),
             start: 0.7,
             pause: Duration::from_millis(150),
         }
@@ -156,23 +155,15 @@
     pub drains: Vec<String>,
 }
 
-/// How many VMs all pools together use now, those that must be apart included.
-pub fn used_vms(pools: &[PoolDemand], limits: &SizingLimits) -> usize {
-    let working = pools.iter().filter(|pool| !pool.reserve);
-    let used = working.map(|pool| pool.vms_for(pool.busy, limits.spare).max(pool.least));
-    used.sum()
-}
-
-/// Chooses the moves that are worth making now, and the VMs to be emptied for later ones. `recent` is how many VMs all
-/// pools together have used at once of late.
-pub fn resize(pools: &[PoolDemand], recent: usize, now: Instant, limits: &SizingLimits) -> Resize {
+/// Chooses the moves that are worth making now, and the VMs to be emptied for later ones.
+pub fn resize(pools: &[PoolDemand], now: Instant, limits: &SizingLimits) -> Resize {
     let mut books = Books::new(pools, limits);
     let mut resize = Resize::default();
     for source in [Source::Surplus, Source::Reserve, Source::Fair] {
         fill(&mut books, source, now, &mut resize);
     }
     resize.drains = drains(&books);
-    rest(&books, recent, now, &mut resize);
+    rest(&mut books, now, &mut resize);
     resize
 }
 
@@ -182,110 +173,6 @@
     !Books::new(pools, limits).needy(Source::Fair).is_empty()
 }
 
-/// Where a pool in need gets VMs from, in this order.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Source {
-    /// Pools that have more than they are likely to need.
-    Surplus,
-    /// The reserve.
-    Reserve,
-    /// Pools that have more than their part of what all need.
-    Fair,
-}
-
-/// The pools, and how many VMs each has left to give while moves are chosen.
-struct Books<'p> {
-    pools: &'p [PoolDemand],
-    limits: &'p SizingLimits,
-    /// How many VMs each pool should have if all share what there is by what they need now.
-    fair: Vec<usize>,
-    /// The idle VMs that are left, those idle for the longest time first.
-    idle: Vec<VecDeque<&'p IdleVm>>,
-    /// How many VMs each pool has given away.
-    given: Vec<usize>,
-    /// How many VMs each pool still lacks.
-    short: Vec<usize>,
-}
-
-impl<'p> Books<'p> {
-    fn new(pools: &'p [PoolDemand], limits: &'p SizingLimits) -> Self {
-        Books {
-            pools,
-            limits,
-            fair: fair_shares(pools, limits),
-            idle: pools
-                .iter()
-                .map(|pool| pool.idle.iter().collect())
-                .collect(),
-            given: vec![0; pools.len()],
-            short: pools.iter().map(|pool| pool.short(limits)).collect(),
-        }
-    }
-
-    /// How many more VMs a pool can give to those in need.
-    fn can_give(&self, place: usize, source: Source) -> usize {
-        let pool = &self.pools[place];
-        let most = match source {
-            Source::Surplus if !pool.reserve => pool.surplus(self.limits),
-            Source::Reserve if pool.reserve => pool.vms,
-            Source::Fair if !pool.reserve && self.short[place] == 0 => {
-                pool.vms.saturating_sub(self.fair[place])
-            }
-            Source::Surplus | Source::Reserve | Source::Fair => 0,
-        };
-        most.saturating_sub(self.given[place])
-    }
-
-    /// An idle VM for a pool in need.
-    fn take(&mut self, source: Source, now: Instant) -> Option<(usize, &'p IdleVm)> {
-        for place in 0..self.pools.len() {
-            if self.can_give(place, source) == 0 {
-                continue;
-            }
-            let ready =
-                |vm: &&IdleVm| source == Source::Reserve || now >= vm.since + self.limits.pause;
-            let found = self.idle[place].iter().position(ready);
-            if let Some(vm) = found.and_then(|index| self.idle[place].remove(index)) {
-                self.given[place] += 1;
-                return Some((place, vm));
-            }
-        }
-        None
-    }
-
-    /// The pools in need, the neediest first. What is taken from pools that use it goes only to pools
-    /// that have less than their part.
-    fn needy(&self, source: Source) -> Vec<(usize, usize)> {
-        let lacks = |place: usize| match source {
-            Source::Surplus | Source::Reserve => self.short[place],
-            Source::Fair => {
-                let pool = &self.pools[place];
-                self.short[place].min(self.fair[place].saturating_sub(pool.vms))
-            }
-        };
-        let mut needy: Vec<(usize, usize)> = (0..self.pools.len())
-            .map(|place| (place, lacks(place)))
-            .filter(|(_, lacks)| *lacks > 0)
-            .collect();
-        needy.sort_by_key(|(_, lacks)| Reverse(*lacks));
-        needy
-    }
-}
-
-/// How many VMs each pool should have: what its jobs can use now, or a proportional part of it where all
-/// together need more than there is.
-fn fair_shares(pools: &[PoolDemand], limits: &SizingLimits) -> Vec<usize> {
-    let needs: Vec<usize> = pools.iter().map(|pool| pool.needed(limits)).collect();
-    let needed: usize = needs.iter().sum();
-    let there: usize = pools.iter().map(|pool| pool.vms).sum();
-    let part = (there as f64 / needed.max(1) as f64).min(1.0);
-    let share = |(pool, need): (&PoolDemand, usize)| {
-        let fair = (need as f64 * part).ceil() as usize;
-        fair.max(pool.least).max(usize::from(!pool.reserve))
-    };
-    pools.iter().zip(needs).map(share).collect()
-}
-
 /// Gives idle VMs of one source to the pools in need.
 fn fill(books: &mut Books<'_>, source: Source, now: Instant, resize: &mut Resize) {
     for (to, lacks) in books.needy(source) {
@@ -337,16 +224,12 @@
     (there as f64 / served.max(1) as f64 * limits.start).ceil() as usize
 }
 
-/// Sends VMs to the reserve that have been idle for long and that no pool needs, those idle for the longest time first.
-fn rest(books: &Books<'_>, recent: usize, now: Instant, resize: &mut Resize) {
+/// Sends VMs to the reserve that have been idle for long and that no pool needs.
+fn rest(books: &mut Books<'_>, now: Instant, resize: &mut Resize) {
     let Some(reserve) = books.pools.iter().find(|pool| pool.reserve) else {
         return;
     };
     let start = start_size(books.pools, books.limits);
-    let working = books.pools.iter().filter(|pool| !pool.reserve);
-    let there: usize = working.map(|pool| pool.vms).sum();
-    let mut spare = there.saturating_sub(recent);
-    let mut idle: Vec<(&IdleVm, &PoolDemand)> = Vec::new();
     for (place, pool) in books.pools.iter().enumerate() {
         if pool.reserve {
             continue;
@@ -355,20 +238,14 @@
         if pool.unknown {
             most = most.min(pool.vms.saturating_sub(start));
         }
-        let given = books.idle[place].iter().take(most);
-        idle.extend(given.map(|vm| (*vm, pool)));
-    }
-    idle.sort_by_key(|(vm, _)| vm.since);
-    for (vm, pool) in idle {
-        let held = now < vm.since + books.limits.hold;
-        if now < vm.since + books.limits.rest || (held && spare == 0) {
-            continue;
-        }
-        spare = spare.saturating_sub(1);
-        resize.shifts.push(Shift {
+        let rested = books.idle[place]
+            .iter()
+            .take(most)
+            .filter(|vm| now >= vm.since + books.limits.rest);
+        resize.shifts.extend(rested.map(|vm| Shift {
             vm: vm.vm.clone(),
             from: pool.pool.clone(),
             to: reserve.pool.clone(),
-        });
+        }));
     }
 }
--- a/crates/fleet/tests/sizing.rs
+++ b/crates/fleet/tests/sizing.rs
@@ -1,9 +1,7 @@
 //! Which VMs change their pool.
 
 use clock::Instant;
-use havenladder_fleet::{
-    IdleVm, LooseVm, PoolDemand, Resize, Shift, SizingLimits, resize, used_vms,
-};
+use havenladder_fleet::{IdleVm, LooseVm, PoolDemand, Resize, Shift, SizingLimits, resize};
 use std::time::Duration;
 
 fn pool(
@@ -49,7 +47,7 @@
 }
 
 fn shifts(pools: &[PoolDemand], now: Instant, limits: &SizingLimits) -> Vec<Shift> {
-    resize(pools, 0, now, limits).shifts
+    resize(pools, now, limits).shifts
 }
 
 fn later(start: Instant, ms: u64) -> Instant {
@@ -216,7 +214,7 @@
             ("b3", 15_000, false),
         ],
     );
-    let done = resize(&pools, 0, later(start, 1_000), &SizingLimits::default());
+    let done = resize(&pools, later(start, 1_000), &SizingLimits::default());
     assert_eq!(done.drains, ["b2", "b1", "b3"]);
     assert!(done.shifts.is_empty());
 }
@@ -233,7 +231,7 @@
             ("b3", 4_000, true),
         ],
     );
-    let done = resize(&pools, 0, later(start, 1_000), &SizingLimits::default());
+    let done = resize(&pools, later(start, 1_000), &SizingLimits::default());
     assert_eq!(done.drains, ["b3", "b1", "b2"]);
 }
 
@@ -244,7 +242,7 @@
     pools[0].late = 100_000;
     pools[0].inflow = 500_000;
     pools[1].loose = loose(start, &[("b2", 3_000, false)]);
-    let done = resize(&pools, 0, later(start, 1_000), &SizingLimits::default());
+    let done = resize(&pools, later(start, 1_000), &SizingLimits::default());
     assert_eq!(done, Resize::default());
 }
 
@@ -256,115 +254,6 @@
         pool("b", 6, 96_000, 100_000, &[], start),
     ];
     pools[1].loose = loose(start, &[("b1", 3_000, false)]);
-    let done = resize(&pools, 0, later(start, 1_000), &SizingLimits::default());
+    let done = resize(&pools, later(start, 1_000), &SizingLimits::default());
     assert_eq!(done, Resize::default());
 }
-
-#[test]
-fn vms_that_were_in_use_of_late_are_kept_for_the_next_peak() {
-    let start = Instant::now();
-    let limits = SizingLimits::default();
-    let pools = [
-        pool("a", 5, 16_000, 0, &["a1", "a2", "a3"], start),
-        pool("reserve", 2, 0, 0, &["r1"], start),
-    ];
-    let moves = |recent, ms| resize(&pools, recent, later(start, ms), &limits).shifts;
-    let to_reserve = |vm| shift(vm, "a", "reserve");
-    assert_eq!(
-        moves(1, 2_000),
-        ["a1", "a2", "a3"].map(to_reserve),
-        "no more than one was in use"
-    );
-    assert_eq!(moves(4, 2_000), [to_reserve("a1")]);
-    assert_eq!(moves(5, 2_000), []);
-    assert_eq!(moves(5, 6_000), ["a1", "a2", "a3"].map(to_reserve));
-}
-
-/// Plays pools that have their peaks in turn, each for some seconds, in which it uses so many VMs. Returns the moves that
-/// were made, and the seconds of VMs in pools.
-fn play_turns(limits: &SizingLimits, turns: usize, peak: usize) -> (usize, f64) {
-    const STEP: u64 = 500;
-    const TURN: u64 = 4_500;
-    /// How long what came last in a turn is at work.
-    const TAIL: u64 = 2_000;
-    let start = Instant::now();
-    let names = ["a", "b", "c", "reserve"];
-    // Where each VM is, and since when it is idle.
-    let mut vms: Vec<(usize, Instant)> = (0..3 * peak).map(|_| (3, start)).collect();
-    let (mut moves, mut seconds) = (0, 0.0);
-    let mut used = Vec::new();
-    for step in 0..turns as u64 * TURN / STEP {
-        let now = later(start, step * STEP);
-        let turn = (step * STEP / TURN) as usize % 3;
-        let before = (step * STEP).saturating_sub(TAIL) / TURN;
-        let before = before as usize % 3;
-        let mut pools: Vec<PoolDemand> = Vec::new();
-        for (place, name) in names.iter().enumerate() {
-            let there = vms.iter().filter(|(at, _)| *at == place).count();
-            let need = if place == turn || place == before {
-                peak
-            } else {
-                0
-            };
-            let at_work = need.min(there);
-            let mut named = pool(name, there, at_work as u64 * 13_000, 0, &[], now);
-            named.waiting = (need - at_work) as u64 * 14_000;
-            let mut busy = at_work;
-            for (number, (at, since)) in vms.iter_mut().enumerate() {
-                if *at != place {
-                    continue;
-                }
-                if busy > 0 {
-                    busy -= 1;
-                    *since = now;
-                } else {
-                    named.idle.push(IdleVm {
-                        vm: number.to_string(),
-                        since: *since,
-                    });
-                }
-            }
-            named.idle.sort_by_key(|vm| vm.since);
-            pools.push(named);
-        }
-        used.push(used_vms(&pools, limits));
-        let recent = used
-            .iter()
-            .rev()
-            .take((limits.hold.as_millis() as u64 / STEP) as usize);
-        let done = resize(&pools, recent.copied().max().unwrap_or(0), now, limits);
-        for shift in done.shifts {
-            moves += 1;
-            let to = names.iter().position(|name| *name == shift.to).unwrap_or(3);
-            vms[shift.vm.parse::<usize>().unwrap_or(0)] = (to, now);
-        }
-        let in_pools = vms.iter().filter(|(at, _)| *at != 3).count();
-        seconds += in_pools as f64 * STEP as f64 / 1_000.0;
-    }
-    (moves, seconds)
-}
-
-#[test]
-fn peaks_in_turn_take_one_move_a_vm_and_turn_at_any_size() {
-    let limits = SizingLimits::default();
-    let without = SizingLimits {
-        hold: limits.rest,
-        ..limits.clone()
-    };
-    for peak in [10, 100, 400] {
-        let (moves, seconds) = play_turns(&limits, 12, peak);
-        let (before, least) = play_turns(&without, 12, peak);
-        assert!(
-            moves <= 12 * (peak + peak / 5 + 2),
-            "{peak}: {moves} moves, {before} without"
-        );
-        assert!(
-            before > moves * 3 / 2,
-            "{peak}: {moves} moves, {before} without"
-        );
-        assert!(
-            seconds < 2.0 * least,
-            "{peak}: {seconds} s, {least} without"
-        );
-    }
-}
--- a/crates/havenladder/src/entry/fleet.rs
+++ b/crates/havenladder/src/entry/fleet.rs
@@ -75,9 +75,6 @@
 /// 2 s, and each reading has a price.
 const BUSY_LIST_AGE: Duration = Duration::from_millis(250);
 
-/// Which part of the time the list may be on its way while VMs are: the number of its pages grows with the fleet.
-const READING_SHARE: u32 = 4;
-
 /// Age of the list at which it is read again in any case.
 const CALM_LIST_AGE: Duration = Duration::from_millis(3_000);
 
@@ -117,22 +114,15 @@
     let mut list = VmList::new();
     let mut read: Option<Instant> = None;
     let mut absences = Absences::default();
-    let mut took = Duration::ZERO;
     while owner.is_alive() {
-        let age = if !absences.is_settled(&owner) {
-            BUSY_LIST_AGE
-        } else if waves.is_open(&owner) || moves.is_open() {
-            BUSY_LIST_AGE.max(took * READING_SHARE).min(CALM_LIST_AGE)
-        } else {
-            CALM_LIST_AGE
-        };
+        let busy = waves.is_open(&owner) || moves.is_open() || !absences.is_settled(&owner);
+        let age = if busy { BUSY_LIST_AGE } else { CALM_LIST_AGE };
         let began = Instant::now();
         if read.is_none_or(|at| at.elapsed() >= age)
             && let Some(vms) = read_list(&owner).await
         {
             let vms = vms.into_iter().map(|vm| Vm::of(vm, &owner));
             list = vms.map(|vm| (vm.name.clone(), vm)).collect();
-            took = began.elapsed();
             read = Some(Instant::now());
             absences.see(&owner, &list, began);
             doubt_workers(&owner, &list);
--- a/crates/havenladder/src/entry/lease/mod.rs
+++ b/crates/havenladder/src/entry/lease/mod.rs
@@ -289,7 +289,7 @@
     owner.end(why);
     relay::ask(node, &owner.relays.take(), &released).await;
     // Only this record says what the next owner must look for: an owner that began anew in this process would know
-    // nothing of it, and release the cell without (six runs of tasks that had ended, on one of 40 days).
+    // nothing of it, and release the cell without.
     while holds(node) {
         if let Written::Unsure = write(node, log, released.clone()).await {
             time::sleep(RETRY_INTERVAL).await;
--- a/crates/havenladder/src/entry/moves/mod.rs
+++ b/crates/havenladder/src/entry/moves/mod.rs
@@ -12,7 +12,7 @@
 };
 use adapter::cloud::{Ordered, VmState};
 use clock::Instant;
-use fleet::{PoolDemand, Shift, SizingLimits, lacks_vms, resize, used_vms};
+use fleet::{PoolDemand, Shift, SizingLimits, lacks_vms, resize};
 use jobs::{Loss, Need, Takeout, WorkerId};
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
@@ -37,8 +37,6 @@
     stuck: BTreeMap<String, Instant>,
     /// What the pools have used of late, and when.
     used: BTreeMap<String, VecDeque<(Instant, Need)>>,
-    /// How many VMs all pools together have used of late, and when.
-    in_use: VecDeque<(Instant, usize)>,
     /// When the pools were last logged.
     told: Option<Instant>,
     /// Moves that the platform does not allow: from which pool, to which.
@@ -124,27 +122,12 @@
         if lacks_vms(&pools, &limits) {
             self.find_loose(round, &mut pools);
         }
-        let recent = self.recent_use(&pools, &limits, now);
-        let plan = resize(&pools, recent, now, &limits);
+        let plan = resize(&pools, now, &limits);
         self.drain(round, &plan);
         owner.wake();
         self.order(owner, list, plan.shifts).await;
     }
 
-    /// How many VMs all pools together have used at once of late.
-    fn recent_use(&mut self, pools: &[PoolDemand], limits: &SizingLimits, now: Instant) -> usize {
-        self.in_use.push_back((now, used_vms(pools, limits)));
-        while self
-            .in_use
-            .front()
-            .is_some_and(|(at, _)| *at + limits.hold < now)
-        {
-            self.in_use.pop_front();
-        }
-        let used = self.in_use.iter().map(|(_, used)| *used);
-        used.max().unwrap_or(0)
-    }
-
     /// Orders the moves that may be made now: as many as the platform's rate has room for, and recorded
     /// before.
     async fn order(&mut self, owner: &Rc<Owner>, list: &VmList, mut wanted: Vec<Shift>) {
--- a/crates/havenladder/src/entry/outage.rs
+++ b/crates/havenladder/src/entry/outage.rs
@@ -44,7 +44,7 @@
 
 /// Within which time another entry must tell that the store answers it, its own question to the store included, to show that
 /// this entry is turned away: a store that is slow for all may answer one of them just in time, and gives each 60 times what it
-/// takes as a rule. Without this an owner gave the cell up twice while the store was slow, and one day earned 0.46 for 0.65.
+/// takes as a rule.
 const PROMPT: Duration = Duration::from_millis(100);
 
 /// How long an owner must have had the cell before it gives it up for this: its workers are met by then, and the cell does
--- a/crates/havenladder/src/entry/resend.rs
+++ b/crates/havenladder/src/entry/resend.rs
@@ -1,8 +1,7 @@
 //! Calls that may be repeated, sent again while they have no answer.
 //!
 //! An answer may be lost though the call was carried out, and nothing is then said any more on that connection:
-//! waiting for the whole time-out of the call took a lost answer for an outage (0.47 of a queue's worth earned
-//! where it is 0.97 without the fault, with a third of the answers lost for 4.5 s). So the call is sent again on a
+//! waiting for the whole time-out of the call took a lost answer for an outage. So the call is sent again on a
 //! connection of its own, after the time that answers take as a rule; the earlier one is waited for beside it, as
 //! it may only be slow.
 
@@ -91,7 +90,7 @@
 
 /// Waits for an answer until it is overdue; none if it is. A wait that ends late shows that this process is late
 /// itself: the answer may be there, and not read yet. It is waited for as long again, so that an owner that stood still
-/// does not ask everybody twice (8 workers and 4 pauses of 0.7 s made 32 connections anew, and 6 with this).
+/// does not ask everybody twice.
 pub async fn unless_overdue<T>(
     mut answer: Pin<&mut impl Future<Output = T>>,
     wait: Duration,
--- a/crates/jobs/src/cell/shares.rs
+++ b/crates/jobs/src/cell/shares.rs
@@ -15,8 +15,7 @@
 use std::collections::HashMap;
 
 /// From how many times its objective on a job counts as beyond its workspace's part, if it had that part alone. Nearer,
-/// workspaces that send a little more than usual at a peak go behind where there is room for all in time: with 0.6 in place
-/// of 3, usual days earn 0.009 less (six plays).
+/// workspaces that send a little more than usual at a peak go behind where there is room for all in time.
 const FAR_BEYOND: f64 = 3.0;
 
 /// The virtual time of a service: thousandths of a core times ms, by a weight of 1.
