--- a/crates/havenladder/src/entry/callers/ask.rs
+++ b/crates/havenladder/src/entry/callers/ask.rs
@@ -210,8 +210,6 @@
         | Tell::News(_)
         | Tell::Place(_)
         | Tell::Feed(_)
-        | Tell::FeedAt(_)
-        | Tell::NoFeed
         | Tell::Unsure => Next::AskAgain,
     }
 }
--- a/crates/havenladder/src/entry/feed/serve.rs
+++ b/crates/havenladder/src/entry/feeding.rs
@@ -1,20 +1,22 @@
 //! Gives entries their places, and tells followers what is new.
 
-use super::{HOLD, News, Question, recent::Lacking};
-use crate::entry::{inner::Tell, node::Node};
+use super::{
+    feed::{Answer, HOLD, Lacking, News, Question},
+    node::Node,
+};
 use clock::{Instant, timer};
-use fleet::{Admission, Seeker};
+use fleet::{Admission, Seeker, Source};
 use serde_bytes::ByteBuf;
 use std::time::Duration;
 
 /// Tells an entry where it is to have its news from; only an owner does.
-pub fn place(node: &Node, seeker: Seeker) -> Tell {
+pub fn place(node: &Node, seeker: Seeker) -> Source {
     let mut readers = node.feed.readers.borrow_mut();
-    Tell::Place(readers.place(seeker, rand::random::<u32>() as usize, Instant::now()))
+    readers.place(seeker, rand::random::<u32>() as usize, Instant::now())
 }
 
 /// Answers a follower once there is news for it, or sends it on.
-pub async fn answer(node: &Node, question: Question) -> Tell {
+pub async fn answer(node: &Node, question: Question) -> Answer {
     let began = Instant::now();
     let admission = {
         let mut followers = node.feed.followers.borrow_mut();
@@ -25,7 +27,7 @@
         )
     };
     if let Admission::At(other) = admission {
-        return Tell::FeedAt(other);
+        return Answer::At(other);
     }
     loop {
         let news = node.feed.news.notified();
@@ -49,11 +51,11 @@
 }
 
 /// What a follower is told that was kept waiting for so long.
-fn tell(node: &Node, question: &Question, held: Duration) -> Tell {
+fn tell(node: &Node, question: &Question, held: Duration) -> Answer {
     let now = Instant::now();
     let recent = node.feed.recent.borrow();
     let (Some(lacking), Some(age)) = (recent.since(question.from), recent.age(now)) else {
-        return Tell::NoFeed;
+        return Answer::Nothing;
     };
     let (records, newest) = match lacking {
         Lacking::Records(records) => (records, None),
@@ -61,7 +63,7 @@
     };
     let lease = node.lease.borrow().clone();
     let lease = lease.map(|lease| (lease, node.lease_end.get()));
-    Tell::Feed(News {
+    Answer::News(News {
         records: records
             .iter()
             .map(|record| ByteBuf::from(record.to_vec()))
--- a/crates/havenladder/src/entry/follow.rs
+++ b/crates/havenladder/src/entry/follow.rs
@@ -1,7 +1,6 @@
 //! Follows what operators publish: the configuration and waves of upkeep.
 
 use super::{
-    feed,
     inner::{self, Ask, News, Tell},
     lease::set_lease,
     node::Node,
@@ -38,7 +37,9 @@
 
 /// Follows the topic for ever, while no other entry tells what is new.
 pub async fn run(node: Rc<Node>) {
-    feed::wait_begun(&node).await;
+    if !node.settings.is_seed && !node.settings.seeds.is_empty() {
+        node.feed.wait_begun().await;
+    }
     let mut backoff = Backoff::new(RETRY_INTERVAL, LONGEST_RETRY);
     loop {
         node.feed.wait_unfed().await;
--- a/crates/havenladder/src/entry/inner.rs
+++ b/crates/havenladder/src/entry/inner.rs
@@ -1,7 +1,7 @@
 //! What entries ask of the cell's owner, over HTTP with MessagePack.
 
 use super::{
-    feed,
+    feed, feeding,
     in_force::{Caller, Written},
     lease_record::release_for,
     listen::{self, Reply, accept_each},
@@ -14,7 +14,7 @@
     operator::Version,
 };
 use clock::Instant;
-use fleet::{Address, MilliCpu, Seeker, Source};
+use fleet::{MilliCpu, Seeker, Source};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{Method, Response, StatusCode, body::Incoming};
 use jobs::{Evacuations, JobId, Phase, QueueId, Submission};
@@ -170,12 +170,8 @@
     News(News),
     /// This is where news come from.
     Place(Source),
-    /// This is new.
-    Feed(feed::News),
-    /// This entry is to be followed instead.
-    FeedAt(Address),
-    /// The entry that was asked has not kept what is asked for.
-    NoFeed,
+    /// This is for a follower.
+    Feed(feed::Answer),
     /// Whether the store is silent for an entry, and in which data centre that entry is.
     Outage {
         /// The entry's data centre.
@@ -213,8 +209,8 @@
     let tell = match (ask, node.own()) {
         (Ask::News { version, end }, _) => Tell::News(news(&node, version, end)),
         (Ask::Life, _) => Tell::Life(reach::presence(&node)),
-        (Ask::Feed(question), _) => feed::answer(&node, question).await,
-        (Ask::Place(seeker), Some(_)) => feed::place(&node, seeker),
+        (Ask::Feed(question), _) => Tell::Feed(feeding::answer(&node, question).await),
+        (Ask::Place(seeker), Some(_)) => Tell::Place(feeding::place(&node, seeker)),
         (Ask::Outage, _) => outage::tell(&node).await,
         (Ask::Release(lease), _) => release(&node, *lease).await,
         (Ask::HandOver { cpu }, Some(owner)) => owner.hand_over(cpu),
--- a/crates/havenladder/src/entry/mod.rs
+++ b/crates/havenladder/src/entry/mod.rs
@@ -7,12 +7,15 @@
 mod callers;
 mod ends;
 mod feed;
+mod feeding;
 mod fleet;
 mod follow;
+mod following;
 mod in_force;
 mod inner;
 mod lease;
 mod lease_record;
+mod lease_state;
 mod listen;
 mod logs;
 mod losses;
@@ -88,7 +91,7 @@
     suspension::follow_test_clock();
     tokio::task::spawn_local(follow::run(Rc::clone(&node)));
     tokio::task::spawn_local(lease::run(Rc::clone(&node)));
-    tokio::task::spawn_local(feed::run(Rc::clone(&node)));
+    tokio::task::spawn_local(following::run(Rc::clone(&node)));
     tokio::task::spawn_local(reach::run(Rc::clone(&node)));
     tokio::task::spawn_local(callers::listen(Rc::clone(&node), callers));
     tokio::task::spawn_local(callers::listen_ready(Rc::clone(&node), ready));
--- a/crates/havenladder/src/entry/node.rs
+++ b/crates/havenladder/src/entry/node.rs
@@ -1,13 +1,14 @@
 //! What the duties of an entry share.
 
+pub use super::lease_state::{Lease, LifeId};
+
 use super::{feed::Feed, in_force::InForce, metrics::Metrics, owner::Owner, reach::Directory};
 use adapter::{
     advice::Advice, cloud::Cloud, http::Client, operator::Config, settings::Settings, store::Store,
     workers::Workers,
 };
 use clock::Instant;
-use fleet::{AnswerTime, MilliCpu, Reach};
-use serde::{Deserialize, Serialize};
+use fleet::{AnswerTime, Reach};
 use std::{
     cell::{Cell, RefCell},
     rc::Rc,
@@ -16,40 +17,6 @@
 use tokio::sync::Notify;
 use workspaces::Freshness;
 
-/// One life of an entry's process.
-pub type LifeId = u64;
-
-/// Who owns the cell, as the log says.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Lease {
-    /// The owner's name.
-    pub node: String,
-    /// Its life.
-    pub life: LifeId,
-    /// Where it takes the calls of other entries.
-    pub address: String,
-    /// Whether it has given the cell up.
-    pub released: bool,
-    /// When it has: for how many ms more leases of owners before it may hold.
-    pub waits: u64,
-    /// The owner's part of a core; when it gave the cell up for a stronger entry, that one's.
-    #[serde(default)]
-    pub cpu: MilliCpu,
-    /// Whether the owner may have started runs that it has not recorded.
-    #[serde(default)]
-    pub unrecorded: bool,
-    /// Whether the owner may have given orders about VMs that it has not recorded.
-    #[serde(default)]
-    pub orders: bool,
-}
-
-impl Lease {
-    /// Whether another record says the same of who owns the cell.
-    pub fn is_same(&self, other: &Lease) -> bool {
-        self.life == other.life && self.released == other.released
-    }
-}
-
 /// What the duties of an entry share.
 pub struct Node {
     /// What the platform's file says.
