--- a/crates/havenladder/src/entry/feed/recent.rs
+++ b/crates/havenladder/src/entry/feed/recent.rs
@@ -72,7 +72,9 @@
         match self.end {
             Some(end) if offset < end => return,
             Some(end) if offset == end => {}
-            Some(_) | None => self.lose(),
+            // Records in between are missing: the newest are to be read again.
+            Some(_) => return self.lose(),
+            None => return,
         }
         if let Some(Keyed { key, value }) = split_keyed(record.clone()) {
             match value {
