--- a/crates/havenladder/src/entry/owner/append.rs
+++ b/crates/havenladder/src/entry/owner/append.rs
@@ -107,6 +107,9 @@
 fn go_on(owner: &Rc<Owner>, starts: &mut Vec<Order>) {
     let now = Instant::now();
     owner.update_workspaces();
+    if !owner.update_evacuations() {
+        return;
+    }
     let mut cell = owner.cell.borrow_mut();
     cell.mark_due(wall_ms());
     cell.stop_still(now);
