feat(entry): count bytes and connections by party

Entries now count the bytes and connections of each party; an owner logs them once a second (`owner's traffic`), and two metrics export them.

--- a/crates/havenladder/src/entry/callers/mod.rs
+++ b/crates/havenladder/src/entry/callers/mod.rs
@@ -7,6 +7,7 @@
     listen::{self, Reply, accept_each},
     node::Node,
 };
+use adapter::traffic::Party;
 use bytes::Bytes;
 use call::handle;
 use clock::Instant;
@@ -33,6 +34,7 @@
 async fn serve(node: Rc<Node>, stream: TcpStream) {
     // An error is ignored, since it only makes responses slower.
     let _ = stream.set_nodelay(true);
+    let stream = node.client.traffic().meter(Party::Caller, stream);
     let service = service_fn(|request| serve_request(Rc::clone(&node), request));
     let builder = http1::Builder::new().timer(TokioTimer::new()).clone();
     let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
--- a/crates/havenladder/src/entry/listen.rs
+++ b/crates/havenladder/src/entry/listen.rs
@@ -6,6 +6,7 @@
 use hyper_util::rt::TokioIo;
 use std::{convert::Infallible, io, time::Duration};
 use tokio::{
+    io::{AsyncRead, AsyncWrite},
     net::{TcpListener, TcpStream},
     task, time,
 };
@@ -40,7 +41,7 @@
 /// Answers the requests of a connection until the peer closes it. An error is ignored, since a peer
 /// whose connection breaks connects again by itself.
 pub async fn serve<F: Future<Output = Reply>>(
-    stream: TcpStream,
+    stream: impl AsyncRead + AsyncWrite + Unpin + 'static,
     respond: impl Fn(Request<Incoming>) -> F,
 ) {
     let service = service_fn(|request| {
--- a/crates/havenladder/src/entry/metrics.rs
+++ b/crates/havenladder/src/entry/metrics.rs
@@ -1,6 +1,10 @@
 //! Counters and latencies of an entry on the users' machines, in the text format of Prometheus.
 
-use super::listen::{self, Reply, accept_each};
+use super::{
+    listen::{self, Reply, accept_each},
+    traffic,
+};
+use adapter::traffic::Traffic;
 use http_body_util::Full;
 use hyper::Response;
 use opentelemetry::{
@@ -51,7 +55,7 @@
 impl Metrics {
     /// Creates the metrics of this process. If the exporter cannot be registered, a warning is logged and the metrics
     /// stay empty.
-    pub fn new() -> Self {
+    pub fn new(counters: &Traffic) -> Self {
         let registry = Registry::new();
         let exporter = opentelemetry_prometheus::exporter()
             .with_registry(registry.clone())
@@ -63,6 +67,7 @@
         }
         let provider = builder.build();
         let meter = provider.meter("havenladder");
+        traffic::export(&meter, counters);
         let seconds = |name: &'static str| {
             meter
                 .f64_histogram(name)
--- a/crates/havenladder/src/entry/mod.rs
+++ b/crates/havenladder/src/entry/mod.rs
@@ -34,6 +34,7 @@
 mod stop;
 mod store_calls;
 mod suspension;
+mod traffic;
 mod vm_orders;
 mod watch;
 mod wave_status;
--- a/crates/havenladder/src/entry/node.rs
+++ b/crates/havenladder/src/entry/node.rs
@@ -93,7 +93,7 @@
         Rc::new(Node {
             incarnation: rand::random(),
             began: Instant::now(),
-            metrics: Rc::new(Metrics::new()),
+            metrics: Rc::new(Metrics::new(client.traffic())),
             store: Store::new(client.clone(), &settings.store_address),
             store_times: Cell::default(),
             workers: WorkerClient::new(client.clone()),
--- a/crates/havenladder/src/entry/own_cell.rs
+++ b/crates/havenladder/src/entry/own_cell.rs
@@ -9,7 +9,7 @@
         Owner, Predecessor, append::append, load::load, loop_stats::LoopStats, vm_orders,
         workspaces::log_bound_waits,
     },
-    suspension, worker_list,
+    suspension, traffic, worker_list,
 };
 use ::fleet::StoreTrouble;
 use clock::{Instant, timer};
@@ -57,6 +57,7 @@
     task::spawn_local(fleet::run(Rc::clone(&owner)));
     task::spawn_local(vm_orders::watch_earlier_owners(Rc::clone(&owner)));
     task::spawn_local(log_waiting_tasks(Rc::clone(&owner)));
+    task::spawn_local(traffic::log(Rc::clone(&owner)));
     run_rounds(&owner).await;
     owner.end("the owner's loop has ended");
 }
--- a/crates/havenladder/src/entry/peer.rs
+++ b/crates/havenladder/src/entry/peer.rs
@@ -13,6 +13,7 @@
 use adapter::{
     http::{Call, CallError, Connection},
     operator::Version,
+    traffic::Party,
 };
 use clock::Instant;
 use fleet::{FollowerInfo, MilliCpu, Source};
@@ -215,6 +216,7 @@
     let serve = |stream: TcpStream| {
         // An error is ignored, since it only makes responses slower.
         let _ = stream.set_nodelay(true);
+        let stream = node.client.traffic().meter(Party::Peer, stream);
         let node = Rc::clone(&node);
         listen::serve(stream, move |request| respond(Rc::clone(&node), request))
     };
