fix(entry): calls to workers are resent by the response times of all workers

Cause: a start, stop or poll without a response was sent a second time over a new connection after a fixed 80 or 100 ms. A burst of 219 starts (90 KB) takes such a link 0.36 s, so that nearly all of it was sent twice, and a poll with each: the link stayed full, workers counted as silent, their leases expired and their tasks started elsewhere.

The change: the delay is learned from the responses of all workers together, as for the store (mean and four deviations, the former delays at the least, 500 ms at the most), and checked again when a call is overdue: responses to the first calls of a burst show that all are late. It works since what is late for all workers at once is late before them.

Ruled out: processor time (the same without), descriptors and memory.

--- a/crates/havenladder/src/entry/node.rs
+++ b/crates/havenladder/src/entry/node.rs
@@ -37,6 +37,8 @@
     pub store_times: Cell<ResponseTime>,
     /// Client of the workers.
     pub workers: WorkerClient,
+    /// Response times of all workers together, which share the link of this entry.
+    pub worker_times: Cell<ResponseTime>,
     /// Client of the platform's VM service.
     pub cloud: Cloud,
     /// Response times of the VM list.
@@ -97,6 +99,7 @@
             store: Store::new(client.clone(), &settings.store_address),
             store_times: Cell::default(),
             workers: WorkerClient::new(client.clone()),
+            worker_times: Cell::default(),
             advice: settings
                 .advice_address
                 .as_ref()
--- a/crates/havenladder/src/entry/orders.rs
+++ b/crates/havenladder/src/entry/orders.rs
@@ -3,8 +3,8 @@
 use super::{
     losses::abandon_worker,
     owner::{FencingToken, Owner, WORKER_LEASE_DURATION, max_lease_duration},
-    resend::unless_overdue,
-    starts::{RESEND_DELAY, start},
+    resend::unless_overdue_by,
+    starts::{MIN_RESEND_DELAY, start},
 };
 use adapter::{
     http::Connection,
@@ -110,7 +110,8 @@
         workers.stop(info, task, run, fencing_token, connection)
     };
     let mut first = pin!(stop(Connection::Pooled));
-    if let Some(outcome) = unless_overdue(first.as_mut(), RESEND_DELAY).await {
+    let delay = || owner.resend_delay(MIN_RESEND_DELAY);
+    if let Some(outcome) = unless_overdue_by(first.as_mut(), delay).await {
         return outcome;
     }
     let mut second = pin!(stop(Connection::New));
--- a/crates/havenladder/src/entry/owner/mod.rs
+++ b/crates/havenladder/src/entry/owner/mod.rs
@@ -263,6 +263,12 @@
         token < self.fencing_token(worker)
     }
 
+    /// Returns how long a worker's response may take until the call is resent: at least this time, and longer while
+    /// the responses of all workers take longer.
+    pub fn resend_delay(&self, min: Duration) -> Duration {
+        self.node.worker_times.get().initial_timeout().max(min)
+    }
+
     /// Returns whether the owner may extend leases and start durable tasks.
     pub fn may_hold(&self) -> bool {
         self.is_alive() && self.last_renewal.get().elapsed() < MAX_RENEWAL_AGE
--- a/crates/havenladder/src/entry/polls.rs
+++ b/crates/havenladder/src/entry/polls.rs
@@ -1,6 +1,10 @@
 //! Polls of workers: each returns the worker's current runs and those that have ended, and extends its lease.
 
-use super::{orders, owner::Owner, resend::unless_overdue};
+use super::{
+    orders,
+    owner::Owner,
+    resend::{record_time, unless_overdue_by},
+};
 use adapter::{
     http::Connection,
     workers::{HoldRequest, WorkerError, WorkerResponse},
@@ -16,9 +20,9 @@
 /// Time for which a poll waits at a worker without runs. Its lease protects no run, so half as many polls are enough.
 const IDLE_POLL_WAIT: Duration = Duration::from_millis(1_000);
 
-/// Delay of a response after which the poll is resent over a new connection. A healthy worker responds within a few
-/// ms, and an overloaded owner of 1,100 workers reads the response 76 ms later.
-const RESEND_DELAY: Duration = Duration::from_millis(100);
+/// Minimum delay of a response after which the poll is resent over a new connection. A healthy worker responds within
+/// a few ms, and an overloaded owner of 1,100 workers reads the response 76 ms later.
+const MIN_RESEND_DELAY: Duration = Duration::from_millis(100);
 
 /// Maximum age of the last response at which a poll may acknowledge ends, which the worker then forgets. The poll may
 /// reach a new incarnation, which uses the same numbers for its own ends and would forget ends that it has not
@@ -54,16 +58,15 @@
     info: &WorkerInfo,
     hold: HoldRequest,
 ) -> Result<PollResponse, WorkerError> {
-    let workers = &owner.node.workers;
     let sent_at = Instant::now();
-    let mut first = pin!(workers.hold(info, hold, Connection::Pooled));
-    let wait = Duration::from_millis(hold.wait_ms) + RESEND_DELAY;
-    if let Some(outcome) = unless_overdue(first.as_mut(), wait).await {
+    let mut first = pin!(timed_poll(owner, info, hold, Connection::Pooled));
+    let delay = || Duration::from_millis(hold.wait_ms) + owner.resend_delay(MIN_RESEND_DELAY);
+    if let Some(outcome) = unless_overdue_by(first.as_mut(), delay).await {
         return outcome.map(|response| PollResponse { sent_at, response });
     }
     let resent_at = Instant::now();
     let second = next_poll(owner, &info.id, LastPoll::Unanswered);
-    let mut second = pin!(workers.hold(info, second, Connection::New));
+    let mut second = pin!(timed_poll(owner, info, second, Connection::New));
     tokio::select! {
         // If the first poll ends by its timeout, the second one has had time to be answered: the worker is silent.
         outcome = first.as_mut() => outcome.map(|response| PollResponse { sent_at, response }),
@@ -74,6 +77,22 @@
     }
 }
 
+/// Polls a worker once and records its response time.
+async fn timed_poll(
+    owner: &Owner,
+    info: &WorkerInfo,
+    hold: HoldRequest,
+    connection: Connection,
+) -> Result<WorkerResponse<Report>, WorkerError> {
+    let sent_at = Instant::now();
+    let outcome = owner.node.workers.hold(info, hold, connection).await;
+    if outcome.is_ok() {
+        let waited = Duration::from_millis(hold.wait_ms);
+        record_time(&owner.node.worker_times, waited, sent_at.elapsed());
+    }
+    outcome
+}
+
 /// Returns the next poll to send to a worker.
 pub fn next_poll(owner: &Owner, id: &str, last: LastPoll) -> HoldRequest {
     let without_lease = HoldRequest {
--- a/crates/havenladder/src/entry/resend.rs
+++ b/crates/havenladder/src/entry/resend.rs
@@ -95,19 +95,34 @@
 /// process is late itself, so that the response may have arrived without having been read. The wait
 /// is then extended by the delay, so that an owner that was paused does not call everybody twice.
 pub async fn unless_overdue<T>(
-    mut response: Pin<&mut impl Future<Output = T>>,
+    response: Pin<&mut impl Future<Output = T>>,
     wait: Duration,
 ) -> Option<T> {
-    let mut due = Instant::now() + wait;
+    unless_overdue_by(response, || wait).await
+}
+
+/// Waits for a response as [`unless_overdue`] does, with a wait that may grow in the meantime.
+///
+/// Calls to many workers share the link of this process. If a burst of them fills it, all responses
+/// are late, and resent calls would only add to what waits for the link. Responses to the first
+/// calls of the burst show this before the others are overdue.
+pub async fn unless_overdue_by<T>(
+    mut response: Pin<&mut impl Future<Output = T>>,
+    wait: impl Fn() -> Duration,
+) -> Option<T> {
+    let began = Instant::now();
+    let mut due = began + wait();
     loop {
         if let Ok(response) = timer::timeout_at(due, response.as_mut()).await {
             return Some(response);
         }
         let late = due.elapsed();
-        if late < MAX_WAKE_DELAY {
-            return None;
-        }
-        due = Instant::now() + late;
+        let extended = began + wait();
+        due = match late < MAX_WAKE_DELAY {
+            false => Instant::now() + late,
+            true if extended > Instant::now() => extended,
+            true => return None,
+        };
     }
 }
 
@@ -120,7 +135,7 @@
 
 /// Updates the response times from a response. One that came before its hold time was over could
 /// have come at any time, and is left out.
-fn record_time(times: &Cell<ResponseTime>, hold: Duration, took: Duration) {
+pub fn record_time(times: &Cell<ResponseTime>, hold: Duration, took: Duration) {
     if let Some(took) = took.checked_sub(hold) {
         let mut response_time = times.get();
         response_time.record(took);
--- a/crates/havenladder/src/entry/starts.rs
+++ b/crates/havenladder/src/entry/starts.rs
@@ -5,7 +5,7 @@
     losses::abandon_worker,
     orders::{find_worker, lease_end},
     owner::{FencingToken, Owner},
-    resend::unless_overdue,
+    resend::{record_time, unless_overdue_by},
     watch,
 };
 use adapter::{
@@ -18,13 +18,13 @@
 use tokio::{sync::OwnedSemaphorePermit, task, time};
 use tracing::info;
 
-/// Time after which a worker that has not responded to a start gets no further ones. A healthy worker takes a few ms,
-/// and one that cannot be reached would attract starts for a second, each of which extends its lease.
-const START_TIMEOUT: Duration = Duration::from_millis(150);
+/// Time after a resent start after which a worker that has not responded to it gets no further ones. A healthy worker
+/// takes a few ms, and one that cannot be reached would attract starts for a second, each of which extends its lease.
+const RESENT_START_TIMEOUT: Duration = Duration::from_millis(70);
 
-/// Time after which a start or a stop without a response is resent over a new connection. A healthy worker takes a
-/// few ms, and an overloaded owner of 1,100 workers reads the response 76 ms later.
-pub const RESEND_DELAY: Duration = Duration::from_millis(80);
+/// Minimum time after which a start or a stop without a response is resent over a new connection. A healthy worker
+/// takes a few ms, and an overloaded owner of 1,100 workers reads the response 76 ms later.
+pub const MIN_RESEND_DELAY: Duration = Duration::from_millis(80);
 
 /// Sends a start, unless the state on which the decision was based has changed.
 pub async fn start(owner: &Rc<Owner>, worker: &str, task: TaskId, run: RunId) {
@@ -134,9 +134,9 @@
     order: &StartRequest<'_>,
     start_permit: Option<OwnedSemaphorePermit>,
 ) -> Result<WorkerResponse<()>, WorkerError> {
-    let workers = &owner.node.workers;
-    let mut first = pin!(workers.start(info, order, Connection::Pooled));
-    if let Some(outcome) = unless_overdue(first.as_mut(), RESEND_DELAY).await {
+    let mut first = pin!(timed_start(owner, info, order, Connection::Pooled));
+    let delay = || owner.resend_delay(MIN_RESEND_DELAY);
+    if let Some(outcome) = unless_overdue_by(first.as_mut(), delay).await {
         return outcome;
     }
     info!(
@@ -145,9 +145,9 @@
         worker = %info.id,
         "start resent"
     );
-    let second = workers.start(info, order, Connection::New);
+    let second = timed_start(owner, info, order, Connection::New);
     let mut both = pin!(first_decisive(first, second));
-    if let Ok(outcome) = time::timeout(START_TIMEOUT - RESEND_DELAY, both.as_mut()).await {
+    if let Ok(outcome) = time::timeout(RESENT_START_TIMEOUT, both.as_mut()).await {
         return outcome;
     }
     drop(start_permit);
@@ -159,6 +159,21 @@
     both.await
 }
 
+/// Sends a start once and records the worker's response time.
+async fn timed_start(
+    owner: &Owner,
+    info: &WorkerInfo,
+    order: &StartRequest<'_>,
+    connection: Connection,
+) -> Outcome {
+    let sent_at = Instant::now();
+    let outcome = owner.node.workers.start(info, order, connection).await;
+    if outcome.is_ok() {
+        record_time(&owner.node.worker_times, Duration::ZERO, sent_at.elapsed());
+    }
+    outcome
+}
+
 /// The outcome of a start.
 type Outcome = Result<WorkerResponse<()>, WorkerError>;
 
--- a/crates/standin/src/proxy.rs
+++ b/crates/standin/src/proxy.rs
@@ -3,7 +3,7 @@
 use std::{
     net::SocketAddr,
     sync::{
-        Arc,
+        Arc, Mutex,
         atomic::{AtomicBool, AtomicU64, Ordering::Relaxed},
     },
     time::Duration,
@@ -14,7 +14,7 @@
         TcpListener, TcpStream,
         tcp::{OwnedReadHalf, OwnedWriteHalf},
     },
-    time::sleep,
+    time::{Instant, sleep, sleep_until},
 };
 
 /// Size of the buffer in which each direction of a connection is forwarded.
@@ -23,9 +23,41 @@
 /// Time between two checks of the faults while bytes are held back.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
+/// A link of limited bandwidth that several proxies share, as the processes behind one network
+/// interface do. Bytes pass in the order in which they arrive.
+#[derive(Debug)]
+pub struct Link {
+    bytes_per_s: u64,
+    /// Time at which the link has passed all bytes so far.
+    free_at: Mutex<Instant>,
+}
+
+impl Link {
+    /// Returns a link that passes this many bytes a second.
+    pub fn new(bytes_per_s: u64) -> Self {
+        Link {
+            bytes_per_s,
+            free_at: Mutex::new(Instant::now()),
+        }
+    }
+
+    /// Waits until the link has passed a number of bytes.
+    async fn pass(&self, bytes: usize) {
+        let time = Duration::from_secs_f64(bytes as f64 / self.bytes_per_s as f64);
+        let passed_at = {
+            let mut free_at = self.free_at.lock().expect("no thread panics here");
+            *free_at = (*free_at).max(Instant::now()) + time;
+            *free_at
+        };
+        sleep_until(passed_at).await;
+    }
+}
+
 /// Faults that can be switched on and off while connections are open.
 #[derive(Debug, Default)]
 pub struct Faults {
+    /// Link that requests share with those of other proxies; `None` if its bandwidth is unlimited.
+    link: Mutex<Option<Arc<Link>>>,
     cut: AtomicBool,
     delay_ms: AtomicU64,
     lost_responses: AtomicU64,
@@ -45,6 +77,11 @@
         self.cut.store(cut, Relaxed);
     }
 
+    /// Lets all further requests pass through a link, and restores unlimited bandwidth with `None`.
+    pub fn share_link(&self, link: Option<Arc<Link>>) {
+        *self.link.lock().expect("no thread panics here") = link;
+    }
+
     /// Delays every chunk of bytes by `delay`, in both directions.
     pub fn delay(&self, delay: Duration) {
         let millis = u64::try_from(delay.as_millis()).unwrap_or(u64::MAX);
@@ -175,6 +212,10 @@
     while let Ok(read @ 1..) = from.read(&mut buffer).await {
         faults.bytes.fetch_add(read as u64, Relaxed);
         until_released(&faults.stalled_requests).await;
+        let link = faults.link.lock().expect("no thread panics here").clone();
+        if let Some(link) = link {
+            link.pass(read).await;
+        }
         wait_for_delay(faults).await;
         if let Some(duplicate_connection) = &mut duplicate_connection {
             let _ = duplicate_connection.write_all(&buffer[..read]).await;
