fix(entry): starts go out no faster than the owner's link, and jobs that would wait too long are refused

Cause: an owner orders as many starts as workers have room for. Each carries its job's text (550 bytes on average): at 2 Mbit/s some 80 a second beside polls (32 KB/s) and records (45 KB/s), while callers ask for 360. The rest waited in the sockets, in front of renewals, polls and responses, so that leases expired; ordered starts kept the room of workers, and VMs in their pools; no forecast knew of that wait.

The change: - the queue in front of the link is computed from what was written and from `link-mbps` of the settings (crates/fleet/src/ link_queue.rs), and starts wait until it is below 20 ms; 0.65 of the bandwidth is planned with; - a pass orders starts for 0.3 s ahead at most, services in the order of their first ranks (long-running tasks first); - a job whose starts would wait longer than its objective allows is refused at once, with when to come back (crates/jobs/src/cell/dispatch.rs); what earlier jobs still need counts, what is late already does not. Where the file has no bandwidth nothing changes.

Conclusion: an owner that is asked for more than it can send refuses and keeps what it has. What one link sends is the limit of one owner; sending through other entries is not built.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -12,6 +12,7 @@
 mod first_sent;
 mod fold;
 mod grant;
+mod link_queue;
 mod member;
 mod moves;
 mod outage;
@@ -36,6 +37,7 @@
     SILENT_OWNER_TIMEOUT, WEAKER_CLAIM_DELAY, outranks,
 };
 pub use first_sent::{FirstSent, LogPosition};
+pub use link_queue::LinkQueue;
 pub use moves::{BudgetHeadroom, ProposedGrant, min_moves, next_moves};
 pub use outage::{ServiceReport, is_isolated, is_unavailable};
 pub use plan::{Action, Evidence, View, VmObservation, next_action, plan, token_without_grant};
--- a/crates/havenladder/src/entry/mod.rs
+++ b/crates/havenladder/src/entry/mod.rs
@@ -11,6 +11,7 @@
 mod lease;
 mod lease_record;
 mod lease_state;
+mod link;
 mod listen;
 mod logs;
 mod losses;
--- a/crates/havenladder/src/entry/node.rs
+++ b/crates/havenladder/src/entry/node.rs
@@ -3,7 +3,8 @@
 pub use super::lease_state::{IncarnationId, Lease};
 
 use super::{
-    in_force::InForce, metrics::Metrics, owner::Owner, reach::Directory, replication::Replication,
+    in_force::InForce, link::Link, metrics::Metrics, owner::Owner, reach::Directory,
+    replication::Replication,
 };
 use adapter::{
     advice::AdviceClient, cloud::Cloud, http::Client, operator::Config, settings::Settings,
@@ -11,6 +12,7 @@
 };
 use clock::Instant;
 use fleet::{Reach, ResponseTime};
+use jobs::Dispatch;
 use std::{
     cell::{Cell, RefCell},
     rc::Rc,
@@ -39,6 +41,8 @@
     pub workers: WorkerClient,
     /// Response times of all workers together, which share the link of this entry.
     pub worker_times: Cell<ResponseTime>,
+    /// Link of this entry.
+    pub link: Link,
     /// Client of the platform's VM service.
     pub cloud: Cloud,
     /// Response times of the VM list.
@@ -100,6 +104,7 @@
             store_times: Cell::default(),
             workers: WorkerClient::new(client.clone()),
             worker_times: Cell::default(),
+            link: Link::new(settings.bandwidth),
             advice: settings
                 .advice_address
                 .as_ref()
@@ -175,6 +180,11 @@
         self.reach.set(reach);
     }
 
+    /// Returns how fast this entry can send starts.
+    pub fn dispatch(&self) -> Dispatch {
+        self.link.dispatch(self.client.traffic().sent())
+    }
+
     /// Returns the newest configuration.
     pub fn config(&self) -> Option<Rc<Config>> {
         self.in_force.borrow().config()
--- a/crates/havenladder/src/entry/own_cell.rs
+++ b/crates/havenladder/src/entry/own_cell.rs
@@ -123,6 +123,7 @@
     let mut cell = owner.cell.borrow_mut();
     cell.mark_due(wall_ms());
     cell.stop_stalled(now);
+    cell.set_dispatch(owner.node.dispatch());
     if may_start {
         cell.schedule(now);
     }
--- a/crates/havenladder/src/entry/owner/requests.rs
+++ b/crates/havenladder/src/entry/owner/requests.rs
@@ -163,10 +163,11 @@
     /// Returns in how many ms there may be capacity for a job, if it would be done too late when
     /// accepted now.
     fn forecast(&self, submission: &Submission) -> Option<u64> {
-        let cell = self.cell.borrow();
+        let mut cell = self.cell.borrow_mut();
         if cell.jobs.contains_key(&submission.id) {
             return None;
         }
+        cell.set_dispatch(self.node.dispatch());
         match cell.forecast(submission) {
             Forecast::Worthwhile => None,
             Forecast::TooLate(ms) => Some(ms),
--- a/crates/havenladder/src/entry/starts.rs
+++ b/crates/havenladder/src/entry/starts.rs
@@ -2,6 +2,7 @@
 //! determines from the responses what is certain about a run.
 
 use super::{
+    link::wait_for_link,
     losses::abandon_worker,
     orders::{find_worker, lease_end},
     owner::{FencingToken, Owner},
@@ -28,7 +29,9 @@
 
 /// Sends a start, unless the state on which the decision was based has changed.
 pub async fn start(owner: &Rc<Owner>, worker: &str, task: TaskId, run: RunId) {
+    let place = owner.node.link.enqueue(payload_bytes(owner, task));
     let start_permit = acquire_start_permit(owner, worker).await;
+    wait_for_link(owner, place).await;
     let confirmed = owner
         .cell
         .borrow_mut()
@@ -277,6 +280,12 @@
     }
 }
 
+/// Returns the number of bytes of the job's text and the task's saved progress.
+fn payload_bytes(owner: &Owner, task: TaskId) -> u64 {
+    let payload = start_payload(owner, task);
+    payload.map_or(0, |(spec, saved)| (spec.len() + saved.len()) as u64)
+}
+
 /// Returns the job's text and the task's saved progress.
 fn start_payload(owner: &Owner, task: TaskId) -> Option<(String, String)> {
     let cell = owner.cell.borrow();
--- a/crates/havenladder/src/entry/traffic.rs
+++ b/crates/havenladder/src/entry/traffic.rs
@@ -21,7 +21,13 @@
         let changes = Party::ALL
             .into_iter()
             .zip(now.into_iter().zip(last).map(|(now, last)| now.since(last)));
-        info!(bytes = describe(changes), "owner's traffic");
+        let starts = owner.node.dispatch();
+        info!(
+            bytes = describe(changes),
+            waiting = starts.waiting,
+            rate = starts.rate as u64,
+            "owner's traffic"
+        );
         last = now;
     }
 }
--- a/crates/jobs/src/cell/backlog.rs
+++ b/crates/jobs/src/cell/backlog.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     Cell, Need, Step, Submission, WorkspaceId,
+    cell::dispatch::start_bytes,
     job::{critical_path_ms, work_of_steps},
     rank::Rank,
 };
@@ -86,22 +87,31 @@
 
     /// Forecasts whether a job that is submitted now would be done while its caller still waits for it.
     pub fn forecast(&self, submission: &Submission) -> Forecast {
-        let backlog = self.backlogs.get(&submission.service);
-        let known = backlog.filter(|backlog| backlog.cores > 0.0);
-        let Some(backlog) = known.filter(|_| has_objective(submission)) else {
+        if !has_objective(submission) {
             return Forecast::Worthwhile;
-        };
+        }
         let factor = self.estimate_factor(&submission.queue);
         let critical_path = critical_path_ms(&submission.spec.steps) as f64 * factor;
+        let objective = submission.stretch * critical_path + submission.slack as f64;
+        let dispatch_ms = self.dispatch_wait_ms(submission);
+        // Starts are sent in the order of their decisions, so that each job that is accepted although it would be late
+        // makes others late.
+        let overdue_ms = dispatch_ms - (MAX_OBJECTIVE_FACTOR * objective - critical_path);
+        if overdue_ms > 0.0 {
+            return Forecast::TooLate(overdue_ms as u64);
+        }
+        let backlog = self.backlogs.get(&submission.service);
+        let Some(backlog) = backlog.filter(|backlog| backlog.cores > 0.0) else {
+            return Forecast::Worthwhile;
+        };
         let limit = match submission.workspace {
             Some(_) => MAX_OBJECTIVE_FACTOR,
             None => MAX_OBJECTIVE_FACTOR_WITHOUT_WORKSPACES,
         };
-        let allowed_ms =
-            limit * (submission.stretch * critical_path + submission.slack as f64) - critical_path;
+        let allowed_ms = limit * objective - critical_path;
         let workspace = submission.workspace.as_ref();
         let share = workspace.map_or(1.0, |id| self.shares.share(&submission.service, id));
-        let wait_ms = backlog.queue_wait_ms(workspace, share);
+        let wait_ms = backlog.queue_wait_ms(workspace, share) + dispatch_ms;
         if wait_ms <= allowed_ms {
             return Forecast::Worthwhile;
         }
@@ -125,6 +135,7 @@
             let work = work_of_steps(&submission.spec.steps) * factor / 1_000.0;
             backlog.add(submission.workspace.as_ref(), work);
         }
+        self.start_backlog += start_bytes(submission);
     }
 
     /// Returns the work of a waiting task, or of the gang that it represents, and the workspace that it
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -4,6 +4,7 @@
 mod backlog;
 mod crashes;
 mod demand;
+mod dispatch;
 mod durable;
 mod ends;
 mod incarnations;
@@ -20,6 +21,7 @@
 
 pub use backlog::Forecast;
 pub use demand::{Demand, Unschedulable};
+pub use dispatch::Dispatch;
 pub use ledger::BoundWait;
 pub(crate) use ledger::charge_of;
 pub use limits::Limits;
@@ -98,6 +100,10 @@
     shares: Shares,
     /// The work that waits for each service.
     backlogs: HashMap<ServiceId, Backlog>,
+    /// How fast the owner sends starts.
+    pub(crate) dispatch: Dispatch,
+    /// The bytes of the starts that jobs need until their ends, including jobs accepted since the last update.
+    start_backlog: u64,
     /// The jobs that have no record yet.
     new_jobs: HashSet<JobId>,
     /// The jobs whose state has changed since the last batch of records.
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -37,7 +37,9 @@
 mod workspace;
 
 pub use account::{Account, Charge};
-pub use cell::{Accepted, BoundWait, Cancelled, Cell, Demand, Forecast, Limits, Unschedulable};
+pub use cell::{
+    Accepted, BoundWait, Cancelled, Cell, Demand, Dispatch, Forecast, Limits, Unschedulable,
+};
 pub use disruption::Disruption;
 pub use explain::Obstacle;
 pub use hall::HallId;
--- a/crates/jobs/src/pass.rs
+++ b/crates/jobs/src/pass.rs
@@ -43,15 +43,19 @@
         self.vm_orders.forget_old(now);
         self.release_unrecorded_charges(now);
         self.unblock_tasks();
-        let services: Vec<_> = self.waiting.keys().cloned().collect();
+        let mut services: Vec<_> = self.waiting.keys().cloned().collect();
+        let mut budget = self.dispatch.budget();
+        if budget.is_finite() {
+            services.sort_by_key(|service| self.waiting[service].first().copied());
+        }
         for service in services {
-            self.schedule_service(&service, now, log);
+            self.schedule_service(&service, now, log, &mut budget);
         }
         self.reserved_workers.clear();
     }
 
-    /// Places the waiting tasks of a service, in order.
-    fn schedule_service(&mut self, service: &str, now: Instant, log: LogState) {
+    /// Places the waiting tasks of a service, in order, until the budget for bytes of starts is used up.
+    fn schedule_service(&mut self, service: &str, now: Instant, log: LogState, budget: &mut f64) {
         self.demote_late(service);
         self.near.begin_pass();
         self.unplaced_needs.clear();
@@ -62,13 +66,17 @@
         let mut misfits = 0;
         let mut deferred = 0;
         let mut after: Option<Rank> = None;
-        while misfits < MAX_MISFITS {
+        while misfits < MAX_MISFITS && *budget > 0.0 {
             // Placed tasks leave the queue, so the next one is the first after the previous rank.
             let Some(rank) = self.next_rank(service, after) else {
                 break;
             };
             after = Some(rank);
-            match self.try_place(service, &rank, now, log) {
+            let ordered = self.starts.len();
+            let placing = self.try_place(service, &rank, now, log);
+            let starts = self.starts.len() - ordered;
+            *budget -= (starts as u64 * self.start_bytes(rank.task())) as f64;
+            match placing {
                 Placing::MustWait => {}
                 Placing::AtBound => self.block_on_bound(service, &rank),
                 Placing::Done => {
