fix(fleet): a VM that something else booted is undrained before its grant ends

What callers saw: a service lost 24 slots of a pool where its budget allows 16, when a rack failed around a reboot of a wave.

Cause: a grant for a reboot ended on any boot later than the one it names. Where the VM's rack had failed and come back, the holder drained the VM again, began, and took that boot for its reboot: the grant, and the charge, ended while the VM was drained, and another VM was granted before the drift was corrected.

The change: the holder undrains such a VM before it ends the grant, also where only a drain call in flight could still drain it; the same for a move whose VM is in its pool already. Tried first and dropped: to wait for the grant's newest token, which a takeover of the lease changes (waves_end_once_faults_have_ended did not end).

--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -226,6 +226,13 @@
     }
 }
 
+/// Returns whether a VM whose operation has begun is drained, or may be by a drain call that is still in flight: the
+/// platform refuses it only once a call with a newer token than that of the drain has arrived. A token of the operation
+/// suffices, whichever holder sent it.
+fn may_be_drained(grant: &Grant, observed: &VmObservation) -> bool {
+    observed.drained || observed.token <= grant.id
+}
+
 fn on_draining(
     fleet: &Fleet,
     vm: &Vm,
@@ -259,9 +266,14 @@
         // A VM that is not up may be rebooting already, and a second call could only cause another reboot.
         GrantPurpose::Reboot if !observed.up => Action::Wait,
         GrantPurpose::Reboot if observed.boot == grant.boot => Action::Reboot(grant.boot),
+        // The VM was booted by something else, such as a failure, and may have been drained since. Once the grant has
+        // ended, it would no longer be charged.
+        GrantPurpose::Reboot if may_be_drained(grant, observed) => Action::Undrain,
         GrantPurpose::Reboot => Action::Finish(observed.boot),
         GrantPurpose::Release => Action::Release,
-        GrantPurpose::Move { to } if observed.pool != *to => Action::Assign(to.clone()),
+        GrantPurpose::Move { to } if observed.pool != *to || may_be_drained(grant, observed) => {
+            Action::Assign(to.clone())
+        }
         GrantPurpose::Move { .. } => Action::Finish(observed.boot),
         GrantPurpose::Drain => Action::Wait,
     }
