fix(jobs): a job that would wait too long for its workspace's bound is refused at once

Cause: tasks that wait for a bound are kept apart from those that wait for capacity, and the forecast for a new job knows only the latter, so that a workspace at its bound had no backlog.

Ruled out: jobs that are lost or held by a barrier (they start in their order), slow entries.

Bounds that are not known, or allow nothing, refuse nothing.

--- a/crates/havenladder/src/entry/moves/demands.rs
+++ b/crates/havenladder/src/entry/moves/demands.rs
@@ -146,6 +146,7 @@
     let idle: usize = pools.iter().map(|pool| pool.idle.len()).sum();
     let mut cell = owner.cell.borrow_mut();
     cell.update_start_backlog();
+    cell.update_bound_backlogs();
     for pool in pools.iter().filter(|pool| !pool.reserve) {
         let vms = pool.vms + idle - pool.idle.len();
         cell.update_backlog(&pool.pool, vms as u64 * pool.vm_capacity);
--- a/crates/jobs/src/cell/backlog.rs
+++ b/crates/jobs/src/cell/backlog.rs
@@ -100,10 +100,6 @@
         if overdue_ms > 0.0 {
             return Forecast::TooLate(overdue_ms as u64);
         }
-        let backlog = self.backlogs.get(&submission.service);
-        let Some(backlog) = backlog.filter(|backlog| backlog.cores > 0.0) else {
-            return Forecast::Worthwhile;
-        };
         let limit = match submission.workspace {
             Some(_) => MAX_OBJECTIVE_FACTOR,
             None => MAX_OBJECTIVE_FACTOR_WITHOUT_WORKSPACES,
@@ -111,7 +107,10 @@
         let allowed_ms = limit * objective - critical_path;
         let workspace = submission.workspace.as_ref();
         let share = workspace.map_or(1.0, |id| self.shares.share(&submission.service, id));
-        let wait_ms = backlog.queue_wait_ms(workspace, share) + dispatch_ms;
+        let backlog = self.backlogs.get(&submission.service);
+        let known = backlog.filter(|backlog| backlog.cores > 0.0);
+        let queue_ms = known.map_or(0.0, |backlog| backlog.queue_wait_ms(workspace, share));
+        let wait_ms = queue_ms.max(self.bound_wait_ms(workspace)) + dispatch_ms;
         if wait_ms <= allowed_ms {
             return Forecast::Worthwhile;
         }
@@ -131,10 +130,11 @@
     /// Adds an accepted job to the backlog of its service.
     pub(super) fn add_to_backlog(&mut self, submission: &Submission) {
         let factor = self.estimate_factor(&submission.queue);
+        let work = work_of_steps(&submission.spec.steps) * factor / 1_000.0;
         if let Some(backlog) = self.backlogs.get_mut(&submission.service) {
-            let work = work_of_steps(&submission.spec.steps) * factor / 1_000.0;
             backlog.add(submission.workspace.as_ref(), work);
         }
+        self.add_to_bound_backlog(submission, work);
         self.start_backlog += start_bytes(submission);
     }
 
--- a/crates/jobs/src/cell/ledger.rs
+++ b/crates/jobs/src/cell/ledger.rs
@@ -57,6 +57,16 @@
         account
     }
 
+    /// Returns the jobs of each workspace that wait for its bound.
+    pub(super) fn blocked_jobs(&self) -> impl Iterator<Item = (&WorkspaceId, Vec<JobId>)> {
+        self.blocked.iter().map(|(workspace, ranks)| {
+            let mut jobs: Vec<JobId> = ranks.iter().map(|rank| rank.task().job).collect();
+            jobs.sort_unstable();
+            jobs.dedup();
+            (workspace, jobs)
+        })
+    }
+
     /// Returns whether a blocked task of a workspace precedes this one.
     fn has_earlier_blocked(&self, id: &WorkspaceId, rank: &Rank) -> bool {
         let blocked = self.blocked.get(id);
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -2,6 +2,7 @@
 
 mod adopted_runs;
 mod backlog;
+mod bound_backlog;
 mod crashes;
 mod demand;
 mod dispatch;
@@ -39,6 +40,7 @@
     worker::{Load, RunKind},
 };
 use backlog::Backlog;
+use bound_backlog::BoundBacklogs;
 use clock::Instant;
 use ledger::Ledger;
 use shares::Shares;
@@ -100,6 +102,8 @@
     shares: Shares,
     /// The work that waits for each service.
     backlogs: HashMap<ServiceId, Backlog>,
+    /// The work that waits for the bounds of workspaces.
+    bound_backlogs: BoundBacklogs,
     /// How fast the owner sends starts.
     pub(crate) dispatch: Dispatch,
     /// The bytes of the starts that jobs need until their ends, including jobs accepted since the last update.
