--- a/crates/jobs/tests/histories.rs
+++ b/crates/jobs/tests/histories.rs
@@ -40,13 +40,14 @@
     seeds.for_each(play_changing_capacities);
 }
 
-/// Seed 71,909,934 guards against the same fault as seed 20,000,610 above.
+/// Seeds 71,909,934 and 90,292 guard against the same fault as seed 20,000,610 above.
 #[parameterized(
     first = { 0..50 },
     second = { 50..100 },
     third = { 100..150 },
     fourth = { 150..200 },
     crashes_that_no_owner_witnessed = { 71_909_934..71_909_935 },
+    unwitnessed_crashes_after_restarts = { 90_292..90_293 },
 )]
 fn histories_with_restarting_workers_keep_the_invariants(seeds: std::ops::Range<u64>) {
     seeds.for_each(play_restarts);
