fix(jobs): unwitnessed crashes without other suspects count in full

The change: the proof by a crash in quarantine counts all crashes, as before. For the rule of four in any case, unwitnessed ones count in full where no other run was suspected, and else as one.

--- a/crates/jobs/src/cell/crashes.rs
+++ b/crates/jobs/src/cell/crashes.rs
@@ -38,7 +38,11 @@
                 job, step, index, ..
             } = run.task;
             let is_first = seen.insert((job, step, index));
-            if is_first && self.attribute_crash_to_run(run, fresh == 1) {
+            let others = match run.involvement.is_fresh() {
+                true => fresh - 1,
+                false => suspects.len() - 1,
+            };
+            if is_first && self.attribute_crash_to_run(run, others == 0) {
                 attributed.insert(run.task);
             }
         }
@@ -59,14 +63,16 @@
         failed
     }
 
-    /// Attributes the crash of a worker to the task of a run, in all repeats of its job. Returns whether the
-    /// crash counts against the task.
-    fn attribute_crash_to_run(&mut self, run: &LostRun, only_fresh: bool) -> bool {
+    /// Attributes the crash of a worker to the task of a run, in all repeats of its job. `only` says whether it is the
+    /// only run that had just begun or, if it had not, the only suspect. Returns whether the crash counts against the
+    /// task.
+    fn attribute_crash_to_run(&mut self, run: &LostRun, only: bool) -> bool {
         let fresh = run.involvement.is_fresh();
         let crash = Crash {
             age_ms: run.age.map(|age| age.as_millis() as u64),
             fresh,
-            alone: fresh && only_fresh && run.age.is_some(),
+            // A fresh run without a response may never have begun.
+            alone: only && fresh == run.age.is_some(),
         };
         let TaskId {
             job, step, index, ..
--- a/crates/jobs/src/suspicion.rs
+++ b/crates/jobs/src/suspicion.rs
@@ -40,10 +40,9 @@
 /// five may hit a start that no record names and so goes uncounted.
 const MAX_CRASHES: usize = 4;
 
-/// How many crashes that no owner has witnessed count as evidence against a task. The owner that sent the start was
-/// replaced before it knew of the crash, and the next one knows of the run only from records: it may never have been
-/// sent, and runs without a record may have been the cause. When each of them counted, four such crashes made harmless
-/// jobs fail.
+/// How many crashes that no owner has witnessed, and for which there were other suspects, count as evidence against a
+/// task. The owner that sent the start was replaced before it knew of the crash, and the next one knows of the run only
+/// from records: it may never have been sent. When each of them counted, four such crashes made harmless jobs fail.
 const MAX_UNWITNESSED: usize = 1;
 
 /// How many crashes not caused by a task, within [`ACCIDENT_SPAN`], make accidents common; they must also be
@@ -67,7 +66,8 @@
     pub age_ms: Option<u64>,
     /// Whether the run had just begun.
     pub fresh: bool,
-    /// Whether the run was the only one that had just begun, or was in quarantine.
+    /// Whether the run was the only one that had just begun, or was in quarantine; where no owner has witnessed the
+    /// crash, whether no other run was suspected.
     pub alone: bool,
 }
 
@@ -151,26 +151,24 @@
         }
     }
 
-    /// Returns the number of crashes that count as evidence against the task.
+    /// Returns the number of crashes that count as evidence against a task that no crash in quarantine has proven.
     fn evidence(&self) -> usize {
-        let witnessed = self
-            .crashes
-            .iter()
-            .filter(|crash| crash.is_witnessed())
-            .count();
-        witnessed + (self.crashes.len() - witnessed).min(MAX_UNWITNESSED)
+        let counts = |crash: &&Crash| crash.is_witnessed() || crash.alone;
+        let evidence = self.crashes.iter().filter(counts).count();
+        evidence + (self.crashes.len() - evidence).min(MAX_UNWITNESSED)
     }
 
     /// Returns whether the crashes prove that the task is the cause.
     fn is_proven(&self, accidents: Accidents) -> bool {
         let is_prompt = self.crashes.iter().all(Crash::is_prompt);
-        let last_alone = self.crashes.last().is_some_and(|crash| crash.alone);
+        let last = self.crashes.last();
+        let last_alone = last.is_some_and(|crash| crash.alone && crash.is_witnessed());
         let enough = match (accidents, is_prompt) {
             (Accidents::Rare, true) => PROOF_CRASHES,
             (Accidents::Rare, false) | (Accidents::Suspected, _) => PROOF_CRASHES_LATER,
             (Accidents::Common, _) => MAX_CRASHES,
         };
-        last_alone && self.evidence() >= enough
+        last_alone && self.crashes.len() >= enough
     }
 }
 
