--- a/crates/havenladder/src/entry/starts.rs
+++ b/crates/havenladder/src/entry/starts.rs
@@ -282,8 +282,13 @@
 
 /// Returns the number of bytes of the job's text and the task's saved progress.
 fn payload_bytes(owner: &Owner, task: TaskId) -> u64 {
-    let payload = start_payload(owner, task);
-    payload.map_or(0, |(spec, saved)| (spec.len() + saved.len()) as u64)
+    let cell = owner.cell.borrow();
+    let Some(job) = cell.jobs.get(&task.job) else {
+        return 0;
+    };
+    let state = job.task(task.round, task.step, task.index);
+    let saved = state.map_or(0, |state| state.saved.len());
+    (job.submission.spec.text.len() + saved) as u64
 }
 
 /// Returns the job's text and the task's saved progress.
--- a/crates/jobs/src/pass.rs
+++ b/crates/jobs/src/pass.rs
@@ -75,7 +75,9 @@
             let ordered = self.starts.len();
             let placing = self.try_place(service, &rank, now, log);
             let starts = self.starts.len() - ordered;
-            *budget -= (starts as u64 * self.start_bytes(rank.task())) as f64;
+            if starts > 0 {
+                *budget -= (starts as u64 * self.start_bytes(rank.task())) as f64;
+            }
             match placing {
                 Placing::MustWait => {}
                 Placing::AtBound => self.block_on_bound(service, &rank),
