test(entry): an owner that cannot send all starts rejects jobs and keeps the others

With real processes behind one narrow link, 100 jobs whose starts take the link three times their objective: each is accepted or answered 429 with Retry-After, each accepted job is done, no run is stopped or lapses, and the owner stays.

The plan of a soak names the bandwidth of entries' links; soaks leave it out as before. Nothing else changes.

Conclusion: pacing and refusal are held by a test with processes, beside the pure ones.

--- a/crates/havenladder/tests/entries/mod.rs
+++ b/crates/havenladder/tests/entries/mod.rs
@@ -44,15 +44,39 @@
 
 /// Does the same for any number of entries, which are placed in two data centres alternately.
 pub async fn start_with(name: &str, seed: u64, vms: usize, entries: usize) -> Site {
-    let _ = fs::remove_dir_all(log_dir(name, seed));
+    start_plan(name, plan(name, seed, vms, entries)).await
+}
+
+/// Starts a site with three entries that know the bandwidth of their links, in Mbit/s.
+#[allow(
+    dead_code,
+    clippy::allow_attributes,
+    reason = "not every test limits links"
+)]
+pub async fn start_with_link(name: &str, seed: u64, vms: usize, mbps: f64) -> Site {
     let plan = Plan {
+        link_mbps: Some(mbps),
+        ..plan(name, seed, vms, 3)
+    };
+    start_plan(name, plan).await
+}
+
+/// Returns the plan of a site without faults.
+fn plan(name: &str, seed: u64, vms: usize, entries: usize) -> Plan {
+    Plan {
         program: PathBuf::from(env!("CARGO_BIN_EXE_havenladder")),
         seed,
         span: Duration::ZERO,
         entries,
         vms,
         logs: log_dir(name, seed),
-    };
+        link_mbps: None,
+    }
+}
+
+/// Starts a site, after deleting the logs of an earlier run under the same name and seed.
+async fn start_plan(name: &str, plan: Plan) -> Site {
+    let _ = fs::remove_dir_all(log_dir(name, plan.seed));
     Site::start(&plan).await.unwrap()
 }
 
--- a/crates/havenladder/tests/narrow_link.rs
+++ b/crates/havenladder/tests/narrow_link.rs
@@ -6,7 +6,7 @@
 
 mod entries;
 
-use entries::{block_on, count_lines, submit};
+use entries::{block_on, count_lines, request, send_request, submit};
 use havenladder_soak::site::Site;
 use havenladder_standin::{proxy::Link, users::events::RunEvent};
 use std::{sync::Arc, time::Duration};
@@ -72,6 +72,46 @@
     assert!(resent <= MAX_RESENT, "{resent} starts were sent again");
 }
 
+/// Number of jobs that are submitted where the owner knows its link: their starts take it three times as long as their
+/// objective of 3.6 s allows.
+const MANY_JOBS: u64 = 100;
+
+/// Time in which all accepted jobs end: their objective, and the time of their submission.
+const MANY_JOBS_TIME: Duration = Duration::from_secs(8);
+
+async fn send_too_much() {
+    let (name, seed) = ("known-link", 952);
+    let mbps = BYTES_PER_S as f64 * 8.0 / 1e6;
+    let site = entries::start_with_link(name, seed, 12, mbps).await;
+    time::sleep(Duration::from_secs(4)).await;
+    narrow_links(&site);
+    let body = job_body();
+    let mut accepted = 0;
+    let mut rejected = 0;
+    for number in 0..MANY_JOBS {
+        let address = site.entries[0].address;
+        let response = send_request(address, &request("POST", 0x100 + number, &body)).await;
+        if response.starts_with("HTTP/1.1 200") {
+            accepted += 1;
+        } else {
+            assert!(response.starts_with("HTTP/1.1 429"), "{response}");
+            assert!(response.contains("retry-after"), "{response}");
+            rejected += 1;
+        }
+    }
+    assert!(rejected > 0, "all {accepted} jobs are accepted");
+    time::sleep(MANY_JOBS_TIME).await;
+    let done = count_events(&site, RunEvent::Done);
+    assert_eq!(done, accepted * TASK_COUNT, "{accepted} jobs are accepted");
+    assert_eq!(count_events(&site, RunEvent::Ended), 0);
+    assert_eq!(count_lines(name, seed, "\"owns the cell\""), 1);
+}
+
+#[test]
+fn an_owner_that_cannot_send_all_starts_rejects_jobs_and_keeps_the_others() {
+    block_on(send_too_much());
+}
+
 #[test]
 fn a_burst_of_starts_that_fills_the_link_is_not_sent_twice() {
     block_on(send_burst());
--- a/crates/soak/benches/owner.rs
+++ b/crates/soak/benches/owner.rs
@@ -155,6 +155,7 @@
         entries: 1,
         vms,
         logs: folder,
+        link_mbps: None,
     };
     let entry = Entry::start(&plan, 0, &Ports::for_seed(plan.seed), store, list).unwrap();
     time::sleep(STARTUP_TIME).await;
--- a/crates/soak/src/entries.rs
+++ b/crates/soak/src/entries.rs
@@ -177,5 +177,6 @@
         seeds: (0..plan.entries.min(SEED_ENTRIES)).map(ip).collect(),
         log,
         cloud,
+        link_mbps: plan.link_mbps,
     }
 }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -50,6 +50,8 @@
     pub vms: usize,
     /// Directory for the entries' settings and logs.
     pub logs: PathBuf,
+    /// Bandwidth of each entry's link according to its settings, in Mbit/s; `None` leaves it out.
+    pub link_mbps: Option<f64>,
 }
 
 /// The results of one run of the soak.
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -63,6 +63,7 @@
         entries: args.entries,
         vms: args.vms,
         logs: args.logs.join(seed.to_string()),
+        link_mbps: None,
     }
 }
 
--- a/crates/standin/src/users/settings.rs
+++ b/crates/standin/src/users/settings.rs
@@ -19,6 +19,8 @@
     pub log: SocketAddr,
     /// Address of the service that lists VMs.
     pub cloud: SocketAddr,
+    /// Bandwidth of the entry's link in Mbit/s; `None` leaves it out.
+    pub link_mbps: Option<f64>,
 }
 
 impl Settings {
@@ -32,7 +34,9 @@
             seeds,
             log,
             cloud,
+            link_mbps,
         } = self;
+        let link = link_mbps.map_or_else(String::new, |mbps| format!("link-mbps = {mbps:?}\n"));
         let seeds: Vec<String> = seeds
             .iter()
             .map(|seed| format!("\"{seed}:{}\"", port + 2))
@@ -40,7 +44,7 @@
         format!(
             "node = \"{node}\"\nip = \"{ip}\"\nzone = \"{hall}\"\ninternal-ports = [{}, {}]\n\
              seeds = [{}]\n[listen]\nfront = \"{ip}:{port}\"\nready = \"{ip}:{}\"\n\
-             [limits]\ncpu-share = 0.25\n\
+             [limits]\ncpu-share = 0.25\n{link}\
              [bounds]\nstop_ms = 400\nmax-hold-ms = 10000\nlease-ms = 3000\ngrace-s = 6\nfar_x = 2\n\
              [platform]\naddress = \"{log}\"\n[cloud]\naddress = \"{cloud}\"\nduty-per-s = 64.0\n",
             port + 4,
