fix(standin): a worker keeps its port while its VM is down

A wave whose VM never comes back cannot end.

Cause: the stand-in closed the listener of a VM that was down and bound the port again afterwards. Where a listener or a connection of another test had taken the port meanwhile, the worker never came back, though the platform listed its VM as up.

Ruled out for these runs: an undrain whose token is refused (no repeated call), an entry that hangs or has ended (its steward goes on, no panic).

Why it works: a bound socket that does not listen holds the port for as long as the worker exists; listeners share it by SO_REUSEPORT.

Conclusion: mended in the stand-in; the product is right not to use a worker that does not answer.

--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -5,14 +5,13 @@
     ledger::{Ledger, RunEnd, VmEventKind, now_ms},
     log::Streams,
     vm::{Effect, SimulatedVm},
-    worker,
+    worker::{self, Port},
 };
 use platform::{Appended, VmCall, VmInfo, VmLifecycle};
 use protocol::encode;
 use std::{
     collections::BTreeMap,
     hash::{DefaultHasher, Hash, Hasher},
-    net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard},
     time::{Duration, Instant, UNIX_EPOCH},
 };
@@ -104,7 +103,7 @@
         for index in 0..*count {
             number += 1;
             let rack = format!("{hall}-rack-{}", index / plan.rack.max(1) + 1);
-            add(&shared, format!("vm-{number}"), hall, rack).await;
+            add(&shared, format!("vm-{number}"), hall, rack);
         }
     }
     tokio::spawn(refresh(shared.clone(), plan.lag));
@@ -114,17 +113,13 @@
     }
 }
 
-async fn add(shared: &Shared, id: String, hall: &str, rack: String) {
-    let any = SocketAddr::from(([127, 0, 0, 1], 0));
-    let listener = TcpListener::bind(any).await.expect("a free port");
-    let addr = listener
-        .local_addr()
-        .expect("a bound listener has an address");
+fn add(shared: &Shared, id: String, hall: &str, rack: String) {
+    let port = Port::reserve().expect("a free port");
     let vm = SimulatedVm::new(VmInfo {
         id: id.clone(),
         hall: hall.to_owned(),
         rack,
-        addr: addr.to_string(),
+        addr: port.addr().to_string(),
         slots: shared.lock().plan.slots,
         boot: 1,
         state: VmLifecycle::Live,
@@ -136,7 +131,7 @@
     });
     let power = vm.power.subscribe();
     shared.lock().vms.insert(id.clone(), vm);
-    tokio::spawn(worker::run(shared.clone(), id, listener, power));
+    tokio::spawn(worker::run(shared.clone(), id, port, power));
 }
 
 /// Updates the list of VMs every `lag`, so that it lags behind by up to that time.
@@ -174,7 +169,7 @@
         ("POST", ["vms", id]) => vm_call(&shared, id, &request),
         ("GET", ["ledger", "appends"]) => Some(json(&shared.lock().streams.appends)),
         ("GET", ["ledger"]) => Some(json(&shared.lock().ledger)),
-        ("POST", ["fault", rest @ ..]) => fault(&shared, rest, &request).await,
+        ("POST", ["fault", rest @ ..]) => fault(&shared, rest, &request),
         _ => Some(build_response(404, "text/plain", "no such path")),
     }
 }
@@ -308,7 +303,7 @@
 /// `rack/<id>?down_ms=` (with `&after_reboot_ms=`: only that long after the next reboot has begun),
 /// `add/<hall>/<rack>/<id>` (a new VM) and `via/<vm>/<address>` (another address of the VM's
 /// worker).
-async fn fault(shared: &Shared, path: &[&str], request: &HttpRequest) -> HandlerResponse {
+fn fault(shared: &Shared, path: &[&str], request: &HttpRequest) -> HandlerResponse {
     match path {
         ["log"] => {
             let time = Duration::from_millis(request.query_number("down_ms")?);
@@ -329,7 +324,7 @@
             }
         }
         ["add", hall, rack, id] => {
-            add(shared, (*id).to_owned(), hall, (*rack).to_owned()).await;
+            add(shared, (*id).to_owned(), hall, (*rack).to_owned());
         }
         _ => return Some(build_response(404, "text/plain", "no such fault")),
     }
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -13,13 +13,16 @@
     HEADER_ID, HEADER_LEASE, HEADER_POOL, HEADER_REFUSED, HEADER_SERVICE, REFUSED_SEEN, TASKS,
     USAGE, Usage,
 };
-use std::time::Duration;
+use std::{io, net::SocketAddr, time::Duration};
 use tokio::{
-    net::{TcpListener, TcpStream},
+    net::{TcpListener, TcpSocket, TcpStream},
     sync::watch,
     time::sleep,
 };
 
+/// Maximum number of connections that wait to be accepted.
+const MAX_PENDING_CONNECTIONS: u32 = 1024;
+
 /// The demands of a task's body.
 #[derive(Debug, Default, PartialEq, Eq)]
 struct TaskSpec {
@@ -47,45 +50,96 @@
     }
 }
 
+/// A port of a worker, which it keeps while its VM is down: the bound socket refuses connections, and no other process
+/// can bind the port.
+pub struct Port {
+    addr: SocketAddr,
+    _bound: TcpSocket,
+}
+
+impl Port {
+    /// Reserves any free port.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no port is free.
+    pub fn reserve() -> io::Result<Self> {
+        let bound = bind(SocketAddr::from(([127, 0, 0, 1], 0)))?;
+        Ok(Self {
+            addr: bound.local_addr()?,
+            _bound: bound,
+        })
+    }
+
+    /// Returns the address of the worker.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Starts to accept connections, until the listener is dropped.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the system has no resources for another listener.
+    pub fn listen(&self) -> io::Result<TcpListener> {
+        bind(self.addr)?.listen(MAX_PENDING_CONNECTIONS)
+    }
+}
+
+/// Binds a socket to an address that another socket of this process may have as well.
+fn bind(addr: SocketAddr) -> io::Result<TcpSocket> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseport(true)?;
+    socket.bind(addr)?;
+    Ok(socket)
+}
+
 /// Accepts connections to one VM's worker while the VM is up, until the VM is removed.
-pub async fn run(
-    shared: Shared,
-    id: String,
-    listener: TcpListener,
-    mut power: watch::Receiver<bool>,
-) {
-    let addr = listener
-        .local_addr()
-        .expect("a bound listener has an address");
-    let mut listener = Some(listener);
+pub async fn run(shared: Shared, id: String, port: Port, mut power: watch::Receiver<bool>) {
     loop {
         if !*power.borrow_and_update() {
-            listener = None;
             if power.changed().await.is_err() {
                 return;
             }
             continue;
         }
-        if listener.is_none() {
-            listener = TcpListener::bind(addr).await.ok();
+        let listener = port.listen().expect("the worker's port is reserved");
+        if accept_while_up(&shared, &id, &listener, &mut power)
+            .await
+            .is_err()
+        {
+            return;
         }
-        let Some(open) = &listener else {
-            sleep(Duration::from_millis(20)).await;
-            continue;
-        };
+    }
+}
+
+/// Accepts connections until the VM is down.
+///
+/// # Errors
+///
+/// Fails when the VM has been removed.
+async fn accept_while_up(
+    shared: &Shared,
+    id: &str,
+    listener: &TcpListener,
+    power: &mut watch::Receiver<bool>,
+) -> Result<(), watch::error::RecvError> {
+    while *power.borrow_and_update() {
         tokio::select! {
-            accepted = open.accept() => {
+            accepted = listener.accept() => {
                 if let Ok((stream, _)) = accepted {
-                    tokio::spawn(serve_stream(shared.clone(), id.clone(), stream, power.clone()));
-                }
-            }
-            changed = power.changed() => {
-                if changed.is_err() {
-                    return;
+                    tokio::spawn(serve_stream(
+                        shared.clone(),
+                        id.to_owned(),
+                        stream,
+                        power.clone(),
+                    ));
                 }
             }
+            changed = power.changed() => changed?,
         }
     }
+    Ok(())
 }
 
 async fn serve_stream(
