fix(jobs): only starts that wait for the link count against a job's objective

What callers saw: 429 for a job without a workspace whose objective is much shorter than its tasks (stretch below 0.83), on any entry, also one whose link has no limit. Its caller would still have had the result.

Cause: the limit for starts that wait for the link was compared also where none waits: 0 is more than a negative tolerance.

Why it works: the limit is asked only where starts wait.

Conclusion: mended.

--- a/crates/jobs/src/cell/backlog.rs
+++ b/crates/jobs/src/cell/backlog.rs
@@ -97,7 +97,7 @@
         // Starts are sent in the order of their decisions, so that each job that is accepted although it would be late
         // makes others late.
         let overdue_ms = dispatch_ms - (MAX_OBJECTIVE_FACTOR * objective - critical_path);
-        if overdue_ms > 0.0 {
+        if dispatch_ms > 0.0 && overdue_ms > 0.0 {
             return Forecast::TooLate(overdue_ms as u64);
         }
         let limit = match submission.workspace {
--- a/crates/jobs/tests/dispatch.rs
+++ b/crates/jobs/tests/dispatch.rs
@@ -135,3 +135,14 @@
     }
     assert_eq!(harness.start_tasks().len(), 16);
 }
+
+/// Guards against jobs that are rejected for the wait of starts although no start waits: a job whose objective is shorter
+/// than its tasks is late anywhere, but its caller still waits for it.
+#[test]
+fn a_link_without_a_limit_rejects_no_job_for_its_objective() {
+    let harness = Harness::new(&WORKERS);
+    let mut tight = long_job(1, vec![estimated_step(1)]);
+    tight.stretch = 0.5;
+    tight.slack = 1;
+    assert_eq!(harness.cell.forecast(&tight), Forecast::Worthwhile);
+}
