fix(entry): a start that is withdrawn before it is sent leaves the link's queue

What callers saw: nothing yet; on an entry with a narrow link the queue in front of it grows longer than the entry computes, so that renewals and polls wait behind starts.

Cause: a start that had waited for the link reserved its bytes, also where it was withdrawn right afterwards (its worker had become silent, its lease could not be renewed, its task was gone). Those bytes were never written, and hid as many of other calls.

Evidence: tests/link_queue.rs, a_call_that_is_not_sent_hides_no_others, red with a `release` that does nothing; there was none before.

Conclusion: mended; entries without a known link bandwidth are not concerned.

--- a/crates/fleet/src/link_queue.rs
+++ b/crates/fleet/src/link_queue.rs
@@ -114,6 +114,12 @@
         self.waiting = self.waiting.saturating_sub(bytes);
     }
 
+    /// Takes back a reservation of this many bytes, since the call is not sent after all.
+    pub fn release(&mut self, bytes: u64) {
+        self.reserved = self.reserved.saturating_sub(bytes);
+        self.bytes = (self.bytes - bytes as f64).max(0.0);
+    }
+
     /// Returns the bytes of the calls that wait.
     pub fn waiting(&self) -> u64 {
         self.waiting
--- a/crates/fleet/tests/link_queue.rs
+++ b/crates/fleet/tests/link_queue.rs
@@ -69,6 +69,21 @@
     assert_eq!(queue.delay(), reserved);
 }
 
+/// Guards against a queue that is longer than the one computed: bytes that were reserved for calls which were then
+/// withdrawn hid as many bytes of other calls.
+#[test]
+fn a_call_that_is_not_sent_hides_no_others() {
+    let began = Instant::now();
+    let mut queue = LinkQueue::new(Some(BANDWIDTH), began);
+    queue.reserve(100_000);
+    queue.release(100_000);
+    assert_eq!(queue.delay(), Duration::ZERO);
+    queue.update(100_000, began);
+    let mut other = LinkQueue::new(Some(BANDWIDTH), began);
+    other.update(100_000, began);
+    assert_eq!(queue.delay(), other.delay());
+}
+
 #[test]
 fn a_link_of_unknown_bandwidth_has_no_queue() {
     let began = Instant::now();
--- a/crates/havenladder/src/entry/link.rs
+++ b/crates/havenladder/src/entry/link.rs
@@ -21,6 +21,26 @@
 #[must_use = "the start counts as waiting until it has waited for the link"]
 pub struct WaitingStart(u64);
 
+/// A start that may be sent now. Its bytes leave the queue when it is dropped without having been sent.
+#[must_use = "the bytes of the start leave the queue when this is dropped"]
+pub struct AdmittedStart<'a> {
+    link: &'a Link,
+    unsent: u64,
+}
+
+impl AdmittedStart<'_> {
+    /// Keeps the bytes in the queue, since the start is written.
+    pub fn sent(mut self) {
+        self.unsent = 0;
+    }
+}
+
+impl Drop for AdmittedStart<'_> {
+    fn drop(&mut self) {
+        self.link.queue.borrow_mut().release(self.unsent);
+    }
+}
+
 impl Link {
     /// Returns the link of an entry with this bandwidth, in bits per second; `None` if it is unknown.
     pub fn new(bandwidth: Option<f64>) -> Self {
@@ -48,7 +68,7 @@
 }
 
 /// Waits until the link can take a start, behind those that wait already.
-pub async fn wait_for_link(owner: &Owner, start: WaitingStart) {
+pub async fn wait_for_link(owner: &Owner, start: WaitingStart) -> AdmittedStart<'_> {
     let link = &owner.node.link;
     // The semaphore is never closed.
     let _turn = link.turn.acquire().await;
@@ -60,7 +80,11 @@
         };
         if wait.is_zero() || !owner.is_alive() {
             let WaitingStart(bytes) = start;
-            return link.queue.borrow_mut().reserve(bytes);
+            link.queue.borrow_mut().reserve(bytes);
+            return AdmittedStart {
+                link,
+                unsent: bytes,
+            };
         }
         time::sleep(wait).await;
     }
--- a/crates/havenladder/src/entry/starts.rs
+++ b/crates/havenladder/src/entry/starts.rs
@@ -29,9 +29,9 @@
 
 /// Sends a start, unless the state on which the decision was based has changed.
 pub async fn start(owner: &Rc<Owner>, worker: &str, task: TaskId, run: RunId) {
-    let place = owner.node.link.enqueue(payload_bytes(owner, task));
+    let waiting = owner.node.link.enqueue(payload_bytes(owner, task));
     let start_permit = acquire_start_permit(owner, worker).await;
-    wait_for_link(owner, place).await;
+    let admitted = wait_for_link(owner, waiting).await;
     let confirmed = owner
         .cell
         .borrow_mut()
@@ -73,6 +73,7 @@
         checkpoint: &saved,
         ticket: &ticket,
     };
+    admitted.sent();
     let outcome = send_start(owner, &info, &order, start_permit).await;
     owner.node.metrics.started(outcome_name(&outcome));
     match &outcome {
