fix(jobs): two prompt crashes in quarantine in a row prove their cause among accidents

What callers saw: a task that crashes its workers is started a sixth time, where five starts are allowed; each ends other callers' runs.

Cause: where workers also crash by accident, four crashes had to count against a task, however clear they were. Two owners had lost their records of a start each, so that the third came to six in all with its four.

Ruled out: a start of a suspect that is sent without its record; the owners of the first two starts did not suspect the task.

Why it works: a run in quarantine is alone in having just begun; that an accident hits two of them in a row within 100 ms of their starts is 1 in 6,400 even where each worker crashes every 8 s.

--- a/crates/jobs/src/suspicion.rs
+++ b/crates/jobs/src/suspicion.rs
@@ -161,14 +161,16 @@
     /// Returns whether the crashes prove that the task is the cause.
     fn is_proven(&self, accidents: Accidents) -> bool {
         let is_prompt = self.crashes.iter().all(Crash::is_prompt);
-        let last = self.crashes.last();
-        let last_alone = last.is_some_and(|crash| crash.alone && crash.is_witnessed());
+        let is_alone = |crash: &&Crash| crash.alone && crash.is_witnessed();
+        let alone = self.crashes.iter().rev().take_while(is_alone).count();
         let enough = match (accidents, is_prompt) {
             (Accidents::Rare, true) => PROOF_CRASHES,
             (Accidents::Rare, false) | (Accidents::Suspected, _) => PROOF_CRASHES_LATER,
+            // Two prompt crashes in quarantine, one after the other, are hardly ever both accidents.
+            (Accidents::Common, true) if alone >= 2 => PROOF_CRASHES_LATER,
             (Accidents::Common, _) => MAX_CRASHES,
         };
-        last_alone && self.crashes.len() >= enough
+        alone > 0 && self.crashes.len() >= enough
     }
 }
 
--- a/crates/jobs/tests/histories.rs
+++ b/crates/jobs/tests/histories.rs
@@ -40,7 +40,9 @@
     seeds.for_each(play_changing_capacities);
 }
 
-/// Seeds 71,909,934 and 90,292 guard against the same fault as seed 20,000,610 above.
+/// Seeds 71,909,934 and 90,292 guard against the same fault as seed 20,000,610 above. Seed 60,005,830 guards against
+/// another, in which a crashing task was started a sixth time: two owners had lost their records of its starts, and the
+/// third did not take two crashes in quarantine as a proof, since other workers had crashed by accident.
 #[parameterized(
     first = { 0..50 },
     second = { 50..100 },
@@ -48,6 +50,7 @@
     fourth = { 150..200 },
     crashes_that_no_owner_witnessed = { 71_909_934..71_909_935 },
     unwitnessed_crashes_after_restarts = { 90_292..90_293 },
+    starts_without_records_among_accidents = { 60_005_830..60_005_831 },
 )]
 fn histories_with_restarting_workers_keep_the_invariants(seeds: std::ops::Range<u64>) {
     seeds.for_each(play_restarts);
