fix(entry): a worker that restarted may hold its lease from its first report on

Cause: a new incarnation may accept calls that are meant for the earlier one, whose deadlines name times of another clock, so that its lease may last as long as any lease can. The owner counted that from the first response, but the worker refuses such calls only from the first poll with the raised token on: a call in between extended the lease further than the owner knew.

Evidence:, leases by worker and by owner: response of the new incarnation at 5,860 ms (owner: until 8,360), a poll meant for the earlier one at 5,920 in the same round as the first report (worker: until 8,420, response `Outdated`), cut off from 7,360 on, task started elsewhere at 8,420. Ruled out: a start that arrives late (none after 7,100).

Why it works: the lease counts from the report that ends the earlier incarnations; from that poll on, such calls are refused. The simulated owner of tests/history keeps leases itself and does now as the entry does; the check is untouched.

In the entry itself the gap was not seen, only the same code read; it has no test of its own.

--- a/crates/havenladder/src/entry/watch.rs
+++ b/crates/havenladder/src/entry/watch.rs
@@ -164,11 +164,16 @@
     }
 }
 
-/// Records that a new incarnation responds in place of an earlier one. It may have accepted calls whose deadlines
-/// were computed for the earlier one's clock, so its lease may last as long as any lease can.
+/// Records that a new incarnation responds in place of an earlier one.
 fn record_restart(owner: &Owner, id: &WorkerId, now: Instant) {
     info!(worker = %id, "worker has restarted");
     owner.node.metrics.restarted_worker();
+    extend_to_max_lease(owner, id, now);
+}
+
+/// Records that an incarnation may have accepted calls until now whose deadlines were computed for another one's clock,
+/// so that its lease may last as long as any lease can.
+fn extend_to_max_lease(owner: &Owner, id: &WorkerId, now: Instant) {
     let leased = now + max_lease_duration(owner.node.settings.max_worker_lease);
     if let Some(contact) = owner.contacts.borrow_mut().get_mut(id) {
         contact.lease_until = contact.lease_until.max(leased);
@@ -186,6 +191,10 @@
     let outlived = cell.outlived_incarnations(id, *sent_at);
     drop(cell);
     ends::log_missing(owner, id, &missing);
+    if !outlived.is_empty() {
+        // Only from this poll on does the worker refuse calls that were meant for them.
+        extend_to_max_lease(owner, id, now);
+    }
     for incarnation in outlived {
         abandon_worker(owner, &incarnation, Loss::Ended);
     }
--- a/crates/jobs/tests/histories.rs
+++ b/crates/jobs/tests/histories.rs
@@ -42,7 +42,9 @@
 
 /// Seeds 71,909,934 and 90,292 guard against the same fault as seed 20,000,610 above. Seed 60,005,830 guards against
 /// another, in which a crashing task was started a sixth time: two owners had lost their records of its starts, and the
-/// third did not take two crashes in quarantine as a proof, since other workers had crashed by accident.
+/// third did not take two crashes in quarantine as a proof, since other workers had crashed by accident. Seed
+/// 700,010,652 guards against two runs of a task at once: a worker that had restarted accepted a poll that was meant for
+/// its earlier incarnation, which extended its lease further than its owner knew.
 #[parameterized(
     first = { 0..50 },
     second = { 50..100 },
@@ -51,6 +53,7 @@
     crashes_that_no_owner_witnessed = { 71_909_934..71_909_935 },
     unwitnessed_crashes_after_restarts = { 90_292..90_293 },
     starts_without_records_among_accidents = { 60_005_830..60_005_831 },
+    polls_meant_for_an_earlier_incarnation = { 700_010_652..700_010_653 },
 )]
 fn histories_with_restarting_workers_keep_the_invariants(seeds: std::ops::Range<u64>) {
     seeds.for_each(play_restarts);
--- a/crates/jobs/tests/history/calls.rs
+++ b/crates/jobs/tests/history/calls.rs
@@ -97,7 +97,12 @@
             if !response_lost {
                 let report = report_of(host, now);
                 self.cell.apply_report(&id, &report, polled_at, polled_at);
-                for ended in self.cell.outlived_incarnations(&id, polled_at) {
+                let outlived = self.cell.outlived_incarnations(&id, polled_at);
+                if !outlived.is_empty() {
+                    // Only from this poll on does the worker refuse calls that were meant for them.
+                    self.leased.insert(id.clone(), now + MAX_LEASE_MS);
+                }
+                for ended in outlived {
                     self.cell.abandon_worker(&ended, Loss::Ended, polled_at);
                 }
             }
