test(entry): callers of the tiny_http server come one after the other

Cause: tiny_http's pool counts a thread as idle until it has woken. Connections of a burst are queued behind its four idle threads, each of which takes one and blocks; the rest of the queue gets no thread. How many that are depends on how late the four wake.

In one that hangs all 300 connections are accepted (901 sockets), the accepting thread waits for more, and 176 threads read. Ruled out: a server that has ended, a thread that cannot be started.

The check was wrong in taking for granted that a burst gets a thread each. It is as strict as before: 300 callers, at least 200 threads, within the same time; the callers come 2 ms apart. Conclusion: mended in the test; what it means for the listeners that use tiny_http stands in docs/FINDINGS.md, open.

--- a/crates/havenladder/tests/bad_input.rs
+++ b/crates/havenladder/tests/bad_input.rs
@@ -227,6 +227,9 @@
     assert!(site.state(0)["waves"].as_object().unwrap().is_empty());
 }
 
+/// Interval between two callers of a `tiny_http` server.
+const CALLER_INTERVAL: Duration = Duration::from_millis(2);
+
 /// Measures why the listener for callers does not use `tiny_http`; docs/DESIGN.md cites this test.
 #[test]
 fn tiny_http_accepts_wrong_lengths_and_needs_a_thread_per_half_open_caller() {
@@ -252,6 +255,8 @@
         .map(|_| {
             let mut stream = TcpStream::connect(addr).unwrap();
             stream.write_all(b"POST / HTTP/1.1\r\nhost").unwrap();
+            // Callers that come before the server's idle threads have woken are queued behind these and get no thread.
+            thread::sleep(CALLER_INTERVAL);
             stream
         })
         .collect();
