refactor(entry): one function waits for a response until it is overdue

Cause: `unless_overdue_by` was added beside `unless_overdue`, which then only called it and had one caller left, in its own file.

Ruled out: a change of behaviour; with a constant wait the extended time is the due time, so that the loop returns where it did.

Before: two functions, of which one passes a constant on; after: one, whose wait may grow. Conclusion: simpler, nothing else changes.

--- a/crates/havenladder/src/entry/orders.rs
+++ b/crates/havenladder/src/entry/orders.rs
@@ -3,7 +3,7 @@
 use super::{
     losses::abandon_worker,
     owner::{FencingToken, Owner, WORKER_LEASE_DURATION, max_lease_duration},
-    resend::unless_overdue_by,
+    resend::unless_overdue,
     starts::{MIN_RESEND_DELAY, start},
 };
 use adapter::{
@@ -111,7 +111,7 @@
     };
     let mut first = pin!(stop(Connection::Pooled));
     let delay = || owner.resend_delay(MIN_RESEND_DELAY);
-    if let Some(outcome) = unless_overdue_by(first.as_mut(), delay).await {
+    if let Some(outcome) = unless_overdue(first.as_mut(), delay).await {
         return outcome;
     }
     let mut second = pin!(stop(Connection::New));
--- a/crates/havenladder/src/entry/polls.rs
+++ b/crates/havenladder/src/entry/polls.rs
@@ -3,7 +3,7 @@
 use super::{
     orders,
     owner::Owner,
-    resend::{record_time, unless_overdue_by},
+    resend::{record_time, unless_overdue},
 };
 use adapter::{
     http::Connection,
@@ -61,7 +61,7 @@
     let sent_at = Instant::now();
     let mut first = pin!(timed_poll(owner, info, hold, Connection::Pooled));
     let delay = || Duration::from_millis(hold.wait_ms) + owner.resend_delay(MIN_RESEND_DELAY);
-    if let Some(outcome) = unless_overdue_by(first.as_mut(), delay).await {
+    if let Some(outcome) = unless_overdue(first.as_mut(), delay).await {
         return outcome.map(|response| PollResponse { sent_at, response });
     }
     let resent_at = Instant::now();
--- a/crates/havenladder/src/entry/resend.rs
+++ b/crates/havenladder/src/entry/resend.rs
@@ -64,7 +64,7 @@
     loop {
         let finished = {
             let response = pin!(first_response(&mut in_flight, &mut failure));
-            unless_overdue(response, until_resend).await
+            unless_overdue(response, || until_resend).await
         };
         match finished {
             Some(Some((response, took))) => {
@@ -94,19 +94,11 @@
 /// Waits for a response and returns `None` if it is overdue. A wait that ends late shows that this
 /// process is late itself, so that the response may have arrived without having been read. The wait
 /// is then extended by the delay, so that an owner that was paused does not call everybody twice.
-pub async fn unless_overdue<T>(
-    response: Pin<&mut impl Future<Output = T>>,
-    wait: Duration,
-) -> Option<T> {
-    unless_overdue_by(response, || wait).await
-}
-
-/// Waits for a response as [`unless_overdue`] does, with a wait that may grow in the meantime.
 ///
-/// Calls to many workers share the link of this process. If a burst of them fills it, all responses
-/// are late, and resent calls would only add to what waits for the link. Responses to the first
-/// calls of the burst show this before the others are overdue.
-pub async fn unless_overdue_by<T>(
+/// The wait may grow in the meantime. Calls to many workers share the link of this process. If a
+/// burst of them fills it, all responses are late, and resent calls would only add to what waits for
+/// the link. Responses to the first calls of the burst show this before the others are overdue.
+pub async fn unless_overdue<T>(
     mut response: Pin<&mut impl Future<Output = T>>,
     wait: impl Fn() -> Duration,
 ) -> Option<T> {
--- a/crates/havenladder/src/entry/starts.rs
+++ b/crates/havenladder/src/entry/starts.rs
@@ -6,7 +6,7 @@
     losses::abandon_worker,
     orders::{find_worker, lease_end},
     owner::{FencingToken, Owner},
-    resend::{record_time, unless_overdue_by},
+    resend::{record_time, unless_overdue},
     watch,
 };
 use adapter::{
@@ -140,7 +140,7 @@
 ) -> Result<WorkerResponse<()>, WorkerError> {
     let mut first = pin!(timed_start(owner, info, order, Connection::Pooled));
     let delay = || owner.resend_delay(MIN_RESEND_DELAY);
-    if let Some(outcome) = unless_overdue_by(first.as_mut(), delay).await {
+    if let Some(outcome) = unless_overdue(first.as_mut(), delay).await {
         return outcome;
     }
     info!(
