refactor(entry): the payload of a start is looked up in one place, one interval for the owner's lines

Cause: `payload_bytes` and `start_payload` each looked up the job's text and the task's saved progress; the line of the owner's traffic had a copy of the interval of the line of its rounds, as its comment said.

Ruled out: copies on the way of each start; the common lookup borrows. A task that its job does not have now counts 0 bytes instead of those of the text; no start is ordered for such a task.

Before: two lookups, two constants; after: one each. Conclusion: simpler, nothing else changes.

--- a/crates/havenladder/src/entry/owner/loop_stats.rs
+++ b/crates/havenladder/src/entry/owner/loop_stats.rs
@@ -10,7 +10,7 @@
 use tracing::info;
 
 /// Interval between two log lines. One line a second shows in which second an owner was overloaded.
-const LOG_INTERVAL: Duration = Duration::from_millis(1_000);
+pub const LOG_INTERVAL: Duration = Duration::from_millis(1_000);
 
 /// Statistics of the rounds since the last log line.
 pub struct LoopStats {
--- a/crates/havenladder/src/entry/starts.rs
+++ b/crates/havenladder/src/entry/starts.rs
@@ -14,7 +14,7 @@
     workers::{StartRequest, WorkerError, WorkerResponse},
 };
 use clock::Instant;
-use jobs::{Loss, Refusal, RunId, TaskId, WorkerId, WorkerInfo};
+use jobs::{Cell, Loss, Refusal, RunId, TaskId, WorkerId, WorkerInfo};
 use std::{pin::pin, rc::Rc, time::Duration};
 use tokio::{sync::OwnedSemaphorePermit, task, time};
 use tracing::info;
@@ -281,21 +281,22 @@
     }
 }
 
-/// Returns the number of bytes of the job's text and the task's saved progress.
+/// Returns the number of bytes of the payload of a start.
 fn payload_bytes(owner: &Owner, task: TaskId) -> u64 {
     let cell = owner.cell.borrow();
-    let Some(job) = cell.jobs.get(&task.job) else {
-        return 0;
-    };
-    let state = job.task(task.round, task.step, task.index);
-    let saved = state.map_or(0, |state| state.saved.len());
-    (job.submission.spec.text.len() + saved) as u64
+    payload(&cell, task).map_or(0, |(spec, saved)| (spec.len() + saved.len()) as u64)
 }
 
-/// Returns the job's text and the task's saved progress.
+/// Returns a copy of the payload of a start.
 fn start_payload(owner: &Owner, task: TaskId) -> Option<(String, String)> {
     let cell = owner.cell.borrow();
+    let (spec, saved) = payload(&cell, task)?;
+    Some((spec.to_owned(), saved.to_owned()))
+}
+
+/// Returns the job's text and the task's saved progress.
+fn payload(cell: &Cell, task: TaskId) -> Option<(&str, &str)> {
     let job = cell.jobs.get(&task.job)?;
-    let saved = job.task(task.round, task.step, task.index)?.saved.clone();
-    Some((job.submission.spec.text.clone(), saved))
+    let state = job.task(task.round, task.step, task.index)?;
+    Some((&job.submission.spec.text, &state.saved))
 }
--- a/crates/havenladder/src/entry/traffic.rs
+++ b/crates/havenladder/src/entry/traffic.rs
@@ -1,15 +1,12 @@
 //! Logs and exports what an entry exchanges with each party.
 
-use super::owner::Owner;
+use super::owner::{Owner, loop_stats::LOG_INTERVAL};
 use adapter::traffic::{Party, Traffic, Volume};
 use opentelemetry::{KeyValue, metrics::Meter};
-use std::{fmt::Write, rc::Rc, time::Duration};
+use std::{fmt::Write, rc::Rc};
 use tokio::time;
 use tracing::info;
 
-/// Interval between two log lines, as for the owner's rounds.
-const LOG_INTERVAL: Duration = Duration::from_millis(1_000);
-
 /// Logs, until the owner ends, what it exchanges with each party.
 pub async fn log(owner: Rc<Owner>) {
     let traffic = owner.node.client.traffic();
