refactor(jobs): counts of tasks in one place, sets of jobs as sets, a name for two crashes in quarantine

Cause: the sums of a specification's and of a round's tasks were written out for the link and for the bounds again, the former beside one that `JobSpec::check` had; jobs were collected into vectors that were sorted and freed of duplicates twice; the rule for two prompt crashes in quarantine had a bare number.

Ruled out: another order of sums; a set yields the jobs in the order of the sorted vector.

Before: four sums, three vectors; after: `JobSpec::task_count`, `Round::unfinished_count`, `BTreeSet`, `PROOF_IN_QUARANTINE`. Conclusion: simpler, nothing else changes.

--- a/crates/jobs/src/cell/bound_backlog.rs
+++ b/crates/jobs/src/cell/bound_backlog.rs
@@ -4,7 +4,7 @@
 //! their service does not include them. Without this sum, a workspace at its bound would have jobs accepted that start
 //! only long after they were to end.
 
-use crate::{Cell, Job, Submission, WorkspaceId, job::work_of_steps};
+use crate::{Cell, Job, Round, Submission, WorkspaceId, job::work_of_steps};
 use std::collections::HashMap;
 
 /// The work that waits for the bound of each workspace, in cores times ms, including jobs accepted since the last update.
@@ -47,12 +47,11 @@
 
     /// Returns the work of a job's tasks that have not ended, in cores times ms.
     fn remaining_work(&self, job: &Job) -> f64 {
-        let steps = &job.submission.spec.steps;
-        let unfinished = job.rounds.iter().flat_map(|round| &round.unfinished);
-        let open: u64 = unfinished.map(|count| u64::from(*count)).sum();
-        let all: u64 = steps.iter().map(|step| u64::from(step.count)).sum();
-        let share = open as f64 / (all * job.rounds.len() as u64).max(1) as f64;
+        let spec = &job.submission.spec;
+        let open: u64 = job.rounds.iter().map(Round::unfinished_count).sum();
+        let all = spec.task_count() * job.rounds.len() as u64;
+        let share = open as f64 / all.max(1) as f64;
         let factor = self.estimate_factor(&job.submission.queue);
-        work_of_steps(steps) * factor / 1_000.0 * share
+        work_of_steps(&spec.steps) * factor / 1_000.0 * share
     }
 }
--- a/crates/jobs/src/cell/dispatch.rs
+++ b/crates/jobs/src/cell/dispatch.rs
@@ -5,6 +5,7 @@
 //! order of ranks, so that tasks that can still be in time go first, and take no capacity that others could use.
 
 use crate::{Cell, Job, JobId, Submission, TaskId};
+use std::collections::BTreeSet;
 
 /// The time for which starts are ordered ahead of those that have been sent: longer than one round of decisions, so
 /// that the link is never idle while tasks wait.
@@ -55,12 +56,9 @@
             return;
         }
         let waiting = self.waiting.values().flatten();
-        let mut live: Vec<JobId> = waiting.map(|rank| rank.task().job).collect();
-        // The tasks of a step are adjacent.
-        live.dedup();
-        live.extend(&self.begun_jobs);
-        live.sort_unstable();
-        live.dedup();
+        let waiting = waiting.map(|rank| rank.task().job);
+        let begun = self.begun_jobs.iter().copied();
+        let live: BTreeSet<JobId> = waiting.chain(begun).collect();
         let jobs = live.iter().filter_map(|id| self.jobs.get(id));
         self.start_backlog = jobs.map(|job| self.remaining_start_bytes(job)).sum();
     }
@@ -76,8 +74,7 @@
         if spec.is_long_running() || job.target_time(0, factor) < self.wall_ms as f64 {
             return 0;
         }
-        let tasks = round.unfinished.iter().map(|open| u64::from(*open));
-        tasks.sum::<u64>() * spec.text.len() as u64
+        round.unfinished_count() * spec.text.len() as u64
     }
 
     /// Returns how long the starts of a new job would wait in all, in ms: behind those of earlier jobs, and behind each
@@ -90,10 +87,5 @@
 
 /// Returns the bytes of the texts that the starts of a job carry.
 pub(super) fn start_bytes(submission: &Submission) -> u64 {
-    let tasks = submission
-        .spec
-        .steps
-        .iter()
-        .map(|step| u64::from(step.count));
-    tasks.sum::<u64>() * submission.spec.text.len() as u64
+    submission.spec.task_count() * submission.spec.text.len() as u64
 }
--- a/crates/jobs/src/cell/ledger.rs
+++ b/crates/jobs/src/cell/ledger.rs
@@ -58,11 +58,9 @@
     }
 
     /// Returns the jobs of each workspace that wait for its bound.
-    pub(super) fn blocked_jobs(&self) -> impl Iterator<Item = (&WorkspaceId, Vec<JobId>)> {
+    pub(super) fn blocked_jobs(&self) -> impl Iterator<Item = (&WorkspaceId, BTreeSet<JobId>)> {
         self.blocked.iter().map(|(workspace, ranks)| {
-            let mut jobs: Vec<JobId> = ranks.iter().map(|rank| rank.task().job).collect();
-            jobs.sort_unstable();
-            jobs.dedup();
+            let jobs = ranks.iter().map(|rank| rank.task().job).collect();
             (workspace, jobs)
         })
     }
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -100,6 +100,11 @@
         self.due && step.after.iter().all(ended)
     }
 
+    /// Returns the number of tasks that have not succeeded.
+    pub fn unfinished_count(&self) -> u64 {
+        self.unfinished.iter().map(|open| u64::from(*open)).sum()
+    }
+
     /// Returns whether all tasks have succeeded.
     pub fn is_done(&self) -> bool {
         self.unfinished.iter().all(|open| *open == 0)
--- a/crates/jobs/src/spec.rs
+++ b/crates/jobs/src/spec.rs
@@ -161,7 +161,7 @@
         for (number, step) in self.steps.iter().enumerate() {
             check_step(number, step)?;
         }
-        let tasks = self.steps.iter().map(|s| u64::from(s.count)).sum::<u64>();
+        let tasks = self.task_count();
         if tasks > MAX_TASKS {
             return Err(SpecError::TooMany(tasks));
         }
@@ -171,6 +171,11 @@
         }
     }
 
+    /// Returns the number of tasks of a round.
+    pub fn task_count(&self) -> u64 {
+        self.steps.iter().map(|step| u64::from(step.count)).sum()
+    }
+
     /// Returns how often the steps run.
     pub fn rounds(&self) -> u32 {
         self.schedule.map_or(1, |s| s.repeats.max(1))
--- a/crates/jobs/src/suspicion.rs
+++ b/crates/jobs/src/suspicion.rs
@@ -36,6 +36,10 @@
 /// workers crashed every 8 s, two prompt crashes hit some of 3,000 harmless tasks within a minute.
 const PROOF_CRASHES_LATER: usize = 3;
 
+/// How many crashes in quarantine, one after the other, make the same number suffice where accidents are common, if all
+/// crashes came promptly: accidents hardly ever hit the same task promptly twice in a row.
+const PROOF_IN_QUARANTINE: usize = 2;
+
 /// How many crashes prove the cause in any case. Users allow two starts after the third, and one crash in
 /// five may hit a start that no record names and so goes uncounted.
 const MAX_CRASHES: usize = 4;
@@ -166,8 +170,7 @@
         let enough = match (accidents, is_prompt) {
             (Accidents::Rare, true) => PROOF_CRASHES,
             (Accidents::Rare, false) | (Accidents::Suspected, _) => PROOF_CRASHES_LATER,
-            // Two prompt crashes in quarantine, one after the other, are hardly ever both accidents.
-            (Accidents::Common, true) if alone >= 2 => PROOF_CRASHES_LATER,
+            (Accidents::Common, true) if alone >= PROOF_IN_QUARANTINE => PROOF_CRASHES_LATER,
             (Accidents::Common, _) => MAX_CRASHES,
         };
         alone > 0 && self.crashes.len() >= enough
