refactor(tests): the stand-in's platform starts in one place, as do a fleet's view and a workspace's bound

Cause: tests/workers.rs copied how a site starts the platform in a thread; tests/actions.rs copied the view of the only live entry from its fixture; tests/bound_waits.rs spelled out a bound twice.

Ruled out: a change of checks; all assertions and bounds are as they were.

Before: two copies each; after: `platform::start`, `Fixture::view`, `cpu_bound`. Conclusion: simpler, nothing else changes.

--- a/crates/fleet/tests/actions.rs
+++ b/crates/fleet/tests/actions.rs
@@ -2,11 +2,10 @@
 
 mod fixture;
 
-use fixture::Fixture;
+use fixture::{Fixture, only_entry};
 use havenladder_fleet::{
-    Action, Change, Evidence, GrantPurpose, Outcome, View, VmObservation, next_action,
+    Action, Change, Evidence, GrantPurpose, Outcome, VmObservation, next_action,
 };
-use std::{collections::BTreeMap, time::Duration};
 use yare::parameterized;
 
 /// Returns a fleet in which the grant of the VM has begun.
@@ -26,18 +25,17 @@
 fn next(fixture: &Fixture, observed: VmObservation) -> Action {
     let vm = &fixture.fleet.vms["vm-0"];
     let grant = vm.grant.as_ref().expect("the VM has a grant");
-    let live = BTreeMap::from([("holder".to_owned(), "hall".to_owned())]);
-    let view = View {
-        entry: "holder",
-        live: &live,
-        now: fixture.at,
-        lease: Duration::from_secs(20),
-    };
     let evidence = Evidence {
         observation: Some(observed),
         unrecorded_down: 0,
     };
-    next_action(&fixture.fleet, vm, grant, &evidence, &view)
+    next_action(
+        &fixture.fleet,
+        vm,
+        grant,
+        &evidence,
+        &fixture.view(&only_entry()),
+    )
 }
 
 /// Returns an observation of the VM that has the token of the given call of its grant: of the drain, or of the operation.
--- a/crates/havenladder/tests/site/mod.rs
+++ b/crates/havenladder/tests/site/mod.rs
@@ -106,7 +106,7 @@
 
     /// Starts the platform and the proxies and writes the configuration files, but starts no entry.
     fn prepare(timing: Timing, plan: Plan, halls: &[&str]) -> Self {
-        let (handle, platform) = start_platform(plan);
+        let (handle, platform) = platform::start(plan);
         let folder = std::env::temp_dir().join(format!("havenladder-{}", ulid::Ulid::new()));
         fs::create_dir_all(&folder).unwrap();
         let ports = reserve_addresses(u16::try_from(halls.len() * 3).unwrap());
@@ -435,23 +435,3 @@
         let _ = fs::remove_dir_all(&self.folder);
     }
 }
-
-/// Starts the platform in a thread that ends with the process of the test.
-fn start_platform(plan: Plan) -> (Handle, SocketAddr) {
-    let (sender, receiver) = std::sync::mpsc::channel();
-    thread::spawn(move || {
-        let runtime = tokio::runtime::Builder::new_current_thread()
-            .enable_all()
-            .build()
-            .unwrap();
-        let handle = runtime.handle().clone();
-        runtime.block_on(async {
-            let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
-            sender
-                .send((handle, listener.local_addr().unwrap()))
-                .unwrap();
-            platform::run(plan, listener).await;
-        });
-    });
-    receiver.recv().unwrap()
-}
--- a/crates/jobs/tests/bound_waits.rs
+++ b/crates/jobs/tests/bound_waits.rs
@@ -26,15 +26,19 @@
     }
 }
 
+/// Returns a bound of this many thousandths of a core.
+fn cpu_bound(cpu: u64) -> Bound {
+    Bound::new(Need {
+        cpu,
+        ..Need::default()
+    })
+}
+
 /// Guards against a workspace at its bound whose jobs were accepted without regard to it: they started up to 25 s later.
 #[test]
 fn a_job_that_would_wait_too_long_for_its_bound_is_rejected() {
     let mut harness = Harness::new(&["a1", "b1", "c1", "d1"]);
-    let two_cores = Bound::new(Need {
-        cpu: 2_000,
-        ..Need::default()
-    });
-    let bounds = [(BOUNDED, two_cores), (FREE, Bound::NONE)];
+    let bounds = [(BOUNDED, cpu_bound(2_000)), (FREE, Bound::NONE)];
     let bounds = bounds.map(|(name, bound)| (name.to_owned(), bound));
     harness.cell.set_bounds(bounds);
     let mut accepted = 0;
@@ -62,11 +66,9 @@
 #[test]
 fn a_workspace_below_its_bound_is_not_rejected() {
     let mut harness = Harness::new(&["a1", "b1", "c1", "d1"]);
-    let many = Bound::new(Need {
-        cpu: 100_000,
-        ..Need::default()
-    });
-    harness.cell.set_bounds([(BOUNDED.to_owned(), many)]);
+    harness
+        .cell
+        .set_bounds([(BOUNDED.to_owned(), cpu_bound(100_000))]);
     for id in 1..=40 {
         let next = job_of(BOUNDED, id);
         assert_eq!(harness.cell.forecast(&next), Forecast::Worthwhile);
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -12,11 +12,14 @@
 use std::{
     collections::BTreeMap,
     hash::{DefaultHasher, Hash, Hasher},
-    sync::{Arc, Mutex, MutexGuard},
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, mpsc},
+    thread,
     time::{Duration, Instant, UNIX_EPOCH},
 };
 use tokio::{
     net::TcpListener,
+    runtime::{Builder, Handle},
     sync::Notify,
     time::{sleep, sleep_until},
 };
@@ -83,6 +86,29 @@
     }
 }
 
+/// Runs the platform in a thread of its own, until the process ends. Returns the handle of its runtime and its address.
+pub fn start(plan: Plan) -> (Handle, SocketAddr) {
+    let (sender, receiver) = mpsc::channel();
+    thread::spawn(move || {
+        let runtime = Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .expect("the system provides an event queue");
+        let handle = runtime.handle().clone();
+        runtime.block_on(async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+            let addr = listener
+                .local_addr()
+                .expect("a bound listener has an address");
+            sender
+                .send((handle, addr))
+                .expect("the caller waits for the address");
+            run(plan, listener).await;
+        });
+    });
+    receiver.recv().expect("the platform has started")
+}
+
 /// Starts the platform and its workers, and serves requests until the process ends.
 pub async fn run(plan: Plan, listener: TcpListener) {
     let shared = Shared {
--- a/crates/standin/tests/workers.rs
+++ b/crates/standin/tests/workers.rs
@@ -6,7 +6,6 @@
 use std::{
     io::ErrorKind,
     net::{SocketAddr, TcpListener, TcpStream},
-    sync::mpsc,
     thread,
     time::{Duration, Instant},
 };
@@ -28,19 +27,8 @@
         keep: Duration::from_secs(60),
         rate: 100,
     };
-    let (sender, receiver) = mpsc::channel();
-    thread::spawn(move || {
-        let runtime = tokio::runtime::Builder::new_current_thread()
-            .enable_all()
-            .build()
-            .unwrap();
-        runtime.block_on(async {
-            let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
-            sender.send(listener.local_addr().unwrap()).unwrap();
-            platform::run(plan, listener).await;
-        });
-    });
-    receiver.recv().unwrap()
+    let (_, addr) = platform::start(plan);
+    addr
 }
 
 /// Returns the address of the VM's worker.
