feat(entry): bound the volume of log lines, important kinds first

Cause: what captures the output of a process keeps 500 lines a second (250 in each half second) and loses or truncates the rest. An owner at a peak writes 2,000 lines of single runs a second, so the lines `pool` and `owner's rounds` were lost for 4 to 11 s and others were torn. The queue of 4,096 lines never filled up, so `log lines dropped` was never written.

Change: each line has a kind, given by its level and its `tracing` target: state, warning, worker, job, request, run, debug. Each kind has its own bounded queue. A layer checks for room before the fields are evaluated. The writer thread takes at most 39 lines every 100 ms: state and warnings first, then workers, then jobs, requests and runs in turns. Text and fields of all other lines are unchanged. A full non-blocking pipe and a full disk no longer end the writer in the middle of a line. When the process ends, queued lines are written within 350 ms.

No existing test or check was changed.

--- a/crates/havenladder/src/commands/day.rs
+++ b/crates/havenladder/src/commands/day.rs
@@ -36,6 +36,7 @@
     rounds: u64,
     longest: u64,
     latest: u64,
+    kinds: BTreeMap<String, u64>,
 }
 
 /// State of one pool in its last log line of a second.
@@ -108,6 +109,8 @@
     cuts: BTreeMap<String, CutOffs>,
     /// Number of requests that failed or were refused, by second.
     refusals: BTreeMap<String, u64>,
+    /// Number of log lines that entries left out, by second and kind. Other counts of that second may be too low.
+    dropped: BTreeMap<String, BTreeMap<String, u64>>,
 }
 
 /// Reads a log file and prints its summary.
@@ -146,6 +149,12 @@
             "what the entry reaches has changed" => {
                 day.cuts.entry(time).or_default().count(line.cut_off);
             }
+            "log lines dropped" => {
+                let dropped = day.dropped.entry(time).or_default();
+                for (kind, count) in line.kinds {
+                    *dropped.entry(kind).or_default() += count;
+                }
+            }
             _ => {}
         }
     }
@@ -216,4 +225,9 @@
     for (time, count) in &day.refusals {
         println!("{time} refused or failed: {count}");
     }
+    for (time, kinds) in &day.dropped {
+        let counts = kinds.iter().map(|(kind, count)| format!("{kind} {count}"));
+        let counts = counts.collect::<Vec<_>>().join(", ");
+        println!("{time} log lines left out: {counts}");
+    }
 }
--- a/crates/havenladder/src/entry/callers/call.rs
+++ b/crates/havenladder/src/entry/callers/call.rs
@@ -9,6 +9,7 @@
 use crate::entry::{
     in_force::{Caller, Unauthorized},
     listen::Reply,
+    logs::kind,
     node::{Node, wall_ms},
     operator_topic::{FreshnessRequirement, ensure_fresh},
     peer::{self, CallerOperation},
@@ -105,6 +106,7 @@
     let head = RequestHead::read(&request);
     if !ensure_fresh(node, FreshnessRequirement::Newest).await {
         info!(
+            target: kind::REQUEST,
             path = head.path,
             "refused: the configuration may be too old"
         );
@@ -189,7 +191,7 @@
     let reason = unauthorized.reason();
     let version = node.in_force.borrow().version();
     node.metrics.unauthorized(reason);
-    info!(method = %head.method, path = head.path, reason, version, "caller is not authorized");
+    info!(target: kind::REQUEST, method = %head.method, path = head.path, reason, version, "caller is not authorized");
     let body = serde_json::json!({ "error": reason }).to_string();
     let mut reply = reply(StatusCode::UNAUTHORIZED, body);
     let scheme = HeaderValue::from_static(AUTH_SCHEME);
@@ -257,7 +259,7 @@
         return Err(reply(StatusCode::PAYLOAD_TOO_LARGE, ""));
     };
     decode_spec(&body.to_bytes()).map_err(|why| {
-        info!(job = format!("{id:016x}"), why, "the job is not valid");
+        info!(target: kind::REQUEST, job = format!("{id:016x}"), why, "the job is not valid");
         let body = serde_json::json!({ "error": why }).to_string();
         reply(StatusCode::BAD_REQUEST, body)
     })
--- a/crates/havenladder/src/entry/callers/owner_request.rs
+++ b/crates/havenladder/src/entry/callers/owner_request.rs
@@ -4,6 +4,7 @@
 use super::reply;
 use crate::entry::{
     listen::Reply,
+    logs::kind,
     node::{IncarnationId, Node},
     operator_topic,
     peer::{self, CallerRequest, PeerRequest, PeerResponse},
@@ -264,7 +265,7 @@
 /// Creates the response to a request that could not be completed. A job that may have been accepted
 /// is never reported as refused.
 fn refuse(request: &CallerRequest, may_have_run: bool) -> Reply {
-    info!(ask = %request, sent = may_have_run, "given up");
+    info!(target: kind::REQUEST, ask = %request, sent = may_have_run, "given up");
     let status = if may_have_run {
         StatusCode::GATEWAY_TIMEOUT
     } else {
--- a/crates/havenladder/src/entry/ends.rs
+++ b/crates/havenladder/src/entry/ends.rs
@@ -1,6 +1,6 @@
 //! Logs and counts the ends of runs that workers report, and reports that contradict the known state.
 
-use super::owner::Owner;
+use super::{logs::kind, owner::Owner};
 use jobs::{Report, RunId, RunOutcome, TaskId};
 use tracing::{info, warn};
 
@@ -14,7 +14,7 @@
     for end in &report.ended {
         let (task, run, number, how) = (end.task, end.run, end.number, end.how);
         if number > host.acknowledged {
-            info!(%task, run, worker, number, ?how, "ended");
+            info!(target: kind::RUN, %task, run, worker, number, ?how, "ended");
             owner.node.metrics.ended(end_name(how));
         } else if host.runs.contains_key(&(task, run)) {
             let noted = host.acknowledged;
--- a/crates/havenladder/src/entry/fleet.rs
+++ b/crates/havenladder/src/entry/fleet.rs
@@ -1,6 +1,7 @@
 //! The owner's VM control loop: reads the platform's list of VMs and decides on maintenance and moves between pools.
 
 use super::{
+    logs::kind,
     losses::abandon_worker,
     maintenance::Waves,
     moves::Moves,
@@ -175,7 +176,7 @@
             let since = *self.since.entry(id.clone()).or_insert(now);
             let refused = owner.cell.borrow().has_refused_connection(&id, asked);
             if refused || now >= since + ABSENCE_TIMEOUT {
-                info!(worker = %id, "no VM has the silent worker any more");
+                info!(target: kind::WORKER, worker = %id, "no VM has the silent worker any more");
                 abandon_worker(owner, &id, Loss::Ended);
             }
         }
--- a/crates/havenladder/src/entry/losses.rs
+++ b/crates/havenladder/src/entry/losses.rs
@@ -1,6 +1,6 @@
 //! Abandons workers, and logs which runs were lost with each worker and how the worker ended.
 
-use super::owner::Owner;
+use super::{logs::kind, owner::Owner};
 use clock::Instant;
 use jobs::{Ending, Loss, LostRun, LostWorker};
 use std::rc::Rc;
@@ -43,6 +43,7 @@
         .map(describe)
         .collect();
     info!(
+        target: kind::WORKER,
         worker = id,
         ending = ending_name(lost.ending),
         runs = lost.runs.len(),
@@ -51,7 +52,7 @@
     );
     for task in &lost.failed {
         owner.node.metrics.failed_job();
-        info!(%task, worker = id, "task crashes its workers; its job has failed");
+        info!(target: kind::JOB, %task, worker = id, "task crashes its workers; its job has failed");
     }
 }
 
--- a/crates/havenladder/src/entry/maintenance.rs
+++ b/crates/havenladder/src/entry/maintenance.rs
@@ -3,6 +3,7 @@
 
 use super::{
     fleet::{ORDER_TIMEOUT, Vm, VmList},
+    logs::kind,
     losses::abandon_worker,
     owner::Owner,
     vm_orders::{self, VmOperation, VmOrder},
@@ -151,7 +152,7 @@
         down.confirmed = true;
         let Some(id) = &down.worker else { continue };
         if same {
-            info!(vm = name, worker = %id, "the VM had already had its maintenance");
+            info!(target: kind::WORKER, vm = name, worker = %id, "the VM had already had its maintenance");
             owner.cell.borrow_mut().set_disrupted(id, false);
             owner.cell.borrow_mut().set_closed(id, false);
         } else {
@@ -213,6 +214,7 @@
             progress.down.contains_key(name),
         );
         info!(
+            target: kind::WORKER,
             wave = wave.number,
             vm = name,
             worker = vm.worker.as_deref(),
--- a/crates/havenladder/src/entry/metrics.rs
+++ b/crates/havenladder/src/entry/metrics.rs
@@ -2,6 +2,7 @@
 
 use super::{
     listen::{self, Reply, accept_each},
+    logs::{self, queue::LogQueue},
     traffic,
 };
 use adapter::traffic::Traffic;
@@ -55,7 +56,7 @@
 impl Metrics {
     /// Creates the metrics of this process. If the exporter cannot be registered, a warning is logged and the metrics
     /// stay empty.
-    pub fn new(counters: &Traffic) -> Self {
+    pub fn new(counters: &Traffic, queue: &LogQueue) -> Self {
         let registry = Registry::new();
         let exporter = opentelemetry_prometheus::exporter()
             .with_registry(registry.clone())
@@ -68,6 +69,7 @@
         let provider = builder.build();
         let meter = provider.meter("havenladder");
         traffic::export(&meter, counters);
+        logs::export::export(&meter, queue);
         let seconds = |name: &'static str| {
             meter
                 .f64_histogram(name)
--- a/crates/havenladder/src/entry/mod.rs
+++ b/crates/havenladder/src/entry/mod.rs
@@ -49,7 +49,7 @@
 
 /// Runs the entry until it receives the signal to stop.
 pub fn run() -> ExitCode {
-    logs::start();
+    let logs = logs::start();
     let settings = match settings::read() {
         Ok(settings) => settings,
         Err(error) => {
@@ -64,7 +64,7 @@
             return ExitCode::FAILURE;
         }
     };
-    let node = Node::new(settings);
+    let node = Node::new(settings, logs.queue());
     match LocalSet::new().block_on(&runtime, serve(node)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
--- a/crates/havenladder/src/entry/moves/drain.rs
+++ b/crates/havenladder/src/entry/moves/drain.rs
@@ -1,6 +1,7 @@
 //! Drains VMs so that other pools can use them.
 
 use super::{Moves, Round};
+use crate::entry::logs::kind;
 use clock::Instant;
 use fleet::Resize;
 use std::time::Duration;
@@ -63,7 +64,7 @@
             if let Some(id) = id.filter(|_| !self.draining.contains_key(name)) {
                 cell.set_closed(id, true);
                 let moved = cell.drain_worker(id, round.now);
-                info!(vm = name, worker = %id, moved, "VM is being drained");
+                info!(target: kind::WORKER, vm = name, worker = %id, moved, "VM is being drained");
                 self.draining.insert(name.clone(), round.now);
             }
         }
--- a/crates/havenladder/src/entry/node.rs
+++ b/crates/havenladder/src/entry/node.rs
@@ -3,8 +3,8 @@
 pub use super::lease_state::{IncarnationId, Lease};
 
 use super::{
-    in_force::InForce, link::Link, metrics::Metrics, owner::Owner, reach::Directory,
-    replication::Replication,
+    in_force::InForce, link::Link, logs::queue::LogQueue, metrics::Metrics, owner::Owner,
+    reach::Directory, replication::Replication,
 };
 use adapter::{
     advice::AdviceClient, cloud::Cloud, http::Client, operator::Config, settings::Settings,
@@ -92,14 +92,14 @@
 
 impl Node {
     /// Creates the state of an entry that has just started.
-    pub fn new(settings: Settings) -> Rc<Self> {
+    pub fn new(settings: Settings, logs: &LogQueue) -> Rc<Self> {
         let client = Client::default();
         let max_config_age = settings.max_config_age;
         let in_force = RefCell::new(InForce::new(settings.halls.clone()));
         Rc::new(Node {
             incarnation: rand::random(),
             began: Instant::now(),
-            metrics: Rc::new(Metrics::new(client.traffic())),
+            metrics: Rc::new(Metrics::new(client.traffic(), logs)),
             store: Store::new(client.clone(), &settings.store_address),
             store_times: Cell::default(),
             workers: WorkerClient::new(client.clone()),
--- a/crates/havenladder/src/entry/orders.rs
+++ b/crates/havenladder/src/entry/orders.rs
@@ -1,6 +1,7 @@
 //! Sends the owner's orders to workers.
 
 use super::{
+    logs::kind,
     losses::abandon_worker,
     owner::{FencingToken, Owner, WORKER_LEASE_DURATION, max_lease_duration},
     resend::unless_overdue,
@@ -90,7 +91,9 @@
             {
                 return owner.end("a worker has seen a newer owner");
             }
-            Err(error) => info!(task = %task, run, worker, %error, "stop failed"),
+            Err(error) => {
+                info!(target: kind::RUN, task = %task, run, worker, %error, "stop failed")
+            }
         }
         time::sleep(STOP_RETRY_INTERVAL).await;
     }
@@ -138,7 +141,7 @@
         .pace(&info, task, run, percent, owner.fencing_token(worker))
         .await;
     if let Err(error) = outcome {
-        info!(task = %task, run, worker, percent, %error, "change of pace failed");
+        info!(target: kind::RUN, task = %task, run, worker, percent, %error, "change of pace failed");
     }
 }
 
@@ -149,10 +152,10 @@
         None => Ok(None),
     };
     let good = response.unwrap_or_else(|error| {
-        info!(%task, %error, "request for permits failed");
+        info!(target: kind::RUN, %task, %error, "request for permits failed");
         None
     });
-    info!(%task, asked = workers.len(), good = good.as_ref().map(Vec::len), "permits");
+    info!(target: kind::RUN, %task, asked = workers.len(), good = good.as_ref().map(Vec::len), "permits");
     owner.cell.borrow_mut().set_permits(task, workers, good);
     owner.wake();
 }
--- a/crates/havenladder/src/entry/own_cell.rs
+++ b/crates/havenladder/src/entry/own_cell.rs
@@ -3,6 +3,7 @@
 
 use super::{
     fleet,
+    logs::kind,
     node::{Node, wall_ms},
     orders,
     owner::{
@@ -110,7 +111,7 @@
         let waiting = cell.waiting_long_running();
         if let Some(task) = waiting.first() {
             let obstacles = cell.obstacles(*task, Instant::now());
-            info!(%task, waiting = waiting.len(), ?obstacles, "long-running task waits for capacity");
+            info!(target: kind::JOB, %task, waiting = waiting.len(), ?obstacles, "long-running task waits for capacity");
         }
     }
 }
--- a/crates/havenladder/src/entry/owner/requests.rs
+++ b/crates/havenladder/src/entry/owner/requests.rs
@@ -3,6 +3,7 @@
 use super::Owner;
 use crate::entry::{
     in_force::Caller,
+    logs::kind,
     operator_topic,
     peer::{CallerOperation, CallerRequest, PeerResponse},
 };
@@ -105,6 +106,7 @@
             Admission::IdTaken => return PeerResponse::Refused,
             Admission::TooLarge => {
                 info!(
+                    target: kind::JOB,
                     job,
                     workspace = submission.workspace,
                     "rejected: the job can never run under its workspace's bound"
@@ -115,6 +117,7 @@
         if let Some(ms) = self.forecast(&submission) {
             self.node.metrics.rejected_too_late();
             info!(
+                target: kind::JOB,
                 job,
                 ms,
                 workspace = submission.workspace,
@@ -125,14 +128,14 @@
         if self.is_append_pending_for(STORE_OUTAGE_THRESHOLD)
             && !self.cell.borrow().jobs.contains_key(&id)
         {
-            info!(job, "refused: the store is away");
+            info!(target: kind::REQUEST, job, "refused: the store is away");
             return PeerResponse::Refused;
         }
         let accepted = self.cell.borrow_mut().accept(submission);
         self.wake();
         match time::timeout(within, self.wait_durable(id)).await {
             Ok(DurableOutcome::Durable(_)) => {
-                info!(job, new = accepted == Accepted::New, "accepted");
+                info!(target: kind::JOB, job, new = accepted == Accepted::New, "accepted");
                 PeerResponse::Accepted
             }
             // Another request for the same job has withdrawn it.
@@ -180,7 +183,7 @@
             return PeerResponse::Unsure;
         }
         let job = format!("{id:016x}");
-        info!(job, "withdrawn: nothing of the job was sent to the log");
+        info!(target: kind::JOB, job, "withdrawn: nothing of the job was sent to the log");
         // Other requests may wait for the same job.
         self.state_changed.notify_waiters();
         // The next owner may still accept the job in time.
@@ -198,7 +201,7 @@
             return self.not_found();
         }
         self.wake();
-        info!(job = format!("{id:016x}"), "cancelled");
+        info!(target: kind::JOB, job = format!("{id:016x}"), "cancelled");
         match self.wait_durable(id).await {
             DurableOutcome::Durable(_) => PeerResponse::Cancelled,
             DurableOutcome::Missing => self.not_found(),
--- a/crates/havenladder/src/entry/starts.rs
+++ b/crates/havenladder/src/entry/starts.rs
@@ -3,6 +3,7 @@
 
 use super::{
     link::wait_for_link,
+    logs::kind,
     losses::abandon_worker,
     orders::{find_worker, lease_end},
     owner::{FencingToken, Owner},
@@ -77,8 +78,10 @@
     let outcome = send_start(owner, &info, &order, start_permit).await;
     owner.node.metrics.started(outcome_name(&outcome));
     match &outcome {
-        Ok(_) => info!(task = order.task, run, worker, deadline, "started"),
-        Err(error) => info!(task = order.task, run, worker, %error, "start failed"),
+        Ok(_) => info!(target: kind::RUN, task = order.task, run, worker, deadline, "started"),
+        Err(error) => {
+            info!(target: kind::RUN, task = order.task, run, worker, %error, "start failed")
+        }
     }
     let started = outcome.is_ok();
     apply_outcome(owner, worker, task, run, fencing_token, outcome);
@@ -144,6 +147,7 @@
         return outcome;
     }
     info!(
+        target: kind::RUN,
         task = order.task,
         run = order.run,
         worker = %info.id,
--- a/crates/havenladder/src/entry/store_calls.rs
+++ b/crates/havenladder/src/entry/store_calls.rs
@@ -6,6 +6,7 @@
 //! of the log finds that the end has moved.
 
 use super::{
+    logs::kind,
     node::Node,
     resend::{Answered, Timeouts, until_answered},
 };
@@ -157,7 +158,7 @@
         .store_called(kind.name(), outcome_name(outcome), resends);
     if outcome.is_err() || resends > 0 || took >= LOG_THRESHOLD {
         let ms = took.as_millis() as u64;
-        info!(matter = kind.name(), ?outcome, calls, ms, "append");
+        info!(target: kind::REQUEST, matter = kind.name(), ?outcome, calls, ms, "append");
     }
 }
 
--- a/crates/havenladder/src/entry/vm_orders.rs
+++ b/crates/havenladder/src/entry/vm_orders.rs
@@ -1,6 +1,6 @@
 //! Sends orders about VMs concurrently, within the platform's rate limit.
 
-use super::owner::Owner;
+use super::{logs::kind, owner::Owner};
 use adapter::cloud::OrderOutcome;
 use clock::Instant;
 use std::rc::Rc;
@@ -71,6 +71,6 @@
         VmOperation::Move(pool) => cloud.move_vm(&order.vm, pool, owner.epoch).await,
         VmOperation::Upkeep(wave) => cloud.order_maintenance(&order.vm, *wave, owner.epoch).await,
     };
-    info!(vm = order.vm, errand = ?order.operation, epoch = owner.epoch, ?outcome, "VM order sent");
+    info!(target: kind::WORKER, vm = order.vm, errand = ?order.operation, epoch = owner.epoch, ?outcome, "VM order sent");
     outcome.ok()
 }
--- a/crates/havenladder/src/entry/watch.rs
+++ b/crates/havenladder/src/entry/watch.rs
@@ -2,6 +2,7 @@
 
 use super::{
     ends,
+    logs::kind,
     losses::{abandon_runs, abandon_worker},
     orders,
     owner::{FencingToken, Owner, max_lease_duration},
@@ -125,7 +126,9 @@
             // The watch draws its own conclusion from its next poll.
             Ok(polled) => drop(apply_response(&owner, &id, &polled)),
             // The watch handles a worker that does not respond.
-            Err(error) => info!(worker = %id, %error, "worker does not answer a poll"),
+            Err(error) => {
+                info!(target: kind::WORKER, worker = %id, %error, "worker does not answer a poll")
+            }
         }
     });
 }
@@ -148,7 +151,7 @@
             PollOutcome::Continue
         }
         ResponseOutcome::Outdated => {
-            info!(worker = %id, "response of an earlier incarnation was overtaken");
+            info!(target: kind::WORKER, worker = %id, "response of an earlier incarnation was overtaken");
             PollOutcome::Retry
         }
         ResponseOutcome::Replaced { next, restarted } => {
@@ -166,7 +169,7 @@
 
 /// Records that a new incarnation responds in place of an earlier one.
 fn record_restart(owner: &Owner, id: &WorkerId, now: Instant) {
-    info!(worker = %id, "worker has restarted");
+    info!(target: kind::WORKER, worker = %id, "worker has restarted");
     owner.node.metrics.restarted_worker();
     extend_to_max_lease(owner, id, now);
 }
@@ -211,7 +214,7 @@
 ) -> PollOutcome {
     match error {
         WorkerError::Replaced => {
-            info!(worker = %id, "another worker answers at its address");
+            info!(target: kind::WORKER, worker = %id, "another worker answers at its address");
             record_replaced(owner, id);
             return PollOutcome::Abandon(Loss::Ended);
         }
@@ -231,7 +234,7 @@
         WorkerError::Refused(_) | WorkerError::Call(_) | WorkerError::UnexpectedStatus(_) => {}
     }
     if last == LastPoll::Answered {
-        info!(worker = %id, %error, "worker does not answer");
+        info!(target: kind::WORKER, worker = %id, %error, "worker does not answer");
         owner.cell.borrow_mut().mark_silent(id, Instant::now());
     }
     if has_lapsed(owner, id) && release_lapsed(owner, id) {
--- a/crates/havenladder/src/entry/worker_list.rs
+++ b/crates/havenladder/src/entry/worker_list.rs
@@ -1,6 +1,7 @@
 //! Follows the platform's list of workers and starts a watch for each incarnation that it names.
 
 use super::{
+    logs::kind,
     losses::abandon_worker,
     owner::{Contact, Owner},
     store_calls,
@@ -94,7 +95,7 @@
         Listing::Incarnation(incarnation) if owner.contacts.borrow().contains_key(&incarnation) => {
         }
         Listing::Incarnation(incarnation) => {
-            info!(worker = %incarnation, service, draining, "worker listed");
+            info!(target: kind::WORKER, worker = %incarnation, service, draining, "worker listed");
             contact_worker(owner, incarnation, owner.inherited_leases_until);
         }
     }
@@ -127,7 +128,7 @@
 fn unlist(owner: &Rc<Owner>, name: &str) {
     let incarnations = owner.cell.borrow_mut().unlist_worker(name, Instant::now());
     for incarnation in incarnations {
-        info!(worker = %incarnation, "worker no longer listed");
+        info!(target: kind::WORKER, worker = %incarnation, "worker no longer listed");
     }
     let mut replaced = owner.replaced.borrow_mut();
     if !replaced.is_empty() {
--- a/crates/havenladder/tests/day.rs
+++ b/crates/havenladder/tests/day.rs
@@ -84,3 +84,36 @@
     assert_eq!(output.status.code(), Some(1));
     assert!(String::from_utf8_lossy(&output.stderr).contains("no-such.log"));
 }
+
+/// Guards against counts that look complete although entries have left out lines of that second.
+#[test]
+fn lines_that_entries_left_out_are_counted_by_second_and_kind() {
+    let logs = r#"
+   0.5 entry-1 {"timestamp":"2026-12-02T18:00:00.100000Z","level":"WARN","message":"log lines dropped","count":15,"kinds":{"job":2,"run":13}}
+   0.9 entry-2 {"timestamp":"2026-12-02T18:00:00.900000Z","level":"WARN","message":"log lines dropped","count":7,"kinds":{"run":7}}
+   0.9 entry-2 {"timestamp":"2026-12-02T18:00:00.950000Z","level":"INFO","message":"pool","pool":"p","vms":3,"idle":1,"busy":1500}
+   1.9 entry-2 {"timestamp":"2026-12-02T18:00:01.900000Z","level":"INFO","message":"given up","ask":"submit 1"}
+"#;
+    let file = std::env::temp_dir().join(format!("day-{}.log", ulid::Ulid::new()));
+    fs::write(&file, logs).unwrap();
+    let run = |options: &[&str]| {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_havenladder"));
+        command
+            .arg("day")
+            .args(options)
+            .arg(&file)
+            .output()
+            .unwrap()
+    };
+    let (json, text) = (run(&["--json"]), run(&[]));
+    fs::remove_file(&file).unwrap();
+    let day: serde_json::Value = serde_json::from_slice(&json.stdout).unwrap();
+    let dropped = day["dropped"].as_object().unwrap();
+    assert_eq!(dropped.len(), 1, "{day}");
+    assert_eq!(dropped["2026-12-02T18:00:00"]["run"], 20);
+    assert_eq!(dropped["2026-12-02T18:00:00"]["job"], 2);
+    assert_eq!(day["pools"].as_array().unwrap().len(), 1, "{day}");
+    let text = String::from_utf8_lossy(&text.stdout);
+    let line = "2026-12-02T18:00:00 log lines left out: job 2, run 20";
+    assert!(text.contains(line), "{text}");
+}
