--- a/crates/havenladder/src/entry/logs/mod.rs
+++ b/crates/havenladder/src/entry/logs/mod.rs
@@ -12,9 +12,7 @@
 use kind::LogKind;
 use queue::LogQueue;
 use std::{
-    fs::File,
     io::{self, Write},
-    os::fd::AsFd,
     thread,
     time::Duration,
 };
@@ -140,11 +138,9 @@
     let filter =
         EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new(DEFAULT_FILTER));
     let queue = LogQueue::default();
-    // The descriptor itself has no lock and no buffer, neither of which the end of the process may wait for.
-    match io::stdout().as_fd().try_clone_to_owned() {
-        Ok(output) => start_writer(&queue, File::from(output)),
-        Err(_) => start_writer(&queue, io::stdout()),
-    }
+    // The platform captures what is written to standard output itself, not to a copy of its descriptor. A writer that
+    // holds its lock does not hold up the end of the process, which only tries to take it.
+    start_writer(&queue, io::stdout());
     if let Err(error) = subscriber(&queue, filter).try_init() {
         // Nothing else sets a subscriber, and without one there is nowhere to log this.
         eprintln!("cannot start logging: {error}");
--- a/crates/havenladder/src/entry/logs/writer.rs
+++ b/crates/havenladder/src/entry/logs/writer.rs
@@ -74,6 +74,9 @@
             }
         }
         self.incomplete = false;
+        // A partial write may have left the rest of a line in the buffer of standard output; the next write repeats
+        // the attempt if this one fails.
+        let _ = self.out.flush();
         Outcome::Written
     }
 }
