--- a/crates/jobs/src/cell/crashes.rs
+++ b/crates/jobs/src/cell/crashes.rs
@@ -172,11 +172,17 @@
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
         };
+        let mut cleared = false;
         for state in job.repeats_mut(task.step, task.index) {
+            cleared |= !state.history.crashes.is_empty();
             state.history.crashes.clear();
             let runtime = runtime.as_millis() as u64;
             state.history.max_runtime_ms = state.history.max_runtime_ms.max(runtime);
         }
+        if cleared {
+            // Without a record, the next owner would count crashes that a run has disproved.
+            self.mark_dirty(task.job);
+        }
         if self.suspicions.tasks.contains(&task) {
             for repeat in self.repeats(task) {
                 self.suspicions.clear(repeat, now);
--- a/crates/jobs/tests/crash_attribution.rs
+++ b/crates/jobs/tests/crash_attribution.rs
@@ -385,3 +385,22 @@
         "there is no evidence that the run started"
     );
 }
+
+/// Guards against a harmless task that is suspected again by each new owner and fails in the end: a suspicion was cleared
+/// in memory only, and the next owner counted the crashes that the record still held.
+#[test]
+fn a_task_that_is_cleared_stays_cleared_for_the_next_owner() {
+    let mut harness = with_running_tasks(1);
+    crash(&mut harness, "a1");
+    harness.add_worker("b1");
+    assert_eq!(harness.start_tasks().len(), 1);
+    assert_eq!(crash_history(&harness, task(1, 0, 0)).crashes.len(), 1);
+    harness.advance(QUARANTINE_THRESHOLD_MS);
+    report_all_running(&mut harness, "b1");
+    assert!(harness.start_tasks().is_empty());
+    harness.take_over();
+    assert!(
+        crash_history(&harness, task(1, 0, 0)).crashes.is_empty(),
+        "the run on b1 has disproved the crash"
+    );
+}
--- a/crates/jobs/tests/histories.rs
+++ b/crates/jobs/tests/histories.rs
@@ -22,11 +22,13 @@
 }
 
 /// Seed 20,000,610 guards against a fault in which a harmless job failed because of four crashes that no owner had
-/// witnessed: its runs were known only from the records of earlier owners.
+/// witnessed: its runs were known only from the records of earlier owners. Seed 700,003,361 guards against another, in
+/// which a harmless job failed because of crashes that runs had disproved: no record said so to the next owner.
 #[parameterized(
     first = { 0..50 },
     second = { 50..100 },
     crashes_that_no_owner_witnessed = { 20_000_610..20_000_611 },
+    disproved_crashes_after_owner_changes = { 700_003_361..700_003_362 },
 )]
 fn histories_with_crashing_tasks_keep_the_invariants(seeds: std::ops::Range<u64>) {
     seeds.for_each(play_crashing_tasks);
