feat(sizing): fair shares of the fleet follow work that can still be in time

Cause: running work that is already late counted as need of its pool, in `needed` and in the shortage.

Change: `Cell::late_running` sums up the runs whose jobs can no longer be in time; `PoolDemand::late_running` and the field `late_running` of the line `pool` carry it. Fair shares follow work in time, waiting and running, with a lower bound per pool: `min_vms`, one VM, and a tenth of an equal division for late work. Claims on VMs are met in this order: work in time up to the fair share, other work in time and expected work, late work. Late work takes VMs only from the surplus and the reserve. `late_running` is a method of its own rather than a field of `Demand`, since it needs the time and iterates over all runs, which the other callers of `Cell::demand` would pay for without use.

Result: new tests in tests/sizing.rs failed before (idle_vms_go_to_work_in_time_before_late_work, shares_of_the_reserve_follow_work_in_time) and pass; the tests of havenladder-fleet and tests/demand.rs, tests/drain.rs of havenladder-jobs pass unchanged. Which VMs are drained is not changed yet.

--- a/crates/fleet/src/sizing/ledger.rs
+++ b/crates/fleet/src/sizing/ledger.rs
@@ -1,6 +1,6 @@
 //! The VMs that pools can still give away, and still lack, while moves are chosen.
 
-use super::{IdleVm, PoolDemand, SizingLimits};
+use super::{IdleVm, PoolDemand, SizingLimits, equal_share};
 use clock::Instant;
 use std::{cmp::Reverse, collections::VecDeque};
 
@@ -15,6 +15,17 @@
     Fair,
 }
 
+/// What a pool in need can claim, in the order in which claims are met.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Claim {
+    /// VMs for work that can still be in time, up to the pool's fair share.
+    Share,
+    /// VMs for all work that can still be in time, expected work included.
+    InTime,
+    /// VMs for all work.
+    All,
+}
+
 /// The pools, with the VMs that each can still give away or still lacks while moves are chosen.
 pub(super) struct SizingLedger<'p> {
     pub(super) pools: &'p [PoolDemand],
@@ -25,8 +36,8 @@
     pub(super) idle: Vec<VecDeque<&'p IdleVm>>,
     /// The number of VMs that each pool has given away.
     given_away: Vec<usize>,
-    /// The number of VMs that each pool still lacks.
-    pub(super) shortage: Vec<usize>,
+    /// The number of VMs that each pool has received.
+    pub(super) received: Vec<usize>,
 }
 
 impl<'p> SizingLedger<'p> {
@@ -40,7 +51,7 @@
                 .map(|pool| pool.idle.iter().collect())
                 .collect(),
             given_away: vec![0; pools.len()],
-            shortage: pools.iter().map(|pool| pool.shortage(limits)).collect(),
+            received: vec![0; pools.len()],
         }
     }
 
@@ -50,7 +61,7 @@
         let max = match source {
             Source::Surplus if !pool.reserve => pool.surplus(self.limits),
             Source::Reserve if pool.reserve => pool.vms,
-            Source::Fair if !pool.reserve && self.shortage[index] == 0 => {
+            Source::Fair if !pool.reserve && self.shortage(index, Claim::All) == 0 => {
                 pool.vms.saturating_sub(self.fair[index])
             }
             Source::Surplus | Source::Reserve | Source::Fair => 0,
@@ -76,18 +87,21 @@
         None
     }
 
-    /// Returns the pools in need and the number of VMs that each lacks, largest shortage first. VMs from
-    /// pools that could use them themselves only go to pools that have less than their fair share.
-    pub(super) fn pools_in_need(&self, source: Source) -> Vec<(usize, usize)> {
-        let shortage = |index: usize| match source {
-            Source::Surplus | Source::Reserve => self.shortage[index],
-            Source::Fair => {
-                let pool = &self.pools[index];
-                self.shortage[index].min(self.fair[index].saturating_sub(pool.vms))
-            }
+    /// Returns how many more VMs a pool claims.
+    fn shortage(&self, index: usize, claim: Claim) -> usize {
+        let pool = &self.pools[index];
+        let wanted = match claim {
+            Claim::Share => pool.wanted(false, self.limits).min(self.fair[index]),
+            Claim::InTime => pool.wanted(false, self.limits),
+            Claim::All => pool.wanted(true, self.limits),
         };
+        wanted.saturating_sub(pool.vms + self.received[index])
+    }
+
+    /// Returns the pools whose claims are not met and the number of VMs that each lacks, largest shortage first.
+    pub(super) fn pools_in_need(&self, claim: Claim) -> Vec<(usize, usize)> {
         let mut pools_in_need: Vec<(usize, usize)> = (0..self.pools.len())
-            .map(|index| (index, shortage(index)))
+            .map(|index| (index, self.shortage(index, claim)))
             .filter(|(_, shortage)| *shortage > 0)
             .collect();
         pools_in_need.sort_by_key(|(_, shortage)| Reverse(*shortage));
@@ -95,16 +109,30 @@
     }
 }
 
-/// Returns how many VMs each pool should have: as many as its jobs can use now, or a proportional share if
-/// all pools together need more than there are.
+/// Returns how many VMs each pool should have: as many as its work in time can use now, or a proportional share
+/// if all pools together need more than there are, but no less than its lower bound.
 fn fair_shares(pools: &[PoolDemand], limits: &SizingLimits) -> Vec<usize> {
-    let needs: Vec<usize> = pools.iter().map(|pool| pool.needed(limits)).collect();
-    let needed: usize = needs.iter().sum();
+    let late_vms = equal_share(pools, limits.late_share);
+    let needs: Vec<(usize, usize)> = pools
+        .iter()
+        .map(|pool| (pool.needed(limits), pool.lower_bound(late_vms, limits)))
+        .collect();
     let total: usize = pools.iter().map(|pool| pool.vms).sum();
-    let ratio = (total as f64 / needed.max(1) as f64).min(1.0);
-    let share = |(pool, need): (&PoolDemand, usize)| {
-        let fair = (need as f64 * ratio).ceil() as usize;
-        fair.max(pool.min_vms).max(usize::from(!pool.reserve))
-    };
-    pools.iter().zip(needs).map(share).collect()
+    let share = |need: usize, ratio: f64| (need as f64 * ratio).ceil() as usize;
+    // A pool that gets its lower bound leaves less for the others, so that more pools may get theirs.
+    let mut ratio = 1.0_f64;
+    for _ in pools {
+        let (mut left, mut needed) = (total, 0);
+        for (need, bound) in &needs {
+            match share(*need, ratio) <= *bound {
+                true => left = left.saturating_sub(*bound),
+                false => needed += need,
+            }
+        }
+        ratio = ratio.min(left as f64 / needed.max(1) as f64);
+    }
+    let fair = needs
+        .iter()
+        .map(|(need, bound)| share(*need, ratio).max(*bound));
+    fair.collect()
 }
--- a/crates/fleet/src/sizing/mod.rs
+++ b/crates/fleet/src/sizing/mod.rs
@@ -5,11 +5,14 @@
 //! reserve, then idle VMs of pools that have more than their fair share. If that is not enough, VMs of such
 //! pools are drained. An idle VM that no pool needs goes to the reserve once it has cost as much as the
 //! move there and back.
+//!
+//! Fair shares follow the work that can still be in time, waiting and running. Late work gets VMs that no
+//! work in time needs, and a small lower bound so that no service starves.
 
 mod ledger;
 
 use clock::Instant;
-use ledger::{SizingLedger, Source};
+use ledger::{Claim, SizingLedger, Source};
 use std::time::Duration;
 
 /// The limits that sizing uses.
@@ -26,6 +29,9 @@
     /// The size of a pool whose demand is not known, as a share of an equal division of all VMs: enough for
     /// the first second of a peak, after which VMs of the reserve arrive.
     pub initial_share: f64,
+    /// The number of VMs that a pool keeps for late work while other pools need VMs, as a share of an equal
+    /// division of all VMs. Its jobs must end even if all of them are late.
+    pub late_share: f64,
     /// The time for which a VM must have been idle before another pool gets it, because runs come in
     /// bursts.
     pub min_idle: Duration,
@@ -38,6 +44,7 @@
             max_fill_to_give: 0.85,
             reserve_idle_age: Duration::from_millis(1_500),
             initial_share: 0.7,
+            late_share: 0.1,
             min_idle: Duration::from_millis(150),
         }
     }
@@ -82,6 +89,8 @@
     pub waiting: u64,
     /// The part of the waiting work that can no longer meet its deadline, in thousandths of a core.
     pub late: u64,
+    /// The part of the running work whose jobs can no longer be in time, in thousandths of a core.
+    pub late_running: u64,
     /// The work that arriving jobs will use if they keep arriving at the current rate, in thousandths of a
     /// core.
     pub inflow: u64,
@@ -118,28 +127,41 @@
         (cpu as f64 / (self.vm_capacity.max(1) as f64 * share)).ceil() as usize
     }
 
-    /// Returns how many more VMs the pool's jobs could fill.
-    fn shortage(&self, limits: &SizingLimits) -> usize {
+    /// Returns how many VMs the pool's jobs could fill, without or with late work.
+    fn wanted(&self, with_late: bool, limits: &SizingLimits) -> usize {
         if self.reserve {
             return 0;
         }
+        let (waiting, running) = match with_late {
+            true => (self.waiting, self.peak_running),
+            false => (
+                self.waiting.saturating_sub(self.late),
+                self.peak_running.saturating_sub(self.late_running),
+            ),
+        };
         let expected = self.inflow.max(self.forecast_inflow);
-        let wanted = match self.waiting {
-            0 => self.vms_for(expected, limits.max_fill),
-            waiting => self.vms_for(expected.max(self.peak_running + waiting), limits.max_fill),
+        let demand = match waiting {
+            0 => expected,
+            waiting => expected.max(running + waiting),
         };
-        wanted.max(self.min_vms).saturating_sub(self.vms)
+        self.vms_for(demand, limits.max_fill).max(self.min_vms)
     }
 
-    /// Returns how many VMs the pool's jobs can use now. Work that can only finish too late does not count,
-    /// nor does work that is merely expected, because VMs are taken from other pools for this.
+    /// Returns how many VMs the pool's jobs can use now for work that can still be in time. Work that is merely
+    /// expected does not count, because VMs are taken from other pools for this.
     fn needed(&self, limits: &SizingLimits) -> usize {
+        let waiting = self.waiting.saturating_sub(self.late);
+        let running = self.running.saturating_sub(self.late_running);
+        self.vms_for(running + waiting, limits.max_fill)
+    }
+
+    /// Returns how many VMs the pool keeps whatever other pools need, if `late_vms` are kept for late work.
+    fn lower_bound(&self, late_vms: usize, limits: &SizingLimits) -> usize {
         if self.reserve {
             return 0;
         }
-        let timely = self.waiting.saturating_sub(self.late);
-        self.vms_for(self.running + timely, limits.max_fill)
-            .max(self.min_vms)
+        let usable = self.vms_for(self.running + self.waiting, limits.max_fill);
+        late_vms.min(usable).max(self.min_vms).max(1)
     }
 
     /// Returns how many VMs the pool can do without.
@@ -169,8 +191,16 @@
 pub fn resize(pools: &[PoolDemand], now: Instant, limits: &SizingLimits) -> Resize {
     let mut ledger = SizingLedger::new(pools, limits);
     let mut resize = Resize::default();
-    for source in [Source::Surplus, Source::Reserve, Source::Fair] {
-        fill_shortages(&mut ledger, source, now, &mut resize);
+    for (claim, source) in [
+        (Claim::Share, Source::Surplus),
+        (Claim::Share, Source::Reserve),
+        (Claim::Share, Source::Fair),
+        (Claim::InTime, Source::Surplus),
+        (Claim::InTime, Source::Reserve),
+        (Claim::All, Source::Surplus),
+        (Claim::All, Source::Reserve),
+    ] {
+        fill_shortages(&mut ledger, claim, source, now, &mut resize);
     }
     resize.drains = choose_drains(&ledger);
     return_to_reserve(&mut ledger, now, &mut resize);
@@ -181,23 +211,24 @@
 /// used.
 pub fn lacks_vms(pools: &[PoolDemand], limits: &SizingLimits) -> bool {
     !SizingLedger::new(pools, limits)
-        .pools_in_need(Source::Fair)
+        .pools_in_need(Claim::Share)
         .is_empty()
 }
 
-/// Moves idle VMs from one source to the pools in need.
+/// Moves idle VMs from one source to the pools whose claims are not met.
 fn fill_shortages(
     ledger: &mut SizingLedger<'_>,
+    claim: Claim,
     source: Source,
     now: Instant,
     resize: &mut Resize,
 ) {
-    for (to, shortage) in ledger.pools_in_need(source) {
+    for (to, shortage) in ledger.pools_in_need(claim) {
         for _ in 0..shortage {
             let Some((from, vm)) = ledger.take(source, now) else {
                 return;
             };
-            ledger.shortage[to] -= 1;
+            ledger.received[to] += 1;
             resize.moves.push(VmMove {
                 vm: vm.vm.clone(),
                 from: ledger.pools[from].pool.clone(),
@@ -211,7 +242,7 @@
 /// fair share. VMs that are being drained already go first, then those that will be free first.
 fn choose_drains(ledger: &SizingLedger<'_>) -> Vec<String> {
     let mut shortage: usize = ledger
-        .pools_in_need(Source::Fair)
+        .pools_in_need(Claim::Share)
         .iter()
         .map(|(_, shortage)| shortage)
         .sum();
@@ -234,11 +265,11 @@
     drains
 }
 
-/// Returns how many VMs a pool keeps whose demand is not known.
-fn initial_size(pools: &[PoolDemand], limits: &SizingLimits) -> usize {
+/// Returns how many VMs a share of an equal division of all VMs is.
+fn equal_share(pools: &[PoolDemand], share: f64) -> usize {
     let total: usize = pools.iter().map(|pool| pool.vms).sum();
     let served = pools.iter().filter(|pool| !pool.reserve).count();
-    (total as f64 / served.max(1) as f64 * limits.initial_share).ceil() as usize
+    (total as f64 / served.max(1) as f64 * share).ceil() as usize
 }
 
 /// Moves VMs to the reserve that have been idle for long and that no pool needs.
@@ -246,7 +277,7 @@
     let Some(reserve) = ledger.pools.iter().find(|pool| pool.reserve) else {
         return;
     };
-    let initial = initial_size(ledger.pools, ledger.limits);
+    let initial = equal_share(ledger.pools, ledger.limits.initial_share);
     for (index, pool) in ledger.pools.iter().enumerate() {
         if pool.reserve {
             continue;
--- a/crates/fleet/tests/sizing.rs
+++ b/crates/fleet/tests/sizing.rs
@@ -33,6 +33,7 @@
         inflow: 0,
         forecast_inflow: 0,
         late: 0,
+        late_running: 0,
         idle,
         drainable: Vec::new(),
     }
@@ -260,3 +261,76 @@
     let done = resize(&pools, later(start, 1_000), &SizingLimits::default());
     assert_eq!(done, Resize::default());
 }
+
+/// Returns a pool whose VMs are busy with work that is late, with more of it waiting, and one that has a seventh of
+/// the VMs and waiting work that can still be in time.
+fn late_and_timely(start: Instant, idle: &[&str]) -> [PoolDemand; 2] {
+    let mut late = pool("late", 14, 200_000, 800_000, idle, start);
+    (late.late, late.late_running) = (800_000, 190_000);
+    late.drainable = drainable(
+        start,
+        &[
+            ("l1", 1_900, false),
+            ("l2", 1_300, false),
+            ("l3", 1_600, false),
+        ],
+    );
+    [late, pool("timely", 2, 30_000, 200_000, &[], start)]
+}
+
+#[test]
+fn late_work_keeps_its_vms_while_no_other_pool_needs_them() {
+    // Guards against VMs that drain or move although nothing is gained.
+    let start = Instant::now();
+    let mut pools = late_and_timely(start, &["l4"]);
+    let now = later(start, 9_000);
+    (pools[1].running, pools[1].peak_running, pools[1].waiting) = (20_000, 20_000, 0);
+    assert_eq!(
+        resize(&pools, now, &SizingLimits::default()),
+        Resize::default()
+    );
+    // Neither does other late work need them.
+    (pools[1].waiting, pools[1].late) = (500_000, 500_000);
+    assert_eq!(
+        resize(&pools, now, &SizingLimits::default()),
+        Resize::default()
+    );
+}
+
+#[test]
+fn idle_vms_go_to_work_in_time_before_late_work() {
+    // Guards against late work that gets the VMs of the reserve only because there is more of it.
+    let start = Instant::now();
+    let mut late = pool("late", 2, 30_000, 900_000, &[], start);
+    (late.late, late.late_running) = (900_000, 30_000);
+    let pools = [
+        late,
+        pool("timely", 2, 30_000, 12_000, &[], start),
+        pool("reserve", 3, 0, 0, &["r1", "r2", "r3"], start),
+    ];
+    let moves = plan_moves(&pools, later(start, 1), &SizingLimits::default());
+    assert_eq!(
+        moves,
+        [
+            vm_move("r1", "reserve", "timely"),
+            vm_move("r2", "reserve", "late"),
+            vm_move("r3", "reserve", "late")
+        ]
+    );
+}
+
+#[test]
+fn shares_of_the_reserve_follow_work_in_time() {
+    // Guards against a pool that gets all VMs of the reserve because its shortage is slightly larger.
+    let start = Instant::now();
+    let pools = [
+        pool("a", 4, 57_600, 144_000, &[], start),
+        pool("b", 4, 57_600, 130_000, &[], start),
+        pool("reserve", 2, 0, 0, &["r1", "r2"], start),
+    ];
+    let moves = plan_moves(&pools, later(start, 1), &SizingLimits::default());
+    assert_eq!(
+        moves,
+        [vm_move("r1", "reserve", "a"), vm_move("r2", "reserve", "b")]
+    );
+}
--- a/crates/havenladder/src/entry/moves/demands.rs
+++ b/crates/havenladder/src/entry/moves/demands.rs
@@ -22,7 +22,11 @@
         let largest = sizes.fold(Need::default(), Need::max);
         let mut pools = Vec::new();
         for service in &config.services {
-            let demand = round.owner.cell.borrow().demand(&service.name);
+            let (demand, late_running) = {
+                let cell = round.owner.cell.borrow();
+                let late_running = cell.late_running(&service.name, round.now);
+                (cell.demand(&service.name), late_running)
+            };
             let mut pool = PoolDemand {
                 pool: service.name.clone(),
                 reserve: service.reserve,
@@ -38,7 +42,7 @@
                 present.largest = largest;
             }
             let peak = self.peak(&service.name, demand.busy, round.now);
-            set_demand(&mut pool, &demand, peak, &present);
+            set_demand(&mut pool, &demand, late_running, peak, &present);
             pool.idle.sort_by_key(|vm| vm.since);
             pools.push(pool);
         }
@@ -172,7 +176,13 @@
 /// Sets the demand of a pool in the resource that needs the most VMs. Units are thousandths of a core, or an equally
 /// large share of a VM's memory or accelerators. Long-running tasks that cannot be scheduled get VMs of their own,
 /// regardless of the total free capacity; VMs on their way to the pool are reserved for them.
-fn set_demand(pool: &mut PoolDemand, demand: &Demand, peak: Need, present: &PoolVms) {
+fn set_demand(
+    pool: &mut PoolDemand,
+    demand: &Demand,
+    late_running: Need,
+    peak: Need,
+    present: &PoolVms,
+) {
     let mut all = peak;
     all.add(demand.waiting);
     let scarcest = all.max(demand.inflow).scarcest(present.largest);
@@ -185,6 +195,7 @@
     pool.running = cores(demand.busy);
     pool.waiting = cores(demand.waiting);
     pool.late = cores(demand.late);
+    pool.late_running = cores(late_running);
     pool.inflow = cores(demand.inflow);
     pool.forecast_inflow = cores(demand.forecast_inflow);
     pool.min_vms = match demand.unschedulable.workers(present.largest) {
--- a/crates/havenladder/src/entry/moves/mod.rs
+++ b/crates/havenladder/src/entry/moves/mod.rs
@@ -164,6 +164,7 @@
                 busy = pool.peak_running,
                 waiting = pool.waiting,
                 late = pool.late,
+                late_running = pool.late_running,
                 inflow = pool.inflow,
                 "pool"
             );
--- a/crates/jobs/src/cell/demand.rs
+++ b/crates/jobs/src/cell/demand.rs
@@ -2,10 +2,15 @@
 //! arrivals.
 
 use crate::{
-    Cell, Job, JobId, Need, Step, StepId, Submission, arrivals::Inflow, cell::need_of,
-    permit::step_of, rank::Rank,
+    Cell, Job, JobId, Need, Step, StepId, Submission, TaskId,
+    arrivals::Inflow,
+    cell::need_of,
+    permit::step_of,
+    rank::Rank,
+    worker::{RunKind, RunState},
 };
-use std::collections::BTreeMap;
+use clock::Instant;
+use std::collections::{BTreeMap, HashSet};
 
 /// The demand of the jobs of a service.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -81,6 +86,46 @@
         }
     }
 
+    /// Returns the part of [`Demand::busy`] that runs for jobs which can no longer be in time: one of their
+    /// runs ends too late even if all later steps start at once, or one of their waiting tasks is late.
+    ///
+    /// This iterates over all runs of the service, which other users of [`Cell::demand`] do not need.
+    pub fn late_running(&self, service: &str, now: Instant) -> Need {
+        let queue = self.waiting.get(service).into_iter().flatten();
+        let late = queue.filter(|rank| rank.is_late()).map(Rank::task);
+        let mut late: HashSet<(JobId, u32)> = late.map(|task| (task.job, task.round)).collect();
+        let mut needs: Vec<((JobId, u32), Need)> = Vec::new();
+        for worker in self.workers.of(service) {
+            for ((task, _), run) in &worker.runs {
+                if run.load.kind != RunKind::Finite {
+                    continue;
+                }
+                let round = (task.job, task.round);
+                if !late.contains(&round) && self.ends_late(*task, run, now) {
+                    late.insert(round);
+                }
+                needs.push((round, run.load.need));
+            }
+        }
+        let of_late = needs.iter().filter(|(round, _)| late.contains(round));
+        Need::sum(of_late.map(|(_, need)| *need))
+    }
+
+    /// Returns whether the job of a run is over its target time when the run and all later steps have ended.
+    fn ends_late(&self, task: TaskId, run: &RunState, now: Instant) -> bool {
+        let Some(job) = self.jobs.get(&task.job) else {
+            return false;
+        };
+        let Some(step) = job.find_step(task) else {
+            return false;
+        };
+        let factor = self.estimate_factor(&job.submission.queue);
+        let path = job.critical_paths[task.step as usize];
+        let later = path.saturating_sub(step.estimate_ms) as f64 * factor;
+        let left = self.run_left(task, run, now).as_secs_f64() * 1_000.0;
+        self.wall_ms as f64 + left + later > job.target_time(task.round, factor)
+    }
+
     /// Returns the long-running tasks of a service that could not be placed in its last pass.
     fn unschedulable_demand(&self, service: &str) -> Unschedulable {
         let mut unschedulable = Unschedulable::default();
--- a/crates/jobs/tests/demand.rs
+++ b/crates/jobs/tests/demand.rs
@@ -209,3 +209,75 @@
         "{first_rise} {demand:?}"
     );
 }
+
+/// Returns the running work, in thousandths of a core, that is known to be late.
+fn late_running(harness: &Harness) -> u64 {
+    harness.cell.late_running("s", harness.now).cpu
+}
+
+#[test]
+fn runs_that_end_after_the_target_time_are_late() {
+    // Guards against late work that counts as need for VMs once it runs.
+    let mut harness = Harness::new(&["a1"]);
+    let one = Step {
+        estimate_ms: 1_000,
+        ..step(2)
+    };
+    // The job is in time until 3,000 ms.
+    harness.cell.accept(job(1, vec![one]));
+    harness.cell.mark_due(2_500);
+    harness.start_tasks();
+    assert_eq!(late_running(&harness), 2_000);
+    // The runs are nearly done in spite of their late start.
+    harness.advance(600);
+    assert_eq!(late_running(&harness), 0);
+    harness.cell.mark_due(3_100);
+    assert_eq!(late_running(&harness), 2_000);
+}
+
+#[test]
+fn later_steps_count_for_whether_a_run_is_late() {
+    // Guards against runs of early steps that count as in time although their job cannot be.
+    let mut harness = Harness::new(&["a1"]);
+    let first = Step {
+        estimate_ms: 1_000,
+        ..step(1)
+    };
+    let second = Step {
+        after: vec![0],
+        ..first.clone()
+    };
+    // The job is in time until 5,000 ms.
+    harness.cell.accept(job(1, vec![first, second]));
+    harness.cell.mark_due(2_900);
+    harness.start_tasks();
+    assert_eq!(late_running(&harness), 0);
+    harness.cell.mark_due(3_100);
+    assert_eq!(late_running(&harness), 1_000);
+}
+
+#[test]
+fn a_late_waiting_task_makes_the_runs_of_its_job_late() {
+    // Guards against runs that count as in time although the rest of their job cannot be.
+    let mut harness = Harness::new(&["a1"]);
+    let one = Step {
+        estimate_ms: 1_000,
+        ..step(6)
+    };
+    harness.cell.accept(job(1, vec![one]));
+    assert_eq!(harness.start_tasks().len(), 4);
+    harness.advance(900);
+    assert_eq!(late_running(&harness), 0);
+    harness.cell.mark_due(2_100);
+    harness.start_tasks();
+    assert_eq!(late_running(&harness), 4_000);
+}
+
+#[test]
+fn long_running_tasks_are_never_late() {
+    let mut harness = Harness::new(&["a1"]);
+    harness.cell.accept(job(1, vec![long_running(2, 10)]));
+    harness.start_tasks();
+    harness.cell.mark_due(900_000);
+    assert_eq!(late_running(&harness), 0);
+}
