feat(sizing): a pool with late work gives VMs up once its work in time is covered

Cause: a pool with any waiting work, late work included, counted as short of VMs, so that none of its idle or busy VMs went to pools whose work could still be in time. A drained VM was open again between the end of its last run and its move, since an idle VM moves only after 150 ms: waiting tasks started on it and the drain was in vain.

Change: a pool above its fair share gives VMs up when they suffice for its work in time, waiting and running. A drained VM moves as soon as it is idle and gets no new runs until then (`IdleVm::drained`), for at most 2.5 s. A drained VM whose move the platform refuses or does not carry out is open again; its worker stayed closed before.

Result: work_in_time_gets_vms_of_a_pool_that_is_busy_with_late_work, a_pool_with_late_work_keeps_a_lower_bound and a_drained_vm_moves_as_soon_as_it_is_idle fail on the previous code (no drain, no move) and pass. Tests of havenladder-fleet, and of havenladder the files fleet.rs, drained_worker.rs and released.rs, pass. The refused move has no test of its own yet.

--- a/crates/fleet/src/sizing/ledger.rs
+++ b/crates/fleet/src/sizing/ledger.rs
@@ -11,7 +11,7 @@
     Surplus,
     /// The reserve.
     Reserve,
-    /// Pools that have more VMs than their fair share.
+    /// Pools that have more VMs than their fair share, and enough for all of their work in time.
     Fair,
 }
 
@@ -61,7 +61,7 @@
         let max = match source {
             Source::Surplus if !pool.reserve => pool.surplus(self.limits),
             Source::Reserve if pool.reserve => pool.vms,
-            Source::Fair if !pool.reserve && self.shortage(index, Claim::All) == 0 => {
+            Source::Fair if !pool.reserve && pool.needed(self.limits) <= pool.vms => {
                 pool.vms.saturating_sub(self.fair[index])
             }
             Source::Surplus | Source::Reserve | Source::Fair => 0,
@@ -76,8 +76,10 @@
             if self.available(index, source) == 0 {
                 continue;
             }
-            let ready =
-                |vm: &&IdleVm| source == Source::Reserve || now >= vm.since + self.limits.min_idle;
+            let ready = |vm: &&IdleVm| {
+                let is_idle = now >= vm.since + self.limits.min_idle;
+                source == Source::Reserve || vm.drained || is_idle
+            };
             let found = self.idle[index].iter().position(ready);
             if let Some(vm) = found.and_then(|position| self.idle[index].remove(position)) {
                 self.given_away[index] += 1;
--- a/crates/fleet/src/sizing/mod.rs
+++ b/crates/fleet/src/sizing/mod.rs
@@ -3,7 +3,7 @@
 //! A VM in a pool costs money each second, and so does each move; a VM that is being moved does no work. A
 //! pool whose jobs wait gets idle VMs of pools that have more than they are likely to need, then VMs of the
 //! reserve, then idle VMs of pools that have more than their fair share. If that is not enough, VMs of such
-//! pools are drained. An idle VM that no pool needs goes to the reserve once it has cost as much as the
+//! pools are drained, even if late work waits there. An idle VM that no pool needs goes to the reserve once it has cost as much as the
 //! move there and back.
 //!
 //! Fair shares follow the work that can still be in time, waiting and running. Late work gets VMs that no
@@ -57,6 +57,9 @@
     pub vm: String,
     /// The time since which the VM has been idle.
     pub since: Instant,
+    /// Whether the VM has been drained. It moves at once, since nothing has started on it that would show how
+    /// long it stays idle.
+    pub drained: bool,
 }
 
 /// A VM that runs only work that ends by itself, so that it can be drained.
--- a/crates/fleet/tests/sizing.rs
+++ b/crates/fleet/tests/sizing.rs
@@ -17,6 +17,7 @@
         .map(|vm| IdleVm {
             vm: (*vm).to_owned(),
             since,
+            drained: false,
         })
         .collect();
     let reserve = name == "reserve";
@@ -334,3 +335,62 @@
         [vm_move("r1", "reserve", "a"), vm_move("r2", "reserve", "b")]
     );
 }
+
+#[test]
+fn work_in_time_gets_vms_of_a_pool_that_is_busy_with_late_work() {
+    // Guards against late work that keeps the VMs which another pool needs for work that can still be in time.
+    let start = Instant::now();
+    let done = resize(
+        &late_and_timely(start, &[]),
+        later(start, 1_000),
+        &SizingLimits::default(),
+    );
+    assert_eq!(done.drains, ["l2", "l3", "l1"]);
+    let idle = late_and_timely(start, &["l4"]);
+    let done = resize(&idle, later(start, 1_000), &SizingLimits::default());
+    assert_eq!(done.moves, [vm_move("l4", "late", "timely")]);
+}
+
+#[test]
+fn a_pool_with_late_work_keeps_a_lower_bound() {
+    // Guards against a service that starves while others have work in time for all VMs.
+    let start = Instant::now();
+    let names: Vec<String> = (0..40).map(|number| format!("l{number:02}")).collect();
+    let rows: Vec<(&str, u64, bool)> = names.iter().map(|vm| (vm.as_str(), 500, false)).collect();
+    let mut late = pool("late", 40, 600_000, 800_000, &[], start);
+    (late.late, late.late_running) = (800_000, 600_000);
+    late.drainable = drainable(start, &rows);
+    let timely = pool("timely", 20, 300_000, 9_000_000, &[], start);
+    let now = later(start, 1_000);
+    // A tenth of an equal division of 60 VMs between two pools is three VMs.
+    let done = resize(
+        &[late.clone(), timely.clone()],
+        now,
+        &SizingLimits::default(),
+    );
+    assert_eq!(done.drains.len(), 37);
+    late.min_vms = 25;
+    let done = resize(&[late, timely], now, &SizingLimits::default());
+    assert_eq!(done.drains.len(), 15);
+}
+
+#[test]
+fn a_drained_vm_moves_as_soon_as_it_is_idle() {
+    // Guards against late tasks that start on a drained VM between the end of its runs and its move.
+    let start = Instant::now();
+    let mut pools = late_and_timely(start, &["l4", "l5"]);
+    pools[0].idle[1].drained = true;
+    let done = resize(&pools, later(start, 1), &SizingLimits::default());
+    assert_eq!(done.moves, [vm_move("l5", "late", "timely")]);
+}
+
+#[test]
+fn a_pool_whose_work_in_time_is_not_covered_is_not_drained() {
+    // Guards against drains of VMs that work in time could fill, because late work makes their pool seem rich.
+    let start = Instant::now();
+    let mut pools = late_and_timely(start, &[]);
+    pools[0].late = 750_000;
+    (pools[0].running, pools[0].late_running) = (200_000, 0);
+    let done = resize(&pools, later(start, 1_000), &SizingLimits::default());
+    assert_eq!(done, Resize::default());
+}
--- a/crates/havenladder/src/entry/moves/demands.rs
+++ b/crates/havenladder/src/entry/moves/demands.rs
@@ -85,6 +85,7 @@
         pool.idle.extend(since.map(|since| IdleVm {
             vm: vm.name.clone(),
             since,
+            drained: self.draining.contains_key(&vm.name),
         }));
     }
 
--- a/crates/havenladder/src/entry/moves/drain.rs
+++ b/crates/havenladder/src/entry/moves/drain.rs
@@ -10,6 +10,10 @@
 /// capacity that stays idle for longer is more useful where it is.
 pub(super) const MAX_DRAIN_TIME: Duration = Duration::from_millis(2_000);
 
+/// Maximum time for which a VM gets no new runs before its move is ordered. Orders wait for the platform's rate limit
+/// and for the record of the owner's claim; a job must not wait for 3 s beside a VM that has room for it.
+const MAX_CLOSED_TIME: Duration = Duration::from_millis(2_500);
+
 /// Time for which a VM is skipped after it took too long to drain.
 const STUCK_RETRY_INTERVAL: Duration = Duration::from_millis(4_000);
 
@@ -18,7 +22,10 @@
     pub(super) fn drain(&mut self, round: Round<'_>, plan: &Resize) {
         let stuck = self.skip_stuck(round.now);
         let going = plan.moves.iter().map(|shift| &shift.vm);
-        let drained = going.filter(|name| self.draining.contains_key(*name));
+        let drained = going.filter(|name| {
+            let since = self.draining.get(*name);
+            since.is_some_and(|since| round.now < *since + MAX_CLOSED_TIME)
+        });
         let draining = plan.drains.iter().filter(|name| !stuck.contains(name));
         let wanted: Vec<&String> = draining.chain(drained).collect();
         self.reopen_others(round, &wanted);
--- a/crates/havenladder/src/entry/moves/mod.rs
+++ b/crates/havenladder/src/entry/moves/mod.rs
@@ -185,9 +185,13 @@
                 return None;
             }
             cell.set_disrupted(id, true);
+            // Its disruption alone keeps new runs off the worker, which must be open again if the platform
+            // refuses the move.
+            if self.draining.remove(&vm.name).is_some() {
+                cell.set_closed(id, false);
+            }
         }
         self.idle.remove(&vm.name);
-        self.draining.remove(&vm.name);
         let moving = Moving {
             to: shift.to.clone(),
             worker: vm.worker.clone(),
