fix(jobs): capacity for runs that leave is counted once for all VMs

Cause: the runs of each VM were compared with the free capacity of the other VMs by themselves, so that several VMs of a drained data centre counted on the same capacity; runs that had been stopped and not started again counted for nothing. With four VMs of four runs and capacity for four runs elsewhere, all 16 were stopped.

Change: `free_capacity.rs` counts the capacity of a service's open workers once per round, less what interrupted tasks take: those whose run is being stopped on a worker without new runs, and those that wait and were started before. This follows from records and reports, so that a new owner counts the same. `drain_halls` and `drain_worker` (moves, waves) take their capacity from it. Long-running tasks come first and stay within their budgets; runs that need a permit leave only for workers for which one is held.

No existing test was changed.

--- a/crates/jobs/src/drain.rs
+++ b/crates/jobs/src/drain.rs
@@ -36,17 +36,26 @@
         left.max().unwrap_or(Duration::ZERO)
     }
 
-    /// Stops the runs on a worker that can continue elsewhere from their saved progress. Returns how many
-    /// were stopped.
+    /// Stops the runs on a worker that can continue elsewhere from their saved progress, beside those that
+    /// were stopped earlier and have not started again. Returns how many were stopped.
     pub fn drain_worker(&mut self, id: &str, now: Instant) -> usize {
         let Some(worker) = self.workers.get(id) else {
             return 0;
         };
+        let service = worker.info.service.clone();
         let movable = self.movable_runs(worker, now);
-        for (task, run) in &movable {
-            self.stop_run(id, *task, *run);
+        if movable.is_empty() {
+            return 0;
+        }
+        let mut free = self.free_capacity_beside(id, &service, now);
+        let mut stopped = 0;
+        for (task, run) in movable {
+            if self.take_capacity(&mut free, task, now) {
+                self.stop_run(id, task, run);
+                stopped += 1;
+            }
         }
-        movable.len()
+        stopped
     }
 
     /// Returns the runs of a worker that save their progress, are expected to go on for a while, and fit on
@@ -55,8 +64,7 @@
         let mut taken: HashMap<&str, Need> = HashMap::new();
         let mut movable = Vec::new();
         for ((task, run), state) in &worker.runs {
-            let running = state.phase == RunPhase::Running;
-            if !running || !self.may_move(*task) || self.run_left(*task, state, now) <= MOVE_COST {
+            if state.phase != RunPhase::Running || !self.is_worth_moving(*task, state, now) {
                 continue;
             }
             let Some(host) = self.other_host(worker, *task, state, &taken, now) else {
@@ -68,6 +76,11 @@
         movable
     }
 
+    /// Returns whether a run saves its progress and is expected to go on for longer than a move takes.
+    pub(crate) fn is_worth_moving(&self, task: TaskId, run: &RunState, now: Instant) -> bool {
+        self.may_move(task) && self.run_left(task, run, now) > MOVE_COST
+    }
+
     /// Returns whether a task ends by itself, is not part of a gang, and saves its progress.
     fn may_move(&self, task: TaskId) -> bool {
         let job = self.jobs.get(&task.job);
--- a/crates/jobs/src/hall.rs
+++ b/crates/jobs/src/hall.rs
@@ -3,7 +3,7 @@
 //! Runs that end by themselves and save no progress are left to end. Long-running tasks leave one by one, so
 //! that a step never has more unavailable tasks than its budget allows.
 
-use crate::{Cell, RunId, RunPhase, TaskId, Worker, WorkerId, cell::need_of, place::may_join};
+use crate::{Cell, RunId, RunPhase, ServiceId, TaskId, WorkerId, worker::RunState};
 use clock::Instant;
 use std::collections::BTreeSet;
 
@@ -41,47 +41,69 @@
         }
         let leaving = self.workers.values();
         let leaving = leaving.filter(|worker| worker.hall_drained && !worker.runs.is_empty());
-        let leaving: Vec<WorkerId> = leaving.map(|worker| worker.info.id.clone()).collect();
+        let services: BTreeSet<ServiceId> =
+            leaving.map(|worker| worker.info.service.clone()).collect();
+        let services = services.iter();
+        services
+            .map(|service| self.drain_service(service, now))
+            .sum()
+    }
+
+    /// Stops the runs of a service that can continue elsewhere on workers of drained data centres, as far as
+    /// there is capacity for all of them together. Long-running tasks come first, as when tasks are placed.
+    fn drain_service(&mut self, service: &str, now: Instant) -> usize {
+        let long_running = self.leaving_runs(service, |cell, task, _| cell.may_leave(task));
+        let finite = self.leaving_runs(service, |cell, task, run| {
+            cell.is_worth_moving(task, run, now)
+        });
+        if long_running.is_empty() && finite.is_empty() {
+            return 0;
+        }
+        let mut free = self.free_capacity(service, now);
         let mut stopped = 0;
-        for id in leaving {
-            stopped += self.drain_worker(&id, now);
-            while let Some((task, run)) = self.next_long_running(&id, now) {
-                self.stop_run(&id, task, run);
+        for (worker, task, run) in long_running {
+            // Each task that is stopped uses up a part of its step's budget.
+            if self.may_leave(task) && self.take_capacity(&mut free, task, now) {
+                self.stop_run(&worker, task, run);
+                stopped += 1;
+            }
+        }
+        for (worker, task, run) in finite {
+            if self.take_capacity(&mut free, task, now) {
+                self.stop_run(&worker, task, run);
                 stopped += 1;
             }
         }
         stopped
     }
 
-    /// Returns a run of a long-running task on a worker that may be stopped now and fits elsewhere.
-    fn next_long_running(&self, id: &str, now: Instant) -> Option<(TaskId, RunId)> {
-        let worker = self.workers.get(id)?;
-        let mut runs = worker.runs.iter();
-        let found = runs.find(|((task, _), run)| {
-            run.phase == RunPhase::Running && self.may_leave(worker, *task, now)
-        });
-        found.map(|(key, _)| *key)
+    /// Returns the runs of a service on workers of drained data centres that `may_leave`.
+    fn leaving_runs(
+        &self,
+        service: &str,
+        may_leave: impl Fn(&Cell, TaskId, &RunState) -> bool,
+    ) -> Vec<(WorkerId, TaskId, RunId)> {
+        let mut leaving = Vec::new();
+        for worker in self.workers.of(service).filter(|w| w.hall_drained) {
+            let running = worker.runs.iter();
+            let running = running.filter(|(_, run)| run.phase == RunPhase::Running);
+            for ((task, run), state) in running {
+                if may_leave(self, *task, state) {
+                    leaving.push((worker.info.id.clone(), *task, *run));
+                }
+            }
+        }
+        leaving
     }
 
-    /// Returns whether a task is long-running, may be unavailable now, and fits on another worker.
-    fn may_leave(&self, worker: &Worker, task: TaskId, now: Instant) -> bool {
-        let Some(job) = self.jobs.get(&task.job) else {
+    /// Returns whether a task is long-running and may be unavailable now.
+    fn may_leave(&self, task: TaskId) -> bool {
+        let job = self.jobs.get(&task.job);
+        let step = job.and_then(|job| job.find_step(task));
+        let Some(step) = step.filter(|step| step.long_running && !step.gang) else {
             return false;
         };
-        let Some(step) = job
-            .find_step(task)
-            .filter(|step| step.long_running && !step.gang)
-        else {
-            return false;
-        };
-        let need = need_of(job, task);
-        let fits = |host: &Worker| {
-            self.accepts(host, job, task, now)
-                && need.fits(host.used, host.info.capacity)
-                && may_join(step, || host.siblings(task))
-        };
         let budget = step.disruption_budget.unwrap_or(DEFAULT_MAX_UNAVAILABLE);
         self.count_unavailable(task, None) < budget
-            && self.workers.of(&worker.info.service).any(fits)
     }
 }
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -11,6 +11,7 @@
 mod disruption;
 mod drain;
 mod explain;
+mod free_capacity;
 mod gang;
 mod hall;
 mod hall_drains;
