feat(jobs): each data centre has a state, shown to operators until it is safe to switch off

Cause: the progress of a drain was not visible, and nothing said when a data centre may be switched off.

Change: `hall_state.rs` is a pure state machine for each data centre (serving, draining, drained, returning), fed by `hall_runs.rs` with the runs there by kind and with the workers that may have runs of an earlier owner. A new owner rebuilds it; nothing is written to the log. The owner logs each change and that a data centre is safe to switch off, and exports `havenladder_data_centre_state` and `havenladder_data_centre_runs`.

--- a/crates/havenladder/src/entry/metrics.rs
+++ b/crates/havenladder/src/entry/metrics.rs
@@ -1,19 +1,21 @@
 //! Counters and latencies of an entry on the users' machines, in the text format of Prometheus.
 
 use super::{
+    hall_metrics::{self, HallMetrics},
     listen::{self, Reply, accept_each},
     traffic,
 };
 use adapter::traffic::Traffic;
 use http_body_util::Full;
 use hyper::Response;
+use jobs::{HallId, HallStatus};
 use opentelemetry::{
     KeyValue,
     metrics::{Counter, Histogram, MeterProvider},
 };
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
-use std::{rc::Rc, time::Duration};
+use std::{collections::BTreeMap, rc::Rc, time::Duration};
 use tokio::net::TcpListener;
 use tracing::warn;
 
@@ -49,6 +51,7 @@
     resends: Counter<u64>,
     reads: Counter<u64>,
     vm_orders: Counter<u64>,
+    halls: HallMetrics,
     _provider: SdkMeterProvider,
 }
 
@@ -68,6 +71,8 @@
         let provider = builder.build();
         let meter = provider.meter("havenladder");
         traffic::export(&meter, counters);
+        let halls = HallMetrics::default();
+        hall_metrics::export(&meter, &halls);
         let seconds = |name: &'static str| {
             meter
                 .f64_histogram(name)
@@ -99,6 +104,7 @@
             resends: meter.u64_counter("havenladder_store_resends").build(),
             reads: meter.u64_counter("havenladder_store_reads").build(),
             vm_orders: meter.u64_counter("havenladder_vm_orders").build(),
+            halls,
             registry,
             _provider: provider,
         }
@@ -188,6 +194,11 @@
         self.drained_runs.add(runs as u64, &[]);
     }
 
+    /// Sets the state of each data centre and what runs there; none on an entry that does not own the cell.
+    pub fn set_halls(&self, halls: BTreeMap<HallId, HallStatus>) {
+        self.halls.set(halls);
+    }
+
     /// Counts that a workspace has become blocked by its bound, or is no longer blocked.
     pub fn waited_for_bound(&self, begins: bool) {
         self.bound_waits.add(1, &[KeyValue::new("begins", begins)]);
--- a/crates/havenladder/src/entry/mod.rs
+++ b/crates/havenladder/src/entry/mod.rs
@@ -7,6 +7,7 @@
 mod callers;
 mod ends;
 mod fleet;
+mod hall_metrics;
 mod in_force;
 mod lease;
 mod lease_record;
--- a/crates/havenladder/src/entry/owner/mod.rs
+++ b/crates/havenladder/src/entry/owner/mod.rs
@@ -20,7 +20,7 @@
 use jobs::{Cell as JobCell, Limits, Order, WorkerId, WorkerName};
 use std::{
     cell::{Cell, RefCell},
-    collections::{HashMap, HashSet},
+    collections::{BTreeMap, HashMap, HashSet},
     rc::Rc,
     sync::Arc,
     time::Duration,
@@ -168,6 +168,8 @@
     bounds_version: Cell<Option<Version>>,
     /// Offset of the operators' topic as of which the cell knows the data centres to be drained.
     hall_drains_as_of: Cell<Offset>,
+    /// Time of the next update of the states of data centres.
+    hall_states_due: Cell<Instant>,
     /// Function that sends orders to workers.
     send: SendOrders,
     /// Whether the owner may still decide.
@@ -230,6 +232,7 @@
             appending: Cell::new(None),
             bounds_version: Cell::new(None),
             hall_drains_as_of: Cell::new(0),
+            hall_states_due: Cell::new(now),
             send,
             alive: Cell::new(true),
             loaded: Cell::new(false),
@@ -289,6 +292,7 @@
     pub fn end(&self, why: &str) {
         if self.alive.replace(false) {
             self.node.metrics.ownership_changed("lost");
+            self.node.metrics.set_halls(BTreeMap::new());
             info!(epoch = self.epoch, why, "owns the cell no longer");
             self.wake.notify_one();
             self.state_changed.notify_waiters();
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -28,8 +28,8 @@
 pub use limits::Limits;
 
 use crate::{
-    Charge, HallId, Job, JobId, Need, Order, Phase, QueueId, RunId, ServiceId, Submission, TaskId,
-    TaskPhase, WorkerId, Workers,
+    Charge, HallId, HallStates, Job, JobId, Need, Order, Phase, QueueId, RunId, ServiceId,
+    Submission, TaskId, TaskPhase, WorkerId, Workers,
     arrivals::Arrivals,
     incarnations::IncarnationTable,
     near::DataRackWaits,
@@ -86,6 +86,8 @@
     pub workers: Workers,
     /// The data centres that are to be drained.
     pub(crate) drained_halls: BTreeSet<HallId>,
+    /// The state of each data centre, as of the last update.
+    pub(crate) hall_states: HallStates,
     /// All jobs, including those that are over.
     pub jobs: HashMap<JobId, Job>,
     /// The tasks that wait for capacity, by service, in the order in which they are placed.
--- a/crates/jobs/src/cell/takeover_barrier.rs
+++ b/crates/jobs/src/cell/takeover_barrier.rs
@@ -73,4 +73,13 @@
             || barrier.expected_workers.values().any(|of| of == service)
             || self.workers.of(service).any(|w| !w.contacted)
     }
+    /// Returns how many workers may have runs although no list has named them: those with runs of an earlier
+    /// owner, and those on listed VMs; at least 1 until both lists have been read.
+    pub(crate) fn count_unlisted_workers(&self) -> usize {
+        let barrier = &self.takeover_barrier;
+        let unread = usize::from(!barrier.listed || barrier.awaits_vm_list);
+        let expected = barrier.expected_workers.keys();
+        let unnamed = expected.filter(|name| self.incarnations.current(name).is_none());
+        unread.max(self.orphans.len() + unnamed.count())
+    }
 }
--- a/crates/jobs/src/disruption.rs
+++ b/crates/jobs/src/disruption.rs
@@ -62,7 +62,7 @@
     }
 
     /// Returns whether a task runs until its job is cancelled.
-    fn is_long_running(&self, task: TaskId) -> bool {
+    pub(crate) fn is_long_running(&self, task: TaskId) -> bool {
         let job = self.jobs.get(&task.job);
         let step = job.and_then(|job| job.find_step(task));
         step.is_some_and(|step| step.long_running)
