feat(jobs): a drained data centre returns to service gradually

Cause: when a drain order was withdrawn, all workers of the data centre got work for their whole capacity at once, although they may be cold and slow at first.

Change: `hall_return.rs` gives the workers there work for a part of their capacity: a fifth at first, all of it after 2.5 to 10 s, by the durations of runs there compared with runs elsewhere. Each limit carries the time at which it ends. Long-running tasks that fit nowhere else are not limited, and after each pass one task of each job with nothing running is placed without limits. An order that is revoked before the data centre was drained, a new owner, and a cell without any order have no limits.

Tests: hall_return.rs is new (24 cases). No existing test was changed.

Result: `cargo test -p havenladder-jobs` and `--test drained_data_centre` (3 tests) pass, as do fmt and clippy of the workspace.

--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -31,6 +31,7 @@
     Charge, HallId, HallStates, Job, JobId, Need, Order, Phase, QueueId, RunId, ServiceId,
     Submission, TaskId, TaskPhase, WorkerId, Workers,
     arrivals::Arrivals,
+    hall_return::Returns,
     incarnations::IncarnationTable,
     near::DataRackWaits,
     permit::{Permits, StepId},
@@ -88,6 +89,8 @@
     pub(crate) drained_halls: BTreeSet<HallId>,
     /// The state of each data centre, as of the last update.
     pub(crate) hall_states: HallStates,
+    /// The data centres that return to service.
+    pub(crate) returns: Returns,
     /// All jobs, including those that are over.
     pub jobs: HashMap<JobId, Job>,
     /// The tasks that wait for capacity, by service, in the order in which they are placed.
--- a/crates/jobs/src/cell/workers.rs
+++ b/crates/jobs/src/cell/workers.rs
@@ -19,10 +19,12 @@
             worker.hall_drained = is_drained;
             worker.unlisted_at = None;
             worker.unusable = false;
+            worker.return_limit = self.returns.limit(&info);
             return self.workers.update(info);
         }
         let mut worker = Worker::new(info);
         worker.hall_drained = is_drained;
+        worker.return_limit = self.returns.limit(&worker.info);
         worker.contacted = self.takeover_barrier.listed;
         let orphans = self.orphans.remove(&worker.info.id);
         for Orphan { task, run, charge } in orphans.unwrap_or_default() {
--- a/crates/jobs/src/free_capacity.rs
+++ b/crates/jobs/src/free_capacity.rs
@@ -36,10 +36,10 @@
 
 impl Host {
     /// Creates a host to which nothing has been assigned yet.
-    fn new(worker: &Worker) -> Self {
+    fn new(worker: &Worker, capacity: Need) -> Self {
         Host {
             id: worker.info.id.clone(),
-            capacity: worker.info.capacity,
+            capacity,
             used: worker.used,
             idle: worker.runs.is_empty(),
             assigned: HashMap::new(),
@@ -77,7 +77,9 @@
         let open = self.workers.of(service).filter(|w| w.is_open(now));
         let open = open.filter(|w| *w.info.id != *leaving);
         let mut free = FreeCapacity {
-            hosts: open.map(Host::new).collect(),
+            hosts: open
+                .map(|worker| Host::new(worker, self.limit_of(worker, now)))
+                .collect(),
             misfits: Vec::new(),
         };
         for task in self.interrupted_tasks(service, now) {
--- a/crates/jobs/src/gang.rs
+++ b/crates/jobs/src/gang.rs
@@ -3,6 +3,7 @@
 use crate::{
     Cell, Need, Step, Task, TaskId, Worker, WorkerId,
     cell::need_of,
+    hall_return::is_within_limit,
     place::{Placing, may_join},
 };
 use clock::Instant;
@@ -11,6 +12,8 @@
 struct Candidate<'w> {
     worker: &'w Worker,
     used: Need,
+    /// The usage up to which it gets work.
+    limit: Need,
     /// How many tasks of the gang's step it has.
     siblings: u32,
     /// Whether a member of the gang has been assigned to it.
@@ -21,10 +24,11 @@
 
 impl<'w> Candidate<'w> {
     /// Creates the candidate for a worker before any member of the gang of `task` is placed.
-    fn new(worker: &'w Worker, task: TaskId) -> Self {
+    fn new(worker: &'w Worker, limit: Need, task: TaskId) -> Self {
         Candidate {
             worker,
             used: worker.used,
+            limit,
             siblings: worker.siblings(task),
             has_member: false,
             closed: false,
@@ -54,6 +58,7 @@
     fn fits(&self, need: Need, step: &Step) -> bool {
         !self.closed
             && need.fits(self.used, self.worker.info.capacity)
+            && is_within_limit(need, self.used, self.limit)
             && may_join(step, || self.siblings)
     }
 }
@@ -110,7 +115,7 @@
             .workers
             .of(&job.submission.service)
             .filter(is_eligible)
-            .map(|worker| Candidate::new(worker, task))
+            .map(|worker| Candidate::new(worker, self.limit_of(worker, now), task))
             .collect();
         let workers = candidates.len();
         let needs_own = |index| self.needs_own_worker(TaskId { index, ..task }, workers, now);
--- a/crates/jobs/src/hall_runs.rs
+++ b/crates/jobs/src/hall_runs.rs
@@ -19,13 +19,16 @@
         &self.hall_states
     }
 
-    /// Updates the state of each data centre from the orders in force and from what may run there. Returns
-    /// the changes.
+    /// Updates the state of each data centre from the orders in force and from what may run there, and what its
+    /// workers get while it returns to service. Returns the changes.
     pub fn update_hall_states(&mut self, earlier: EarlierRuns, now: Instant) -> Vec<HallChange> {
+        self.advance_returns(now);
         let runs = self.hall_runs(earlier);
         let drained = &self.drained_halls;
         let is_ordered = |hall: &str| drained.contains(hall);
-        self.hall_states.update(runs, is_ordered, now)
+        let changes = self.hall_states.update(runs, is_ordered, now);
+        self.apply_returns(&changes, now);
+        changes
     }
 
     /// Returns what may run in each data centre that has workers or is to be drained.
--- a/crates/jobs/src/hall_state.rs
+++ b/crates/jobs/src/hall_state.rs
@@ -46,7 +46,7 @@
     Drained,
     /// It was drained and returns to service.
     Returning {
-        /// When it is back in full.
+        /// When it is back in full at the latest.
         until: Instant,
     },
 }
@@ -127,6 +127,17 @@
         &self.halls
     }
 
+    /// Ends the return of a data centre to service; the next update reports that it is serving.
+    pub(crate) fn end_return(&mut self, hall: &str, now: Instant) {
+        if let Some(HallStatus {
+            state: HallState::Returning { until },
+            ..
+        }) = self.halls.get_mut(hall)
+        {
+            *until = now.min(*until);
+        }
+    }
+
     /// Updates the status of all data centres with what may run in each of them. `is_ordered` returns whether
     /// an order to drain a data centre is in force. Returns the changes of states; that a data centre is
     /// serving when it is first seen is none.
--- a/crates/jobs/src/observe.rs
+++ b/crates/jobs/src/observe.rs
@@ -131,12 +131,14 @@
             return;
         }
         let near_runtime = runtime.as_millis() as f64 / self.far_factor(worker, step);
-        let ratio = near_runtime / step.estimate_ms as f64;
+        let ratio = (near_runtime / step.estimate_ms as f64).min(10.0);
         let factor = self
             .estimate_factors
             .entry(job.submission.queue.clone())
             .or_insert(1.0);
-        *factor += (ratio.min(10.0) - *factor) * LEARNING_RATE;
+        let expected = *factor;
+        *factor += (ratio - *factor) * LEARNING_RATE;
+        self.record_duration(worker, ratio / expected);
     }
 
     /// Counts a failed run of a worker and excludes the worker for a while after several in a row.
--- a/crates/jobs/src/pass.rs
+++ b/crates/jobs/src/pass.rs
@@ -1,13 +1,13 @@
 //! A pass over the waiting tasks of a service: which tasks may start, in which order, and when the pass ends.
 
 use crate::{
-    Cell, RunId, TaskId, TaskPhase, Worker,
+    Cell, JobId, RunId, TaskId, TaskPhase, Worker,
     permit::{StepId, step_of},
     place::Placing,
     rank::Rank,
 };
 use clock::Instant;
-use std::ops::Bound;
+use std::{collections::HashSet, ops::Bound};
 
 /// How many tasks that do not fit are tried in one pass over a service. Enough to find small tasks behind
 /// large ones, few enough to bound the pass in an overload.
@@ -17,6 +17,9 @@
 /// that do not fit.
 const MAX_DEFERRED: usize = 256;
 
+/// How many jobs without any run are tried beyond the limits of returning data centres in one pass.
+const MAX_IDLE_JOBS: usize = 256;
+
 /// Whether decisions can be recorded at present.
 #[derive(Clone, Copy, PartialEq, Eq)]
 pub(crate) enum LogState {
@@ -92,6 +95,44 @@
                 }
             }
         }
+        self.place_idle_jobs(service, now, log, budget);
+    }
+
+    /// Places one task of each job that has nothing running, without regard to returns of data centres to service:
+    /// such a job must not wait for as long as a return lasts. Does nothing while none is in progress.
+    fn place_idle_jobs(&mut self, service: &str, now: Instant, log: LogState, budget: &mut f64) {
+        if self.returns.is_empty() {
+            return;
+        }
+        // Tasks that did not fit within the limits may fit now.
+        self.unplaced_needs.clear();
+        let mut seen = HashSet::new();
+        let waiting = self.waiting.get(service).into_iter().flatten();
+        let first = waiting.filter(|rank| seen.insert(rank.task().job));
+        let idle = first.filter(|rank| !self.has_placed_task(rank.task().job));
+        let idle: Vec<Rank> = idle.take(MAX_IDLE_JOBS).copied().collect();
+        for rank in idle {
+            if *budget <= 0.0 {
+                return;
+            }
+            let ordered = self.starts.len();
+            let placing = self.with_limits_lifted(|cell| cell.try_place(service, &rank, now, log));
+            let starts = (self.starts.len() - ordered) as u64;
+            if starts > 0 {
+                *budget -= (starts * self.start_bytes(rank.task())) as f64;
+            }
+            if placing == Placing::Done {
+                self.near.forget(rank.task());
+                self.drop_rank(service, &rank);
+            }
+        }
+    }
+
+    /// Returns whether a run has been ordered for a task of a job and is not known to have ended.
+    fn has_placed_task(&self, job: JobId) -> bool {
+        let rounds = self.jobs.get(&job).into_iter().flat_map(|job| &job.rounds);
+        let mut tasks = rounds.flat_map(|round| round.steps.iter().flatten());
+        tasks.any(|task| matches!(task.phase, TaskPhase::Placed(_)))
     }
 
     /// Returns the first waiting task of a service after a rank, or the first of all if there is none.
--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -88,7 +88,10 @@
 
     /// Places a task that is not part of a gang.
     fn place_one(&mut self, task: TaskId, now: Instant) -> Placing {
-        let Some(worker) = self.best_worker(task, now) else {
+        let Some(worker) = self
+            .best_worker(task, now)
+            .or_else(|| self.worker_beyond_limits(task, now))
+        else {
             self.record_misfit(task);
             return Placing::NoFit;
         };
@@ -170,7 +173,7 @@
         }
         // The cheapest condition is tested first: in an overload, nearly all workers are full.
         let is_eligible = |w: &&Worker| {
-            need.fits(w.used, w.info.capacity)
+            self.has_capacity(w, need, now)
                 && self.accepts(w, job, task, now)
                 && may_join(step, || w.siblings(task))
         };
@@ -202,6 +205,16 @@
         best.map(|(_, worker)| worker.info.id.clone())
     }
 
+    /// Returns the best worker for a long-running task without regard to returns to service. Its service would be
+    /// short of it for as long as a return lasts.
+    fn worker_beyond_limits(&mut self, task: TaskId, now: Instant) -> Option<WorkerId> {
+        let job = self.jobs.get(&task.job)?;
+        if self.returns.is_empty() || !job.step(task.step).long_running {
+            return None;
+        }
+        self.with_limits_lifted(|cell| cell.best_worker(task, now))
+    }
+
     /// Returns how many tasks of the same step each rack has on workers of a service.
     fn racks_of(&self, service: &str, task: TaskId) -> HashMap<&str, u32> {
         let mut racks = HashMap::new();
--- a/crates/jobs/src/quarantine.rs
+++ b/crates/jobs/src/quarantine.rs
@@ -106,7 +106,7 @@
     fn quarantine_worker(&self, job: &Job, task: TaskId, now: Instant) -> Option<WorkerId> {
         let need = need_of(job, task);
         let is_eligible = |worker: &&Worker| {
-            need.fits(worker.used, worker.info.capacity)
+            self.has_capacity(worker, need, now)
                 && worker.is_settled()
                 && self.accepts(worker, job, task, now)
                 && may_join(job.step(task.step), || worker.siblings(task))
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -1,7 +1,8 @@
 //! A worker as seen by the owner of its cell: its capacity and the runs that it may have.
 
 use crate::{
-    Charge, LostRun, Need, RunId, ServiceId, Step, TaskId, WorkerId, suspicion::PROVEN_AGE,
+    Charge, LostRun, Need, ReturnLimit, RunId, ServiceId, Step, TaskId, WorkerId,
+    suspicion::PROVEN_AGE,
 };
 use clock::Instant;
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
@@ -184,6 +185,8 @@
     pub disrupted: bool,
     /// Whether its data centre is to be drained.
     pub hall_drained: bool,
+    /// The usage up to which it gets work while its data centre returns to service.
+    pub return_limit: Option<ReturnLimit>,
     /// Whether its latest entry does not describe a worker; another writer may have left it.
     pub unusable: bool,
     /// Whether an earlier owner may have ordered its VM to go down or to move, and the order may still be
@@ -225,6 +228,7 @@
             closed: false,
             disrupted: false,
             hall_drained: false,
+            return_limit: None,
             unusable: false,
             order_unconfirmed: false,
             used: Need::default(),
