perf(jobs): late runs are found with one look-up for the runs of a step

Cause: `late_running` looked up the job and the estimate factor of each run, twice: 13 ms for 64,000 runs on 16,000 workers. Change: the time until which a step's runs must end is computed once for adjacent runs; `time_left` is split from `run_left`.

--- a/crates/jobs/src/cell/demand.rs
+++ b/crates/jobs/src/cell/demand.rs
@@ -5,12 +5,16 @@
     Cell, Job, JobId, Need, Step, StepId, Submission, TaskId,
     arrivals::Inflow,
     cell::need_of,
+    drain::time_left,
     permit::step_of,
     rank::Rank,
     worker::{RunKind, RunState},
 };
 use clock::Instant;
-use std::collections::{BTreeMap, HashSet};
+use std::{
+    collections::{BTreeMap, HashSet},
+    time::Duration,
+};
 
 /// The demand of the jobs of a service.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -53,6 +57,23 @@
     }
 }
 
+/// The time until which the runs of a step must end so that their job can be in time.
+#[derive(Clone, Copy, Debug)]
+struct EndLimit {
+    /// That time, in ms since 1970.
+    latest: f64,
+    /// The expected duration of a run.
+    expected: Duration,
+}
+
+impl EndLimit {
+    /// Returns whether a run is expected to end too late.
+    fn is_missed(&self, run: &RunState, wall_ms: u64, now: Instant) -> bool {
+        let left = time_left(run, self.expected, now).as_secs_f64() * 1_000.0;
+        wall_ms as f64 + left > self.latest
+    }
+}
+
 impl Cell {
     /// Returns the demand of the jobs of a service.
     pub fn demand(&self, service: &str) -> Demand {
@@ -96,34 +117,42 @@
         let mut late: HashSet<(JobId, u32)> = late.map(|task| (task.job, task.round)).collect();
         let mut needs: Vec<((JobId, u32), Need)> = Vec::new();
         for worker in self.workers.of(service) {
+            // The runs of a step are adjacent. With a look-up of the job for each run, 64,000 runs took twice as long (13 ms).
+            let mut last: Option<(StepId, Option<EndLimit>)> = None;
             for ((task, _), run) in &worker.runs {
                 if run.load.kind != RunKind::Finite {
                     continue;
                 }
-                let round = (task.job, task.round);
-                if !late.contains(&round) && self.ends_late(*task, run, now) {
+                let (round, step) = ((task.job, task.round), step_of(*task));
+                let known = last.filter(|(other, _)| *other == step);
+                let limit = known.map_or_else(|| self.end_limit(*task), |(_, limit)| limit);
+                last = Some((step, limit));
+                if limit.is_some_and(|limit| limit.is_missed(run, self.wall_ms, now)) {
                     late.insert(round);
                 }
-                needs.push((round, run.load.need));
+                match needs.last_mut().filter(|(other, _)| *other == round) {
+                    Some((_, need)) => need.add(run.load.need),
+                    None => needs.push((round, run.load.need)),
+                }
             }
         }
+        if late.is_empty() {
+            return Need::default();
+        }
         let of_late = needs.iter().filter(|(round, _)| late.contains(round));
         Need::sum(of_late.map(|(_, need)| *need))
     }
 
-    /// Returns whether the job of a run is over its target time when the run and all later steps have ended.
-    fn ends_late(&self, task: TaskId, run: &RunState, now: Instant) -> bool {
-        let Some(job) = self.jobs.get(&task.job) else {
-            return false;
-        };
-        let Some(step) = job.find_step(task) else {
-            return false;
-        };
+    /// Returns until when the runs of a task's step must end so that its job can be in time.
+    fn end_limit(&self, task: TaskId) -> Option<EndLimit> {
+        let job = self.jobs.get(&task.job)?;
+        let estimate = job.find_step(task)?.estimate_ms;
         let factor = self.estimate_factor(&job.submission.queue);
-        let path = job.critical_paths[task.step as usize];
-        let later = path.saturating_sub(step.estimate_ms) as f64 * factor;
-        let left = self.run_left(task, run, now).as_secs_f64() * 1_000.0;
-        self.wall_ms as f64 + left + later > job.target_time(task.round, factor)
+        let later = job.critical_paths[task.step as usize].saturating_sub(estimate);
+        Some(EndLimit {
+            latest: job.target_time(task.round, factor) - later as f64 * factor,
+            expected: Duration::from_secs_f64(estimate as f64 * factor / 1_000.0),
+        })
     }
 
     /// Returns the long-running tasks of a service that could not be placed in its last pass.
--- a/crates/jobs/src/drain.rs
+++ b/crates/jobs/src/drain.rs
@@ -106,18 +106,23 @@
     /// Returns how long a run is expected to continue, by its progress, or else by its estimate and the
     /// estimate factor of its queue.
     pub(crate) fn run_left(&self, task: TaskId, run: &RunState, now: Instant) -> Duration {
-        let elapsed = now.saturating_duration_since(run.ordered_at);
-        if run.percent >= MIN_PREDICTIVE_PERCENT {
-            // The progress is as old as its last change.
-            let runtime = run.progressed_at.saturating_duration_since(run.ordered_at);
-            let total = runtime.mul_f64(100.0 / run.percent as f64);
-            return total.saturating_sub(elapsed);
-        }
         let expected = self.jobs.get(&task.job).and_then(|job| {
             let estimate = job.find_step(task)?.estimate_ms as f64;
             let factor = self.estimate_factor(&job.submission.queue);
             Some(Duration::from_secs_f64(estimate * factor / 1_000.0))
         });
-        expected.unwrap_or_default().saturating_sub(elapsed)
+        time_left(run, expected.unwrap_or_default(), now)
+    }
+}
+
+/// Returns how long a run is expected to continue, by its progress, or else by its expected duration.
+pub(crate) fn time_left(run: &RunState, expected: Duration, now: Instant) -> Duration {
+    let elapsed = now.saturating_duration_since(run.ordered_at);
+    if run.percent >= MIN_PREDICTIVE_PERCENT {
+        // The progress is as old as its last change.
+        let runtime = run.progressed_at.saturating_duration_since(run.ordered_at);
+        let total = runtime.mul_f64(100.0 / run.percent as f64);
+        return total.saturating_sub(elapsed);
     }
+    expected.saturating_sub(elapsed)
 }
