feat(jobs): the capacity of a pool over time, shown in the line pool

Cause: operators could not see how much of a pool's VMs its waiting work can use: some are unreachable, moving, in maintenance or filled with long-running tasks, and the sizes of tasks leave gaps.

--- a/crates/havenladder/src/entry/fleet.rs
+++ b/crates/havenladder/src/entry/fleet.rs
@@ -74,7 +74,7 @@
 
 /// Age at which the list is read again while VMs are being moved or are down. These phases take 1.5 s to 2 s, and
 /// each read has a cost.
-const MAX_BUSY_LIST_AGE: Duration = Duration::from_millis(250);
+pub const MAX_BUSY_LIST_AGE: Duration = Duration::from_millis(250);
 
 /// Age at which the list is read again when no VM is being moved or is down.
 const MAX_LIST_AGE: Duration = Duration::from_millis(3_000);
--- a/crates/havenladder/src/entry/maintenance.rs
+++ b/crates/havenladder/src/entry/maintenance.rs
@@ -89,6 +89,12 @@
         self.progress.values().filter(open).any(busy)
     }
 
+    /// Returns since when a VM has been down for a wave, or may have been, as the order was sent then.
+    pub fn down_since(&self, vm: &str) -> Option<Instant> {
+        let down = self.progress.values().filter_map(|wave| wave.down.get(vm));
+        down.map(|down| down.since).max()
+    }
+
     /// Returns whether the success of a wave has been published to operators.
     fn has_succeeded(&self, number: u64) -> bool {
         let progress = self.progress.get(&number);
--- a/crates/havenladder/src/entry/moves/mod.rs
+++ b/crates/havenladder/src/entry/moves/mod.rs
@@ -1,5 +1,6 @@
 //! Moves VMs between pools according to the demand of the pools' jobs.
 
+mod capacity;
 mod demands;
 mod drain;
 
@@ -39,6 +40,8 @@
     usage: BTreeMap<String, VecDeque<(Instant, Need)>>,
     /// When the pools were last logged.
     last_logged: Option<Instant>,
+    /// VMs whose listed capacity cannot be right, which has been logged.
+    invalid: BTreeSet<String>,
     /// Moves that the platform does not allow, as source and destination pool.
     rejected: BTreeSet<(String, String)>,
 }
@@ -118,7 +121,7 @@
         };
         let limits = SizingLimits::default();
         let mut pools = self.demands(round);
-        self.log_pools(&pools, now);
+        self.log_pools(round, &pools);
         if lacks_vms(&pools, &limits) {
             self.find_drainable(round, &mut pools);
         }
@@ -150,17 +153,22 @@
     }
 
     /// Logs from time to time what each pool has and needs.
-    fn log_pools(&mut self, pools: &[PoolDemand], now: Instant) {
+    fn log_pools(&mut self, round: Round<'_>, pools: &[PoolDemand]) {
+        let now = round.now;
         if self.last_logged.is_some_and(|at| now < at + LOG_INTERVAL) {
             return;
         }
         self.last_logged = Some(now);
+        let usable_cpu = self.usable_cpu(round);
         for pool in pools {
+            let usable = usable_cpu.get(&pool.pool).copied().unwrap_or_default();
             info!(
                 pool = pool.pool,
                 vms = pool.vms,
                 idle = pool.idle.len(),
                 least = pool.min_vms,
+                usable = usable.now,
+                usable_later = usable.later,
                 busy = pool.peak_running,
                 waiting = pool.waiting,
                 late = pool.late,
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -17,6 +17,7 @@
 mod slack;
 mod takeover;
 mod takeover_barrier;
+mod vm_capacity;
 mod withdraw;
 mod workers;
 
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod account;
 mod arrivals;
+pub mod capacity;
 mod cell;
 mod disruption;
 mod drain;
