docs(sizing): comments wrapped and in usual terms

Cause: a line of the module's documentation ran over the width, and a comment had a phrase that is not usual. Change: comments only.

--- a/crates/fleet/src/sizing/mod.rs
+++ b/crates/fleet/src/sizing/mod.rs
@@ -3,8 +3,8 @@
 //! A VM in a pool costs money each second, and so does each move; a VM that is being moved does no work. A
 //! pool whose jobs wait gets idle VMs of pools that have more than they are likely to need, then VMs of the
 //! reserve, then idle VMs of pools that have more than their fair share. If that is not enough, VMs of such
-//! pools are drained, even if late work waits there. An idle VM that no pool needs goes to the reserve once it has cost as much as the
-//! move there and back.
+//! pools are drained, even if late work waits there. An idle VM that no pool needs goes to the reserve once
+//! it has cost as much as the move there and back.
 //!
 //! Fair shares follow the work that can still be in time, waiting, running and arriving. Late work gets VMs
 //! that no work in time needs, and a small lower bound so that no service starves. A pool above its share gives
--- a/crates/jobs/src/capacity/mix.rs
+++ b/crates/jobs/src/capacity/mix.rs
@@ -4,7 +4,7 @@
 use crate::Need;
 use std::collections::BTreeMap;
 
-/// The number of shapes that are told apart. Those with the least work are left out.
+/// The maximum number of shapes that are distinguished. Those with the least work are left out.
 const MAX_SHAPES: usize = 12;
 
 /// The part of the tasks that still fit which is packed at once, so that packing many small tasks takes few steps.
