refactor(jobs): one function tells which runs do not end by themselves

Cause: vm_capacity.rs had a copy of RunKind::is_long_running, and the capacity module's page said that VMs are described in each round. Change: the copy is gone, and the module's documentation says once a second, for the log. Behaviour is the same.

--- a/crates/jobs/src/capacity/mod.rs
+++ b/crates/jobs/src/capacity/mod.rs
@@ -1,6 +1,6 @@
 //! Computes how much work can run in a pool at which time.
 //!
-//! The owner describes each VM of a pool once per round of decisions. A [`Timeline`] turns this into the capacity
+//! The owner describes each VM of a pool, once a second for its log. A [`Timeline`] turns this into the capacity
 //! that finite work can use over time. It counts what long-running tasks leave, from the time at which each VM is
 //! available. Finite runs are not subtracted, since what they still need is part of the work that the timeline
 //! is compared with. [`tasks_at`] subtracts them.
--- a/crates/jobs/src/cell/vm_capacity.rs
+++ b/crates/jobs/src/cell/vm_capacity.rs
@@ -3,7 +3,6 @@
 use crate::{
     Cell, Need, Worker,
     capacity::{Availability, Mix, VmCapacity},
-    worker::{RunKind, RunState},
 };
 use clock::Instant;
 
@@ -34,8 +33,9 @@
 fn capacity_of(worker: &Worker, now: Instant) -> VmCapacity {
     let mut long_running = Need::default();
     if worker.long_running_runs > 0 {
-        let runs = worker.runs.values().filter(|state| is_long_running(state));
-        runs.for_each(|state| long_running.add(state.load.need));
+        let loads = worker.runs.values().map(|state| state.load);
+        let loads = loads.filter(|load| load.kind.is_long_running());
+        loads.for_each(|load| long_running.add(load.need));
     }
     VmCapacity {
         capacity: worker.info.capacity,
@@ -45,14 +45,6 @@
     }
 }
 
-/// Returns whether a run does not end by itself.
-fn is_long_running(state: &RunState) -> bool {
-    match state.load.kind {
-        RunKind::Serving | RunKind::LongRunning => true,
-        RunKind::Finite | RunKind::BestEffort => false,
-    }
-}
-
 /// Returns when a worker can get new runs.
 fn availability_of(worker: &Worker, now: Instant) -> Availability {
     let stays = worker.may_start() && !worker.closed && worker.quarantine.is_none();
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -81,7 +81,7 @@
     }
 
     /// Returns whether the run keeps its worker's VM from being moved freely.
-    fn is_long_running(self) -> bool {
+    pub(crate) fn is_long_running(self) -> bool {
         matches!(self, RunKind::Serving | RunKind::LongRunning)
     }
 }
