feat(entry): abandoned transfers of operators' records, and calls of unknown queues, are logged

Cause: an entry without a new configuration looked the same whether its source was silent, its processor busy or its link full, and a 404 left no trace of the configuration behind it. Change: a request for operators' records that ends without a whole response logs its source, its duration and the bytes that had arrived; a call of an unknown queue logs the version and the age of the configuration. No decision changes.

--- a/crates/havenladder/src/entry/callers/call.rs
+++ b/crates/havenladder/src/entry/callers/call.rs
@@ -174,7 +174,7 @@
         )));
     };
     let Some(queue) = config.queue(&head.host, &head.path) else {
-        return Ok(Authentication::Rejected(reply(StatusCode::NOT_FOUND, "")));
+        return Ok(Authentication::Rejected(reject_unknown_queue(node, head)));
     };
     let caller = in_force.authenticate(queue, &head.authorization)?;
     Ok(Authentication::Admitted(Admitted {
@@ -185,6 +185,14 @@
     }))
 }
 
+/// Creates the response to a call of a queue that the configuration does not contain.
+fn reject_unknown_queue(node: &Node, head: &RequestHead) -> Reply {
+    let version = node.in_force.borrow().version();
+    let age = node.freshness.get().age(Instant::now()).as_millis() as u64;
+    info!(target: kind::REQUEST, host = head.host, path = head.path, version, age, "no such queue");
+    reply(StatusCode::NOT_FOUND, "")
+}
+
 /// Creates the response to a caller that is not authorized. Nothing of the call has been carried
 /// out.
 fn reject_unauthorized(node: &Node, head: &RequestHead, unauthorized: Unauthorized) -> Reply {
--- a/crates/havenladder/src/entry/mod.rs
+++ b/crates/havenladder/src/entry/mod.rs
@@ -37,6 +37,7 @@
 mod store_calls;
 mod suspension;
 mod traffic;
+mod transfers;
 mod vm_orders;
 mod watch;
 mod wave_status;
--- a/crates/havenladder/src/entry/operator_topic.rs
+++ b/crates/havenladder/src/entry/operator_topic.rs
@@ -6,10 +6,12 @@
     node::Node,
     peer::{self, PeerRequest, PeerResponse, Update},
     store_calls,
+    transfers::{self, Transfer},
 };
 use adapter::{
     operator::TOPIC,
     store::{KeyedRecord, Offset, ReadResponse, decode_keyed},
+    traffic::Party,
 };
 use bytes::Bytes;
 use clock::{Instant, timer};
@@ -32,6 +34,9 @@
 /// Maximum delay after repeated failures. A change must be in force within 2 s.
 const MAX_RETRY_INTERVAL: Duration = Duration::from_millis(750);
 
+/// Name of the platform's store as the source of a transfer in the log.
+const STORE_NAME: &str = "store";
+
 /// Time for which a call waits for a refresh. A response usually takes some ms, and 0.2 s if the
 /// store is 50 times slower than usual.
 const REFRESH_TIMEOUT: Duration = Duration::from_millis(250);
@@ -81,6 +86,7 @@
 /// the store did not answer.
 async fn read_from(node: &Node, from: Offset) -> bool {
     let sent = Instant::now();
+    let transfer = Transfer::begin(node, Party::Store);
     match store_calls::read(node, TOPIC, from, READ_HOLD).await {
         Ok(ReadResponse::Records(_, records)) => {
             apply_read(node, from, &records, sent, READ_HOLD);
@@ -94,7 +100,11 @@
             node.replication.recent.borrow_mut().clear();
             true
         }
-        Ok(ReadResponse::Busy) | Err(_) => false,
+        Ok(ReadResponse::Busy) => false,
+        Err(error) => {
+            transfers::log_abandoned(node, STORE_NAME, error, &transfer);
+            false
+        }
     }
 }
 
@@ -139,11 +149,14 @@
     };
     for peer in node.peers() {
         let sent = Instant::now();
-        if let Ok(PeerResponse::Update(update)) =
-            peer::call(node, &peer, &request, sent + PEER_TIMEOUT).await
-        {
-            apply_update(node, update, sent);
-            return true;
+        let transfer = Transfer::begin(node, Party::Peer);
+        match peer::call(node, &peer, &request, sent + PEER_TIMEOUT).await {
+            Ok(PeerResponse::Update(update)) => {
+                apply_update(node, update, sent);
+                return true;
+            }
+            Ok(_) => {}
+            Err(error) => transfers::log_abandoned(node, &peer, error, &transfer),
         }
     }
     false
@@ -229,12 +242,16 @@
 async fn refresh(node: &Node) -> bool {
     let sent = Instant::now();
     let known = node.replication.recent.borrow().end();
-    if let Some(from) = known
-        && let Ok(ReadResponse::Records(_, records)) =
-            store_calls::read_once(node, TOPIC, from).await
-    {
-        apply_read(node, from, &records, sent, Duration::ZERO);
-        return true;
+    if let Some(from) = known {
+        let transfer = Transfer::begin(node, Party::Store);
+        match store_calls::read_once(node, TOPIC, from).await {
+            Ok(ReadResponse::Records(_, records)) => {
+                apply_read(node, from, &records, sent, Duration::ZERO);
+                return true;
+            }
+            Ok(_) => {}
+            Err(error) => transfers::log_abandoned(node, STORE_NAME, error, &transfer),
+        }
     }
     poll_peers(node).await
 }
--- a/crates/havenladder/src/entry/replication_client.rs
+++ b/crates/havenladder/src/entry/replication_client.rs
@@ -6,8 +6,12 @@
     operator_topic,
     peer::{self, PeerRequest, PeerResponse},
     replication::{MAX_HOLD, Request, Response, Update},
+    transfers::{self, Transfer},
+};
+use adapter::{
+    store::{Offset, decode_keyed},
+    traffic::Party,
 };
-use adapter::store::{Offset, decode_keyed};
 use clock::Instant;
 use fleet::{Address, FollowerInfo, STALE_AGE, Source};
 use std::{rc::Rc, time::Duration};
@@ -95,6 +99,7 @@
             from,
             end: node.lease_end.get(),
         });
+        let transfer = Transfer::begin(node, Party::Peer);
         match peer::call(node, &source, &request, sent + MAX_HOLD + RESPONSE_SLACK).await {
             Ok(PeerResponse::Replication(Response::Update(update))) => {
                 if !apply_update(node, from, update, sent) {
@@ -109,7 +114,11 @@
                 source = next;
                 hops += 1;
             }
-            Ok(_) | Err(_) => return,
+            Ok(_) => return,
+            Err(error) => {
+                transfers::log_abandoned(node, &source, error, &transfer);
+                return;
+            }
         }
     }
 }
