--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -74,6 +74,8 @@
     pub workspaces: Option<Vec<Workspace>>,
     /// All bounds that were configured: since when, for which workspace, and the number of cores.
     pub bounds: Vec<(Instant, String, u64)>,
+    /// Number of routes of the newest configuration that nobody calls.
+    pub idle_routes: usize,
     /// Version of the newest configuration.
     version: u64,
     /// Number of waves requested so far.
@@ -109,6 +111,7 @@
             events,
             workspaces: None,
             bounds: Vec::new(),
+            idle_routes: 0,
             version: 0,
             waves: 0,
         };
@@ -140,6 +143,7 @@
             pool: POOL,
             reserve: RESERVE,
             workspaces: self.workspaces.as_deref(),
+            idle_routes: self.idle_routes,
         };
         operator::write_config(&self.log, self.version, &config);
     }
@@ -154,6 +158,12 @@
         self.configure();
     }
 
+    /// Adds routes that nobody calls, so that this change and all later ones are large.
+    pub fn add_idle_routes(&mut self, count: usize) {
+        self.idle_routes += count;
+        self.configure();
+    }
+
     /// Sets the number of cores that each workspace may use.
     pub fn set_bounds(&mut self, cores: u64) {
         let workspaces = self.workspaces.iter_mut().flatten();
--- a/crates/standin/src/proxy.rs
+++ b/crates/standin/src/proxy.rs
@@ -58,6 +58,8 @@
 pub struct Faults {
     /// Link that requests share with those of other proxies; `None` if its bandwidth is unlimited.
     link: Mutex<Option<Arc<Link>>>,
+    /// The same for responses.
+    response_link: Mutex<Option<Arc<Link>>>,
     cut: AtomicBool,
     delay_ms: AtomicU64,
     lost_responses: AtomicU64,
@@ -82,6 +84,11 @@
         *self.link.lock().expect("no thread panics here") = link;
     }
 
+    /// Lets all further responses pass through a link, and restores unlimited bandwidth with `None`.
+    pub fn share_response_link(&self, link: Option<Arc<Link>>) {
+        *self.response_link.lock().expect("no thread panics here") = link;
+    }
+
     /// Delays every chunk of bytes by `delay`, in both directions.
     pub fn delay(&self, delay: Duration) {
         let millis = u64::try_from(delay.as_millis()).unwrap_or(u64::MAX);
@@ -149,7 +156,17 @@
     ///
     /// Fails when no port is free.
     pub async fn start(target: SocketAddr) -> std::io::Result<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+        Self::start_at(any_port, target).await
+    }
+
+    /// Starts a proxy in front of `target` that listens on a given address.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address is not free.
+    pub async fn start_at(address: SocketAddr, target: SocketAddr) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
         let addr = listener.local_addr()?;
         let faults = Arc::new(Faults::default());
         let shared = Arc::clone(&faults);
@@ -236,6 +253,14 @@
     while let Ok(read @ 1..) = from.read(&mut buffer).await {
         faults.bytes.fetch_add(read as u64, Relaxed);
         until_released(&faults.stalled_responses).await;
+        let link = faults
+            .response_link
+            .lock()
+            .expect("no thread panics here")
+            .clone();
+        if let Some(link) = link {
+            link.pass(read).await;
+        }
         wait_for_delay(faults).await;
         if number < faults.silenced.load(Relaxed) {
             continue;
--- a/crates/standin/src/users/log.rs
+++ b/crates/standin/src/users/log.rs
@@ -22,6 +22,9 @@
 /// same response.
 const KEPT_RESPONSES: usize = 5;
 
+/// The maximum size of the records in the response to a read that names none, in KB.
+const DEFAULT_MAX_KB: u64 = 1_024;
+
 /// The size of the header of a read's response: the end offset, and a number that the stand-in
 /// leaves at 0.
 const READ_HEADER_BYTES: usize = 16;
@@ -146,10 +149,12 @@
     async fn read(&self, name: &str, request: &HttpRequest) -> Response<Full<Bytes>> {
         let from = request.query_number("from").unwrap_or(0) as usize;
         let wait = Duration::from_millis(request.query_number("wait-ms").unwrap_or(0));
+        let max_kb = request.query_number("max_kb").unwrap_or(DEFAULT_MAX_KB);
+        let max_bytes = max_kb as usize * 1_024;
         let until = time::Instant::now() + wait;
         loop {
             let changed = self.changed.notified();
-            let body = self.with_topic(name, |topic| topic.encode_from(from));
+            let body = self.with_topic(name, |topic| topic.encode_from(from, max_bytes));
             if body.len() > READ_HEADER_BYTES || time::Instant::now() >= until {
                 return build_response(200, "application/octet-stream", body);
             }
@@ -242,12 +247,17 @@
         known.recent.drain(..drop);
     }
 
-    /// Encodes the records from an offset on as the body of a read's response.
-    fn encode_from(&self, from: usize) -> Bytes {
+    /// Encodes the records from an offset on as the body of a read's response: as many as fit, but at
+    /// least one if there is any.
+    fn encode_from(&self, from: usize, max_bytes: usize) -> Bytes {
         let mut body = BytesMut::new();
         body.put_u64(self.records.len() as u64);
         body.put_u64(0);
         for record in self.records.iter().skip(from) {
+            let is_first = body.len() == READ_HEADER_BYTES;
+            if !is_first && body.len() + record.len() > max_bytes {
+                break;
+            }
             body.put_u32(record.len() as u32);
             body.put_slice(record);
         }
--- a/crates/standin/src/users/operator.rs
+++ b/crates/standin/src/users/operator.rs
@@ -2,6 +2,7 @@
 //! waves of maintenance.
 
 use super::log::Log;
+use rand::{SeedableRng, distr::Alphanumeric, distr::SampleString, rngs::StdRng};
 use serde_json::{Value, json};
 
 /// The topic for operators' records.
@@ -33,7 +34,7 @@
     pub cores: u64,
 }
 
-/// A configuration with one route for jobs, the pool that runs them, and the reserve.
+/// A configuration with one route for jobs, idle routes, the pool that runs the jobs, and the reserve.
 #[derive(Clone, Copy, Debug)]
 pub struct Config<'c> {
     /// Host to which jobs are submitted.
@@ -46,18 +47,41 @@
     pub reserve: &'c str,
     /// Workspaces; `None` for a deployment without workspaces.
     pub workspaces: Option<&'c [Workspace]>,
+    /// Number of further routes, which make the configuration large.
+    pub idle_routes: usize,
+}
+
+/// The length of the random texts of an idle route, which make it as large as a real one even when compressed.
+const IDLE_TEXT_LENGTH: usize = 40;
+
+/// Returns the host and the path prefix of an idle route.
+pub fn idle_route(number: usize) -> (String, String) {
+    let mut rng = StdRng::seed_from_u64(number as u64);
+    let mut text = || Alphanumeric.sample_string(&mut rng, IDLE_TEXT_LENGTH);
+    (format!("{}.example", text()), format!("/{}/", text()))
 }
 
 /// Writes a version of the configuration. The timeout depends on the version, so that each version
 /// changes something.
 pub fn write_config(log: &Log, version: u64, config: &Config<'_>) {
-    let mut text = json!({
-        "version": version,
-        "routes": [{
-            "name": "r-1", "host": config.host, "path-prefix": config.prefix, "type": "unsafe",
+    let route = |name: &str, host: &str, prefix: &str| {
+        json!({
+            "name": name, "host": host, "path-prefix": prefix, "type": "unsafe",
             "timeout-ms": BASE_TIMEOUT_MS + version, "target-latency-ms": TARGET_LATENCY_MS,
             "priority": 0, "service": config.pool, "max-attempts": MAX_ATTEMPTS, "stretch": 2.0,
-        }],
+        })
+    };
+    let idle_routes = (0..config.idle_routes).map(|number| {
+        let (host, prefix) = idle_route(number);
+        route(&format!("idle-{number}"), &host, &prefix)
+    });
+    let routes: Vec<Value> = [route("r-1", config.host, config.prefix)]
+        .into_iter()
+        .chain(idle_routes)
+        .collect();
+    let mut text = json!({
+        "version": version,
+        "routes": routes,
         "services": [
             { "name": config.pool, "admission-check": true, "headroom": false },
             { "name": config.reserve, "admission-check": true, "headroom": true },
