fix(entry): a call is rejected only with a configuration that is confirmed as of the call

An unknown route asks for a newer configuration first, as an unknown key did. What the entry knows is served as before.

--- a/crates/havenladder/src/entry/callers/call.rs
+++ b/crates/havenladder/src/entry/callers/call.rs
@@ -59,12 +59,14 @@
     rest: String,
 }
 
-/// Result of authentication, before the owner is asked.
-enum Authentication {
-    /// The call is admitted.
-    Admitted(Admitted),
-    /// The call is rejected with this response.
-    Rejected(Reply),
+/// Reason why a call is not admitted with the configuration that this entry knows.
+enum Rejection {
+    /// This entry has no configuration yet.
+    NoConfig,
+    /// The configuration contains no such queue.
+    UnknownQueue,
+    /// The caller is not authorized.
+    Unauthorized(Unauthorized),
 }
 
 impl RequestHead {
@@ -105,18 +107,13 @@
 pub(super) async fn handle(node: &Rc<Node>, request: Request<Incoming>) -> Reply {
     let head = RequestHead::read(&request);
     if !ensure_fresh(node, FreshnessRequirement::Newest).await {
-        info!(
-            target: kind::REQUEST,
-            path = head.path,
-            "refused: the configuration may be too old"
-        );
-        return reply(StatusCode::SERVICE_UNAVAILABLE, "");
+        return refuse_unconfirmed(&head);
     }
     let mut admitted = match authenticate(node, &head).await {
-        Authentication::Admitted(admitted) => admitted,
-        Authentication::Rejected(reply) => return reply,
+        Ok(admitted) => admitted,
+        Err(reply) => return reply,
     };
-    let operation = match read_operation(&head, &admitted, request.into_body()).await {
+    let operation = match read_operation(node, &head, &admitted, request.into_body()).await {
         Ok(operation) => operation,
         Err(reply) => return reply,
     };
@@ -133,56 +130,70 @@
             OwnerReply::Outdated { may_have_run } => may_have_run,
         };
         match authenticate(node, &head).await {
-            Authentication::Admitted(again) => admitted = again,
+            Ok(again) => admitted = again,
             // The operation may have been carried out, so that the response must not say that it
             // was not.
-            Authentication::Rejected(_) if may_have_run => {
-                return reply(StatusCode::GATEWAY_TIMEOUT, "");
-            }
-            Authentication::Rejected(reply) => return reply,
+            Err(_) if may_have_run => return reply(StatusCode::GATEWAY_TIMEOUT, ""),
+            Err(reply) => return reply,
         }
     }
 }
 
 /// Finds the queue of a call and authenticates its caller.
-async fn authenticate(node: &Rc<Node>, head: &RequestHead) -> Authentication {
-    let unauthorized = match authenticate_now(node, head) {
-        Ok(authentication) => return authentication,
-        Err(unauthorized) => unauthorized,
+///
+/// # Errors
+///
+/// Returns the response to the caller if the call is not admitted.
+async fn authenticate(node: &Rc<Node>, head: &RequestHead) -> Result<Admitted, Reply> {
+    let rejection = match authenticate_now(node, head) {
+        Ok(admitted) => return Ok(admitted),
+        Err(rejection) => rejection,
     };
-    // This entry may only be behind, since a key may be as new as the call.
-    if unauthorized == Unauthorized::Unknown {
-        ensure_fresh(node, FreshnessRequirement::AsOf(head.received_at)).await;
-        if let Ok(authentication) = authenticate_now(node, head) {
-            return authentication;
+    let confirmed = match rejection {
+        // This entry may only be behind, since a queue or a key may be as new as the call.
+        Rejection::UnknownQueue | Rejection::Unauthorized(Unauthorized::Unknown) => {
+            ensure_fresh(node, FreshnessRequirement::AsOf(head.received_at)).await
         }
-    }
-    Authentication::Rejected(reject_unauthorized(node, head, unauthorized))
+        Rejection::NoConfig | Rejection::Unauthorized(_) => may_reject(node, head),
+    };
+    authenticate_now(node, head).map_err(|rejection| match rejection {
+        _ if !confirmed => refuse_unconfirmed(head),
+        Rejection::NoConfig => reply(StatusCode::SERVICE_UNAVAILABLE, ""),
+        Rejection::UnknownQueue => reject_unknown_queue(node, head),
+        Rejection::Unauthorized(reason) => reject_unauthorized(node, head, reason),
+    })
 }
 
-/// Authenticates a call with the configuration that this entry knows now.
+/// Admits a call with the configuration that this entry knows now.
 ///
 /// # Errors
 ///
-/// Returns the reason if the caller is not authorized because of its key.
-fn authenticate_now(node: &Node, head: &RequestHead) -> Result<Authentication, Unauthorized> {
+/// Returns the reason if the call is not admitted.
+fn authenticate_now(node: &Node, head: &RequestHead) -> Result<Admitted, Rejection> {
     let in_force = node.in_force.borrow();
-    let Some(config) = in_force.config() else {
-        return Ok(Authentication::Rejected(reply(
-            StatusCode::SERVICE_UNAVAILABLE,
-            "",
-        )));
-    };
-    let Some(queue) = config.queue(&head.host, &head.path) else {
-        return Ok(Authentication::Rejected(reject_unknown_queue(node, head)));
-    };
-    let caller = in_force.authenticate(queue, &head.authorization)?;
-    Ok(Authentication::Admitted(Admitted {
+    let config = in_force.config().ok_or(Rejection::NoConfig)?;
+    let queue = config.queue(&head.host, &head.path);
+    let queue = queue.ok_or(Rejection::UnknownQueue)?;
+    let caller = in_force.authenticate(queue, &head.authorization);
+    Ok(Admitted {
         queue: queue.clone(),
-        caller,
+        caller: caller.map_err(Rejection::Unauthorized)?,
         version: config.version,
         rest: head.path[queue.prefix.len()..].to_owned(),
-    }))
+    })
+}
+
+/// Returns whether the configuration is recent enough to reject a call because of it.
+fn may_reject(node: &Node, head: &RequestHead) -> bool {
+    node.freshness.get().may_reject(head.received_at)
+}
+
+/// Creates the response to a call that this entry can neither admit nor reject, since it cannot confirm that its
+/// configuration is the newest one. Nothing of the call has been carried out, and another entry may know more.
+fn refuse_unconfirmed(head: &RequestHead) -> Reply {
+    let path = &head.path;
+    info!(target: kind::REQUEST, path, "refused: the configuration may be too old");
+    reply(StatusCode::SERVICE_UNAVAILABLE, "")
 }
 
 /// Creates the response to a call of a queue that the configuration does not contain.
@@ -238,6 +249,7 @@
 /// Fails with the response to the caller if the path is not that of a job, the method is not
 /// supported, or the body is not valid.
 async fn read_operation(
+    node: &Node,
     head: &RequestHead,
     admitted: &Admitted,
     body: Incoming,
@@ -246,6 +258,10 @@
         return Ok(Operation::Pending);
     }
     let Some(id) = read_id(&admitted.rest) else {
+        // A newer configuration may contain a queue with a longer prefix.
+        if !may_reject(node, head) {
+            return Err(refuse_unconfirmed(head));
+        }
         let body = "{\"error\":\"a job's id is 16 hex digits\"}";
         return Err(reply(StatusCode::BAD_REQUEST, body));
     };
--- a/crates/havenladder/src/entry/node.rs
+++ b/crates/havenladder/src/entry/node.rs
@@ -114,7 +114,7 @@
             client,
             settings,
             in_force,
-            freshness: Cell::new(Freshness::new(Instant::now(), max_config_age)),
+            freshness: Cell::new(Freshness::new(max_config_age)),
             replication: Replication::default(),
             refreshed: Notify::new(),
             lease_end: Cell::new(0),
--- a/crates/havenladder/src/entry/operator_topic.rs
+++ b/crates/havenladder/src/entry/operator_topic.rs
@@ -184,6 +184,31 @@
     AsOf(Instant),
 }
 
+impl FreshnessRequirement {
+    /// Returns the next action for a call with this requirement.
+    fn next_action(self, node: &Node, now: Instant) -> FreshnessAction {
+        let freshness = node.freshness.get();
+        match self {
+            FreshnessRequirement::Newest => freshness.next_action(now),
+            FreshnessRequirement::AsOf(received_at) => {
+                freshness.next_action_for_unknown(received_at, now)
+            }
+        }
+    }
+
+    /// Returns whether a call with this requirement is handled if the wait for a refresh is over.
+    fn is_met_without_refresh(self, node: &Node) -> bool {
+        let freshness = node.freshness.get();
+        let action = match self {
+            FreshnessRequirement::Newest => freshness.action_without_poll(Instant::now()),
+            FreshnessRequirement::AsOf(received_at) => {
+                freshness.action_for_unknown_without_poll(received_at)
+            }
+        };
+        action != FreshnessAction::Refuse
+    }
+}
+
 /// Waits, for a short time, until the configuration meets a requirement. Returns false if the call
 /// is to be refused because the configuration could not be confirmed for too long.
 pub async fn ensure_fresh(node: &Rc<Node>, requirement: FreshnessRequirement) -> bool {
@@ -191,14 +216,7 @@
     loop {
         let now = Instant::now();
         let refreshed = node.refreshed.notified();
-        let next = match requirement {
-            FreshnessRequirement::Newest => node.freshness.get().next_action(now),
-            FreshnessRequirement::AsOf(received_at) => node
-                .freshness
-                .get()
-                .next_action_for_unknown(received_at, now),
-        };
-        match next {
+        match requirement.next_action(node, now) {
             FreshnessAction::Proceed => return true,
             FreshnessAction::Refuse => return false,
             FreshnessAction::Poll => start_refresh(node),
@@ -212,8 +230,7 @@
         }
         let ended = now < until && timer::timeout_at(until, refreshed).await.is_ok();
         if !ended {
-            return node.freshness.get().action_without_poll(Instant::now())
-                != FreshnessAction::Refuse;
+            return requirement.is_met_without_refresh(node);
         }
     }
 }
--- a/crates/workspaces/src/freshness.rs
+++ b/crates/workspaces/src/freshness.rs
@@ -6,6 +6,10 @@
 //! configuration does not contain. [`Freshness::next_action`] and [`Freshness::next_action_for_unknown`] say
 //! when. All waiting calls share a poll, and polls have a minimum interval, so that 1,000 calls per second
 //! with guessed keys cause ten polls per second.
+//!
+//! A rejection says something about the newest configuration: there is no such queue, or no such key. An entry
+//! that cannot confirm its configuration does not know this and refuses the call instead, so that the caller
+//! tries again.
 
 use clock::Instant;
 use std::time::Duration;
@@ -21,6 +25,9 @@
 /// The minimum time between a failed poll and the next one: more frequent polls would not help.
 const RETRY_INTERVAL: Duration = Duration::from_millis(500);
 
+/// The age of a configuration that was never confirmed: longer than any limit.
+pub const UNKNOWN_AGE: Duration = Duration::from_secs(3_600);
+
 /// The action required before an entry handles a call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum FreshnessAction {
@@ -32,15 +39,15 @@
     JoinPoll,
     /// Wait until this time, when the next poll is due.
     WaitUntil(Instant),
-    /// Refuse the call: the configuration has not been confirmed for longer than allowed.
+    /// Refuse the call for now: the configuration has not been confirmed for longer than allowed.
     Refuse,
 }
 
 /// The age of an entry's configuration and the state of its polls.
 #[derive(Clone, Copy, Debug)]
 pub struct Freshness {
-    /// The last time at which the configuration was known to be the newest.
-    confirmed: Instant,
+    /// The last time at which the configuration was known to be the newest, or `None` if it never was.
+    confirmed: Option<Instant>,
     /// The sending time of the newest request that has been answered.
     requested: Option<Instant>,
     /// The sending time of the last poll.
@@ -54,11 +61,11 @@
 }
 
 impl Freshness {
-    /// Creates the state of an entry that starts now with a confirmed configuration. Calls are handled up
-    /// to the age `max_age`, or without limit if it is `None`.
-    pub fn new(now: Instant, max_age: Option<Duration>) -> Self {
+    /// Creates the state of an entry that has confirmed nothing yet. Calls are handled up to the age
+    /// `max_age`, or without limit if it is `None`.
+    pub fn new(max_age: Option<Duration>) -> Self {
         Freshness {
-            confirmed: now,
+            confirmed: None,
             requested: None,
             last_poll: None,
             polling: false,
@@ -71,7 +78,7 @@
     /// configuration as of `confirmed`.
     pub fn confirm(&mut self, requested: Instant, confirmed: Instant) {
         self.requested = self.requested.max(Some(requested));
-        self.confirmed = self.confirmed.max(confirmed);
+        self.confirmed = self.confirmed.max(Some(confirmed));
         self.failed = false;
     }
 
@@ -87,9 +94,18 @@
         self.failed = !answered;
     }
 
-    /// Returns the time since the configuration was known to be the newest.
+    /// Returns the time since the configuration was known to be the newest, or [`UNKNOWN_AGE`] if it never was.
     pub fn age(&self, now: Instant) -> Duration {
-        now.saturating_duration_since(self.confirmed)
+        self.confirmed.map_or(UNKNOWN_AGE, |confirmed| {
+            now.saturating_duration_since(confirmed)
+        })
+    }
+
+    /// Returns whether a call that was received at `received` may be rejected because of what the configuration
+    /// contains: it was confirmed recently enough to contain every change that must be in force by then.
+    pub fn may_reject(&self, received: Instant) -> bool {
+        self.confirmed
+            .is_some_and(|confirmed| confirmed + POLL_AGE >= received)
     }
 
     /// Returns the action required before a call is handled.
@@ -103,22 +119,31 @@
         }
     }
 
-    /// Returns the action required before a call that was received at `received` is refused because the
+    /// Returns the action required before a call that was received at `received` is rejected because the
     /// configuration lacks something that it refers to.
     pub fn next_action_for_unknown(&self, received: Instant, now: Instant) -> FreshnessAction {
-        if self
+        let asked = self
             .requested
-            .is_some_and(|requested| requested >= received)
-        {
+            .is_some_and(|requested| requested >= received);
+        if asked && self.may_reject(received) {
             return FreshnessAction::Proceed;
         }
         match self.poll_due(now) {
-            // Polls fail, so that the known configuration has to suffice.
-            FreshnessAction::WaitUntil(_) if self.failed => FreshnessAction::Proceed,
+            FreshnessAction::WaitUntil(_) if self.failed => {
+                self.action_for_unknown_without_poll(received)
+            }
             next => next,
         }
     }
 
+    /// Returns the action for such a call if no poll is possible.
+    pub fn action_for_unknown_without_poll(&self, received: Instant) -> FreshnessAction {
+        match self.may_reject(received) {
+            true => FreshnessAction::Proceed,
+            false => FreshnessAction::Refuse,
+        }
+    }
+
     /// Returns the action if no poll is possible: proceed, or refuse if the maximum age is exceeded.
     pub fn action_without_poll(&self, now: Instant) -> FreshnessAction {
         match self.max_age {
