fix(entry): a read that leaves records behind does not confirm the configuration

Cause: the store's response to a read holds at most 1,024 KB and names the end of the topic. The end was ignored, so that an entry which was behind by two configurations of 870 KB counted the first of them as the newest one and rejected calls of routes that the second one had added. Change: a read confirms the configuration only if it reached the end. Where several records are left, or one that is too large for a response, the newest record of each key is read instead of older versions.

--- a/crates/havenladder/src/entry/operator_topic.rs
+++ b/crates/havenladder/src/entry/operator_topic.rs
@@ -88,9 +88,11 @@
     let sent = Instant::now();
     let transfer = Transfer::begin(node, Party::Store);
     match store_calls::read(node, TOPIC, from, READ_HOLD).await {
-        Ok(ReadResponse::Records(_, records)) => {
-            apply_read(node, from, &records, sent, READ_HOLD);
-            true
+        Ok(ReadResponse::Records(end, records)) => {
+            match apply_read(node, from, end, &records, sent, READ_HOLD) {
+                Remainder::Many => read_newest(node).await,
+                Remainder::Nothing | Remainder::One => true,
+            }
         }
         Ok(ReadResponse::Gone(first)) => {
             info!(
@@ -108,20 +110,47 @@
     }
 }
 
-/// Applies the result of a read from an offset on, which was sent at `sent` and waited for up to
-/// `wait` if there were no records.
-fn apply_read(node: &Node, from: Offset, records: &[Bytes], sent: Instant, wait: Duration) {
+/// What a read has left in the topic, since the size of a response is limited.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Remainder {
+    /// There was no further record.
+    Nothing,
+    /// There was one further record, which the next read returns.
+    One,
+    /// There were several further records, or one that is too large for a read. Most of them are older versions of
+    /// the configuration, so that the newest record of each key is less to transfer.
+    Many,
+}
+
+/// Applies the result of a read from an offset on of a topic that ended at `end`. The read was sent
+/// at `sent` and waited for up to `wait` if there were no records.
+fn apply_read(
+    node: &Node,
+    from: Offset,
+    end: Offset,
+    records: &[Bytes],
+    sent: Instant,
+    wait: Duration,
+) -> Remainder {
+    apply_records(node, from, records);
+    match end.saturating_sub(from + records.len() as u64) {
+        0 => {
+            confirm_read(node, records.is_empty(), sent, wait);
+            Remainder::Nothing
+        }
+        1 if !records.is_empty() => Remainder::One,
+        _ => Remainder::Many,
+    }
+}
+
+/// Records that a read has returned all records there were, or none at all if it `was_empty`.
+fn confirm_read(node: &Node, was_empty: bool, sent: Instant, wait: Duration) {
     // The store sends a response without records when the wait is over, and one with records at any
     // time. The time of arrival does not count, since this process may have been paused meanwhile.
-    let answered_at = if records.is_empty() {
-        sent + wait
-    } else {
-        sent
-    };
+    let answered_at = if was_empty { sent + wait } else { sent };
     let confirmed = answered_at.min(Instant::now());
     node.update_freshness(|freshness| freshness.confirm(sent, confirmed));
     node.replication.recent.borrow_mut().confirm(confirmed);
-    apply_records(node, from, records);
 }
 
 /// Applies the records of operators from an offset on.
@@ -257,18 +286,27 @@
 /// Requests newer records from the store, then newer state from other entries. Returns true if one
 /// of them has answered.
 async fn refresh(node: &Node) -> bool {
+    match read_now(node).await {
+        Some(Remainder::Nothing) => true,
+        Some(Remainder::One | Remainder::Many) => read_newest(node).await,
+        None => poll_peers(node).await,
+    }
+}
+
+/// Reads the records that the store has now. Returns `None` if it does not answer.
+async fn read_now(node: &Node) -> Option<Remainder> {
+    let from = node.replication.recent.borrow().end()?;
     let sent = Instant::now();
-    let known = node.replication.recent.borrow().end();
-    if let Some(from) = known {
-        let transfer = Transfer::begin(node, Party::Store);
-        match store_calls::read_once(node, TOPIC, from).await {
-            Ok(ReadResponse::Records(_, records)) => {
-                apply_read(node, from, &records, sent, Duration::ZERO);
-                return true;
-            }
-            Ok(_) => {}
-            Err(error) => transfers::log_abandoned(node, STORE_NAME, error, &transfer),
+    let transfer = Transfer::begin(node, Party::Store);
+    match store_calls::read_once(node, TOPIC, from).await {
+        Ok(ReadResponse::Records(end, records)) => {
+            let remainder = apply_read(node, from, end, &records, sent, Duration::ZERO);
+            Some(remainder)
+        }
+        Ok(ReadResponse::Gone(_) | ReadResponse::Busy) => None,
+        Err(error) => {
+            transfers::log_abandoned(node, STORE_NAME, error, &transfer);
+            None
         }
     }
-    poll_peers(node).await
 }
