fix(entry): a transfer of operators' records that makes progress is not given up, and has no copies beside it

Cause: the whole response to a request for operators' records had to arrive within 0.15 s (another entry), 0.9 s (source of replication) or 1.5 s (store), and the store's was sent for again while it arrived. A configuration of 870 KB takes a link of 10 Mbit/s 0.7 s alone. Change: a time limit counts until a response begins; its body may then take as long as it makes progress (no gap of 0.7 s). Reads are sent again only before they are answered. A refresh asks the reader of the topic for an immediate read in place of a second reader, and nothing asks for records while some are arriving. An entry that receives them does not count as cut off. Pages of the newest records, by which a new owner loads its jobs, get the same limits.

--- a/crates/havenladder/src/entry/callers/call.rs
+++ b/crates/havenladder/src/entry/callers/call.rs
@@ -11,8 +11,8 @@
     listen::Reply,
     logs::kind,
     node::{Node, wall_ms},
-    operator_topic::{FreshnessRequirement, ensure_fresh},
     peer::{self, CallerOperation},
+    refresh::{FreshnessRequirement, ensure_fresh},
 };
 use adapter::{
     callers::{HEADER_DEADLINE, read_id, read_job},
--- a/crates/havenladder/src/entry/callers/owner_request.rs
+++ b/crates/havenladder/src/entry/callers/owner_request.rs
@@ -6,9 +6,8 @@
     listen::Reply,
     logs::kind,
     node::{IncarnationId, Node},
-    operator_topic,
     peer::{self, CallerRequest, PeerRequest, PeerResponse},
-    suspension,
+    refresh, suspension,
 };
 use adapter::{
     callers::{write_pending, write_state},
@@ -124,7 +123,7 @@
             return false;
         }
         if now >= refresh_at {
-            operator_topic::refresh_soon(node);
+            refresh::refresh_soon(node);
         }
         time::sleep(RETRY_INTERVAL).await;
     }
--- a/crates/havenladder/src/entry/mod.rs
+++ b/crates/havenladder/src/entry/mod.rs
@@ -28,6 +28,7 @@
 mod peer;
 mod polls;
 mod reach;
+mod refresh;
 mod replication;
 mod replication_client;
 mod replication_server;
--- a/crates/havenladder/src/entry/owner/requests.rs
+++ b/crates/havenladder/src/entry/owner/requests.rs
@@ -4,8 +4,8 @@
 use crate::entry::{
     in_force::Caller,
     logs::kind,
-    operator_topic,
     peer::{CallerOperation, CallerRequest, PeerResponse},
+    refresh,
 };
 use adapter::operator::Version;
 use fleet::{MilliCpu, outranks};
@@ -60,7 +60,7 @@
     fn newer_config_version(&self, request: &CallerRequest) -> Option<Version> {
         let version = self.node.in_force.borrow().version();
         if version < request.version {
-            operator_topic::refresh_soon(&self.node);
+            refresh::refresh_soon(&self.node);
         }
         (version > request.version).then_some(version)
     }
--- a/crates/havenladder/src/entry/peer.rs
+++ b/crates/havenladder/src/entry/peer.rs
@@ -11,7 +11,7 @@
     replication, replication_server,
 };
 use adapter::{
-    http::{Call, CallError, Connection},
+    http::{self, Call, CallError, Connection},
     operator::Version,
     traffic::Party,
 };
@@ -289,7 +289,7 @@
 ///
 /// # Errors
 ///
-/// Fails if there is no usable response. The error shows whether the request may have been
+/// Fails if there is no usable response until the deadline. The error shows whether the request may have been
 /// received.
 pub async fn call(
     node: &Node,
@@ -297,8 +297,32 @@
     request: &PeerRequest,
     deadline: Instant,
 ) -> Result<PeerResponse, CallError> {
+    let call = http_call(address, request, deadline);
+    decode(address, node.client.call(call).await?)
+}
+
+/// Sends a request for records of operators to the entry at an address and returns its response, which may take as
+/// long as it makes progress once it has begun.
+///
+/// # Errors
+///
+/// Fails if no response begins until the deadline, or the transfer ends or stalls.
+pub async fn transfer(
+    node: &Node,
+    address: &str,
+    request: &PeerRequest,
+    deadline: Instant,
+) -> Result<PeerResponse, CallError> {
+    let call = http_call(address, request, deadline);
+    let opened = node.client.open(call).await?;
+    let _transfer = node.replication.begin_transfer();
+    decode(address, opened.receive().await?)
+}
+
+/// Creates the HTTP call of a request to the entry at an address.
+fn http_call<'a>(address: &'a str, request: &PeerRequest, deadline: Instant) -> Call<'a> {
     let body = rmp_serde::to_vec(request).expect("plain data can be encoded as MessagePack");
-    let call = Call {
+    Call {
         connection: Connection::Pooled,
         address,
         method: Method::POST,
@@ -306,8 +330,15 @@
         headers: &[],
         body: Some(body.into()),
         deadline,
-    };
-    let response = node.client.call(call).await?;
+    }
+}
+
+/// Decodes the response of the entry at an address.
+///
+/// # Errors
+///
+/// Fails if it is not a response of this version.
+fn decode(address: &str, response: http::Response) -> Result<PeerResponse, CallError> {
     rmp_serde::from_slice(&response.body).map_err(|error| {
         warn!(%error, address, "cannot decode the response of an entry");
         CallError::Unanswered
--- a/crates/havenladder/src/entry/reach.rs
+++ b/crates/havenladder/src/entry/reach.rs
@@ -160,7 +160,8 @@
     if node.reach.get().is_owner_silent(now) {
         node.claim_due.notify_one();
     }
-    let cut_off = node.reach.get().is_cut_off(now);
+    // The lease and the answers to polls arrive behind a large transfer on the same link.
+    let cut_off = node.reach.get().is_cut_off(now) && !node.replication.is_transferring();
     if node.cut_off.replace(cut_off) == cut_off {
         return;
     }
--- a/crates/havenladder/src/entry/replication/mod.rs
+++ b/crates/havenladder/src/entry/replication/mod.rs
@@ -17,7 +17,10 @@
 use fleet::{Address, FollowerInfo, Followers, Readers};
 use serde::{Deserialize, Serialize};
 use serde_bytes::ByteBuf;
-use std::{cell::RefCell, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    time::Duration,
+};
 use tokio::sync::Notify;
 use tracing::info;
 
@@ -35,6 +38,14 @@
     source: RefCell<Option<Address>>,
     /// Notified whenever there is an update, and when the source has changed or is lost.
     pub updated: Notify,
+    /// Notified when the store must be read at once.
+    pub read_due: Notify,
+    /// Notified when a read of the store has ended.
+    pub read_ended: Notify,
+    /// Number of transfers of operators' records that have begun and not ended.
+    transfers: Cell<usize>,
+    /// Notified when such a transfer ends.
+    transferred: Notify,
     /// Most recent records of operators.
     pub recent: RefCell<Recent>,
     /// Entries that read from the store. Maintained while this entry owns the cell.
@@ -72,6 +83,29 @@
         }
     }
 
+    /// Counts a transfer of operators' records as in progress until the result is dropped.
+    pub fn begin_transfer(&self) -> ActiveTransfer<'_> {
+        self.transfers.set(self.transfers.get() + 1);
+        ActiveTransfer(self)
+    }
+
+    /// Returns whether operators' records are arriving.
+    pub fn is_transferring(&self) -> bool {
+        self.transfers.get() > 0
+    }
+
+    /// Waits until no operators' records are arriving. What arrives is usually what the waiting task would ask for,
+    /// and a second copy would delay it.
+    pub async fn wait_for_transfers(&self) {
+        loop {
+            let ended = self.transferred.notified();
+            if !self.is_transferring() {
+                return;
+            }
+            ended.await;
+        }
+    }
+
     /// Returns the addresses of the entries that recently reported to read from the store. Only an
     /// owner knows any.
     pub fn known_readers(&self) -> Vec<Address> {
@@ -89,6 +123,16 @@
     }
 }
 
+/// Transfer of operators' records that is in progress.
+pub struct ActiveTransfer<'r>(&'r Replication);
+
+impl Drop for ActiveTransfer<'_> {
+    fn drop(&mut self) {
+        self.0.transfers.set(self.0.transfers.get() - 1);
+        self.0.transferred.notify_waiters();
+    }
+}
+
 /// Request of a follower.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Request {
--- a/crates/havenladder/src/entry/replication_client.rs
+++ b/crates/havenladder/src/entry/replication_client.rs
@@ -17,7 +17,7 @@
 use std::{rc::Rc, time::Duration};
 use tokio::time;
 
-/// Time that a source may take beyond [`MAX_HOLD`].
+/// Time that a source may take beyond [`MAX_HOLD`] until its response begins.
 const RESPONSE_SLACK: Duration = Duration::from_millis(400);
 
 /// Interval at which an entry without a source asks for an assignment and a reader reports that it
@@ -91,6 +91,7 @@
 /// Replicates from an entry, following its redirects, until it has no more updates.
 async fn follow_from(node: &Node, mut source: Address) {
     let mut hops = 0;
+    node.replication.wait_for_transfers().await;
     while node.as_owner().is_none() && !node.stopping.get() {
         let from = node.replication.recent.borrow().end();
         let sent = Instant::now();
@@ -100,7 +101,7 @@
             end: node.lease_end.get(),
         });
         let transfer = Transfer::begin(node, Party::Peer);
-        match peer::call(node, &source, &request, sent + MAX_HOLD + RESPONSE_SLACK).await {
+        match peer::transfer(node, &source, &request, sent + MAX_HOLD + RESPONSE_SLACK).await {
             Ok(PeerResponse::Replication(Response::Update(update))) => {
                 if !apply_update(node, from, update, sent) {
                     return;
--- a/crates/havenladder/src/entry/store_calls.rs
+++ b/crates/havenladder/src/entry/store_calls.rs
@@ -12,7 +12,8 @@
 };
 use adapter::{
     http::{CallError, Connection},
-    store::{Append, AppendResponse, Condition, NewestRecords, Offset, ReadResponse},
+    operator,
+    store::{Append, AppendResponse, Condition, NewestRecords, Offset, OpenedRead, ReadResponse},
 };
 use bytes::Bytes;
 use clock::Instant;
@@ -22,7 +23,7 @@
 /// Duration from which on an append is logged: ten times the usual one.
 const LOG_THRESHOLD: Duration = Duration::from_millis(150);
 
-/// Limits for an append and for a part of the newest records. The time suffices for three responses
+/// Limits for an append and for the beginning of a part of the newest records. The time suffices for three responses
 /// of a store that is 89 times slower than usual.
 const APPEND_TIMEOUTS: Timeouts = Timeouts {
     hold: Duration::ZERO,
@@ -79,7 +80,7 @@
     answered.outcome
 }
 
-/// Reads records, waiting for the first one if there is none yet. A resent call does not wait.
+/// Reads records, waiting for the first one if there is none yet.
 ///
 /// # Errors
 ///
@@ -90,6 +91,22 @@
     from: Offset,
     hold: Duration,
 ) -> Result<ReadResponse, CallError> {
+    open_read(node, topic, from, hold).await?.receive().await
+}
+
+/// Reads records as [`read`] does, and returns as soon as the response begins. A resent call does not
+/// wait. It is only resent before that: each copy of a large response would delay the others on a
+/// narrow link.
+///
+/// # Errors
+///
+/// Fails if the store does not answer.
+pub async fn open_read(
+    node: &Node,
+    topic: &'static str,
+    from: Offset,
+    hold: Duration,
+) -> Result<OpenedRead, CallError> {
     let send = |connection| {
         let store = node.store.with_connection(connection);
         let wait = match connection {
@@ -104,17 +121,17 @@
     answered.outcome
 }
 
-/// Reads the records from an offset on, once and without waiting. A large record takes long on a
-/// weak entry's link, and each resent call would transfer it again and delay the others.
+/// Reads the records from an offset on, once and without waiting, and returns as soon as the response
+/// begins.
 ///
 /// # Errors
 ///
 /// Fails if the store does not answer.
-pub async fn read_once(
+pub async fn open_read_once(
     node: &Node,
     topic: &'static str,
     from: Offset,
-) -> Result<ReadResponse, CallError> {
+) -> Result<OpenedRead, CallError> {
     node.metrics.read(topic);
     let store = node.store.with_connection(Connection::Pooled);
     store.read(topic, from, Duration::ZERO).await
@@ -135,7 +152,9 @@
             async move { store.newest(topic, after.as_deref()).await }
         };
         let answered = until_answered(&node.store_times, APPEND_TIMEOUTS, send).await;
-        let Some(part) = answered.outcome? else {
+        let opened = answered.outcome?;
+        let _transfer = (topic == operator::TOPIC).then(|| node.replication.begin_transfer());
+        let Some(part) = opened.receive().await? else {
             return Ok(None);
         };
         newest.extend(part);
--- a/crates/workspaces/src/freshness.rs
+++ b/crates/workspaces/src/freshness.rs
@@ -108,6 +108,11 @@
             .is_some_and(|confirmed| confirmed + POLL_AGE >= received)
     }
 
+    /// Returns whether a request that was sent at `time` or later has been answered.
+    pub fn was_answered_since(&self, time: Instant) -> bool {
+        self.requested.is_some_and(|requested| requested >= time)
+    }
+
     /// Returns the action required before a call is handled.
     pub fn next_action(&self, now: Instant) -> FreshnessAction {
         if self.age(now) <= POLL_AGE {
@@ -122,10 +127,7 @@
     /// Returns the action required before a call that was received at `received` is rejected because the
     /// configuration lacks something that it refers to.
     pub fn next_action_for_unknown(&self, received: Instant, now: Instant) -> FreshnessAction {
-        let asked = self
-            .requested
-            .is_some_and(|requested| requested >= received);
-        if asked && self.may_reject(received) {
+        if self.was_answered_since(received) && self.may_reject(received) {
             return FreshnessAction::Proceed;
         }
         match self.poll_due(now) {
