perf(entry): entries send each other compressed records, and only the newest of several configurations

Cause: a configuration with 4,250 routes has 870 KB. A source with a link of 10 Mbit/s needs 0.7 s for each of its up to eight followers, and one that is behind was sent every version in between. Change: records of operators travel compressed between entries (flate2, pure Rust), compressed once by the reader and passed on as they were received. A follower gets the records that it misses or the newest record of each key, whichever is less. The requests have new names on the wire, so that entries of the version before read from the store during an update instead of misreading records.

--- a/crates/havenladder/src/entry/in_force.rs
+++ b/crates/havenladder/src/entry/in_force.rs
@@ -1,6 +1,7 @@
 //! The settings and orders of operators that are in force: the configuration, as decoded and as
 //! written, its keys, the waves of maintenance, and the data centres to be drained.
 
+use super::replication::{CompressedRecord, Record};
 use adapter::{
     operator::{self, CONFIG_KEY, Config, DRAIN_KEY_PREFIX, Queue, Version, WAVE_KEY_PREFIX, Wave},
     store::{KeyedRecord, Offset},
@@ -11,23 +12,11 @@
 use serde::{Deserialize, Serialize};
 use std::{
     collections::{BTreeMap, BTreeSet},
-    fmt,
     rc::Rc,
 };
 use tracing::{info, warn};
 use workspaces::{Authorization, Keyring};
 
-/// Configuration as operators wrote it. Its `Debug` form hides the content, since that includes
-/// keys.
-#[derive(Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct RawConfig(#[serde(with = "serde_bytes")] pub Vec<u8>);
-
-impl fmt::Debug for RawConfig {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "RawConfig({} bytes)", self.0.len())
-    }
-}
-
 /// Originator of a call.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Caller {
@@ -65,7 +54,8 @@
 #[derive(Default)]
 pub struct InForce {
     config: Option<Rc<Config>>,
-    raw_config: Option<Bytes>,
+    /// The newest configuration as operators wrote it.
+    raw_config: Option<Record>,
     rows: RowCache,
     keyring: Keyring,
     waves: BTreeMap<u64, Wave>,
@@ -94,10 +84,10 @@
     }
 
     /// Returns the newest configuration as it was written, if it is newer than `version`.
-    pub fn raw_config_after(&self, version: Version) -> Option<RawConfig> {
+    pub fn raw_config_after(&self, version: Version) -> Option<CompressedRecord> {
         let raw_config = self.raw_config.as_ref();
         let newer = raw_config.filter(|_| self.version() > version);
-        newer.map(|raw_config| RawConfig(raw_config.to_vec()))
+        newer.map(Record::compressed)
     }
 
     /// Returns the waves that operators have requested, ordered by number.
@@ -164,10 +154,14 @@
     }
 
     /// Adopts a configuration and drain orders that another entry knows.
-    pub fn adopt(&mut self, config: Option<RawConfig>, hall_drains: HallDrains) {
-        if let Some(config) = config {
-            info!("another entry has a newer configuration");
-            self.apply_config(config.0.into());
+    pub fn adopt(&mut self, config: Option<CompressedRecord>, hall_drains: HallDrains) {
+        match config.map(Record::receive) {
+            Some(Ok(config)) => {
+                info!("another entry has a newer configuration");
+                self.apply_config(config);
+            }
+            Some(Err(error)) => warn!(%error, "cannot decompress a configuration"),
+            None => {}
         }
         self.adopt_hall_drains(hall_drains);
     }
@@ -210,21 +204,21 @@
     fn apply_record(&mut self, record: KeyedRecord) {
         let Some(value) = record.value else { return };
         if record.key == CONFIG_KEY {
-            self.apply_config(value);
+            self.apply_config(Record::new(value));
         } else if record.key.starts_with(WAVE_KEY_PREFIX) {
             self.add_wave(&record.key, &value);
         }
     }
 
     /// Applies a configuration, unless it is not newer than the current one.
-    fn apply_config(&mut self, value: Bytes) {
+    fn apply_config(&mut self, written: Record) {
         // Other entries and refreshes often deliver the current configuration again, and decoding a
         // large one takes long on a weak entry.
         let is_old = |version| self.config.is_some() && version <= self.version();
-        if operator::read_version(&value).is_some_and(is_old) {
+        if operator::read_version(written.plain()).is_some_and(is_old) {
             return;
         }
-        let config = match operator::read_config(&value, &mut self.rows) {
+        let config = match operator::read_config(written.plain(), &mut self.rows) {
             Ok(config) => config,
             Err(error) => {
                 return warn!(%error, "cannot decode a configuration; the current one stays in force");
@@ -244,7 +238,7 @@
             "configuration in force"
         );
         self.config = Some(Rc::new(config));
-        self.raw_config = Some(value);
+        self.raw_config = Some(written);
     }
 
     /// Adds a wave. A wave does not change once it has been requested.
--- a/crates/havenladder/src/entry/operator_topic.rs
+++ b/crates/havenladder/src/entry/operator_topic.rs
@@ -5,16 +5,16 @@
     lease::set_lease,
     node::Node,
     peer::{self, PeerRequest, PeerResponse, Update},
+    replication::Record,
     store_calls,
     transfers::{self, Transfer},
 };
 use adapter::{
     http::CallError,
     operator::TOPIC,
-    store::{KeyedRecord, Offset, OpenedRead, ReadResponse, decode_keyed},
+    store::{Offset, OpenedRead, ReadResponse, encode_keyed},
     traffic::Party,
 };
-use bytes::Bytes;
 use clock::Instant;
 use fleet::Backoff;
 use std::{pin::pin, rc::Rc, time::Duration};
@@ -72,16 +72,22 @@
     let Ok(Some(newest)) = store_calls::newest(node, TOPIC).await else {
         return false;
     };
-    apply_newest(node, newest.records, newest.end);
+    let records: Vec<Record> = newest
+        .records
+        .iter()
+        .map(|record| Record::new(encode_keyed(record)))
+        .collect();
+    apply_newest(node, &records, newest.end);
     node.replication.recent.borrow_mut().confirm(sent);
     node.update_freshness(|freshness| freshness.confirm(sent, sent));
     true
 }
 
 /// Applies the newest record of each key of the topic, which ended at `end`.
-pub fn apply_newest(node: &Node, newest: Vec<KeyedRecord>, end: Offset) {
-    node.replication.recent.borrow_mut().restart(&newest, end);
-    node.in_force.borrow_mut().restart(newest, end);
+pub fn apply_newest(node: &Node, newest: &[Record], end: Offset) {
+    node.replication.recent.borrow_mut().restart(newest, end);
+    let keyed = newest.iter().filter_map(Record::decode).collect();
+    node.in_force.borrow_mut().restart(keyed, end);
     node.replication.updated.notify_waiters();
 }
 
@@ -154,6 +160,7 @@
     drop(transfer);
     match response? {
         ReadResponse::Records(end, records) => {
+            let records: Vec<Record> = records.into_iter().map(Record::new).collect();
             Ok(apply_read(node, from, end, &records, sent, wait))
         }
         ReadResponse::Gone(first) => {
@@ -194,7 +201,7 @@
     node: &Node,
     from: Offset,
     end: Offset,
-    records: &[Bytes],
+    records: &[Record],
     sent: Instant,
     wait: Duration,
 ) -> Applied {
@@ -221,12 +228,12 @@
 }
 
 /// Applies the records of operators from an offset on.
-pub fn apply_records(node: &Node, from: Offset, records: &[Bytes]) {
+pub fn apply_records(node: &Node, from: Offset, records: &[Record]) {
     let mut in_force = node.in_force.borrow_mut();
     let mut recent = node.replication.recent.borrow_mut();
     for (offset, record) in (from..).zip(records) {
         recent.append(offset, record);
-        if let Some(record) = decode_keyed(record.clone()) {
+        if let Some(record) = record.decode() {
             in_force.apply(record, offset);
         }
     }
--- a/crates/havenladder/src/entry/peer.rs
+++ b/crates/havenladder/src/entry/peer.rs
@@ -2,13 +2,14 @@
 //! owner of the cell.
 
 use super::{
-    in_force::{Caller, RawConfig},
+    in_force::Caller,
     lease_record::append_release,
     listen::{self, Reply, accept_each},
     node::{Lease, Node},
     outage,
     reach::{self, Presence},
-    replication, replication_server,
+    replication::{self, CompressedRecord},
+    replication_server,
 };
 use adapter::{
     http::{self, Call, CallError, Connection},
@@ -88,8 +89,9 @@
     /// Asks whether the platform's store answers the receiver. Every entry answers this.
     Outage,
     /// Asks for a newer configuration and for newer records of the lease. Every entry answers this,
-    /// so that an entry that is isolated from the store can catch up.
-    #[serde(rename = "News")]
+    /// so that an entry that is isolated from the store can catch up. Entries that do not compress configurations do
+    /// not know the name of this request.
+    #[serde(rename = "CompressedNews")]
     Update {
         /// Newest version of the configuration that the requesting entry knows.
         version: Version,
@@ -100,8 +102,8 @@
     #[serde(rename = "Place")]
     Assignment(FollowerInfo),
     /// Asks for new records. The response is held back until there are some or the maximum hold
-    /// time is over.
-    #[serde(rename = "Feed")]
+    /// time is over. Entries that do not compress records do not know the name of this request.
+    #[serde(rename = "CompressedFeed")]
     Replication(replication::Request),
 }
 
@@ -149,7 +151,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Update {
     /// The configuration as operators wrote it, if it is newer.
-    pub config: Option<RawConfig>,
+    pub config: Option<CompressedRecord>,
     /// The lease and the end of its log, if they are newer.
     pub lease: Option<(Lease, u64)>,
     /// The data centres that are to be drained.
--- a/crates/havenladder/src/entry/replication/mod.rs
+++ b/crates/havenladder/src/entry/replication/mod.rs
@@ -8,15 +8,16 @@
 //! `replication_server` answers them.
 
 mod recent;
+mod record;
 
 pub use recent::{Missing, Recent};
+pub use record::{CompressedRecord, Record};
 
 use super::lease_state::Lease;
 use adapter::store::Offset;
 use clock::{Instant, timer};
 use fleet::{Address, FollowerInfo, Followers, Readers};
 use serde::{Deserialize, Serialize};
-use serde_bytes::ByteBuf;
 use std::{
     cell::{Cell, RefCell},
     time::Duration,
@@ -149,7 +150,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Update {
     /// Records of operators that the follower does not have.
-    pub records: Vec<ByteBuf>,
+    pub records: Vec<CompressedRecord>,
     /// End of the topic, if `records` are the newest record of each key. `None` if they continue
     /// what the follower has.
     pub newest: Option<Offset>,
--- a/crates/havenladder/src/entry/replication/recent.rs
+++ b/crates/havenladder/src/entry/replication/recent.rs
@@ -1,7 +1,7 @@
 //! The records of operators that an entry has applied, kept for its followers.
 
-use adapter::store::{KeyedRecord, Offset, decode_keyed, encode_keyed};
-use bytes::Bytes;
+use super::Record;
+use adapter::store::Offset;
 use clock::Instant;
 use std::{
     collections::{BTreeMap, VecDeque},
@@ -13,12 +13,12 @@
 const MAX_BYTES: usize = 512 << 10;
 
 /// Records that a follower is missing.
-#[derive(Debug, PartialEq, Eq)]
+#[derive(Debug)]
 pub enum Missing {
     /// The consecutive records after those that the follower has.
-    Records(Vec<Bytes>),
-    /// The newest record of each key, since all that the follower knows may be outdated.
-    Newest(Vec<Bytes>),
+    Records(Vec<Record>),
+    /// The newest record of each key, since all that the follower knows may be outdated, or since this is less.
+    Newest(Vec<Record>),
 }
 
 /// Records of one topic: the most recent ones without gaps, and the newest one of each key.
@@ -26,9 +26,9 @@
 pub struct Recent {
     /// Offset after the last applied record. `None` if it is not known.
     end: Option<Offset>,
-    records: VecDeque<Bytes>,
+    records: VecDeque<Record>,
     bytes: usize,
-    newest: BTreeMap<String, Bytes>,
+    newest: BTreeMap<String, Record>,
     /// Last time at which there was certainly no further record. A configuration that peers send
     /// outside of replication does not count.
     confirmed: Option<Instant>,
@@ -53,13 +53,13 @@
     }
 
     /// Starts over with the newest record of each key of a topic that ended at `end`.
-    pub fn restart(&mut self, newest: &[KeyedRecord], end: Offset) {
-        let newest = newest.iter();
+    pub fn restart(&mut self, newest: &[Record], end: Offset) {
+        let keyed = newest
+            .iter()
+            .filter_map(|record| Some((record.decode()?.key, record.clone())));
         *self = Recent {
             end: Some(end),
-            newest: newest
-                .map(|record| (record.key.clone(), encode_keyed(record)))
-                .collect(),
+            newest: keyed.collect(),
             ..Recent::default()
         };
     }
@@ -70,7 +70,7 @@
     }
 
     /// Appends the record at an offset, unless it is known already.
-    pub fn append(&mut self, offset: Offset, record: &Bytes) {
+    pub fn append(&mut self, offset: Offset, record: &Record) {
         match self.end {
             Some(end) if offset < end => return,
             Some(end) if offset == end => {}
@@ -78,19 +78,19 @@
             Some(_) => return self.clear(),
             None => return,
         }
-        if let Some(KeyedRecord { key, value }) = decode_keyed(record.clone()) {
-            match value {
-                Some(_) => self.newest.insert(key, record.clone()),
-                None => self.newest.remove(&key),
+        if let Some(keyed) = record.decode() {
+            match keyed.value {
+                Some(_) => self.newest.insert(keyed.key, record.clone()),
+                None => self.newest.remove(&keyed.key),
             };
         }
         self.end = Some(offset + 1);
-        self.bytes += record.len();
+        self.bytes += record.plain().len();
         self.records.push_back(record.clone());
         while self.bytes > MAX_BYTES
             && let Some(oldest) = self.records.pop_front()
         {
-            self.bytes -= oldest.len();
+            self.bytes -= oldest.plain().len();
         }
     }
 
@@ -100,9 +100,18 @@
         let end = self.end?;
         let missing = end.checked_sub(from.unwrap_or_default())? as usize;
         let known = from.and_then(|_| self.records.len().checked_sub(missing));
+        let newest = || self.newest.values();
         Some(match known {
-            Some(known) => Missing::Records(self.records.range(known..).cloned().collect()),
-            None => Missing::Newest(self.newest.values().cloned().collect()),
+            // Of several configurations, a follower needs only the newest one.
+            Some(known) if total_bytes(self.records.range(known..)) <= total_bytes(newest()) => {
+                Missing::Records(self.records.range(known..).cloned().collect())
+            }
+            Some(_) | None => Missing::Newest(newest().cloned().collect()),
         })
     }
 }
+
+/// Returns the size of some records.
+fn total_bytes<'r>(records: impl Iterator<Item = &'r Record>) -> usize {
+    records.map(|record| record.plain().len()).sum()
+}
--- a/crates/havenladder/src/entry/replication_client.rs
+++ b/crates/havenladder/src/entry/replication_client.rs
@@ -5,17 +5,15 @@
     node::Node,
     operator_topic,
     peer::{self, PeerRequest, PeerResponse},
-    replication::{MAX_HOLD, Request, Response, Update},
+    replication::{MAX_HOLD, Record, Request, Response, Update},
     transfers::{self, Transfer},
 };
-use adapter::{
-    store::{Offset, decode_keyed},
-    traffic::Party,
-};
+use adapter::{store::Offset, traffic::Party};
 use clock::Instant;
 use fleet::{Address, FollowerInfo, STALE_AGE, Source};
 use std::{rc::Rc, time::Duration};
 use tokio::time;
+use tracing::warn;
 
 /// Time that a source may take beyond [`MAX_HOLD`] until its response begins.
 const RESPONSE_SLACK: Duration = Duration::from_millis(400);
@@ -131,18 +129,21 @@
     // since this process may have been paused meanwhile.
     let answered_at = (sent + update.held).min(Instant::now());
     let (confirmed, contacted) = (answered_at - update.age, answered_at - update.contact_age);
-    let records = update.records.into_iter();
-    let records: Vec<_> = records.map(|record| record.into_vec().into()).collect();
+    let records = update.records.into_iter().map(Record::receive);
+    let records: Vec<Record> = match records.collect() {
+        Ok(records) => records,
+        Err(error) => {
+            warn!(%error, "cannot decompress records of the source");
+            return false;
+        }
+    };
     node.update_freshness(|freshness| freshness.confirm(confirmed, confirmed));
     node.update_reach(|reach| reach.on_store_response(contacted));
     if let Some((lease, end)) = update.lease {
         set_lease(node, lease, end);
     }
     match update.newest {
-        Some(end) => {
-            let newest = records.into_iter().filter_map(decode_keyed).collect();
-            operator_topic::apply_newest(node, newest, end);
-        }
+        Some(end) => operator_topic::apply_newest(node, &records, end),
         None => operator_topic::apply_records(node, from.unwrap_or_default(), &records),
     }
     node.replication.recent.borrow_mut().confirm(confirmed);
--- a/crates/havenladder/src/entry/replication_server.rs
+++ b/crates/havenladder/src/entry/replication_server.rs
@@ -2,11 +2,10 @@
 
 use super::{
     node::Node,
-    replication::{MAX_HOLD, Missing, Request, Response, Update},
+    replication::{MAX_HOLD, Missing, Record, Request, Response, Update},
 };
 use clock::{Instant, timer};
 use fleet::{Admission, FollowerInfo, Source};
-use serde_bytes::ByteBuf;
 use std::time::Duration;
 
 /// Assigns a source to an entry. Only the owner does so.
@@ -65,10 +64,7 @@
     let lease = node.lease.borrow().clone();
     let lease = lease.map(|lease| (lease, node.lease_end.get()));
     Response::Update(Update {
-        records: records
-            .iter()
-            .map(|record| ByteBuf::from(record.to_vec()))
-            .collect(),
+        records: records.iter().map(Record::compressed).collect(),
         newest,
         lease: lease.filter(|(_, end)| *end > request.end),
         held,
--- a/crates/havenladder/tests/large_configurations.rs
+++ b/crates/havenladder/tests/large_configurations.rs
@@ -181,3 +181,28 @@
         assert_eq!(count_lines(name, seed, "records abandoned"), 0);
     });
 }
+
+#[test]
+fn several_large_changes_take_a_follower_fewer_bytes_than_the_last_one_has() {
+    block_on(async {
+        let (name, seed, follower) = ("compressed", SEED + 4, 3);
+        let mut site = entries::start_with(name, seed, 4, 4).await;
+        site.add_idle_routes(1);
+        wait_until_ready(&site).await;
+        let proxy = follow_through_proxy(&mut site, name, seed, follower).await;
+        wait_until_served(&site, follower, 0).await;
+        time::sleep(STARTUP_TIME).await;
+        let before = proxy.faults.bytes();
+        // The follower is paused for less than its request lasts, so that it keeps its source.
+        site.entries[follower].signal(Signal::STOP);
+        for _ in 0..4 {
+            site.add_idle_routes(ADDED_ROUTES);
+        }
+        time::sleep(Duration::from_millis(300)).await;
+        site.entries[follower].signal(Signal::CONT);
+        wait_until_served(&site, follower, site.idle_routes - 1).await;
+        let received = proxy.faults.bytes() - before;
+        let written = site.log.get("keyed.op", "config").unwrap().len() as u64;
+        assert!(received < written, "{received} of {written} bytes");
+    });
+}
