fix(entry): an entry that is behind itself does not end the search for newer state

Cause: an entry that the store does not answer asked the owner and then the seeds, and took the first response as the newest state, also that of an entry which the store did not answer either.

--- a/crates/havenladder/src/entry/node.rs
+++ b/crates/havenladder/src/entry/node.rs
@@ -154,13 +154,15 @@
             .collect()
     }
 
-    /// Returns the addresses of all known entries: [`Node::peers`] and those of other data centres,
-    /// without duplicates.
+    /// Returns the addresses of all known entries: [`Node::peers`] and then those of other data
+    /// centres, without duplicates.
     pub fn known_entries(&self) -> Vec<String> {
-        let mut addresses = self.peers();
-        addresses.extend(self.directory.borrow().keys().cloned());
-        addresses.sort();
-        addresses.dedup();
+        let mut addresses = Vec::new();
+        for address in self.peers().iter().chain(self.directory.borrow().keys()) {
+            if !addresses.contains(address) {
+                addresses.push(address.clone());
+            }
+        }
         addresses
     }
 
--- a/crates/havenladder/src/entry/operator_topic.rs
+++ b/crates/havenladder/src/entry/operator_topic.rs
@@ -16,7 +16,7 @@
     traffic::Party,
 };
 use clock::Instant;
-use fleet::Backoff;
+use fleet::{Backoff, STALE_AGE};
 use std::{pin::pin, rc::Rc, time::Duration};
 use tokio::time;
 use tracing::info;
@@ -242,21 +242,24 @@
     }
 }
 
-/// Requests newer state from other entries, one after the other. Returns true once one has
-/// responded.
+/// Requests newer state from other entries, one after the other, until one has responded whose state is recent. An
+/// entry that the store does not answer either, which may be the owner or all seeds, knows no more than this one.
+/// Returns whether there was such a response.
 pub async fn poll_peers(node: &Node) -> bool {
-    let version = node.in_force.borrow().version();
-    let request = PeerRequest::Update {
-        version,
-        end: node.lease_end.get(),
-    };
-    for peer in node.peers() {
+    for peer in node.known_entries() {
+        let request = PeerRequest::Update {
+            version: node.in_force.borrow().version(),
+            end: node.lease_end.get(),
+        };
         let sent = Instant::now();
         let transfer = Transfer::begin(node, Party::Peer);
         match peer::transfer(node, &peer, &request, sent + PEER_TIMEOUT).await {
             Ok(PeerResponse::Update(update)) => {
+                let age = Duration::from_millis(update.age);
                 apply_update(node, update, sent);
-                return true;
+                if age <= STALE_AGE {
+                    return true;
+                }
             }
             Ok(_) => {}
             Err(error) => transfers::log_abandoned(node, &peer, error, &transfer),
--- a/crates/havenladder/tests/replication.rs
+++ b/crates/havenladder/tests/replication.rs
@@ -31,6 +31,9 @@
 /// Limit of every wait. It is generous, so that no test fails because the machine is busy.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Time within which a change must be in force on entries that hear from others.
+const UPDATE_TIMEOUT: Duration = Duration::from_secs(4);
+
 /// The topics whose updates all entries need.
 const TOPICS: [&str; 2] = ["keyed.op", "owner"];
 
@@ -97,3 +100,25 @@
         }
     });
 }
+
+/// Seeds are the first three entries, and entries are placed in two data centres alternately.
+#[test]
+fn entries_without_the_store_get_updates_although_all_seeds_are_without_it() {
+    block_on(async {
+        let (name, seed, answered) = ("replication-refused", SEED + 2, 5);
+        let mut site = entries::start_with(name, seed, 4, answered + 1).await;
+        time::sleep(STARTUP_TIME).await;
+        for link in &site.links[..answered] {
+            link.stall(true, true);
+        }
+        // The entry that the store answers owns the cell after this time, if it did not before.
+        time::sleep(STARTUP_TIME).await;
+        site.rotate_keys();
+        let began = Instant::now();
+        for entry in 0..=answered {
+            wait_until_refused(&site, entry, 1).await;
+        }
+        let took = began.elapsed();
+        assert!(took < UPDATE_TIMEOUT, "{took:?}");
+    });
+}
