fix(entry): a stopping entry answers what it has taken before its process ends

A stopping entry keeps its listener open for as long as requests are in progress. While all entries of a data centre stop and there is no owner, callers keep coming; each waits two fifths of its time for an owner, so that some request is always in progress until the grace period is over and the process ends in the middle of the last ones. Connections that were opened after the signal were also kept open for further requests. A request that waits for the owner is then answered with 503, or 504 if an attempt may have been carried out, and a new one is refused at once. Responses of a stopping entry close their connections.

--- a/crates/havenladder/src/entry/callers/call.rs
+++ b/crates/havenladder/src/entry/callers/call.rs
@@ -13,6 +13,7 @@
     node::{Node, wall_ms},
     peer::{self, CallerOperation},
     refresh::{FreshnessRequirement, ensure_fresh},
+    stop,
 };
 use adapter::{
     callers::{HEADER_DEADLINE, read_id, read_job},
@@ -106,6 +107,9 @@
 /// Handles a request according to its queue, caller, method and job.
 pub(super) async fn handle(node: &Rc<Node>, request: Request<Incoming>) -> Reply {
     let head = RequestHead::read(&request);
+    if stop::is_answer_due(node) {
+        return reply(StatusCode::SERVICE_UNAVAILABLE, "");
+    }
     if !ensure_fresh(node, FreshnessRequirement::Newest).await {
         return refuse_unconfirmed(&head);
     }
--- a/crates/havenladder/src/entry/callers/mod.rs
+++ b/crates/havenladder/src/entry/callers/mod.rs
@@ -52,7 +52,11 @@
     node.in_flight.set(node.in_flight.get() + 1);
     let began = Instant::now();
     let method = request.method().clone();
-    let reply = handle(&node, request).await;
+    let mut reply = handle(&node, request).await;
+    if node.stopping.get() {
+        let close = header::HeaderValue::from_static("close");
+        reply.headers_mut().insert(header::CONNECTION, close);
+    }
     node.metrics
         .answered(method.as_str(), reply.status().as_u16(), began.elapsed());
     node.in_flight.set(node.in_flight.get() - 1);
--- a/crates/havenladder/src/entry/callers/owner_request.rs
+++ b/crates/havenladder/src/entry/callers/owner_request.rs
@@ -7,7 +7,7 @@
     logs::kind,
     node::{IncarnationId, Node},
     peer::{self, CallerRequest, PeerRequest, PeerResponse},
-    refresh, suspension,
+    refresh, stop, suspension,
 };
 use adapter::{
     callers::{write_pending, write_state},
@@ -16,7 +16,7 @@
 };
 use clock::{Instant, timer};
 use hyper::{StatusCode, header};
-use std::{rc::Rc, time::Duration};
+use std::{cell::Cell, rc::Rc, time::Duration};
 use tokio::time;
 use tracing::info;
 
@@ -53,8 +53,8 @@
     },
 }
 
-/// Sends a request to the owner, wherever it is, until the caller's time runs short. A suspension
-/// of the machine counts towards that time.
+/// Sends a request to the owner, wherever it is, until the caller's time runs short or this process is about to end. A
+/// suspension of the machine counts towards that time.
 ///
 /// `may_have_run` says whether the operation may have been carried out before.
 pub(super) async fn request_owner(
@@ -63,18 +63,25 @@
     may_have_run: bool,
     deadline: Instant,
 ) -> OwnerReply {
+    let may_have_run = Cell::new(may_have_run);
     tokio::select! {
-        response = request_until(node, request, may_have_run, deadline) => response,
+        biased;
+        () = stop::wait_until_answer_due(node) => {
+            OwnerReply::Final(refuse(&request, may_have_run.get()))
+        }
+        response = request_until(node, request.clone(), &may_have_run, deadline) => response,
         never = suspension::check_periodically(node) => match never {},
     }
 }
 
 /// Sends a request as [`request_owner`] does, but relies on its caller to check for suspensions: only
 /// [`suspension::check`] ends a wait whose time has passed during one.
+///
+/// `may_have_run` is also set while the owner has not answered.
 async fn request_until(
     node: &Rc<Node>,
     mut request: CallerRequest,
-    mut may_have_run: bool,
+    may_have_run: &Cell<bool>,
     deadline: Instant,
 ) -> OwnerReply {
     let now = Instant::now();
@@ -82,32 +89,36 @@
     loop {
         let left = abandon_at.saturating_duration_since(Instant::now());
         request.set_left(left.saturating_sub(RESPONSE_RESERVE));
+        let ran_before = may_have_run.replace(true);
         let response = match node.as_owner() {
             Some(owner) => {
                 let response = timer::timeout_at(abandon_at, owner.handle(request.clone())).await;
                 response.unwrap_or(PeerResponse::Unsure)
             }
             None if node.cut_off.get() => {
-                return OwnerReply::Final(refuse_and_close(&request, may_have_run));
+                return OwnerReply::Final(refuse_and_close(&request, ran_before));
             }
             None => forward(node, &request, abandon_at).await,
         };
-        may_have_run |= response == PeerResponse::Unsure;
-        match next_step(&response, may_have_run) {
+        let in_doubt = ran_before || response == PeerResponse::Unsure;
+        may_have_run.set(in_doubt);
+        match next_step(&response, in_doubt) {
             NextStep::Reply(reply) => return OwnerReply::Final(reply),
-            NextStep::Refuse => return OwnerReply::Final(refuse(&request, may_have_run)),
+            NextStep::Refuse => return OwnerReply::Final(refuse(&request, in_doubt)),
             NextStep::Reauthenticate(version)
                 if wait_for_version(node, version, abandon_at).await =>
             {
-                return OwnerReply::Outdated { may_have_run };
+                return OwnerReply::Outdated {
+                    may_have_run: in_doubt,
+                };
             }
             NextStep::Reauthenticate(_) => {
-                return OwnerReply::Final(refuse(&request, may_have_run));
+                return OwnerReply::Final(refuse(&request, in_doubt));
             }
             NextStep::Retry => {}
         }
         if Instant::now() >= abandon_at {
-            return OwnerReply::Final(refuse(&request, may_have_run));
+            return OwnerReply::Final(refuse(&request, in_doubt));
         }
         let _ = time::timeout(RETRY_INTERVAL, node.lease_changed.notified()).await;
     }
--- a/crates/havenladder/src/entry/node.rs
+++ b/crates/havenladder/src/entry/node.rs
@@ -74,6 +74,9 @@
     pub owner: RefCell<Option<Rc<Owner>>>,
     /// Whether the process has received the signal to stop.
     pub stopping: Cell<bool>,
+    /// Time by which all requests of callers must be answered, once the process has received that
+    /// signal.
+    pub answer_by: Cell<Option<Instant>>,
     /// Notified when the process receives the signal to stop.
     pub stop: Notify,
     /// Which other parties this entry reaches.
@@ -125,6 +128,7 @@
             claim_due: Notify::new(),
             owner: RefCell::default(),
             stopping: Cell::new(false),
+            answer_by: Cell::new(None),
             stop: Notify::new(),
             reach: Cell::new(Reach::new(Instant::now())),
             reach_due: Notify::new(),
