test(soak): large configurations, narrow links, and a caller of the newest routes

Change: from seed 11,000 on, every other fault adds 1,000 routes (250 KB) to the configuration or limits an entry's link to the log to 1 MB/s, besides all earlier faults. In all seeds with routes to call, a caller asks random entries for the newest route that must be in force by then; 404 and 401 break the new invariant ChangesAreInForce.

--- a/crates/havenladder/tests/soak.rs
+++ b/crates/havenladder/tests/soak.rs
@@ -17,6 +17,7 @@
     tasks_that_crash_their_workers = { 7_001, 20, 4, 8 },
     workers_that_restart = { 9_900, 10, 3, 6 },
     workspaces_with_keys_and_bounds = { 10_000, 12, 3, 8 },
+    large_configurations_on_narrow_links = { 11_000, 20, 4, 8 },
 )]
 fn a_soak_breaks_no_guarantee(seed: u64, seconds: u64, entries: usize, vms: usize) {
     let plan = Plan {
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -310,20 +310,20 @@
 }
 
 /// A connection to an entry that is opened on the first call and used until it closes.
-struct Connection {
+pub(crate) struct Connection {
     address: SocketAddr,
     sender: Option<http1::SendRequest<Full<Bytes>>>,
 }
 
 impl Connection {
-    fn new(address: SocketAddr) -> Self {
+    pub(crate) fn new(address: SocketAddr) -> Self {
         Connection {
             address,
             sender: None,
         }
     }
 
-    /// Sends a request; returns `None` if there is no response in time.
+    /// Sends a request about a job; returns `None` if there is no response in time.
     async fn send(
         &mut self,
         method: Method,
@@ -331,7 +331,19 @@
         body: &str,
         key: Option<String>,
     ) -> Option<(u16, Bytes)> {
-        let exchange = self.exchange(method, id, body, key);
+        let path = format!("{PREFIX}{id:016x}");
+        self.send_to(method, (HOST, &path), body, key).await
+    }
+
+    /// Sends a request to a host and path; returns `None` if there is no response in time.
+    pub(crate) async fn send_to(
+        &mut self,
+        method: Method,
+        target: (&str, &str),
+        body: &str,
+        key: Option<String>,
+    ) -> Option<(u16, Bytes)> {
+        let exchange = self.exchange(method, target, body, key);
         let response = time::timeout(CALL_TIMEOUT, exchange).await.ok().flatten();
         if response.is_none() {
             self.sender = None;
@@ -342,7 +354,7 @@
     async fn exchange(
         &mut self,
         method: Method,
-        id: u64,
+        (host, path): (&str, &str),
         body: &str,
         key: Option<String>,
     ) -> Option<(u16, Bytes)> {
@@ -361,8 +373,8 @@
         }
         let request = request
             .method(method)
-            .uri(format!("{PREFIX}{id:016x}"))
-            .header("host", HOST)
+            .uri(path)
+            .header("host", host)
             .header(users::DEADLINE_HEADER, CALL_TIMEOUT.as_millis() as u64)
             .body(Full::from(body.to_owned()))
             .ok()?;
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -4,7 +4,7 @@
 use crate::site::{CORES, Site};
 use rand::{Rng, rngs::StdRng};
 use rustix::process::Signal;
-use standin::proxy::Faults;
+use standin::proxy::{Faults, Link};
 use std::{
     io,
     sync::Arc,
@@ -81,11 +81,15 @@
     RotateKeys,
     /// The bounds of the workspaces are lowered far below their usage until the fault ends.
     LowerBounds,
+    /// The configuration grows by many routes.
+    AddRoutes,
+    /// An entry's link to the log has little bandwidth for responses.
+    NarrowLog,
 }
 
 /// All kinds of faults. Kinds that earlier seeds draw from come first, so that each seed keeps its
 /// faults.
-const KINDS: [Kind; 23] = [
+const KINDS: [Kind; 25] = [
     Kind::Kill,
     Kind::Terminate,
     Kind::Pause,
@@ -109,6 +113,8 @@
     Kind::RestartAllWorkers,
     Kind::RotateKeys,
     Kind::LowerBounds,
+    Kind::AddRoutes,
+    Kind::NarrowLog,
 ];
 
 /// The number of [`KINDS`] that seeds below [`SILENT_FROM_SEED`] draw from.
@@ -138,6 +144,22 @@
 /// The first seed with callers that belong to workspaces, whose keys and bounds change.
 pub const WORKSPACES_FROM_SEED: u64 = 10_000;
 
+/// The number of [`KINDS`] that seeds from [`WORKSPACES_FROM_SEED`] to below [`LARGE_FROM_SEED`] draw
+/// from.
+const KINDS_BEFORE_LARGE: usize = 23;
+
+/// The first seed with large configurations and narrow links. Every other fault is one of these.
+pub const LARGE_FROM_SEED: u64 = 11_000;
+
+/// The number of routes that a change adds. They take some 250 KB.
+const ADDED_ROUTES: usize = 1_000;
+
+/// The maximum number of idle routes, since each later configuration contains all of them.
+const MAX_IDLE_ROUTES: usize = 6 * ADDED_ROUTES;
+
+/// The bandwidth of a narrow link in bytes per second: users' weakest entries have 1.25 MB/s.
+const NARROW_LINK: u64 = 1_000_000;
+
 /// The number of cores that a workspace may use while its bound is lowered.
 const LOWERED_CORES: u64 = 2;
 
@@ -172,7 +194,8 @@
         SILENT_FROM_SEED..HARMFUL_FROM_SEED => &KINDS[..KINDS_BEFORE_HARMFUL],
         HARMFUL_FROM_SEED..RESTARTS_FROM_SEED => &KINDS[..KINDS_BEFORE_RESTARTS],
         RESTARTS_FROM_SEED..WORKSPACES_FROM_SEED => &KINDS[..KINDS_BEFORE_WORKSPACES],
-        WORKSPACES_FROM_SEED.. => &KINDS[..],
+        WORKSPACES_FROM_SEED..LARGE_FROM_SEED => &KINDS[..KINDS_BEFORE_LARGE],
+        LARGE_FROM_SEED.. => &KINDS[..],
     };
     let started_at = Instant::now();
     let mut active: Vec<ActiveFault> = Vec::new();
@@ -201,9 +224,18 @@
     Ok(injected)
 }
 
+/// Draws the kind of a fault.
+fn draw_kind(kinds: &[Kind], rng: &mut StdRng) -> Kind {
+    let large = kinds.get(KINDS_BEFORE_LARGE..).unwrap_or_default();
+    if !large.is_empty() && rng.random_bool(0.5) {
+        return large[rng.random_range(0..large.len())];
+    }
+    kinds[rng.random_range(0..kinds.len())]
+}
+
 /// Draws the kind, entry, VM and duration of a fault.
 fn draw_fault(site: &Site, kinds: &[Kind], rng: &mut StdRng) -> (ActiveFault, String, Duration) {
-    let kind = kinds[rng.random_range(0..kinds.len())];
+    let kind = draw_kind(kinds, rng);
     let entry = rng.random_range(0..site.entries.len());
     let mut names = site.cloud.names();
     let vm = names.swap_remove(rng.random_range(0..names.len()));
@@ -251,6 +283,11 @@
         Kind::LoseAppendResponses => site.log.lose_responses(LOST_APPEND_SHARE, seed),
         Kind::SilenceLog => link.silence_connections(),
         Kind::SilenceWorker => fault.worker.silence_connections(),
+        Kind::AddRoutes if site.idle_routes < MAX_IDLE_ROUTES => {
+            site.add_idle_routes(ADDED_ROUTES);
+        }
+        Kind::AddRoutes => site.configure(),
+        Kind::NarrowLog => link.share_response_link(Some(Arc::new(Link::new(NARROW_LINK)))),
     }
 }
 
@@ -272,7 +309,9 @@
         Kind::StallWorker => fault.worker.stall(false, false),
         Kind::LoseAppendResponses => site.log.lose_responses(0.0, 0),
         Kind::LowerBounds => site.set_bounds(CORES),
-        Kind::LoseResponses
+        Kind::NarrowLog => link.share_response_link(None),
+        Kind::AddRoutes
+        | Kind::LoseResponses
         | Kind::CrashWorker
         | Kind::Configure
         | Kind::RotateKeys
--- a/crates/soak/src/invariants.rs
+++ b/crates/soak/src/invariants.rs
@@ -1,6 +1,6 @@
 //! The invariants that must hold under all faults, checked from what callers and workers observed.
 
-use crate::caller::Job;
+use crate::{caller::Job, prober::WrongRejection};
 use standin::users::events::{Event, RunEvent};
 use std::{
     collections::{BTreeMap, HashMap, HashSet},
@@ -52,6 +52,8 @@
     WithinBound,
     /// A call with an unknown key or a key of another workspace is not admitted.
     KeysAreEnforced,
+    /// A route that must be in force is not reported as missing, nor a valid key as unknown.
+    ChangesAreInForce,
 }
 
 impl fmt::Display for Violation {
@@ -68,8 +70,10 @@
     jobs: &BTreeMap<u64, Job>,
     events: &[Event],
     bounds: &[BoundChange],
+    rejections: &[WrongRejection],
 ) -> Vec<Violation> {
-    let mut violations = Vec::new();
+    let wrong = |rejection| violation(Invariant::ChangesAreInForce, rejection);
+    let mut violations: Vec<Violation> = rejections.iter().map(wrong).collect();
     check_bounds(jobs, events, bounds, &mut violations);
     check_runs(events, &mut violations);
     check_order(events, &mut violations);
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -14,10 +14,12 @@
 pub mod entries;
 pub mod faults;
 pub mod invariants;
+pub mod prober;
 pub mod site;
 
 use caller::Ledger;
 use invariants::Violation;
+use prober::Prober;
 use rand::{SeedableRng, rngs::StdRng};
 use site::Site;
 use std::{
@@ -80,11 +82,14 @@
     time::sleep(STARTUP_TIME).await;
     let ledger = Ledger::default();
     let callers = caller::start(&site, &ledger, plan.seed);
+    let prober = Prober::start(&site, plan.seed);
     let faults = faults::inject(&mut site, plan.seed, &mut rng, plan.span).await?;
     callers.stop();
     let faults_ended = Instant::now();
     wait_for_jobs(&mut site, &ledger, faults_ended + SETTLE_TIMEOUT).await?;
-    let violations = invariants::check(&ledger.all(), &site.events.all(), &site.bounds);
+    let rejections = prober.stop();
+    let violations =
+        invariants::check(&ledger.all(), &site.events.all(), &site.bounds, &rejections);
     Ok(Report {
         jobs: ledger.all().len(),
         accepted: ledger.count(|job| job.accepted.is_some()),
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -17,7 +17,7 @@
 };
 use std::{
     io,
-    sync::Arc,
+    sync::{Arc, Mutex},
     time::{Duration, Instant},
 };
 
@@ -58,6 +58,26 @@
     }
 }
 
+/// The numbers of idle routes that the configurations had, each with the time of its change; clones share them.
+#[derive(Clone, Debug, Default)]
+pub struct Routes(Arc<Mutex<Vec<(Instant, usize)>>>);
+
+impl Routes {
+    /// Records that there are `count` routes from now on.
+    fn record(&self, count: usize) {
+        let mut changes = self.0.lock().expect("no thread panics here");
+        changes.push((Instant::now(), count));
+    }
+
+    /// Returns the newest route that was added at least `age` before `now`, and the time since then.
+    pub fn newest(&self, now: Instant, age: Duration) -> Option<(usize, Duration)> {
+        let changes = self.0.lock().expect("no thread panics here");
+        let old = |(at, _): &&(Instant, usize)| *at + age <= now;
+        let (at, count) = changes.iter().rev().find(old)?;
+        Some((count - 1, now - *at))
+    }
+}
+
 /// The stand-ins and entries of a soak.
 pub struct Site {
     /// Entries by their numbers.
@@ -76,6 +96,8 @@
     pub bounds: Vec<(Instant, String, u64)>,
     /// Number of routes of the newest configuration that nobody calls.
     pub idle_routes: usize,
+    /// All numbers of such routes so far.
+    pub routes: Routes,
     /// Version of the newest configuration.
     version: u64,
     /// Number of waves requested so far.
@@ -112,6 +134,7 @@
             workspaces: None,
             bounds: Vec::new(),
             idle_routes: 0,
+            routes: Routes::default(),
             version: 0,
             waves: 0,
         };
@@ -162,6 +185,7 @@
     pub fn add_idle_routes(&mut self, count: usize) {
         self.idle_routes += count;
         self.configure();
+        self.routes.record(self.idle_routes);
     }
 
     /// Sets the number of cores that each workspace may use.
@@ -188,6 +212,7 @@
             link.stall(false, false);
             link.delay(Duration::ZERO);
             link.lose_responses(0);
+            link.share_response_link(None);
         }
         self.log.lose_responses(0.0, 0);
         let mut workspaces = self.workspaces.iter().flatten();
--- a/crates/soak/tests/invariants.rs
+++ b/crates/soak/tests/invariants.rs
@@ -3,6 +3,7 @@
 use havenladder_soak::{
     caller::Job,
     invariants::{Invariant, check},
+    prober::WrongRejection,
 };
 use standin::users::events::{Event, RunEvent};
 use std::{
@@ -38,7 +39,7 @@
 
 fn violated(job: Job, events: &[Event]) -> Vec<Invariant> {
     let jobs = BTreeMap::from([(ID, job)]);
-    let found = check(&jobs, events, &[]);
+    let found = check(&jobs, events, &[], &[]);
     found
         .into_iter()
         .map(|violation| violation.invariant)
@@ -146,6 +147,7 @@
         &BTreeMap::new(),
         &events(from, &[("w1", "0.0", 1, Started)]),
         &[],
+        &[],
     );
     assert_eq!(found[0].invariant, Invariant::RefusedNeverRuns);
 }
@@ -192,3 +194,16 @@
         [Invariant::DoneMeansAllTasks]
     );
 }
+
+#[test]
+fn a_route_reported_as_missing_is_found() {
+    let rejection = WrongRejection {
+        route: 7,
+        entry: 1,
+        status: 404,
+        age: Duration::from_millis(2_500),
+    };
+    let found = check(&BTreeMap::new(), &[], &[], &[rejection]);
+    let found: Vec<Invariant> = found.iter().map(|violation| violation.invariant).collect();
+    assert_eq!(found, [Invariant::ChangesAreInForce]);
+}
