--- a/crates/havenladder/src/entry/in_force.rs
+++ b/crates/havenladder/src/entry/in_force.rs
@@ -12,6 +12,7 @@
 use serde::{Deserialize, Serialize};
 use std::{
     collections::{BTreeMap, BTreeSet},
+    io,
     rc::Rc,
 };
 use tracing::{info, warn};
@@ -154,16 +155,21 @@
     }
 
     /// Adopts a configuration and drain orders that another entry knows.
-    pub fn adopt(&mut self, config: Option<CompressedRecord>, hall_drains: HallDrains) {
-        match config.map(Record::receive) {
-            Some(Ok(config)) => {
-                info!("another entry has a newer configuration");
-                self.apply_config(config);
-            }
-            Some(Err(error)) => warn!(%error, "cannot decompress a configuration"),
-            None => {}
-        }
+    ///
+    /// # Errors
+    ///
+    /// Fails if the configuration cannot be decompressed.
+    pub fn adopt(
+        &mut self,
+        config: Option<CompressedRecord>,
+        hall_drains: HallDrains,
+    ) -> io::Result<()> {
         self.adopt_hall_drains(hall_drains);
+        if let Some(config) = config.map(Record::receive).transpose()? {
+            info!("another entry has a newer configuration");
+            self.apply_config(config);
+        }
+        Ok(())
     }
 
     /// Adopts a set of data centres to be drained, unless a newer one is known.
--- a/crates/havenladder/src/entry/operator_topic.rs
+++ b/crates/havenladder/src/entry/operator_topic.rs
@@ -19,7 +19,7 @@
 use fleet::{Backoff, STALE_AGE};
 use std::{pin::pin, rc::Rc, time::Duration};
 use tokio::time;
-use tracing::info;
+use tracing::{info, warn};
 
 /// Time for which a read waits for the next record. A connection that fell silent is detected soon
 /// after this, and a change must be in force within 2 s.
@@ -269,13 +269,17 @@
 }
 
 /// Applies the state that another entry sent in response to a request of the time `sent`.
-pub fn apply_update(node: &Node, update: Update, sent: Instant) {
+fn apply_update(node: &Node, update: Update, sent: Instant) {
     if let Some((lease, end)) = update.lease {
         set_lease(node, lease, end);
     }
-    node.in_force
+    let adopted = node
+        .in_force
         .borrow_mut()
         .adopt(update.config, update.hall_drains);
+    if let Err(error) = adopted {
+        return warn!(%error, "cannot decompress the configuration of another entry");
+    }
     let confirmed = sent - Duration::from_millis(update.age);
     node.update_freshness(|freshness| freshness.confirm(sent, confirmed));
 }
