--- a/crates/fleet/src/replication.rs
+++ b/crates/fleet/src/replication.rs
@@ -17,8 +17,7 @@
 /// The number of entries in a data centre that read from the platform: one of them may fail.
 pub const READERS_PER_HALL: usize = 2;
 
-/// The maximum number of direct followers of an entry. Sending a configuration of 50 KB to all of them
-/// takes 0.16 s on a link of 20 Mbit/s.
+/// The maximum number of direct followers of an entry, which share its link when there is an update.
 pub const MAX_FOLLOWERS: usize = 8;
 
 /// The time since its last request after which an entry loses its assignment.
--- a/crates/havenladder/src/entry/replication/record.rs
+++ b/crates/havenladder/src/entry/replication/record.rs
@@ -1,7 +1,7 @@
 //! Records of operators, compressed for the way between entries.
 //!
-//! A configuration is mostly repeated text: one with 4,000 routes shrinks to a sixth or less. It is compressed once by
-//! the entry that has read it, and passed on as it was received.
+//! A configuration is mostly repeated text. It is compressed once, by the entry that has read it, and passed on as it
+//! was received.
 
 use adapter::store::{KeyedRecord, decode_keyed};
 use bytes::Bytes;
