refactor(entry): one meter for transfers of operators' records, one end for the two kinds of reads

Cause: read as a newcomer, 'transfer' named both the log's measurement and the count of those in progress, and two reads ended in the same six lines; the tests of followers had the same setup twice. Change: names and functions only.

--- a/crates/havenladder/src/entry/mod.rs
+++ b/crates/havenladder/src/entry/mod.rs
@@ -38,7 +38,7 @@
 mod store_calls;
 mod suspension;
 mod traffic;
-mod transfers;
+mod transfer_meter;
 mod vm_orders;
 mod watch;
 mod wave_status;
--- a/crates/havenladder/src/entry/operator_topic.rs
+++ b/crates/havenladder/src/entry/operator_topic.rs
@@ -7,7 +7,7 @@
     peer::{self, PeerRequest, PeerResponse, Update},
     replication::Record,
     store_calls,
-    transfers::{self, Transfer},
+    transfer_meter::TransferMeter,
 };
 use adapter::{
     http::CallError,
@@ -95,7 +95,7 @@
 /// the store did not answer.
 async fn read_from(node: &Node, from: Offset) -> bool {
     let sent = Instant::now();
-    let transfer = Transfer::begin(node, Party::Store);
+    let meter = TransferMeter::start(node, Party::Store);
     let mut held = pin!(store_calls::open_read(node, TOPIC, from, READ_HOLD));
     let outcome = loop {
         tokio::select! {
@@ -116,12 +116,22 @@
             }
         }
     };
+    complete_read(node, outcome, meter).await
+}
+
+/// Completes a read: reads the newest records if it brought only part, and logs a transfer that was abandoned. Returns
+/// false if the store did not answer.
+async fn complete_read(
+    node: &Node,
+    outcome: Result<Applied, CallError>,
+    meter: TransferMeter,
+) -> bool {
     match outcome {
         Ok(Applied::Nothing | Applied::All) => true,
         Ok(Applied::Part) => read_newest(node).await,
         Ok(Applied::Busy) => false,
         Err(error) => {
-            transfers::log_abandoned(node, STORE_NAME, error, &transfer);
+            meter.log_abandoned(node, STORE_NAME, error);
             false
         }
     }
@@ -182,17 +192,10 @@
         return false;
     };
     let sent = Instant::now();
-    let transfer = Transfer::begin(node, Party::Store);
+    let meter = TransferMeter::start(node, Party::Store);
     let opened = store_calls::open_read_once(node, TOPIC, from).await;
-    match apply_opened(node, from, opened, sent, Duration::ZERO).await {
-        Ok(Applied::Nothing | Applied::All) => true,
-        Ok(Applied::Part) => read_newest(node).await,
-        Ok(Applied::Busy) => false,
-        Err(error) => {
-            transfers::log_abandoned(node, STORE_NAME, error, &transfer);
-            false
-        }
-    }
+    let outcome = apply_opened(node, from, opened, sent, Duration::ZERO).await;
+    complete_read(node, outcome, meter).await
 }
 
 /// Applies the result of a read from an offset on of a topic that ended at `end`. The read was sent
@@ -252,7 +255,7 @@
             end: node.lease_end.get(),
         };
         let sent = Instant::now();
-        let transfer = Transfer::begin(node, Party::Peer);
+        let meter = TransferMeter::start(node, Party::Peer);
         match peer::transfer(node, &peer, &request, sent + PEER_TIMEOUT).await {
             Ok(PeerResponse::Update(update)) => {
                 let age = Duration::from_millis(update.age);
@@ -262,7 +265,7 @@
                 }
             }
             Ok(_) => {}
-            Err(error) => transfers::log_abandoned(node, &peer, error, &transfer),
+            Err(error) => meter.log_abandoned(node, &peer, error),
         }
     }
     false
--- a/crates/havenladder/src/entry/replication/record.rs
+++ b/crates/havenladder/src/entry/replication/record.rs
@@ -17,7 +17,7 @@
     rc::Rc,
 };
 
-/// Maximum size of a record. The platform's records have up to a few MB.
+/// Maximum size of a decompressed record, which bounds the memory that a damaged response can take.
 const MAX_RECORD_BYTES: u64 = 64 << 20;
 
 /// Record in the form in which entries send it. Its `Debug` form hides the content, since that includes keys.
--- a/crates/havenladder/src/entry/replication_client.rs
+++ b/crates/havenladder/src/entry/replication_client.rs
@@ -6,7 +6,7 @@
     operator_topic,
     peer::{self, PeerRequest, PeerResponse},
     replication::{MAX_HOLD, Record, Request, Response, Update},
-    transfers::{self, Transfer},
+    transfer_meter::TransferMeter,
 };
 use adapter::{store::Offset, traffic::Party};
 use clock::Instant;
@@ -98,7 +98,7 @@
             from,
             end: node.lease_end.get(),
         });
-        let transfer = Transfer::begin(node, Party::Peer);
+        let meter = TransferMeter::start(node, Party::Peer);
         match peer::transfer(node, &source, &request, sent + MAX_HOLD + RESPONSE_SLACK).await {
             Ok(PeerResponse::Replication(Response::Update(update))) => {
                 if !apply_update(node, from, update, sent) {
@@ -115,8 +115,7 @@
             }
             Ok(_) => return,
             Err(error) => {
-                transfers::log_abandoned(node, &source, error, &transfer);
-                return;
+                return meter.log_abandoned(node, &source, error);
             }
         }
     }
--- a/crates/havenladder/tests/large_configurations.rs
+++ b/crates/havenladder/tests/large_configurations.rs
@@ -37,6 +37,9 @@
 /// Time, in addition to that of the transfer, within which a change must be in force.
 const APPLY_TIMEOUT: Duration = Duration::from_millis(2_000);
 
+/// An entry that is not a seed, so that it follows one from its start.
+const FOLLOWER: usize = 3;
+
 /// Time for an entry to become owner of the cell and for all entries to find their sources.
 const STARTUP_TIME: Duration = Duration::from_secs(4);
 
@@ -136,20 +139,31 @@
     });
 }
 
-/// Lets an entry know only one other entry, through a proxy, and restarts it. Returns the proxy.
-async fn follow_through_proxy(site: &mut Site, name: &str, seed: u64, follower: usize) -> Proxy {
+/// Starts a site with four entries, the last of which follows the first one through a proxy. Returns the proxy as well.
+async fn start_with_follower(name: &str, seed: u64) -> (Site, Proxy) {
+    let mut site = entries::start_with(name, seed, 4, FOLLOWER + 1).await;
+    site.add_idle_routes(1);
+    wait_until_ready(&site).await;
+    let proxy = follow_through_proxy(&mut site, name, seed).await;
+    wait_until_served(&site, FOLLOWER, 0).await;
+    time::sleep(STARTUP_TIME).await;
+    (site, proxy)
+}
+
+/// Lets [`FOLLOWER`] know only one other entry, through a proxy, and restarts it. Returns the proxy.
+async fn follow_through_proxy(site: &mut Site, name: &str, seed: u64) -> Proxy {
     let peer_port = site.entries[0].address.port() + 4;
     let source = SocketAddr::new(site.entries[0].address.ip(), peer_port);
     let at: SocketAddr = format!("127.0.1.1:{peer_port}").parse().unwrap();
     let proxy = Proxy::start_at(at, source).await.unwrap();
-    let file = log_dir(name, seed).join(format!("entry-{follower}.toml"));
+    let file = log_dir(name, seed).join(format!("entry-{FOLLOWER}.toml"));
     let text = fs::read_to_string(&file).unwrap();
     let lines = text.lines().map(|line| match line.starts_with("seeds = ") {
         true => format!("seeds = [\"{at}\"]\n"),
         false => format!("{line}\n"),
     });
     fs::write(&file, lines.collect::<String>()).unwrap();
-    let entry = &mut site.entries[follower];
+    let entry = &mut site.entries[FOLLOWER];
     entry.signal(Signal::KILL);
     while entry.is_running() {
         time::sleep(Duration::from_millis(10)).await;
@@ -161,21 +175,16 @@
 #[test]
 fn a_follower_with_a_narrow_link_keeps_its_source_during_large_changes() {
     block_on(async {
-        let (name, seed, follower) = ("narrow-follower", SEED + 3, 3);
-        let mut site = entries::start_with(name, seed, 4, 4).await;
-        site.add_idle_routes(1);
-        wait_until_ready(&site).await;
-        let proxy = follow_through_proxy(&mut site, name, seed, follower).await;
-        wait_until_served(&site, follower, 0).await;
-        time::sleep(STARTUP_TIME).await;
+        let (name, seed) = ("narrow-follower", SEED + 3);
+        let (mut site, proxy) = start_with_follower(name, seed).await;
         let link = Arc::new(Link::new(NARROW_LINK));
         proxy.faults.share_response_link(Some(Arc::clone(&link)));
-        site.links[follower].share_response_link(Some(link));
+        site.links[FOLLOWER].share_response_link(Some(link));
         let began = Instant::now();
         for _ in 0..2 {
             site.add_idle_routes(ADDED_ROUTES);
         }
-        wait_until_served(&site, follower, site.idle_routes - 1).await;
+        wait_until_served(&site, FOLLOWER, site.idle_routes - 1).await;
         let took = began.elapsed();
         assert!(took < TRANSFER_TIME + APPLY_TIMEOUT, "{took:?}");
         assert_eq!(count_lines(name, seed, "records abandoned"), 0);
@@ -185,22 +194,16 @@
 #[test]
 fn several_large_changes_take_a_follower_fewer_bytes_than_the_last_one_has() {
     block_on(async {
-        let (name, seed, follower) = ("compressed", SEED + 4, 3);
-        let mut site = entries::start_with(name, seed, 4, 4).await;
-        site.add_idle_routes(1);
-        wait_until_ready(&site).await;
-        let proxy = follow_through_proxy(&mut site, name, seed, follower).await;
-        wait_until_served(&site, follower, 0).await;
-        time::sleep(STARTUP_TIME).await;
+        let (mut site, proxy) = start_with_follower("compressed", SEED + 4).await;
         let before = proxy.faults.bytes();
         // The follower is paused for less than its request lasts, so that it keeps its source.
-        site.entries[follower].signal(Signal::STOP);
+        site.entries[FOLLOWER].signal(Signal::STOP);
         for _ in 0..4 {
             site.add_idle_routes(ADDED_ROUTES);
         }
         time::sleep(Duration::from_millis(300)).await;
-        site.entries[follower].signal(Signal::CONT);
-        wait_until_served(&site, follower, site.idle_routes - 1).await;
+        site.entries[FOLLOWER].signal(Signal::CONT);
+        wait_until_served(&site, FOLLOWER, site.idle_routes - 1).await;
         let received = proxy.faults.bytes() - before;
         let written = site.log.get("keyed.op", "config").unwrap().len() as u64;
         assert!(received < written, "{received} of {written} bytes");
