fix(entry): entries get to know those that ask them for records

Cause: an entry knew the owner, the seeds and what these knew of other data centres; nobody recorded who asked for a source or for records. Once all of them were without the store, the entry that the store answered had the cell and two versions more, and no one could find it. It had passed where the draw of the first owner was the entry that the store answers later, so that it did not depend on finding it. The test now chooses an entry that is neither owner nor seed. Change: an entry of another data centre that asks for a source or for records is added to the directory, which entries tell each other.

--- a/crates/havenladder/src/entry/peer.rs
+++ b/crates/havenladder/src/entry/peer.rs
@@ -244,9 +244,11 @@
         }
         (PeerRequest::Incarnation, _) => PeerResponse::Incarnation(reach::presence(&node)),
         (PeerRequest::Replication(request), _) => {
+            reach::record_follower(&node, &request.follower);
             PeerResponse::Replication(replication_server::respond(&node, request).await)
         }
         (PeerRequest::Assignment(follower), Some(_)) => {
+            reach::record_follower(&node, &follower);
             PeerResponse::Assignment(replication_server::assign(&node, follower))
         }
         (PeerRequest::Outage, _) => outage::report(&node).await,
--- a/crates/havenladder/src/entry/reach.rs
+++ b/crates/havenladder/src/entry/reach.rs
@@ -9,6 +9,7 @@
     peer::{self, PeerRequest, PeerResponse},
 };
 use clock::{Instant, timer};
+use fleet::FollowerInfo;
 use serde::{Deserialize, Serialize};
 use std::{collections::BTreeMap, rc::Rc, time::Duration};
 use tokio::{task, time};
@@ -145,11 +146,22 @@
         node.update_reach(|reach| reach.on_peer_response(Instant::now()));
     }
     let reported = presence.known.into_iter().chain([(address, presence.hall)]);
+    for (address, hall) in reported {
+        add_to_directory(node, address, hall);
+    }
+}
+
+/// Records an entry that has asked for a source or for records, so that this entry and those that poll it know more
+/// entries than the seeds and the owner.
+pub fn record_follower(node: &Node, follower: &FollowerInfo) {
+    add_to_directory(node, follower.address.clone(), follower.hall.clone());
+}
+
+/// Adds an entry to the directory if it is of another data centre and there is room.
+fn add_to_directory(node: &Node, address: Address, hall: String) {
     let mut directory = node.directory.borrow_mut();
-    for (address, hall) in reported.filter(|(_, hall)| hall != own_hall) {
-        if directory.len() < MAX_DIRECTORY_ENTRIES {
-            directory.entry(address).or_insert(hall);
-        }
+    if hall != node.settings.hall && directory.len() < MAX_DIRECTORY_ENTRIES {
+        directory.entry(address).or_insert(hall);
     }
 }
 
--- a/crates/havenladder/tests/replication.rs
+++ b/crates/havenladder/tests/replication.rs
@@ -4,6 +4,8 @@
 //! the load on the platform's store then grew with the number of entries, and all of them read each new configuration
 //! at the same time.
 
+#![expect(clippy::unwrap_used, reason = "a test stops where it fails")]
+
 mod entries;
 
 use entries::{block_on, owner, request, send_request};
@@ -105,17 +107,21 @@
 #[test]
 fn entries_without_the_store_get_updates_although_all_seeds_are_without_it() {
     block_on(async {
-        let (name, seed, answered) = ("replication-refused", SEED + 2, 5);
-        let mut site = entries::start_with(name, seed, 4, answered + 1).await;
+        let (name, seed, entries) = ("replication-refused", SEED + 2, 6);
+        let mut site = entries::start_with(name, seed, 4, entries).await;
         time::sleep(STARTUP_TIME).await;
-        for link in &site.links[..answered] {
+        // An entry that is neither a seed nor the owner, so that the others have to find it.
+        let owner = owner(name, seed, entries);
+        let answered = (3..entries).find(|entry| *entry != owner).unwrap();
+        let links = site.links.iter().enumerate();
+        for (_, link) in links.filter(|(entry, _)| *entry != answered) {
             link.stall(true, true);
         }
-        // The entry that the store answers owns the cell after this time, if it did not before.
+        // The entry that the store answers owns the cell after this time.
         time::sleep(STARTUP_TIME).await;
         site.rotate_keys();
         let began = Instant::now();
-        for entry in 0..=answered {
+        for entry in 0..entries {
             wait_until_refused(&site, entry, 1).await;
         }
         let took = began.elapsed();
