--- a/crates/workspaces/src/freshness.rs
+++ b/crates/workspaces/src/freshness.rs
@@ -94,7 +94,7 @@
         self.failed = !answered;
     }
 
-    /// Returns the time since the configuration was known to be the newest, or [`UNKNOWN_AGE`] if it never was.
+    /// Returns the time since the configuration was known to be the newest, or an hour if it never was.
     pub fn age(&self, now: Instant) -> Duration {
         self.confirmed.map_or(UNKNOWN_AGE, |confirmed| {
             now.saturating_duration_since(confirmed)
