--- a/crates/havenladder/src/entry/in_force.rs
+++ b/crates/havenladder/src/entry/in_force.rs
@@ -1,7 +1,7 @@
 //! The settings and orders of operators that are in force: the configuration, as decoded and as
 //! written, its keys, the waves of maintenance, and the data centres to be drained.
 
-use super::replication::{CompressedRecord, Record};
+use crate::record::{CompressedRecord, Record};
 use adapter::{
     operator::{self, CONFIG_KEY, Config, DRAIN_KEY_PREFIX, Queue, Version, WAVE_KEY_PREFIX, Wave},
     store::{KeyedRecord, Offset},
--- a/crates/havenladder/src/entry/operator_topic.rs
+++ b/crates/havenladder/src/entry/operator_topic.rs
@@ -5,10 +5,10 @@
     lease::set_lease,
     node::Node,
     peer::{self, PeerRequest, PeerResponse, Update},
-    replication::Record,
     store_calls,
     transfer_meter::TransferMeter,
 };
+use crate::record::Record;
 use adapter::{
     http::CallError,
     operator::TOPIC,
--- a/crates/havenladder/src/entry/peer.rs
+++ b/crates/havenladder/src/entry/peer.rs
@@ -8,9 +8,9 @@
     node::{Lease, Node},
     outage,
     reach::{self, Presence},
-    replication::{self, CompressedRecord},
-    replication_server,
+    replication, replication_server,
 };
+use crate::record::CompressedRecord;
 use adapter::{
     http::{self, Call, CallError, Connection},
     operator::Version,
--- a/crates/havenladder/src/entry/replication/mod.rs
+++ b/crates/havenladder/src/entry/replication/mod.rs
@@ -8,12 +8,11 @@
 //! `replication_server` answers them.
 
 mod recent;
-mod record;
 
 pub use recent::{Missing, Recent};
-pub use record::{CompressedRecord, Record};
 
 use super::lease_state::Lease;
+use crate::record::CompressedRecord;
 use adapter::store::Offset;
 use clock::{Instant, timer};
 use fleet::{Address, FollowerInfo, Followers, Readers};
--- a/crates/havenladder/src/entry/replication/recent.rs
+++ b/crates/havenladder/src/entry/replication/recent.rs
@@ -1,6 +1,6 @@
 //! The records of operators that an entry has applied, kept for its followers.
 
-use super::Record;
+use crate::record::Record;
 use adapter::store::Offset;
 use clock::Instant;
 use std::{
--- a/crates/havenladder/src/entry/replication_client.rs
+++ b/crates/havenladder/src/entry/replication_client.rs
@@ -5,9 +5,10 @@
     node::Node,
     operator_topic,
     peer::{self, PeerRequest, PeerResponse},
-    replication::{MAX_HOLD, Record, Request, Response, Update},
+    replication::{MAX_HOLD, Request, Response, Update},
     transfer_meter::TransferMeter,
 };
+use crate::record::Record;
 use adapter::{store::Offset, traffic::Party};
 use clock::Instant;
 use fleet::{Address, FollowerInfo, STALE_AGE, Source};
--- a/crates/havenladder/src/entry/replication_server.rs
+++ b/crates/havenladder/src/entry/replication_server.rs
@@ -2,8 +2,9 @@
 
 use super::{
     node::Node,
-    replication::{MAX_HOLD, Missing, Record, Request, Response, Update},
+    replication::{MAX_HOLD, Missing, Request, Response, Update},
 };
+use crate::record::Record;
 use clock::{Instant, timer};
 use fleet::{Admission, FollowerInfo, Source};
 use std::time::Duration;
--- a/crates/havenladder/src/main.rs
+++ b/crates/havenladder/src/main.rs
@@ -18,6 +18,7 @@
 mod problem;
 mod propose;
 mod recent;
+mod record;
 mod sync;
 mod threads;
 
