refactor(entry): no copy of each request, one state for stopping, one wait for a condition

Change: the request is borrowed, Node::is_stopping follows from answer_by, callers::close and replication's wait_until serve both places, and three comments use the usual terms. Behaviour is the same.

--- a/crates/havenladder/src/entry/callers/mod.rs
+++ b/crates/havenladder/src/entry/callers/mod.rs
@@ -53,9 +53,8 @@
     let began = Instant::now();
     let method = request.method().clone();
     let mut reply = handle(&node, request).await;
-    if node.stopping.get() {
-        let close = header::HeaderValue::from_static("close");
-        reply.headers_mut().insert(header::CONNECTION, close);
+    if node.is_stopping() {
+        reply = close(reply);
     }
     node.metrics
         .answered(method.as_str(), reply.status().as_u16(), began.elapsed());
@@ -76,7 +75,7 @@
 /// Responds whether the entry serves callers: it has a configuration, is not cut off and is not
 /// stopping.
 async fn ready(node: Rc<Node>) -> Reply {
-    let ready = node.config().is_some() && !node.cut_off.get() && !node.stopping.get();
+    let ready = node.config().is_some() && !node.cut_off.get() && !node.is_stopping();
     let status = if ready {
         StatusCode::OK
     } else {
@@ -85,6 +84,13 @@
     reply(status, "")
 }
 
+/// Lets a response close its connection, so that the caller connects again.
+fn close(mut response: Reply) -> Reply {
+    let close = header::HeaderValue::from_static("close");
+    response.headers_mut().insert(header::CONNECTION, close);
+    response
+}
+
 /// Creates a response in JSON. If its status is that the service is unavailable, it says when to
 /// retry.
 fn reply(status: StatusCode, body: impl Into<Bytes>) -> Reply {
--- a/crates/havenladder/src/entry/callers/owner_request.rs
+++ b/crates/havenladder/src/entry/callers/owner_request.rs
@@ -1,7 +1,7 @@
 //! Forwards a caller's request to the owner, wherever it is, and creates the response to the
 //! caller.
 
-use super::reply;
+use super::{close, reply};
 use crate::entry::{
     listen::Reply,
     logs::kind,
@@ -59,7 +59,7 @@
 /// `may_have_run` says whether the operation may have been carried out before.
 pub(super) async fn request_owner(
     node: &Rc<Node>,
-    request: CallerRequest,
+    mut request: CallerRequest,
     may_have_run: bool,
     deadline: Instant,
 ) -> OwnerReply {
@@ -69,7 +69,7 @@
         () = stop::wait_until_answer_due(node) => {
             OwnerReply::Final(refuse(&request, may_have_run.get()))
         }
-        response = request_until(node, request.clone(), &may_have_run, deadline) => response,
+        response = request_until(node, &mut request, &may_have_run, deadline) => response,
         never = suspension::check_periodically(node) => match never {},
     }
 }
@@ -80,7 +80,7 @@
 /// `may_have_run` is also set while the owner has not answered.
 async fn request_until(
     node: &Rc<Node>,
-    mut request: CallerRequest,
+    request: &mut CallerRequest,
     may_have_run: &Cell<bool>,
     deadline: Instant,
 ) -> OwnerReply {
@@ -96,15 +96,15 @@
                 response.unwrap_or(PeerResponse::Unsure)
             }
             None if node.cut_off.get() => {
-                return OwnerReply::Final(refuse_and_close(&request, ran_before));
+                return OwnerReply::Final(refuse_and_close(request, ran_before));
             }
-            None => forward(node, &request, abandon_at).await,
+            None => forward(node, request, abandon_at).await,
         };
         let in_doubt = ran_before || response == PeerResponse::Unsure;
         may_have_run.set(in_doubt);
         match next_step(&response, in_doubt) {
             NextStep::Reply(reply) => return OwnerReply::Final(reply),
-            NextStep::Refuse => return OwnerReply::Final(refuse(&request, in_doubt)),
+            NextStep::Refuse => return OwnerReply::Final(refuse(request, in_doubt)),
             NextStep::Reauthenticate(version)
                 if wait_for_version(node, version, abandon_at).await =>
             {
@@ -113,12 +113,12 @@
                 };
             }
             NextStep::Reauthenticate(_) => {
-                return OwnerReply::Final(refuse(&request, in_doubt));
+                return OwnerReply::Final(refuse(request, in_doubt));
             }
             NextStep::Retry => {}
         }
         if Instant::now() >= abandon_at {
-            return OwnerReply::Final(refuse(&request, in_doubt));
+            return OwnerReply::Final(refuse(request, in_doubt));
         }
         let _ = time::timeout(RETRY_INTERVAL, node.lease_changed.notified()).await;
     }
@@ -266,10 +266,7 @@
 /// Creates the response of an entry that is cut off. The caller should connect again, to another
 /// entry.
 fn refuse_and_close(request: &CallerRequest, may_have_run: bool) -> Reply {
-    let mut reply = refuse(request, may_have_run);
-    let close = header::HeaderValue::from_static("close");
-    reply.headers_mut().insert(header::CONNECTION, close);
-    reply
+    close(refuse(request, may_have_run))
 }
 
 /// Creates the response to a request that could not be completed. A job that may have been accepted
--- a/crates/havenladder/src/entry/lease/mod.rs
+++ b/crates/havenladder/src/entry/lease/mod.rs
@@ -108,7 +108,7 @@
 /// Returns when this entry may claim the lease. An entry that is stopping does not claim it.
 fn next_claim(node: &Node, log: &mut Log) -> Claim {
     let now = Instant::now();
-    if node.stopping.get() {
+    if node.is_stopping() {
         return Claim::At(now + fleet::LEASE_TIMEOUT);
     }
     let holder = holder(node, log);
@@ -229,7 +229,7 @@
     if !owner.is_alive() {
         return Step::Lost;
     }
-    if node.stopping.get() {
+    if node.is_stopping() {
         return Step::Release("the process stops");
     }
     if !owner.relays.borrow().is_empty() {
--- a/crates/havenladder/src/entry/node.rs
+++ b/crates/havenladder/src/entry/node.rs
@@ -72,10 +72,8 @@
     pub claim_due: Notify,
     /// State of the owner, while this entry owns the cell.
     pub owner: RefCell<Option<Rc<Owner>>>,
-    /// Whether the process has received the signal to stop.
-    pub stopping: Cell<bool>,
-    /// Time by which all requests of callers must be answered, once the process has received that
-    /// signal.
+    /// Time by which all requests of callers must be answered, once the process has received the
+    /// signal to stop.
     pub answer_by: Cell<Option<Instant>>,
     /// Notified when the process receives the signal to stop.
     pub stop: Notify,
@@ -127,7 +125,6 @@
             ended_owner: Cell::new(None),
             claim_due: Notify::new(),
             owner: RefCell::default(),
-            stopping: Cell::new(false),
             answer_by: Cell::new(None),
             stop: Notify::new(),
             reach: Cell::new(Reach::new(Instant::now())),
@@ -179,6 +176,11 @@
             .cloned()
     }
 
+    /// Returns whether the process has received the signal to stop.
+    pub fn is_stopping(&self) -> bool {
+        self.answer_by.get().is_some()
+    }
+
     /// Updates the record of what this entry reaches.
     pub fn update_reach(&self, update: impl FnOnce(&mut Reach)) {
         let mut reach = self.reach.get();
--- a/crates/havenladder/src/entry/replication/mod.rs
+++ b/crates/havenladder/src/entry/replication/mod.rs
@@ -62,13 +62,7 @@
 
     /// Waits until this entry follows no other one and reads from the store.
     pub async fn wait_until_unfollowing(&self) {
-        loop {
-            let update = self.updated.notified();
-            if !self.follows() {
-                return;
-            }
-            update.await;
-        }
+        wait_until(&self.updated, || !self.follows()).await;
     }
 
     /// Waits until an entry that has just started has received its first update, or the time for it
@@ -97,13 +91,7 @@
     /// Waits until no operators' records are arriving. What arrives is usually what the waiting task would ask for,
     /// and a second copy would delay it.
     pub async fn wait_for_transfers(&self) {
-        loop {
-            let ended = self.transferred.notified();
-            if !self.is_transferring() {
-                return;
-            }
-            ended.await;
-        }
+        wait_until(&self.transferred, || !self.is_transferring()).await;
     }
 
     /// Returns the addresses of the entries that recently reported to read from the store. Only an
@@ -123,6 +111,17 @@
     }
 }
 
+/// Waits until a condition is met, which `changed` is notified of.
+async fn wait_until(changed: &Notify, is_met: impl Fn() -> bool) {
+    loop {
+        let change = changed.notified();
+        if is_met() {
+            return;
+        }
+        change.await;
+    }
+}
+
 /// Transfer of operators' records that is in progress.
 pub struct ActiveTransfer<'r>(&'r Replication);
 
--- a/crates/havenladder/src/entry/replication_client.rs
+++ b/crates/havenladder/src/entry/replication_client.rs
@@ -68,7 +68,7 @@
 /// Requests an assignment from the owner. Returns `None` if this entry is the owner, is stopping,
 /// or gets no assignment.
 async fn request_assignment(node: &Node) -> Option<Source> {
-    if node.as_owner().is_some() || node.stopping.get() {
+    if node.as_owner().is_some() || node.is_stopping() {
         return None;
     }
     let lease = node.lease.borrow().clone();
@@ -91,7 +91,7 @@
 async fn follow_from(node: &Node, mut source: Address) {
     let mut hops = 0;
     node.replication.wait_for_transfers().await;
-    while node.as_owner().is_none() && !node.stopping.get() {
+    while node.as_owner().is_none() && !node.is_stopping() {
         let from = node.replication.recent.borrow().end();
         let sent = Instant::now();
         let request = PeerRequest::Replication(Request {
--- a/crates/havenladder/src/entry/stop.rs
+++ b/crates/havenladder/src/entry/stop.rs
@@ -46,7 +46,6 @@
     );
     let grace = node.settings.grace.saturating_sub(EXIT_RESERVE);
     let exit_at = Instant::now() + grace;
-    node.stopping.set(true);
     node.answer_by.set(Some(exit_at - ANSWER_RESERVE));
     node.stop.notify_waiters();
     time::sleep(CONNECT_GRACE).await;
