--- a/crates/havenladder/tests/large_configurations.rs
+++ b/crates/havenladder/tests/large_configurations.rs
@@ -78,7 +78,7 @@
 }
 
 #[test]
-fn a_route_that_an_isolated_entry_does_not_know_is_not_reported_as_missing() {
+fn an_isolated_entry_reports_no_route_as_missing() {
     block_on(async {
         let mut site = entries::start_with("unknown-route", SEED, 4, 3).await;
         site.add_idle_routes(1);
@@ -104,7 +104,7 @@
 }
 
 #[test]
-fn a_read_that_leaves_records_behind_does_not_confirm_the_configuration() {
+fn a_cut_read_does_not_confirm_the_configuration() {
     block_on(async {
         let mut site = entries::start_with("left-records", SEED + 1, 4, 1).await;
         site.add_idle_routes(ADDED_ROUTES);
@@ -123,7 +123,7 @@
 }
 
 #[test]
-fn large_changes_in_a_row_arrive_over_a_narrow_link_to_the_store() {
+fn large_changes_arrive_over_a_narrow_link() {
     block_on(async {
         let mut site = entries::start_with("narrow-store-link", SEED + 2, 4, 1).await;
         site.add_idle_routes(1);
@@ -173,7 +173,7 @@
 }
 
 #[test]
-fn a_follower_with_a_narrow_link_keeps_its_source_during_large_changes() {
+fn a_large_change_does_not_cost_a_follower_its_source() {
     block_on(async {
         let (name, seed) = ("narrow-follower", SEED + 3);
         let (mut site, proxy) = start_with_follower(name, seed).await;
@@ -192,7 +192,7 @@
 }
 
 #[test]
-fn several_large_changes_take_a_follower_fewer_bytes_than_the_last_one_has() {
+fn a_follower_gets_one_compressed_configuration() {
     block_on(async {
         let (mut site, proxy) = start_with_follower("compressed", SEED + 4).await;
         let before = proxy.faults.bytes();
--- a/crates/havenladder/tests/replication.rs
+++ b/crates/havenladder/tests/replication.rs
@@ -105,7 +105,7 @@
 
 /// Seeds are the first three entries, and entries are placed in two data centres alternately.
 #[test]
-fn entries_without_the_store_get_updates_although_all_seeds_are_without_it() {
+fn entries_find_the_only_one_that_the_store_answers() {
     block_on(async {
         let (name, seed, entries) = ("replication-refused", SEED + 2, 6);
         let mut site = entries::start_with(name, seed, 4, entries).await;
--- a/crates/havenladder/tests/stopping.rs
+++ b/crates/havenladder/tests/stopping.rs
@@ -68,7 +68,7 @@
 }
 
 #[test]
-fn a_stopping_entry_answers_all_requests_although_there_is_no_owner() {
+fn a_stopping_entry_without_an_owner_cuts_off_no_request() {
     block_on(async {
         let (name, seed) = ("stopping", 5_940);
         let mut site = entries::start_with(name, seed, 4, 4).await;
--- a/crates/workspaces/tests/freshness.rs
+++ b/crates/workspaces/tests/freshness.rs
@@ -128,7 +128,7 @@
 }
 
 #[test]
-fn while_polls_fail_an_unknown_key_is_rejected_only_if_the_configuration_is_recent() {
+fn while_polls_fail_an_old_configuration_rejects_no_key() {
     let start = Instant::now();
     let mut freshness = confirmed_at(start, None);
     for at in [50, 1_400, 1_600, 3_000] {
--- a/crates/workspaces/tests/freshness_histories.rs
+++ b/crates/workspaces/tests/freshness_histories.rs
@@ -170,7 +170,7 @@
 }
 
 #[test]
-fn no_call_is_rejected_by_a_configuration_that_lacks_a_change_in_force() {
+fn no_outdated_configuration_rejects_a_call() {
     let mut rejected = 0;
     for seed in 0..HISTORIES {
         let start = Instant::now();
