--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -34,7 +34,12 @@
     };
     let trouble = trouble != "0";
     let record = Record::create(&PathBuf::from(folder).join("record.txt"));
-    let site = Site::start(program, &PathBuf::from(temporary), record.clone(), *case != "large-job");
+    let site = Site::start(
+        program,
+        &PathBuf::from(temporary),
+        record.clone(),
+        *case != "large-job",
+    );
     let guard = Arc::clone(&site);
     thread::spawn(move || {
         thread::sleep(LIMIT);
