--- a/review/standin/src/cases.rs
+++ b/review/standin/src/cases.rs
@@ -1,7 +1,7 @@
 //! The cases and their checks.
 
 use crate::{
-    site::{Site, ZONES},
+    site::{Site, UPPER_BOUND, ZONES},
     world::{Job, Past, Step, job_of},
 };
 use std::{
@@ -388,3 +388,66 @@
     breaks.extend(site.world.odd());
     Ok(breaks)
 }
+
+/// A wave of upkeeps, one machine at a time. The first order gets no answer and is carried out late; the entry that gave
+/// it is killed.
+pub fn wave(site: &Arc<Site>, trouble: bool) -> Outcome {
+    const WAVE: u64 = 1;
+    // `applied_late`: "carried out 2 to 12 s later".
+    const LATENESS: Duration = Duration::from_millis(7_000);
+    boot(site, 6);
+    warm_up(site)?;
+    // One task on each machine but one, for 3 s.
+    let busy = "00000000c0000001";
+    let step = Step {
+        count: 5,
+        cpu: 12_000,
+        memory: 4_096,
+        run_time: ms(3_000),
+        estimated_ms: 3_000,
+        ..Step::default()
+    };
+    if !site.submit(busy, &job(step)) || !wait_until(ms(4_000), || site.world.running_of(busy) == 5)
+    {
+        return Err("the job does not run".to_owned());
+    }
+    if trouble {
+        site.cloud.swallow_next();
+    }
+    let machines: Vec<String> = (0..6).map(|n| format!("m-{n:04x}")).collect();
+    let text = serde_json::json!({
+        "wave": WAVE, "machines": machines, "duration-s": 26, "upper-bound": UPPER_BOUND,
+    });
+    site.log.put(
+        "keyed.op",
+        &format!("wave/{WAVE}"),
+        text.to_string().as_bytes(),
+    );
+    site.record.say(format!(
+        "wave {WAVE}: {machines:?}, at most {UPPER_BOUND} at once"
+    ));
+    if trouble {
+        if !wait_until(ms(15_000), || site.cloud.held().is_some()) {
+            return Err("no order is given".to_owned());
+        }
+        let order = site.cloud.held().ok_or("no order is held")?;
+        let leader = site
+            .log
+            .last_conditional_writer()
+            .ok_or("nobody wrote under a condition")?;
+        thread::sleep(ms(300));
+        site.kill(leader, ms(3_500));
+        thread::sleep((order.at + LATENESS).saturating_duration_since(Instant::now()));
+        site.cloud.carry_out_held();
+    }
+    wait_until(ms(45_000), || site.cloud.begun(WAVE) == machines.len());
+    site.record.say(format!(
+        "{} of {} machines have had their upkeep",
+        site.cloud.begun(WAVE),
+        machines.len()
+    ));
+    let mut breaks = site.cloud.breaks();
+    breaks.extend(check_twice(&site.world.history()));
+    breaks.extend(site.world.odd());
+    Ok(breaks)
+}
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -5,6 +5,7 @@
 //! Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 
 mod cases;
+mod cloud;
 mod http;
 mod log;
 mod record;
@@ -50,6 +51,7 @@
     let play = || match case.as_str() {
         "small-tasks" => cases::small_tasks(&site, trouble),
         "large-job" => cases::large_job(&site, trouble),
+        "wave" => cases::wave(&site, trouble),
         "blocked" => cases::blocked(&site, trouble),
         _ => Err(format!("no such case: {case}")),
     };
--- a/review/standin/src/site.rs
+++ b/review/standin/src/site.rs
@@ -1,6 +1,7 @@
 //! A small deployment: the platform, workers, three entries in three zones, and consumers.
 
 use crate::{
+    cloud::Cloud,
     http::{self, Call},
     log::Log,
     record::Record,
@@ -12,7 +13,7 @@
     fs::{self, File, OpenOptions},
     io::Write,
     net::{SocketAddr, TcpListener},
-    path::Path,
+    path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::{Arc, Mutex},
     thread,
@@ -20,6 +21,9 @@
 };
 
 pub const ZONES: [&str; 3] = ["hall-a", "hall-b", "hall-c"];
+/// The `upper-bound` of waves.
+pub const UPPER_BOUND: usize = 1;
+
 pub const HOST: &str = "pule25.example";
 pub const PREFIX: &str = "/puxa400/";
 
@@ -30,6 +34,8 @@
 /// An entry as a process of its own.
 struct Entry {
     front: SocketAddr,
+    settings: PathBuf,
+    output: PathBuf,
     child: Child,
 }
 
@@ -44,8 +50,10 @@
 pub struct Site {
     pub log: Arc<Log>,
     pub world: Arc<World>,
+    pub cloud: Arc<Cloud>,
     pub record: Record,
     entries: Mutex<Vec<Entry>>,
+    program: Vec<String>,
     known: Mutex<BTreeMap<String, Known>>,
     next: Mutex<usize>,
 }
@@ -56,9 +64,10 @@
         let log = Arc::new(Log::new(record.clone()));
         let world = World::new(Arc::clone(&log), record.clone(), verbose);
         write_config(&log);
-        let cloud = {
-            let world = Arc::clone(&world);
-            http::serve(move |request| world.cloud(&request)).address
+        let cloud = Cloud::new(Arc::clone(&world), record.clone(), UPPER_BOUND);
+        let cloud_address = {
+            let cloud = Arc::clone(&cloud);
+            http::serve(move |request| cloud.handle(&request)).address
         };
         let program: Vec<String> = program.split_whitespace().map(str::to_owned).collect();
         let port = free_ports();
@@ -69,7 +78,7 @@
                 http::serve(move |request| log.handle(number, &request)).address
             };
             let settings = folder.join(format!("entry-{number}.toml"));
-            fs::write(&settings, settings_of(number, port, store, cloud))
+            fs::write(&settings, settings_of(number, port, store, cloud_address))
                 .expect("settings are written");
             let output = folder.join(format!("entry-{number}.log"));
             let child = spawn(&program, &settings, &output);
@@ -77,13 +86,20 @@
             let front = format!("{}:{}", ip(number), port + 2)
                 .parse()
                 .expect("an address");
-            entries.push(Entry { front, child });
+            entries.push(Entry {
+                front,
+                settings,
+                output,
+                child,
+            });
         }
         Arc::new(Site {
             log,
             world,
+            cloud,
             record,
             entries: Mutex::new(entries),
+            program,
             known: Mutex::default(),
             next: Mutex::new(0),
         })
@@ -121,6 +137,29 @@
         })
     }
 
+    /// Kills an entry's process; it is started again after `down`.
+    pub fn kill(self: &Arc<Self>, number: usize, down: Duration) {
+        {
+            let mut entries = self.entries.lock().unwrap();
+            let child = &mut entries[number].child;
+            self.record
+                .say(format!("SIGKILL to entry {number}, process {}", child.id()));
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        let site = Arc::clone(self);
+        thread::spawn(move || {
+            thread::sleep(down);
+            let mut entries = site.entries.lock().unwrap();
+            let entry = &mut entries[number];
+            entry.child = spawn(&site.program, &entry.settings, &entry.output);
+            site.record.line(format!(
+                "entry {number} starts again, process {}",
+                entry.child.id()
+            ));
+        });
+    }
+
     /// Freezes an entry's process; it wakes again after `span`.
     pub fn freeze(self: &Arc<Self>, number: usize, span: Duration) {
         let id = self.entries.lock().unwrap()[number].child.id();
--- a/review/standin/src/world.rs
+++ b/review/standin/src/world.rs
@@ -272,11 +272,8 @@
         }
     }
 
-    /// Handles a call to the cloud.
-    pub fn cloud(&self, request: &Request) -> Option<Response> {
-        if request.method != "GET" || request.path != "/machines" {
-            return Response::new(409, "{\"reason\":\"busy\"}");
-        }
+    /// Returns the rows of the list of machines, each with its latest worker.
+    pub fn machines(&self) -> Vec<Value> {
         let state = self.lock();
         let mut rows: BTreeMap<&str, Value> = BTreeMap::new();
         for worker in &state.workers {
@@ -288,11 +285,32 @@
             });
             rows.insert(&worker.machine, row);
         }
-        let rows: Vec<Value> = rows.into_values().collect();
-        Response::new(
-            200,
-            json!({ "machines": rows, "next-page-token": null }).to_string(),
-        )
+        rows.into_values().collect()
+    }
+
+    /// Returns the live worker of a machine.
+    pub fn worker_of(&self, machine: &str) -> Option<String> {
+        let state = self.lock();
+        let mut workers = state.workers.iter();
+        let worker = workers.find(|worker| worker.alive && worker.machine == machine);
+        worker.map(|worker| worker.id.clone())
+    }
+
+    /// Starts a new worker on a machine that had one, of the same kind.
+    pub fn boot_again(self: &Arc<Self>, machine: &str) {
+        let place = {
+            let state = self.lock();
+            let last = state
+                .workers
+                .iter()
+                .rev()
+                .find(|worker| worker.machine == machine);
+            last.map(|worker| (worker.zone, worker.labels.clone()))
+        };
+        if let Some((zone, labels)) = place {
+            let labels: Vec<&str> = labels.iter().map(String::as_str).collect();
+            self.boot(machine, zone, &labels);
+        }
     }
 
     /// Tells the workers' world what a consumer is about to submit.
