--- a/review/standin/src/cases.rs
+++ b/review/standin/src/cases.rs
@@ -190,14 +190,14 @@
         for job in watched {
             let about = known.get(&job.id).cloned().unwrap_or_default();
             let open = about.accepted.is_some_and(|at| at <= now) && about.state != "succeeded";
-            let ended = site
+            let began = site
                 .world
                 .history()
                 .iter()
                 .any(|past| job_of(&past.task) == job.id);
             let (fitting, used) = site.world.room(job.cpu, job.memory);
             let idle =
-                open && !ended && site.world.running_of(&job.id) == 0 && fitting >= 2 && used < 0.5;
+                open && !began && site.world.running_of(&job.id) == 0 && fitting >= 2 && used < 0.5;
             if !idle || now < calm_from {
                 idle_since.remove(job.id.as_str());
                 continue;
@@ -229,7 +229,7 @@
     })
 }
 
-/// Submits a small job every half second and returns those that were accepted.
+/// Submits small jobs, one after each `pause`, and returns those that were accepted.
 fn small_jobs(site: &Arc<Site>, first: u64, count: u64, pause: Duration) -> Vec<Watched> {
     let mut threads = Vec::new();
     for n in 0..count {
@@ -271,7 +271,7 @@
     breaks
 }
 
-/// A large job comes to a service that is busy, with small jobs before and after it.
+/// A large job comes to a service that is busy, and small jobs after it. A trial: no folder of a case plays it.
 pub fn large_job(site: &Arc<Site>, trouble: bool) -> Outcome {
     let count = if trouble { 15_000 } else { 100 };
     boot(site, 6);
