fix(jobs): runs that a part of a worker's ends does not list are kept

Cause: a run that a report lists neither as running nor as ended was taken for one whose start never arrived. A worker lists 500 ends at once, so that the run may have ended on a later page.

Evidence: owners now log and count ends of runs that they do not know. No worker was lost, no end was `lapsed` and none was passed over, against the two other hypotheses.

Change: the adapter tells whether a report may be a part of the ends. Until it is whole, no run is removed as missing, the worker does not count as contacted after a takeover (a run without a record may be on a later page, also after the earlier owner's leases), and no earlier incarnation counts as ended. No limit or time is changed; ten times the ends are ten times the pages.

--- a/crates/fleet/tests/several_pools/mod.rs
+++ b/crates/fleet/tests/several_pools/mod.rs
@@ -257,8 +257,16 @@
                 measurement: 0,
             };
             let running = vm.runs.iter().map(row).collect();
-            self.cell
-                .apply_report(&vm.worker, &Report { running, ended }, at, at);
+            self.cell.apply_report(
+                &vm.worker,
+                &Report {
+                    running,
+                    ended,
+                    ..Report::default()
+                },
+                at,
+                at,
+            );
         }
     }
 
--- a/crates/havenladder/src/entry/ends.rs
+++ b/crates/havenladder/src/entry/ends.rs
@@ -1,7 +1,7 @@
 //! Logs and counts the ends of runs that workers report, and reports that contradict the known state.
 
 use super::{logs::kind, owner::Owner};
-use jobs::{Report, RunId, RunOutcome, TaskId};
+use jobs::{EndRow, Report, RunId, RunOutcome, TaskId};
 use tracing::{info, warn};
 
 /// Logs and counts the ends that a worker reports for the first time, and ends that are skipped. An end whose number
@@ -11,6 +11,15 @@
     let Some(host) = cell.workers.get(worker) else {
         return;
     };
+    let is_known = |end: &&EndRow| host.runs.contains_key(&(end.task, end.run));
+    let is_new = |end: &&EndRow| end.number > host.acknowledged;
+    let new: Vec<&EndRow> = report.ended.iter().filter(is_new).collect();
+    let unexpected = new.iter().filter(|end| !is_known(end)).count();
+    if unexpected > 0 {
+        let (ends, first) = (new.len(), new[0].number);
+        info!(target: kind::WORKER, worker, ends, first, unexpected, "ends of runs that are not known here");
+        owner.node.metrics.inconsistent_end("unexpected");
+    }
     for end in &report.ended {
         let (task, run, number, how) = (end.task, end.run, end.number, end.how);
         if number > host.acknowledged {
--- a/crates/jobs/src/cell/incarnations.rs
+++ b/crates/jobs/src/cell/incarnations.rs
@@ -73,8 +73,13 @@
 
     /// Returns the incarnations of a worker that have certainly ended, now that this one has responded to a
     /// request sent at `requested_at`. Their runs have ended with them, and a start that was in transit to
-    /// them is either listed by this one or will never be carried out.
+    /// them is either listed by this one or will never be carried out. Returns none while this one may have
+    /// further ends, since a run that was ordered from a former incarnation may be among them.
     pub fn outlived_incarnations(&self, incarnation: &str, requested_at: Instant) -> Vec<WorkerId> {
+        let worker = self.workers.get(incarnation);
+        if worker.is_some_and(|worker| worker.more_ends) {
+            return Vec::new();
+        }
         self.incarnations.ended_by(incarnation, requested_at)
     }
 
--- a/crates/jobs/src/cell/takeover_barrier.rs
+++ b/crates/jobs/src/cell/takeover_barrier.rs
@@ -1,6 +1,6 @@
 //! Holds back tasks that waited under an earlier owner until their workers have been contacted.
 
-use crate::{Cell, ServiceId, WorkerName};
+use crate::{Cell, ServiceId, Worker, WorkerName};
 use clock::Instant;
 use std::collections::HashMap;
 
@@ -65,9 +65,13 @@
     /// of the service have been contacted.
     pub(crate) fn is_blocked_by_barrier(&self, order: u64, service: &str, now: Instant) -> bool {
         let barrier = &self.takeover_barrier;
-        if order >= barrier.first_own_order || barrier.expires.is_some_and(|at| now >= at) {
+        if order >= barrier.first_own_order {
             return false;
         }
+        if barrier.expires.is_some_and(|at| now >= at) {
+            // Such a worker has answered in time and its lease has been extended, so that its ends still count.
+            return self.workers.of(service).any(Worker::withholds_ends);
+        }
         !barrier.listed
             || barrier.awaits_vm_list
             || barrier.expected_workers.values().any(|of| of == service)
--- a/crates/jobs/src/observe.rs
+++ b/crates/jobs/src/observe.rs
@@ -8,7 +8,7 @@
     worker::{Load, RunKind, RunState},
 };
 use clock::Instant;
-use std::time::Duration;
+use std::{collections::HashSet, time::Duration};
 
 /// The part of a target latency above which best-effort runs beside the task are slowed down. Tail latencies
 /// change within seconds and the figure is half a second old, so a third of the target is kept as a margin.
@@ -43,14 +43,17 @@
             return Vec::new();
         };
         host.responsive = true;
-        host.contacted = true;
+        host.more_ends = report.more_ends;
+        if !report.more_ends {
+            host.contacted = true;
+            self.takeover_barrier
+                .expected_workers
+                .remove(name_of(worker));
+        }
         host.silent_since = None;
         host.refused_at = None;
         host.lapsed.clear();
         host.last_seen = host.last_seen.max(Some(sent_at));
-        self.takeover_barrier
-            .expected_workers
-            .remove(name_of(worker));
         let acknowledged = host.acknowledged;
         self.adopt_runs(worker, report, now);
         for end in report.ended.iter().filter(|end| end.number > acknowledged) {
@@ -257,28 +260,28 @@
     }
 
     /// Removes runs that the worker no longer reports and whose end it has not listed, since their starts
-    /// never arrived. Returns those that it had reported before.
+    /// never arrived. Returns those that it had reported before. Does nothing while the worker may have further
+    /// ends, which may be those of such runs.
     fn remove_missing(
         &mut self,
         worker: &str,
         report: &Report,
         sent_at: Instant,
     ) -> Vec<(TaskId, RunId)> {
-        let Some(host) = self.workers.get(worker) else {
+        let Some(host) = self.workers.get(worker).filter(|host| !host.more_ends) else {
             return Vec::new();
         };
-        let listed = |task: TaskId, run: RunId| {
-            report
-                .running
-                .iter()
-                .any(|row| row.task == task && row.run == run)
-        };
+        let listed: HashSet<(TaskId, RunId)> = report
+            .running
+            .iter()
+            .map(|row| (row.task, row.run))
+            .collect();
         let missing: Vec<(TaskId, RunId)> = host
             .runs
             .iter()
             .filter(|(_, state)| state.answered_at.is_some_and(|at| sent_at > at))
             .map(|(key, _)| *key)
-            .filter(|(task, run)| !listed(*task, *run))
+            .filter(|key| !listed.contains(key))
             .collect();
         let mut vanished = Vec::new();
         for (task, run) in missing {
--- a/crates/jobs/src/report.rs
+++ b/crates/jobs/src/report.rs
@@ -56,6 +56,9 @@
     pub running: Vec<RunRow>,
     /// The ends that are not yet acknowledged, oldest first; at most one page.
     pub ended: Vec<EndRow>,
+    /// Whether the worker may have further ends than those listed. A run that is listed nowhere may then have
+    /// ended, with any outcome.
+    pub more_ends: bool,
 }
 
 /// The reason why a worker refused to start a run.
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -176,9 +176,11 @@
     /// Whether the worker answered this owner's last poll. From its first response on, it refuses the orders
     /// of all earlier owners.
     pub responsive: bool,
-    /// Whether it has answered this owner at any time, or was first listed after all workers had been
-    /// contacted.
+    /// Whether it has reported all its runs and ends to this owner at any time, or was first listed after all
+    /// workers had been contacted.
     pub contacted: bool,
+    /// Whether it may have further ends than its last report lists.
+    pub more_ends: bool,
     /// Whether it gets no new runs because its VM is to be disrupted.
     pub closed: bool,
     /// Whether its VM has been ordered to go down or to move.
@@ -227,6 +229,7 @@
             info: Arc::new(info),
             responsive: false,
             contacted: false,
+            more_ends: false,
             closed: false,
             disrupted: false,
             hall_drained: false,
@@ -249,6 +252,11 @@
         }
     }
 
+    /// Returns whether it has reported some of its ends, and has not reported all of them to this owner yet.
+    pub(crate) fn withholds_ends(&self) -> bool {
+        self.more_ends && !self.contacted
+    }
+
     /// Returns whether it has answered at any time or may have runs.
     pub fn has_answered_or_runs(&self) -> bool {
         self.last_seen.is_some() || !self.runs.is_empty() || !self.lapsed.is_empty()
--- a/crates/jobs/tests/bounds.rs
+++ b/crates/jobs/tests/bounds.rs
@@ -336,6 +336,7 @@
     let report = Report {
         running: vec![row(task, run, 10)],
         ended: vec![],
+        ..Report::default()
     };
     harness.report("a1", report);
     assert_eq!(used(&harness), 1);
--- a/crates/jobs/tests/cell.rs
+++ b/crates/jobs/tests/cell.rs
@@ -201,6 +201,7 @@
         Report {
             running: vec![row(first.1, 1, 100)],
             ended: vec![],
+            ..Report::default()
         },
     );
     assert_eq!(
@@ -213,6 +214,7 @@
         Report {
             running: vec![row(second.1, 1, 100)],
             ended: vec![],
+            ..Report::default()
         },
     );
     assert_eq!(harness.cell.disruption(&first.0), Disruption::Free);
@@ -313,6 +315,7 @@
         Report {
             running: both_running,
             ended: vec![],
+            ..Report::default()
         },
     );
     harness.add_worker("b1");
@@ -338,6 +341,7 @@
         Report {
             running: there,
             ended: vec![],
+            ..Report::default()
         },
     );
     let here = vec![row(task(1, 0, 1), 1, 100)];
@@ -346,6 +350,7 @@
         Report {
             running: here,
             ended: vec![],
+            ..Report::default()
         },
     );
     assert_eq!(harness.cell.disruption("a1"), Disruption::Free);
@@ -363,6 +368,7 @@
         Report {
             running: vec![orphaned],
             ended: vec![],
+            ..Report::default()
         },
     );
     assert_eq!(harness.take_stops().len(), 1);
--- a/crates/jobs/tests/crash/mod.rs
+++ b/crates/jobs/tests/crash/mod.rs
@@ -290,8 +290,16 @@
         };
         let running = host.running.keys().map(row).collect();
         let now = self.instant();
-        self.cell
-            .apply_report(id, &Report { running, ended }, now, now);
+        self.cell.apply_report(
+            id,
+            &Report {
+                running,
+                ended,
+                ..Report::default()
+            },
+            now,
+            now,
+        );
     }
 
     /// Submits the jobs with a crashing task, and other jobs that use half of the fleet's capacity.
--- a/crates/jobs/tests/crash_attribution.rs
+++ b/crates/jobs/tests/crash_attribution.rs
@@ -41,6 +41,7 @@
         Report {
             running,
             ended: Vec::new(),
+            ..Report::default()
         },
     );
 }
--- a/crates/jobs/tests/drain.rs
+++ b/crates/jobs/tests/drain.rs
@@ -40,6 +40,7 @@
         Report {
             running: vec![row(task(1, 0, 0), 1, 0), row(task(1, 0, 1), 1, 0)],
             ended: Vec::new(),
+            ..Report::default()
         },
     );
     assert!(harness.cell.time_to_drain("a1", harness.now) < Duration::from_secs(1));
--- a/crates/jobs/tests/drain_capacity.rs
+++ b/crates/jobs/tests/drain_capacity.rs
@@ -49,7 +49,14 @@
     let runs = harness.cell.workers.get(worker).unwrap().runs.keys();
     let running = runs.map(|(task, run)| row(*task, *run, percent)).collect();
     let ended = Vec::new();
-    harness.report(worker, Report { running, ended });
+    harness.report(
+        worker,
+        Report {
+            running,
+            ended,
+            ..Report::default()
+        },
+    );
 }
 
 /// Ends all runs that have been ordered to stop.
@@ -196,7 +203,14 @@
             .upsert_worker(WorkerInfo::clone(&info), harness.now);
         let running = runs.keys().map(|(task, run)| row(*task, *run, 0)).collect();
         let ended = Vec::new();
-        harness.report(&info.id, Report { running, ended });
+        harness.report(
+            &info.id,
+            Report {
+                running,
+                ended,
+                ..Report::default()
+            },
+        );
     }
     assert_eq!(harness.cell.drain_halls(harness.now), 0);
     assert_eq!(start_and_report(&mut harness, 0), 4);
--- a/crates/jobs/tests/drained_halls.rs
+++ b/crates/jobs/tests/drained_halls.rs
@@ -111,7 +111,14 @@
         let running = harness.cell.workers.get(&worker).unwrap().runs.keys();
         let running = running.map(|(task, run)| row(*task, *run, 100)).collect();
         let ended = Vec::new();
-        harness.report(&worker, Report { running, ended });
+        harness.report(
+            &worker,
+            Report {
+                running,
+                ended,
+                ..Report::default()
+            },
+        );
         assert_eq!((task.job, run), (1, 1));
     }
     for id in ["b1", "b2"] {
@@ -153,6 +160,7 @@
             Report {
                 running,
                 ended: Vec::new(),
+                ..Report::default()
             },
         );
         assert_eq!((task.job, run), (1, 2));
@@ -168,7 +176,14 @@
     let started = harness.start_tasks().into_iter();
     let running = started.map(|(_, task, run)| row(task, run, 100)).collect();
     let ended = Vec::new();
-    harness.report("a1", Report { running, ended });
+    harness.report(
+        "a1",
+        Report {
+            running,
+            ended,
+            ..Report::default()
+        },
+    );
     drain(&mut harness, "a");
     assert_eq!(harness.cell.drain_halls(harness.now), 0);
     assert_eq!(harness.cell.count_runs_in_drained_halls(), 2);
--- a/crates/jobs/tests/hall_return.rs
+++ b/crates/jobs/tests/hall_return.rs
@@ -289,7 +289,14 @@
     set_drained(&mut harness, false);
     let running = vec![row(task(1, 0, 0), 1, 10)];
     let ended = Vec::new();
-    harness.report("a1", Report { running, ended });
+    harness.report(
+        "a1",
+        Report {
+            running,
+            ended,
+            ..Report::default()
+        },
+    );
     assert!(harness.take_stops().is_empty());
     assert!(
         harness
--- a/crates/jobs/tests/hall_states.rs
+++ b/crates/jobs/tests/hall_states.rs
@@ -174,6 +174,7 @@
         Report {
             running: vec![row(task(2, 0, 0), 1, 0)],
             ended: Vec::new(),
+            ..Report::default()
         },
     );
     let runs = harness.cell.hall_runs(EarlierRuns::Possible)["z"];
--- a/crates/jobs/tests/harness/mod.rs
+++ b/crates/jobs/tests/harness/mod.rs
@@ -85,6 +85,7 @@
             Report {
                 running,
                 ended: vec![end],
+                ..Report::default()
             },
         );
     }
--- a/crates/jobs/tests/histories.rs
+++ b/crates/jobs/tests/histories.rs
@@ -6,7 +6,8 @@
 mod history;
 
 use history::{
-    play_changing_bounds, play_changing_capacities, play_crashing_tasks, play_plain, play_restarts,
+    play_changing_bounds, play_changing_capacities, play_crashing_tasks, play_pages_of_ends,
+    play_plain, play_restarts,
 };
 use rand::Rng;
 use yare::parameterized;
@@ -75,6 +76,15 @@
     seeds.for_each(play_changing_bounds);
 }
 
+/// Guards against starting tasks again whose ends are on a later page of what their workers list.
+#[parameterized(
+    first = { 0..50 },
+    second = { 50..100 },
+)]
+fn histories_with_pages_of_ends_keep_the_invariants(seeds: std::ops::Range<u64>) {
+    seeds.for_each(play_pages_of_ends);
+}
+
 /// Returns the range of seeds for a manual run. `HISTORIES` sets their number and `FIRST` the first one, which is
 /// random by default.
 fn fresh_seeds() -> std::ops::Range<u64> {
@@ -96,6 +106,7 @@
         play_crashing_tasks(seed);
         play_changing_capacities(seed);
         play_restarts(seed);
+        play_pages_of_ends(seed);
     }
 }
 
--- a/crates/jobs/tests/history/calls.rs
+++ b/crates/jobs/tests/history/calls.rs
@@ -95,7 +95,7 @@
                 host.ended.retain(|end| end.number > acknowledged);
             }
             if !response_lost {
-                let report = report_of(host, now);
+                let report = report_of(host, self.max_listed_ends, now);
                 self.cell.apply_report(&id, &report, polled_at, polled_at);
                 let outlived = self.cell.outlived_incarnations(&id, polled_at);
                 if !outlived.is_empty() {
--- a/crates/jobs/tests/history/host.rs
+++ b/crates/jobs/tests/history/host.rs
@@ -159,7 +159,8 @@
     });
 }
 
-pub(super) fn report_of(host: &Host, now: u64) -> Report {
+/// Returns what a worker reports of its runs, with at most `max_ends` ends.
+pub(super) fn report_of(host: &Host, max_ends: usize, now: u64) -> Report {
     let row = |((task, run), state): (&(TaskId, RunId), &Running)| RunRow {
         task: *task,
         run: *run,
@@ -169,6 +170,7 @@
     };
     Report {
         running: host.running.iter().map(row).collect(),
-        ended: host.ended.clone(),
+        ended: host.ended.iter().take(max_ends).cloned().collect(),
+        more_ends: host.ended.len() >= max_ends,
     }
 }
--- a/crates/jobs/tests/history/mod.rs
+++ b/crates/jobs/tests/history/mod.rs
@@ -66,6 +66,8 @@
     restarts: Option<Restarts>,
     /// The bounds of workspaces, if the history has any.
     bounds: Option<Bounds>,
+    /// The number of ends that a worker lists at once.
+    max_listed_ends: usize,
 }
 
 impl History {
@@ -94,6 +96,7 @@
             capacities: None,
             restarts: None,
             bounds: None,
+            max_listed_ends: usize::MAX,
         };
         (0..4).for_each(|_| history.boot());
         history
@@ -307,6 +310,16 @@
     end(history, seed);
 }
 
+/// Plays a history in which workers list few of their ends at once. For even seeds, workers also restart.
+pub fn play_pages_of_ends(seed: u64) {
+    let mut history = History::new(seed);
+    history.max_listed_ends = 1 + seed as usize % 3;
+    if seed.is_multiple_of(2) {
+        history.begin_restarts(seed);
+    }
+    end(history, seed);
+}
+
 /// Plays a history to its end and checks the outcomes of its jobs.
 fn end(mut history: History, seed: u64) {
     while history.now < END_MS {
--- a/crates/jobs/tests/incarnations.rs
+++ b/crates/jobs/tests/incarnations.rs
@@ -92,6 +92,7 @@
     Report {
         running: rows.collect(),
         ended: ends.collect(),
+        ..Report::default()
     }
 }
 
--- a/crates/jobs/tests/invalid_bounds.rs
+++ b/crates/jobs/tests/invalid_bounds.rs
@@ -84,6 +84,7 @@
         Report {
             running,
             ended: Vec::new(),
+            ..Report::default()
         },
     );
     harness.cell.set_bounds([(SCHOOL.to_owned(), Bound::NONE)]);
--- a/crates/jobs/tests/load/mod.rs
+++ b/crates/jobs/tests/load/mod.rs
@@ -227,8 +227,16 @@
                 measurement: 0,
             };
             let running = running_here.map(row).collect();
-            self.cell
-                .apply_report(&worker, &Report { running, ended }, at, at);
+            self.cell.apply_report(
+                &worker,
+                &Report {
+                    running,
+                    ended,
+                    ..Report::default()
+                },
+                at,
+                at,
+            );
         }
     }
 
--- a/crates/jobs/tests/stops.rs
+++ b/crates/jobs/tests/stops.rs
@@ -14,6 +14,7 @@
     Report {
         running: vec![row(first, run, 40)],
         ended: vec![],
+        ..Report::default()
     }
 }
 
--- a/crates/jobs/tests/takeover.rs
+++ b/crates/jobs/tests/takeover.rs
@@ -29,6 +29,7 @@
         Report {
             running: vec![row(first, run, 40)],
             ended: vec![],
+            ..Report::default()
         },
     );
     assert!(
@@ -52,6 +53,7 @@
         Report {
             running: vec![row(first, run, 40)],
             ended: vec![],
+            ..Report::default()
         },
     );
     assert_eq!(harness.take_stops(), [("a1".into(), first, run)]);
@@ -119,6 +121,7 @@
         Report {
             running: vec![unrecorded],
             ended: vec![],
+            ..Report::default()
         },
     );
     let started: Vec<_> = harness
@@ -179,6 +182,7 @@
         Report {
             running: vec![row(id, 2, 30)],
             ended: vec![],
+            ..Report::default()
         },
     );
     harness.report_end(&first, 1, id, 1, RunOutcome::Failed);
--- a/crates/jobs/tests/unconfirmed.rs
+++ b/crates/jobs/tests/unconfirmed.rs
@@ -37,6 +37,7 @@
     let started = Report {
         running: vec![row(task(1, 0, 0), 1, 0)],
         ended: Vec::new(),
+        ..Report::default()
     };
     harness.report("a1", started);
     assert_eq!(harness.cell.pending("q"), 0);
@@ -51,6 +52,7 @@
         let report = Report {
             running: vec![row(task, run, 100)],
             ended: Vec::new(),
+            ..Report::default()
         };
         harness.report(&id, report);
     }
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -2,7 +2,7 @@
 //! record of the responses.
 
 use crate::{
-    faults::{HARMFUL_FROM_SEED, WORKSPACES_FROM_SEED},
+    faults::{BURSTS_FROM_SEED, HARMFUL_FROM_SEED, has_workspaces},
     site::{self, HOST, PREFIX, Site, WORKSPACES},
 };
 use bytes::Bytes;
@@ -11,7 +11,10 @@
 use hyper_util::rt::TokioIo;
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use serde_json::{Value, json};
-use standin::users::{self, worker::ENDS_WORKER};
+use standin::users::{
+    self,
+    worker::{ENDS_WORKER, SMALL},
+};
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
@@ -40,6 +43,15 @@
 /// The seed below which [`FATAL_RATIO_CROWDED`] applies.
 const CROWDED_BELOW_SEED: u64 = 8_000;
 
+/// The ratio of jobs with many small tasks: one in this many.
+const BURST_RATIO: u32 = 100;
+
+/// The number of tasks of such a job. They fit on one worker, which lists 500 of their ends at once.
+const BURST_TASKS: u32 = 700;
+
+/// The run time of such a task, in ms: long enough for a fault to fall between the first start and the last end.
+const BURST_RUN_MS: u64 = 3_000;
+
 /// The number of attempts after which a caller stops submitting a job.
 const MAX_SUBMIT_ATTEMPTS: usize = 5;
 
@@ -129,11 +141,13 @@
             fatal: match seed {
                 ..HARMFUL_FROM_SEED => None,
                 HARMFUL_FROM_SEED..CROWDED_BELOW_SEED => Some(FATAL_RATIO_CROWDED),
-                CROWDED_BELOW_SEED.. => Some(FATAL_RATIO),
+                CROWDED_BELOW_SEED..BURSTS_FROM_SEED => Some(FATAL_RATIO),
+                BURSTS_FROM_SEED.. => None,
             },
             connections: entries.iter().map(|at| Connection::new(*at)).collect(),
             ledger: ledger.clone(),
-            has_workspaces: seed >= WORKSPACES_FROM_SEED,
+            has_workspaces: has_workspaces(seed),
+            has_bursts: seed >= BURSTS_FROM_SEED,
         };
         tokio::spawn(run_caller(caller, Arc::clone(&stop)));
     }
@@ -163,6 +177,8 @@
     ledger: Ledger,
     /// Whether the callers belong to workspaces.
     has_workspaces: bool,
+    /// Whether some jobs have many small tasks.
+    has_bursts: bool,
 }
 
 /// Submits and polls jobs until `stop` is set.
@@ -176,6 +192,8 @@
         {
             caller.ledger.update(id, |job| job.fatal = true);
             caller.submit(id, &fatal_job()).await;
+        } else if caller.has_bursts && caller.rng.random_ratio(1, BURST_RATIO) {
+            caller.submit(id, &burst_job()).await;
         } else {
             let body = caller.two_step_job();
             caller.submit(id, &body).await;
@@ -292,6 +310,15 @@
     json!({ "spec": ENDS_WORKER, "steps": [step(1)] }).to_string()
 }
 
+/// Returns a job of many small tasks that end at about the same time.
+fn burst_job() -> String {
+    let spec = format!("{SMALL}{BURST_RUN_MS}");
+    let step = json!({
+        "count": BURST_TASKS, "cpu": 10, "mem-mb": 10, "estimated-ms": BURST_RUN_MS,
+    });
+    json!({ "spec": spec, "steps": [step] }).to_string()
+}
+
 /// Polls the state of a job and records the response.
 async fn poll_job(connection: &mut Connection, ledger: &Ledger, id: u64) {
     let sent_at = Instant::now();
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -142,7 +142,7 @@
 const KINDS_BEFORE_WORKSPACES: usize = 21;
 
 /// The first seed with callers that belong to workspaces, whose keys and bounds change.
-pub const WORKSPACES_FROM_SEED: u64 = 10_000;
+const WORKSPACES_FROM_SEED: u64 = 10_000;
 
 /// The number of [`KINDS`] that seeds from [`WORKSPACES_FROM_SEED`] to below [`LARGE_FROM_SEED`] draw
 /// from.
@@ -151,6 +151,15 @@
 /// The first seed with large configurations and narrow links. Every other fault is one of these.
 pub const LARGE_FROM_SEED: u64 = 11_000;
 
+/// The first seed with jobs of many small tasks, whose ends do not fit into one response of their worker. There are no
+/// workspaces and no tasks that end their workers.
+pub const BURSTS_FROM_SEED: u64 = 12_000;
+
+/// Returns whether the callers of a seed belong to workspaces.
+pub fn has_workspaces(seed: u64) -> bool {
+    (WORKSPACES_FROM_SEED..BURSTS_FROM_SEED).contains(&seed)
+}
+
 /// The number of routes that a change adds. They take some 250 KB.
 const ADDED_ROUTES: usize = 1_000;
 
@@ -194,8 +203,9 @@
         SILENT_FROM_SEED..HARMFUL_FROM_SEED => &KINDS[..KINDS_BEFORE_HARMFUL],
         HARMFUL_FROM_SEED..RESTARTS_FROM_SEED => &KINDS[..KINDS_BEFORE_RESTARTS],
         RESTARTS_FROM_SEED..WORKSPACES_FROM_SEED => &KINDS[..KINDS_BEFORE_WORKSPACES],
+        LARGE_FROM_SEED..BURSTS_FROM_SEED => &KINDS[..],
         WORKSPACES_FROM_SEED..LARGE_FROM_SEED => &KINDS[..KINDS_BEFORE_LARGE],
-        LARGE_FROM_SEED.. => &KINDS[..],
+        BURSTS_FROM_SEED.. => &KINDS[..KINDS_BEFORE_WORKSPACES],
     };
     let started_at = Instant::now();
     let mut active: Vec<ActiveFault> = Vec::new();
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -3,7 +3,7 @@
 use crate::{
     Plan,
     entries::{Entry, Ports},
-    faults::{RESTARTS_FROM_SEED, WORKSPACES_FROM_SEED},
+    faults::{RESTARTS_FROM_SEED, has_workspaces},
 };
 use standin::{
     proxy::{Faults, Proxy},
@@ -138,7 +138,7 @@
             version: 0,
             waves: 0,
         };
-        if plan.seed >= WORKSPACES_FROM_SEED {
+        if has_workspaces(plan.seed) {
             site.workspaces = Some(WORKSPACES.map(initial_workspace).into());
         }
         site.configure();
--- a/crates/standin/src/users/worker.rs
+++ b/crates/standin/src/users/worker.rs
@@ -32,6 +32,15 @@
 /// The number of tasks that fit on a worker, each of the size that the soak submits.
 const CAPACITY: usize = 8;
 
+/// The number of small tasks that fit on a worker beside the others, each of a hundredth of a core.
+const SMALL_CAPACITY: usize = 800;
+
+/// The beginning of the specification of a small task, which the run time follows.
+pub const SMALL: &str = "small ";
+
+/// The number of ended runs that a worker lists at once.
+const MAX_LISTED_ENDS: usize = 500;
+
 /// The run time of a task whose specification gives none.
 const DEFAULT_RUN_TIME: Duration = Duration::from_millis(200);
 
@@ -60,9 +69,12 @@
 
 struct Run {
     number: u64,
+    began_at: Instant,
     ends_at: Instant,
     /// Whether the worker ends when the run does.
     fatal: bool,
+    /// Whether its task is small.
+    small: bool,
 }
 
 struct EndedRun {
@@ -266,19 +278,23 @@
         if state.has_closed(&body.task, body.run) || state.runs.contains_key(&body.task) {
             return Self::build_reply(&state, 409, "old");
         }
-        if state.runs.len() >= CAPACITY {
+        let small = body.spec.starts_with(SMALL);
+        let like_it = state.runs.values().filter(|run| run.small == small).count();
+        if like_it >= if small { SMALL_CAPACITY } else { CAPACITY } {
             return Self::build_reply(&state, 409, "room");
         }
         let fatal = body.spec == ENDS_WORKER;
-        let run_time = match body.spec.parse() {
+        let run_time = match body.spec.trim_start_matches(SMALL).parse() {
             Ok(ms) => Duration::from_millis(ms),
             Err(_) if fatal => CRASH_DELAY,
             Err(_) => DEFAULT_RUN_TIME,
         };
         let run = Run {
             number: body.run,
+            began_at: Instant::now(),
             ends_at: Instant::now() + run_time,
             fatal,
+            small,
         };
         state.runs.insert(body.task.clone(), run);
         self.events
@@ -331,7 +347,7 @@
         }
     }
 
-    /// Returns a response that lists the running tasks and the ended runs that are not
+    /// Returns a response that lists the running tasks and the first ended runs that are not
     /// acknowledged.
     fn report(&self) -> Response<Full<Bytes>> {
         let state = self.state();
@@ -343,6 +359,7 @@
         let ended: Vec<Value> = state
             .ended
             .iter()
+            .take(MAX_LISTED_ENDS)
             .map(|end| json!([end.number, end.task, end.run, end.outcome, ""]))
             .collect();
         let body = json!({
@@ -393,10 +410,10 @@
     since.map_or(0, |since| since.as_millis() as u64)
 }
 
-/// Returns a number that keeps changing while the run makes progress.
+/// Returns how much of the run is done, in percent.
 fn progress(run: &Run) -> u128 {
-    let left = run.ends_at.saturating_duration_since(Instant::now());
-    100_u128.saturating_sub(left.as_millis() / 10)
+    let all = run.ends_at.duration_since(run.began_at).as_millis();
+    (run.began_at.elapsed().as_millis() * 100 / all.max(1)).min(100)
 }
 
 /// Ends runs whose time is up, and all runs when the lease has expired. A task that ends its worker
