fix(jobs): tasks that fit nowhere keep no others waiting

Cause: a pass over the waiting tasks ended after 32 that fitted nowhere, from the first rank on each time. Long-running tasks rank first.

Evidence: the line about a pool now tells the steps that fitted nowhere, the tasks that the pass did not come to, and the workers kept free. In a traced run: all 192 cores usable, 32 misfits, 20 untried (8 long-running tasks and the 12 of the six jobs), none reserved. That rules out reservations and closed workers.

Change: a step is tried once in a pass; tasks whose label nobody has or that need more than anybody has free are recognized without a search. Searches that fail are bounded by the workers looked at, for the head of the queue in each pass and for all others in turn, so that ten times the tasks take ten times the passes and none starves. The same class: a reservation needs a worker where the task will fit and takes half of the workers at most; jobs without a run are tried in turn while a data centre returns; all unschedulable tasks ask for VMs, but those that are larger than any VM.

--- a/crates/havenladder/src/entry/moves/mod.rs
+++ b/crates/havenladder/src/entry/moves/mod.rs
@@ -162,6 +162,7 @@
         let usable_cpu = self.usable_cpu(round);
         for pool in pools {
             let usable = usable_cpu.get(&pool.pool).copied().unwrap_or_default();
+            let counts = round.owner.cell.borrow().pass_counts(&pool.pool);
             info!(
                 pool = pool.pool,
                 vms = pool.vms,
@@ -174,6 +175,9 @@
                 late = pool.late,
                 late_running = pool.late_running,
                 inflow = pool.inflow,
+                misfits = counts.misfits,
+                untried = counts.untried,
+                reserved = counts.reserved,
                 "pool"
             );
         }
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -35,6 +35,7 @@
     hall_return::Returns,
     incarnations::IncarnationTable,
     near::DataRackWaits,
+    pass::{Pass, PassCounts},
     permit::{Permits, StepId},
     rank::Rank,
     suspicion::Suspicions,
@@ -157,8 +158,14 @@
     pub(crate) stall_check_due: Option<Instant>,
     /// The long-running tasks of each service that could not be placed in its last pass.
     pub(crate) unschedulable: HashMap<ServiceId, Vec<TaskId>>,
-    /// The needs of tasks that could not be placed in the current pass of a service.
-    pub(crate) unplaced_needs: Vec<Need>,
+    /// What the last pass over each service came to.
+    pub(crate) pass_counts: HashMap<ServiceId, PassCounts>,
+    /// What the current pass over a service has found.
+    pub(crate) pass: Pass,
+    /// Where the last pass over each service ended that did not try all waiting tasks.
+    pub(crate) resume_after: HashMap<ServiceId, Rank>,
+    /// The last job without any run that each service tried beyond the limits of returning data centres.
+    pub(crate) last_idle: HashMap<ServiceId, Rank>,
     /// The workers that are kept free in the current pass for tasks that fit on no worker.
     pub(crate) reserved_workers: HashSet<WorkerId>,
     /// The VMs that have been maintained, by wave.
--- a/crates/jobs/src/cell/takeover_barrier.rs
+++ b/crates/jobs/src/cell/takeover_barrier.rs
@@ -39,7 +39,7 @@
     /// in which no unknown run can exist any more.
     pub(crate) fn release_unrecorded_charges(&mut self, now: Instant) {
         for service in self.unrecorded_services() {
-            if !self.is_blocked_by_barrier(0, &service, now) {
+            if !self.may_have_unknown_runs(&service, now) {
                 self.release_unrecorded(&service);
             }
         }
@@ -61,11 +61,11 @@
         self.takeover_barrier.awaits_vm_list = false;
     }
 
-    /// Returns whether a task of a job with this position in the order of arrival is held back until workers
-    /// of the service have been contacted.
-    pub(crate) fn is_blocked_by_barrier(&self, order: u64, service: &str, now: Instant) -> bool {
+    /// Returns whether workers of a service may have runs that an earlier owner has started without a record. Tasks
+    /// of inherited jobs are held back meanwhile.
+    pub(crate) fn may_have_unknown_runs(&self, service: &str, now: Instant) -> bool {
         let barrier = &self.takeover_barrier;
-        if order >= barrier.first_own_order {
+        if barrier.first_own_order == 0 {
             return false;
         }
         if barrier.expires.is_some_and(|at| now >= at) {
@@ -77,6 +77,12 @@
             || barrier.expected_workers.values().any(|of| of == service)
             || self.workers.of(service).any(|w| !w.contacted)
     }
+
+    /// Returns whether a job with this position in the order of arrival was accepted by an earlier owner.
+    pub(crate) fn is_inherited(&self, order: u64) -> bool {
+        order < self.takeover_barrier.first_own_order
+    }
+
     /// Returns how many workers may have runs although no list has named them: those with runs of an earlier
     /// owner, and those on listed VMs; at least 1 until both lists have been read.
     pub(crate) fn count_unlisted_workers(&self) -> usize {
--- a/crates/jobs/src/gang.rs
+++ b/crates/jobs/src/gang.rs
@@ -66,7 +66,11 @@
 impl Cell {
     /// Places all tasks of a gang at once. In the queue, one task stands for the whole gang.
     pub(crate) fn place_gang(&mut self, task: TaskId, now: Instant) -> Placing {
+        if self.is_misfit(task) {
+            return Placing::NoFit;
+        }
         let Some(places) = self.gang_places(task, now) else {
+            self.record_misfit(task, now);
             return Placing::NoFit;
         };
         let Some(job) = self.jobs.get(&task.job) else {
--- a/crates/jobs/src/pass.rs
+++ b/crates/jobs/src/pass.rs
@@ -1,7 +1,9 @@
 //! A pass over the waiting tasks of a service: which tasks may start, in which order, and when the pass ends.
 
 use crate::{
-    Cell, JobId, RunId, TaskId, TaskPhase, Worker,
+    Cell, JobId, Need, RunId, Step, TaskId, TaskPhase, Worker,
+    cell::need_of,
+    headroom::Headroom,
     permit::{StepId, step_of},
     place::Placing,
     rank::Rank,
@@ -9,9 +11,9 @@
 use clock::Instant;
 use std::{collections::HashSet, ops::Bound};
 
-/// How many tasks that do not fit are tried in one pass over a service. Enough to find small tasks behind
-/// large ones, few enough to bound the pass in an overload.
-const MAX_MISFITS: usize = 32;
+/// How many workers are looked at in one pass for tasks that then fit on none, once from the first waiting task on and
+/// once from where the last pass ended. It bounds the time of a pass; tasks that were not tried come next time.
+const MAX_CHECKS: usize = 50_000;
 
 /// How many tasks that wait for capacity near their data are skipped in one pass; further ones count as tasks
 /// that do not fit.
@@ -20,6 +22,12 @@
 /// How many jobs without any run are tried beyond the limits of returning data centres in one pass.
 const MAX_IDLE_JOBS: usize = 256;
 
+/// How many needs of tasks that fitted nowhere are remembered in a pass, to be compared with each later task.
+const MAX_MISFITS: usize = 64;
+
+/// How many waiting tasks with earlier runs are looked up on each worker before the runs of all workers are indexed.
+const MAX_LOOKUPS: usize = 8;
+
 /// Whether decisions can be recorded at present.
 #[derive(Clone, Copy, PartialEq, Eq)]
 pub(crate) enum LogState {
@@ -29,7 +37,82 @@
     Unavailable,
 }
 
+/// What a pass over a service came to.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PassCounts {
+    /// The number of steps with a waiting task that fitted nowhere.
+    pub misfits: usize,
+    /// The number of tasks that the pass did not come to; the next one does.
+    pub untried: usize,
+    /// The number of workers that were kept free for tasks that fitted nowhere.
+    pub reserved: usize,
+}
+
+/// The need of a task that fitted on no worker.
+#[derive(Debug)]
+struct Misfit {
+    /// The label that it requires, if any.
+    label: Option<String>,
+    need: Need,
+}
+
+/// What the current pass over a service has found.
+#[derive(Debug, Default)]
+pub(crate) struct Pass {
+    /// The needs of tasks that fitted nowhere.
+    misfits: Vec<Misfit>,
+    /// What the workers had to offer when the first task fitted nowhere.
+    pub(crate) headroom: Option<Headroom>,
+    /// The number of workers that were looked at for tasks that then fitted on none.
+    pub(crate) checks: usize,
+    /// The number of workers that were reserved for long-running tasks.
+    pub(crate) reserved: usize,
+    /// Whether tasks that waited under an earlier owner are held back.
+    holds_back: bool,
+    /// The number of tasks that were looked up on each worker.
+    lookups: usize,
+    /// The tasks of which a worker of the service has a run.
+    tasks_with_runs: Option<HashSet<TaskId>>,
+    counts: PassCounts,
+}
+
+impl Pass {
+    /// Records that a task with this need fitted on no worker with the label that it requires.
+    pub(crate) fn record_misfit(&mut self, label: Option<String>, need: Need) {
+        self.misfits
+            .retain(|misfit| misfit.label != label || !need.is_within(misfit.need));
+        if self.misfits.len() < MAX_MISFITS {
+            self.misfits.push(Misfit { label, need });
+        }
+    }
+
+    /// Returns whether a task certainly does not fit: free capacity only shrinks in a pass, and no worker had as much to
+    /// offer, or another task that needs no more and may run on the same workers did not fit.
+    pub(crate) fn is_misfit(&self, step: &Step, need: Need) -> bool {
+        let headroom = self.headroom.as_ref();
+        let is_covered = |misfit: &Misfit| {
+            let covers = misfit.label.is_none() || misfit.label == step.label;
+            covers && misfit.need.is_within(need)
+        };
+        headroom.is_some_and(|headroom| !headroom.may_fit(step, need))
+            || self.misfits.iter().any(is_covered)
+    }
+}
+
+/// How a part of a pass ended.
+enum PassEnd {
+    /// All tasks of the queue were tried.
+    Complete,
+    /// The tasks after this rank were not tried.
+    Stopped(Rank),
+}
+
 impl Cell {
+    /// Returns what the last pass over a service came to.
+    pub fn pass_counts(&self, service: &str) -> PassCounts {
+        self.pass_counts.get(service).copied().unwrap_or_default()
+    }
+
     /// Places waiting tasks in order and queues the resulting orders.
     pub fn schedule(&mut self, now: Instant) {
         self.schedule_all(now, LogState::Available);
@@ -61,19 +144,60 @@
     fn schedule_service(&mut self, service: &str, now: Instant, log: LogState, budget: &mut f64) {
         self.demote_late(service);
         self.near.begin_pass();
-        self.unplaced_needs.clear();
+        self.pass = Pass {
+            holds_back: self.may_have_unknown_runs(service, now),
+            ..Pass::default()
+        };
         self.place_suspects(service, now, log);
         if let Some(unschedulable) = self.unschedulable.get_mut(service) {
             unschedulable.clear();
         }
-        let mut misfits = 0;
+        self.place_waiting(service, now, log, budget);
+        let reserved = self.pass.reserved;
+        let counts = PassCounts {
+            reserved,
+            ..self.pass.counts
+        };
+        self.pass_counts.insert(service.to_owned(), counts);
+        self.place_idle_jobs(service, now, log, budget);
+    }
+
+    /// Places the waiting tasks of a service. If more of them fit nowhere than one pass has time for, those at the head
+    /// of the queue are tried in each pass, and all others in turn.
+    fn place_waiting(&mut self, service: &str, now: Instant, log: LogState, budget: &mut f64) {
+        let resume_after = self.resume_after.remove(service);
+        let PassEnd::Stopped(reached) = self.place_after(service, None, now, log, budget) else {
+            return;
+        };
+        let from = resume_after.filter(|rank| *rank > reached);
+        let from = from.unwrap_or(reached);
+        self.pass.checks = 0;
+        let end = self.place_after(service, Some(from), now, log, budget);
+        let between = (Bound::Excluded(reached), Bound::Included(from));
+        let mut untried = self.waiting[service].range(between).count();
+        if let PassEnd::Stopped(rank) = end {
+            let behind = (Bound::Excluded(rank), Bound::Unbounded);
+            untried += self.waiting[service].range(behind).count();
+            self.resume_after.insert(service.to_owned(), rank);
+        }
+        self.pass.counts.untried = untried;
+    }
+
+    /// Places the waiting tasks of a service after a rank, or all of them if there is none.
+    fn place_after(
+        &mut self,
+        service: &str,
+        mut after: Option<Rank>,
+        now: Instant,
+        log: LogState,
+        budget: &mut f64,
+    ) -> PassEnd {
         let mut deferred = 0;
-        let mut after: Option<Rank> = None;
-        while misfits < MAX_MISFITS && *budget > 0.0 {
-            // Placed tasks leave the queue, so the next one is the first after the previous rank.
-            let Some(rank) = self.next_rank(service, after) else {
-                break;
-            };
+        // Placed tasks leave the queue, so the next one is the first after the previous rank.
+        while let Some(rank) = self.next_rank(service, after) {
+            if *budget <= 0.0 || self.pass.checks >= MAX_CHECKS {
+                return after.map_or(PassEnd::Complete, PassEnd::Stopped);
+            }
             after = Some(rank);
             let ordered = self.starts.len();
             let placing = self.try_place(service, &rank, now, log);
@@ -90,27 +214,44 @@
                 }
                 Placing::Deferred if deferred < MAX_DEFERRED => deferred += 1,
                 Placing::Deferred | Placing::NoFit => {
-                    misfits += 1;
-                    self.handle_misfit(service, &rank, now);
+                    if placing == Placing::Deferred {
+                        self.pass.checks += self.workers.count_of(service);
+                    }
+                    self.pass.counts.misfits += 1;
+                    self.handle_misfits(service, rank, now, log);
+                    // The other tasks of the step may start on the same workers, and none of these gets more free
+                    // capacity in this pass.
+                    after = Some(rank.end_of_step());
                 }
             }
         }
-        self.place_idle_jobs(service, now, log, budget);
+        PassEnd::Complete
     }
 
     /// Places one task of each job that has nothing running, without regard to returns of data centres to service:
-    /// such a job must not wait for as long as a return lasts. Does nothing while none is in progress.
+    /// such a job must not wait for as long as a return lasts. Does nothing while none is in progress. If there are more
+    /// such jobs than one pass has time for, they are tried in turn.
     fn place_idle_jobs(&mut self, service: &str, now: Instant, log: LogState, budget: &mut f64) {
+        let last = self.last_idle.remove(service);
         if self.returns.is_empty() {
             return;
         }
         // Tasks that did not fit within the limits may fit now.
-        self.unplaced_needs.clear();
+        self.pass.misfits.clear();
         let mut seen = HashSet::new();
         let waiting = self.waiting.get(service).into_iter().flatten();
         let first = waiting.filter(|rank| seen.insert(rank.task().job));
         let idle = first.filter(|rank| !self.has_placed_task(rank.task().job));
-        let idle: Vec<Rank> = idle.take(MAX_IDLE_JOBS).copied().collect();
+        let mut idle: Vec<Rank> = idle.copied().collect();
+        if idle.len() > MAX_IDLE_JOBS {
+            let tried = idle
+                .iter()
+                .position(|rank| last.is_none_or(|last| *rank > last));
+            idle.rotate_left(tried.unwrap_or(0));
+            idle.truncate(MAX_IDLE_JOBS);
+            self.last_idle
+                .extend(idle.last().map(|rank| (service.to_owned(), *rank)));
+        }
         for rank in idle {
             if *budget <= 0.0 {
                 return;
@@ -149,7 +290,7 @@
 
     /// Places a waiting task if it may start now.
     fn try_place(&mut self, service: &str, rank: &Rank, now: Instant, log: LogState) -> Placing {
-        if self.must_wait(service, rank, now, log) || self.needs_quarantine(rank.task(), now) {
+        if self.must_wait(service, rank, log) || self.needs_quarantine(rank.task(), now) {
             Placing::MustWait
         } else if self.is_stale(rank.task()) {
             Placing::Done
@@ -162,36 +303,46 @@
 
     /// Returns whether a waiting task must not start yet, because a run of it may exist or because of what an
     /// earlier owner may have done.
-    pub(crate) fn must_wait(
-        &self,
-        service: &str,
-        rank: &Rank,
-        now: Instant,
-        log: LogState,
-    ) -> bool {
+    pub(crate) fn must_wait(&mut self, service: &str, rank: &Rank, log: LogState) -> bool {
         let task = rank.task();
         let lost = log == LogState::Unavailable && self.lost_tasks.contains(&task);
-        lost || self.is_blocked_by_barrier(rank.order(), service, now) || self.has_run(task)
+        let held_back = self.pass.holds_back && self.is_inherited(rank.order());
+        lost || held_back || self.has_run(task, service)
     }
 
-    /// Takes the steps that help a task that does not fit: requests permits and reserves a worker.
-    fn handle_misfit(&mut self, service: &str, rank: &Rank, now: Instant) {
-        self.request_permits(rank.task(), now);
-        if rank.is_long_running() {
-            self.reserve(rank.task(), now);
-            if self.needs_capacity(rank.task()) {
+    /// Takes the steps that help the waiting tasks of a step that do not fit, of which `first` is the first: requests
+    /// permits and reserves workers.
+    fn handle_misfits(&mut self, service: &str, first: Rank, now: Instant, log: LogState) {
+        self.request_permits(first.task(), now);
+        if !first.is_long_running() {
+            return;
+        }
+        let queue = self.waiting.get(service).into_iter();
+        let of_step = queue.flat_map(|queue| queue.range(first..=first.end_of_step()));
+        let of_step: Vec<Rank> = of_step.copied().collect();
+        let needs_capacity = self.needs_capacity(first.task());
+        let mut may_reserve = true;
+        for rank in of_step {
+            if self.must_wait(service, &rank, log) || self.needs_quarantine(rank.task(), now) {
+                continue;
+            }
+            may_reserve = may_reserve && self.reserve(rank.task(), now);
+            if needs_capacity {
                 let unschedulable = self.unschedulable.entry(service.to_owned()).or_default();
                 unschedulable.push(rank.task());
             }
         }
     }
 
-    /// Returns whether more workers would help a task; it may instead lack a permit or a label.
+    /// Returns whether more workers would help a task; it may instead lack a permit or a label, or need more than any
+    /// worker has.
     fn needs_capacity(&self, task: TaskId) -> bool {
         let Some(job) = self.jobs.get(&task.job) else {
             return false;
         };
-        !job.submission.requires_permits && job.step(task.step).label.is_none()
+        let headroom = self.pass.headroom.as_ref();
+        let is_possible = headroom.is_none_or(|h| h.may_fit_elsewhere(need_of(job, task)));
+        is_possible && !job.submission.requires_permits && job.step(task.step).label.is_none()
     }
 
     /// Moves the tasks that cannot be in time any more behind those that can.
@@ -223,11 +374,14 @@
     }
 
     /// Returns whether a worker may still have a run of a task that must not run twice.
-    fn has_run(&self, task: TaskId) -> bool {
+    fn has_run(&mut self, task: TaskId, service: &str) -> bool {
         let Some(job) = self.jobs.get(&task.job).filter(|job| !job.phase.is_over()) else {
             return false;
         };
         let step = job.step(task.step);
+        if step.allow_duplicates {
+            return false;
+        }
         let state = job.task(task.round, task.step, task.index);
         // A run of a task outside of gangs is recorded in the task once it is reported.
         if !step.gang && state.is_some_and(|state| state.run == 0 && state.max_reported_run == 0) {
@@ -238,16 +392,22 @@
         } else {
             task.index
         };
-        let span = (task, 0)
-            ..=(
-                TaskId {
-                    index: last,
-                    ..task
-                },
-                RunId::MAX,
-            );
+        self.pass.lookups += 1;
+        if self.pass.lookups > MAX_LOOKUPS {
+            let members = (task.index..=last).map(|index| TaskId { index, ..task });
+            let with_runs = self.pass.tasks_with_runs.get_or_insert_with(|| {
+                let runs = self.workers.of(service).flat_map(|w| w.runs.keys());
+                runs.map(|(task, _)| *task).collect()
+            });
+            return members.into_iter().any(|task| with_runs.contains(&task));
+        }
+        let last = TaskId {
+            index: last,
+            ..task
+        };
+        let span = (task, 0)..=(last, RunId::MAX);
         let has_run = |w: &Worker| w.runs.range(span.clone()).next().is_some();
-        !step.allow_duplicates && self.workers.of(&job.submission.service).any(has_run)
+        self.workers.of(service).any(has_run)
     }
 
     /// Removes a task from the queue.
--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -3,10 +3,11 @@
 use crate::{
     Cell, Job, Need, Order, Phase, RunId, Step, Task, TaskId, TaskPhase, Worker, WorkerId,
     cell::{charge_of, load_of, need_of},
+    headroom::Headroom,
     worker::{Quarantine, RunKind, RunState},
 };
 use clock::Instant;
-use std::collections::HashMap;
+use std::{cell::OnceCell, collections::HashMap};
 
 /// The penalty for a worker that is far from the task's data. The worker's used share lies between 0 and 1,
 /// so nearby data always wins.
@@ -46,15 +47,25 @@
 
 impl Cell {
     /// Reserves the worker with the most free capacity for a task that does not fit, since smaller tasks
-    /// would otherwise fill each gap before it is large enough.
-    pub(crate) fn reserve(&mut self, task: TaskId, now: Instant) {
+    /// would otherwise fill each gap before it is large enough. Only workers count on which it fits once the runs
+    /// that end by themselves have ended, and at most half of the workers are kept from others. Returns whether one
+    /// was reserved.
+    pub(crate) fn reserve(&mut self, task: TaskId, now: Instant) -> bool {
         let Some(job) = self.jobs.get(&task.job) else {
-            return;
+            return false;
         };
         let step = job.step(task.step);
         let need = need_of(job, task);
+        let Some(headroom) = &self.pass.headroom else {
+            return false;
+        };
+        let max_reserved = (headroom.open / 2).max(1);
+        if self.pass.reserved >= max_reserved || !headroom.may_fit_later(step, need) {
+            return false;
+        }
+        self.pass.checks += self.workers.count_of(&job.submission.service);
         let is_eligible = |w: &&Worker| {
-            need.fits(Need::default(), w.info.capacity)
+            need.fits(w.used_lastingly, w.info.capacity)
                 && self.accepts(w, job, task, now)
                 && may_join(step, || w.siblings(task))
         };
@@ -64,9 +75,11 @@
             .of(&job.submission.service)
             .filter(is_eligible)
             .max_by_key(free);
-        if let Some(id) = freest.map(|w| w.info.id.clone()) {
-            self.reserved_workers.insert(id);
-        }
+        let Some(id) = freest.map(|w| w.info.id.clone()) else {
+            return false;
+        };
+        self.pass.reserved += 1;
+        self.reserved_workers.insert(id)
     }
 
     /// Returns whether a worker of the task's service may get a run of it at all.
@@ -88,11 +101,14 @@
 
     /// Places a task that is not part of a gang.
     fn place_one(&mut self, task: TaskId, now: Instant) -> Placing {
+        if self.is_misfit(task) {
+            return Placing::NoFit;
+        }
         let Some(worker) = self
             .best_worker(task, now)
             .or_else(|| self.worker_beyond_limits(task, now))
         else {
-            self.record_misfit(task);
+            self.record_misfit(task, now);
             return Placing::NoFit;
         };
         if self.waits_for_data_rack(task, &worker, now) {
@@ -137,29 +153,31 @@
         self.starts.push(Order::Start { worker, task, run });
     }
 
-    /// Returns whether a task with this need certainly does not fit: in this pass, whose free capacity only
-    /// shrinks, an unconstrained task that needs no more did not fit.
-    fn is_misfit(&self, need: Need) -> bool {
-        self.unplaced_needs
-            .iter()
-            .any(|misfit| misfit.is_within(need))
+    /// Returns whether a task is known to fit nowhere in this pass, without a search.
+    pub(crate) fn is_misfit(&self, task: TaskId) -> bool {
+        let Some(job) = self.jobs.get(&task.job) else {
+            return false;
+        };
+        self.pass.is_misfit(job.step(task.step), need_of(job, task))
     }
 
-    /// Records the need of an unconstrained task that did not fit. Tasks with a label, a limit per worker or
-    /// permits may fail for those reasons instead.
-    fn record_misfit(&mut self, task: TaskId) {
+    /// Records that a search for a worker found none. The need of the task is recorded as well, unless the task may
+    /// have failed for its limit per worker, for want of a permit or as one of a gang.
+    pub(crate) fn record_misfit(&mut self, task: TaskId, now: Instant) {
         let Some(job) = self.jobs.get(&task.job) else {
             return;
         };
+        let service = &job.submission.service;
         let step = job.step(task.step);
-        let is_constrained = step.label.is_some()
-            || step.max_per_worker.is_some()
-            || job.submission.requires_permits;
-        if !is_constrained {
-            let need = need_of(job, task);
-            self.unplaced_needs
-                .retain(|misfit| !need.is_within(*misfit));
-            self.unplaced_needs.push(need);
+        let members = if step.gang { step.count as usize } else { 1 };
+        self.pass.checks += self.workers.count_of(service) * members;
+        if self.pass.headroom.is_none() {
+            let headroom = Headroom::new(self.workers.of(service), self.workers.values(), now);
+            self.pass.headroom = Some(headroom);
+        }
+        if step.max_per_worker.is_none() && !job.submission.requires_permits && !step.gang {
+            let (label, need) = (step.label.clone(), need_of(job, task));
+            self.pass.record_misfit(label, need);
         }
     }
 
@@ -168,24 +186,24 @@
         let job = self.jobs.get(&task.job)?;
         let step = job.step(task.step);
         let need = need_of(job, task);
-        if self.is_misfit(need) {
-            return None;
-        }
         // The cheapest condition is tested first: in an overload, nearly all workers are full.
         let is_eligible = |w: &&Worker| {
             self.has_capacity(w, need, now)
                 && self.accepts(w, job, task, now)
                 && may_join(step, || w.siblings(task))
         };
-        let racks = if step.long_running {
-            self.racks_of(&job.submission.service, task)
-        } else {
-            HashMap::new()
+        let racks = OnceCell::new();
+        let tasks_in = |rack: &str| {
+            if !step.long_running {
+                return 0;
+            }
+            let racks = racks.get_or_init(|| self.racks_of(&job.submission.service, task));
+            racks.get(rack).copied().unwrap_or(0)
         };
         let is_suspect = self.suspicions.tasks.contains(&task);
         let mut best: Option<(f64, &Worker)> = None;
         for worker in self.workers.of(&job.submission.service).filter(is_eligible) {
-            let in_rack = racks.get(worker.info.rack()).copied().unwrap_or(0);
+            let in_rack = tasks_in(worker.info.rack());
             let siblings = if step.long_running {
                 worker.siblings(task)
             } else {
--- a/crates/jobs/src/quarantine.rs
+++ b/crates/jobs/src/quarantine.rs
@@ -42,7 +42,7 @@
     pub(crate) fn place_suspects(&mut self, service: &str, now: Instant, log: LogState) {
         for rank in self.waiting_suspects(service) {
             let task = rank.task();
-            if self.must_wait(service, &rank, now, log) || !self.needs_quarantine(task, now) {
+            if self.must_wait(service, &rank, log) || !self.needs_quarantine(task, now) {
                 continue;
             }
             if self.is_stale(task) {
--- a/crates/jobs/src/rank.rs
+++ b/crates/jobs/src/rank.rs
@@ -62,6 +62,14 @@
         Rank { late: true, ..self }
     }
 
+    /// Returns the last rank that a task of the same step can have.
+    pub fn end_of_step(self) -> Self {
+        Rank {
+            index: u32::MAX,
+            ..self
+        }
+    }
+
     /// Returns the task that has this rank.
     pub fn task(&self) -> TaskId {
         TaskId {
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -196,6 +196,8 @@
     pub order_unconfirmed: bool,
     /// The resources that its runs need.
     pub used: Need,
+    /// The part of `used` whose runs may not end by themselves.
+    pub used_lastingly: Need,
     /// How many of its runs are long-running, serving ones included.
     pub long_running_runs: usize,
     /// How many of its runs are best-effort ones.
@@ -237,6 +239,7 @@
             unusable: false,
             order_unconfirmed: false,
             used: Need::default(),
+            used_lastingly: Need::default(),
             long_running_runs: 0,
             best_effort_runs: 0,
             runs: BTreeMap::new(),
@@ -312,6 +315,9 @@
     /// Adds a run and its load.
     pub fn add(&mut self, task: TaskId, run: RunId, state: RunState) {
         self.used.add(state.load.need);
+        if state.load.kind != RunKind::Finite {
+            self.used_lastingly.add(state.load.need);
+        }
         self.long_running_runs += usize::from(state.load.kind.is_long_running());
         self.best_effort_runs += usize::from(state.load.kind == RunKind::BestEffort);
         if let Some(old) = self.runs.insert((task, run), state) {
@@ -342,6 +348,9 @@
     /// Subtracts the load of a run.
     fn subtract_load(&mut self, load: Load) {
         self.used.remove(load.need);
+        if load.kind != RunKind::Finite {
+            self.used_lastingly.remove(load.need);
+        }
         self.long_running_runs -= usize::from(load.kind.is_long_running());
         self.best_effort_runs -= usize::from(load.kind == RunKind::BestEffort);
     }
--- a/crates/jobs/src/workers.rs
+++ b/crates/jobs/src/workers.rs
@@ -94,6 +94,11 @@
         self.values().map(|worker| &worker.info.id)
     }
 
+    /// Returns the number of workers of a service.
+    pub fn count_of(&self, service: &str) -> usize {
+        self.slots_by_service.get(service).map_or(0, Vec::len)
+    }
+
     /// Returns the workers of a service.
     pub fn of(&self, service: &str) -> impl Iterator<Item = &Worker> {
         let service_slots = self.slots_by_service.get(service).into_iter().flatten();
--- a/crates/jobs/tests/hall_return.rs
+++ b/crates/jobs/tests/hall_return.rs
@@ -218,6 +218,24 @@
     assert_eq!(harness.start_tasks().len(), 4, "one task of each job");
 }
 
+/// Jobs whose label no worker has are idle as well, and more of them wait than are tried in one pass.
+#[test]
+fn idle_jobs_that_fit_nowhere_keep_no_other_waiting() {
+    let mut harness = returning();
+    harness.cell.accept(job(1, vec![step(40)]));
+    assert_eq!(harness.start_tasks().len(), 12);
+    for id in 2..302 {
+        let misfit = Step {
+            label: Some("b".to_owned()),
+            ..step(1)
+        };
+        harness.cell.accept(job(id, vec![misfit]));
+    }
+    harness.cell.accept(job(302, vec![step(4)]));
+    let mut passes = (0..3).map(|_| harness.start_tasks());
+    assert!(passes.any(|started| started == [("a1".into(), task(302, 0, 0), 1)]));
+}
+
 #[test]
 fn a_gang_with_nothing_running_starts_where_the_limit_is_reached() {
     let mut harness = returning();
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -49,7 +49,10 @@
 /// The number of tasks of such a job. They fit on one worker, which lists 500 of their ends at once.
 const BURST_TASKS: u32 = 700;
 
-/// The run time of such a task, in ms: long enough for a fault to fall between the first start and the last end.
+/// The number of long-running tasks that require a label which no worker has.
+const MISFIT_TASKS: u32 = 40;
+
+/// The run time of a small task, in ms: long enough for a fault to fall between the first start and the last end.
 const BURST_RUN_MS: u64 = 3_000;
 
 /// The number of attempts after which a caller stops submitting a job.
@@ -151,9 +154,28 @@
         };
         tokio::spawn(run_caller(caller, Arc::clone(&stop)));
     }
+    if seed >= BURSTS_FROM_SEED {
+        tokio::spawn(submit_misfits(entries, seed));
+    }
     Callers(stop)
 }
 
+/// Submits a job that fits nowhere until an entry accepts it. It waits until the end and must keep no other job waiting.
+async fn submit_misfits(entries: Vec<SocketAddr>, id: u64) {
+    let step = json!({
+        "count": MISFIT_TASKS, "cpu": 1_000, "mem-mb": 100, "long-running": true, "requirements": "none",
+    });
+    let body = json!({ "spec": "misfits", "steps": [step] }).to_string();
+    for address in entries.into_iter().cycle() {
+        let mut connection = Connection::new(address);
+        let response = connection.send(Method::POST, id, &body, None).await;
+        if response.is_some_and(|(status, _)| status == 200) {
+            return;
+        }
+        time::sleep(Duration::from_millis(200)).await;
+    }
+}
+
 /// Polls each open job once, using another entry for it in each round.
 pub async fn poll_open_jobs(site: &Site, ledger: &Ledger, round: usize) {
     let mut connections: Vec<Connection> = site
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -151,8 +151,8 @@
 /// The first seed with large configurations and narrow links. Every other fault is one of these.
 pub const LARGE_FROM_SEED: u64 = 11_000;
 
-/// The first seed with jobs of many small tasks, whose ends do not fit into one response of their worker. There are no
-/// workspaces and no tasks that end their workers.
+/// The first seed with jobs of many small tasks, whose ends do not fit into one response of their worker, and with
+/// long-running tasks that fit nowhere. There are no workspaces and no tasks that end their workers.
 pub const BURSTS_FROM_SEED: u64 = 12_000;
 
 /// Returns whether the callers of a seed belong to workspaces.
