--- a/crates/havenladder/tests/listed_ends.rs
+++ b/crates/havenladder/tests/listed_ends.rs
@@ -84,6 +84,6 @@
 }
 
 #[test]
-fn ended_tasks_stay_ended_when_workers_list_only_some_of_their_ends() {
+fn tasks_whose_ends_are_on_a_later_page_stay_ended() {
     block_on(freeze_while_tasks_end());
 }
--- a/crates/standin/src/users/worker.rs
+++ b/crates/standin/src/users/worker.rs
@@ -132,6 +132,11 @@
         self.runs.get(task).is_some_and(|known| known.number == run)
     }
 
+    /// Returns the number of runs of small tasks, or of all others.
+    fn count_like(&self, small: bool) -> usize {
+        self.runs.values().filter(|run| run.small == small).count()
+    }
+
     /// Returns whether this run of the task, or a higher one, was stopped or has ended.
     fn has_closed(&self, task: &str, run: u64) -> bool {
         self.closed.get(task).is_some_and(|highest| run <= *highest)
@@ -279,8 +284,7 @@
             return Self::build_reply(&state, 409, "old");
         }
         let small = body.spec.starts_with(SMALL);
-        let like_it = state.runs.values().filter(|run| run.small == small).count();
-        if like_it >= if small { SMALL_CAPACITY } else { CAPACITY } {
+        if state.count_like(small) >= if small { SMALL_CAPACITY } else { CAPACITY } {
             return Self::build_reply(&state, 409, "room");
         }
         let fatal = body.spec == ENDS_WORKER;
@@ -347,8 +351,7 @@
         }
     }
 
-    /// Returns a response that lists the running tasks and the first ended runs that are not
-    /// acknowledged.
+    /// Returns a response that lists the running tasks and the first unacknowledged ends.
     fn report(&self) -> Response<Full<Bytes>> {
         let state = self.state();
         let running: Vec<Value> = state
