fix(jobs): a busy service keeps freed capacity for the tasks in front

Since tasks that fit nowhere end no pass any more, small tasks behind large ones could take each gap before it is large enough, which the bound had prevented by accident.

Cause: nothing but that bound held tasks back that come later. Change: where 32 tasks in front wait for runs that end by themselves, and at least half of a resource of their service is in use, the tasks behind them wait as well. What waits for something else (a label, a permit, a worker without long-running runs, a larger VM) holds nobody back, and an idle service keeps nothing, so that none starves.

Regression tests in crates/jobs/tests/misfits.rs: the one for a busy service failed before; those for an idle service and for runs that do not end guard the two limits.

--- a/crates/jobs/src/headroom.rs
+++ b/crates/jobs/src/headroom.rs
@@ -10,8 +10,8 @@
 struct Extent {
     /// The largest free amounts.
     free: Need,
-    /// The largest amounts in all.
-    capacity: Need,
+    /// The largest amounts that are free once the runs that end by themselves have ended.
+    freed: Need,
 }
 
 impl Extent {
@@ -20,7 +20,7 @@
         let mut free = worker.info.capacity;
         free.remove(worker.used);
         self.free = self.free.max(free);
-        self.capacity = self.capacity.max(worker.info.capacity);
+        self.freed = self.freed.max(worker.free_of_lasting());
     }
 }
 
@@ -30,6 +30,10 @@
 pub(crate) struct Headroom {
     /// The number of open workers.
     pub(crate) open: usize,
+    /// The sum of what runs take on open workers.
+    used: Need,
+    /// The sum of what open workers have.
+    total: Need,
     /// The extent of all open workers.
     all: Extent,
     /// The extent of the open workers with each label.
@@ -48,6 +52,8 @@
         let mut headroom = Headroom::default();
         for worker in of_service.filter(|worker| worker.is_open(now)) {
             headroom.open += 1;
+            headroom.used.add(worker.used);
+            headroom.total.add(worker.info.capacity);
             headroom.all.include(worker);
             for label in &worker.info.labels {
                 match headroom.by_label.get_mut(label) {
@@ -79,10 +85,18 @@
             .is_some_and(|extent| need.is_within(extent.free))
     }
 
-    /// Returns whether a task of a step may fit on a worker once others have ended.
+    /// Returns whether a task of a step may fit on a worker once the runs that end by themselves have ended.
     pub(crate) fn may_fit_later(&self, step: &Step, need: Need) -> bool {
         self.extent(step)
-            .is_some_and(|extent| need.is_within(extent.capacity))
+            .is_some_and(|extent| need.is_within(extent.freed))
+    }
+
+    /// Returns whether at least half of any resource of the service is in use.
+    pub(crate) fn is_busy(&self) -> bool {
+        let half_used = |used: u64, total: u64| total > 0 && used >= total / 2;
+        half_used(self.used.cpu, self.total.cpu)
+            || half_used(self.used.memory, self.total.memory)
+            || half_used(self.used.gpu, self.total.gpu)
     }
 
     /// Returns whether a task may fit on some worker of any service, or none is known.
--- a/crates/jobs/src/need.rs
+++ b/crates/jobs/src/need.rs
@@ -94,6 +94,15 @@
         all.is_within(capacity)
     }
 
+    /// Returns how many times this amount fits into another; `u64::MAX` if it is nothing.
+    pub fn times_within(self, other: Need) -> u64 {
+        let times = Resource::ALL.map(|resource| {
+            let times = other.of(resource).checked_div(self.of(resource));
+            times.unwrap_or(u64::MAX)
+        });
+        times.into_iter().min().unwrap_or(u64::MAX)
+    }
+
     /// Returns whether this amount exceeds another in no resource.
     pub fn is_within(self, other: Need) -> bool {
         self.cpu <= other.cpu && self.memory <= other.memory && self.gpu <= other.gpu
--- a/crates/jobs/src/pass.rs
+++ b/crates/jobs/src/pass.rs
@@ -22,6 +22,10 @@
 /// How many jobs without any run are tried beyond the limits of returning data centres in one pass.
 const MAX_IDLE_JOBS: usize = 256;
 
+/// How many tasks in front may wait for runs to end before a busy service keeps freed capacity for them. Tasks behind
+/// them would otherwise take each gap before it is large enough.
+const MAX_IN_FRONT: usize = 32;
+
 /// How many needs of tasks that fitted nowhere are remembered in a pass, to be compared with each later task.
 const MAX_MISFITS: usize = 64;
 
@@ -42,7 +46,7 @@
 pub struct PassCounts {
     /// The number of steps with a waiting task that fitted nowhere.
     pub misfits: usize,
-    /// The number of tasks that the pass did not come to; the next one does.
+    /// The number of tasks that the pass did not come to.
     pub untried: usize,
     /// The number of workers that were kept free for tasks that fitted nowhere.
     pub reserved: usize,
@@ -67,6 +71,8 @@
     pub(crate) checks: usize,
     /// The number of workers that were reserved for long-running tasks.
     pub(crate) reserved: usize,
+    /// The number of tasks that wait for runs to end, up to [`MAX_IN_FRONT`].
+    in_front: usize,
     /// Whether tasks that waited under an earlier owner are held back.
     holds_back: bool,
     /// The number of tasks that were looked up on each worker.
@@ -86,6 +92,13 @@
         }
     }
 
+    /// Returns whether freed capacity is kept for tasks in front of all that were not tried yet. They wait for runs that
+    /// end by themselves, so that nobody waits for ever.
+    fn is_held(&self) -> bool {
+        let is_busy = self.headroom.as_ref().is_some_and(Headroom::is_busy);
+        self.in_front >= MAX_IN_FRONT && is_busy
+    }
+
     /// Returns whether a task certainly does not fit: free capacity only shrinks in a pass, and no worker had as much to
     /// offer, or another task that needs no more and may run on the same workers did not fit.
     pub(crate) fn is_misfit(&self, step: &Step, need: Need) -> bool {
@@ -105,6 +118,8 @@
     Complete,
     /// The tasks after this rank were not tried.
     Stopped(Rank),
+    /// The tasks after this rank wait until those in front of them have been placed.
+    Held(Rank),
 }
 
 impl Cell {
@@ -166,8 +181,13 @@
     /// of the queue are tried in each pass, and all others in turn.
     fn place_waiting(&mut self, service: &str, now: Instant, log: LogState, budget: &mut f64) {
         let resume_after = self.resume_after.remove(service);
-        let PassEnd::Stopped(reached) = self.place_after(service, None, now, log, budget) else {
-            return;
+        let reached = match self.place_after(service, None, now, log, budget) {
+            PassEnd::Complete => return,
+            PassEnd::Stopped(reached) => reached,
+            PassEnd::Held(reached) => {
+                self.pass.counts.untried = self.count_behind(service, reached);
+                return;
+            }
         };
         let from = resume_after.filter(|rank| *rank > reached);
         let from = from.unwrap_or(reached);
@@ -175,14 +195,19 @@
         let end = self.place_after(service, Some(from), now, log, budget);
         let between = (Bound::Excluded(reached), Bound::Included(from));
         let mut untried = self.waiting[service].range(between).count();
-        if let PassEnd::Stopped(rank) = end {
-            let behind = (Bound::Excluded(rank), Bound::Unbounded);
-            untried += self.waiting[service].range(behind).count();
+        if let PassEnd::Stopped(rank) | PassEnd::Held(rank) = end {
+            untried += self.count_behind(service, rank);
             self.resume_after.insert(service.to_owned(), rank);
         }
         self.pass.counts.untried = untried;
     }
 
+    /// Returns how many tasks of a service wait behind a rank.
+    fn count_behind(&self, service: &str, rank: Rank) -> usize {
+        let behind = (Bound::Excluded(rank), Bound::Unbounded);
+        self.waiting[service].range(behind).count()
+    }
+
     /// Places the waiting tasks of a service after a rank, or all of them if there is none.
     fn place_after(
         &mut self,
@@ -221,13 +246,28 @@
                     self.handle_misfits(service, rank, now, log);
                     // The other tasks of the step may start on the same workers, and none of these gets more free
                     // capacity in this pass.
-                    after = Some(rank.end_of_step());
+                    let end = rank.end_of_step();
+                    after = Some(end);
+                    if self.is_held_behind(service, rank, now) {
+                        return PassEnd::Held(end);
+                    }
                 }
             }
         }
         PassEnd::Complete
     }
 
+    /// Returns whether the tasks behind a step that fits nowhere are held back. Long-running tasks hold nobody back; they
+    /// reserve workers.
+    fn is_held_behind(&mut self, service: &str, first: Rank, now: Instant) -> bool {
+        if first.is_long_running() || !self.waits_for_runs(first.task(), now) {
+            return false;
+        }
+        let of_step = self.waiting[service].range(first..=first.end_of_step());
+        self.pass.in_front += of_step.take(MAX_IN_FRONT).count();
+        self.pass.is_held()
+    }
+
     /// Places one task of each job that has nothing running, without regard to returns of data centres to service:
     /// such a job must not wait for as long as a return lasts. Does nothing while none is in progress. If there are more
     /// such jobs than one pass has time for, they are tried in turn.
@@ -244,10 +284,10 @@
         let idle = first.filter(|rank| !self.has_placed_task(rank.task().job));
         let mut idle: Vec<Rank> = idle.copied().collect();
         if idle.len() > MAX_IDLE_JOBS {
-            let tried = idle
+            let next = idle
                 .iter()
                 .position(|rank| last.is_none_or(|last| *rank > last));
-            idle.rotate_left(tried.unwrap_or(0));
+            idle.rotate_left(next.unwrap_or(0));
             idle.truncate(MAX_IDLE_JOBS);
             self.last_idle
                 .extend(idle.last().map(|rank| (service.to_owned(), *rank)));
--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -65,7 +65,7 @@
         }
         self.pass.checks += self.workers.count_of(&job.submission.service);
         let is_eligible = |w: &&Worker| {
-            need.fits(w.used_lastingly, w.info.capacity)
+            need.is_within(w.free_of_lasting())
                 && self.accepts(w, job, task, now)
                 && may_join(step, || w.siblings(task))
         };
@@ -181,6 +181,32 @@
         }
     }
 
+    /// Returns whether a task that fits nowhere, or its gang, fits once the runs that end by themselves have ended. A
+    /// task with a limit per worker or without permits may wait for something else.
+    pub(crate) fn waits_for_runs(&mut self, task: TaskId, now: Instant) -> bool {
+        let Some(job) = self.jobs.get(&task.job) else {
+            return false;
+        };
+        let (step, need) = (job.step(task.step), need_of(job, task));
+        let headroom = self.pass.headroom.as_ref();
+        if step.max_per_worker.is_some()
+            || job.submission.requires_permits
+            || headroom.is_none_or(|headroom| !headroom.may_fit_later(step, need))
+        {
+            return false;
+        }
+        let service = &job.submission.service;
+        self.pass.checks += self.workers.count_of(service);
+        let members = if step.gang { u64::from(step.count) } else { 1 };
+        let mut fitting: u64 = 0;
+        let workers = self.workers.of(service);
+        let mut eligible = workers.filter(|w| w.is_open(now) && has_required_label(w, step));
+        eligible.any(|worker| {
+            fitting = fitting.saturating_add(need.times_within(worker.free_of_lasting()));
+            fitting >= members
+        })
+    }
+
     /// Returns the best worker for a task among those where it fits.
     fn best_worker(&self, task: TaskId, now: Instant) -> Option<WorkerId> {
         let job = self.jobs.get(&task.job)?;
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -312,6 +312,13 @@
         !self.disrupted && !self.hall_drained && !self.unusable && !self.info.draining
     }
 
+    /// Returns what is free once the runs that end by themselves have ended.
+    pub(crate) fn free_of_lasting(&self) -> Need {
+        let mut free = self.info.capacity;
+        free.remove(self.used_lastingly);
+        free
+    }
+
     /// Adds a run and its load.
     pub fn add(&mut self, task: TaskId, run: RunId, state: RunState) {
         self.used.add(state.load.need);
--- a/crates/jobs/tests/misfits.rs
+++ b/crates/jobs/tests/misfits.rs
@@ -136,6 +136,57 @@
     assert_eq!(harness.start_tasks(), [("a1".into(), task(2, 0, 0), 1)]);
 }
 
+/// Returns a service of four workers with `used` cores of each in use by tasks that end by themselves, where 40 tasks wait
+/// that need a whole worker.
+fn large_tasks_waiting(used: u64) -> Harness {
+    let mut harness = Harness::new(&["a1", "b1", "c1", "d1"]);
+    let apart = Step {
+        max_per_worker: Some(1),
+        ..finite(4, used * 1_000)
+    };
+    harness.cell.accept(job(1, vec![apart]));
+    assert_eq!(harness.start_tasks().len(), 4);
+    harness.cell.accept(job(2, vec![finite(40, 4_000)]));
+    assert!(harness.start_tasks().is_empty());
+    harness
+}
+
+/// Small tasks behind large ones would take each gap before it is large enough.
+#[test]
+fn a_busy_service_keeps_freed_capacity_for_tasks_in_front() {
+    let mut harness = large_tasks_waiting(2);
+    assert_eq!(first_start(&mut harness, step(1)), None);
+    harness.report_end("a1", 1, task(1, 0, 0), 1, RunOutcome::Done);
+    assert_eq!(harness.start_tasks(), [("a1".into(), task(2, 0, 0), 1)]);
+}
+
+/// Where most capacity is idle, waiting for runs to end would leave it so.
+#[test]
+fn an_idle_service_keeps_nothing_for_tasks_in_front() {
+    let mut harness = large_tasks_waiting(1);
+    assert_eq!(first_start(&mut harness, step(1)), Some(1));
+}
+
+/// The large tasks would wait for ever, since what is in their way does not end.
+#[test]
+fn a_busy_service_keeps_nothing_where_no_run_ends() {
+    let mut harness = Harness::new(&["a1", "b1", "c1", "d1"]);
+    let apart = Step {
+        max_per_worker: Some(1),
+        ..long_running(4, 2_000)
+    };
+    harness.cell.accept(job(1, vec![apart]));
+    assert_eq!(harness.start_tasks().len(), 4);
+    harness.cell.accept(job(2, vec![finite(40, 4_000)]));
+    let gang = Step {
+        gang: true,
+        ..finite(40, 1_000)
+    };
+    harness.cell.accept(job(3, vec![gang]));
+    assert!(harness.start_tasks().is_empty());
+    assert_eq!(first_start(&mut harness, step(1)), Some(1));
+}
+
 /// No run on a worker ends by itself, so that its capacity would be kept free for ever.
 #[test]
 fn workers_whose_runs_do_not_end_are_not_reserved() {
