--- a/crates/soak/src/entries.rs
+++ b/crates/soak/src/entries.rs
@@ -4,6 +4,7 @@
 use rustix::process::{Pid, Signal, kill_process};
 use standin::users::settings::Settings;
 use std::{
+    env,
     fs::{self, File, OpenOptions},
     io,
     net::SocketAddr,
@@ -42,6 +43,9 @@
     }
 }
 
+/// Environment variable with the third byte of the entries' loopback addresses, 0 by default.
+const NET_VARIABLE: &str = "HAVENLADDER_SOAK_NET";
+
 /// An entry that runs as a process.
 pub struct Entry {
     /// Address on which callers reach the entry.
@@ -140,9 +144,12 @@
     }
 }
 
-/// Returns the loopback address of an entry.
+/// Returns the loopback address of an entry. Checkouts that run the same seeds at the same time need different values
+/// of [`NET_VARIABLE`].
 fn ip(number: usize) -> String {
-    format!("127.0.0.{}", 11 + number)
+    let net = env::var(NET_VARIABLE).ok();
+    let net: u8 = net.and_then(|net| net.parse().ok()).unwrap_or(0);
+    format!("127.0.{net}.{}", 11 + number)
 }
 
 /// Returns the path of the file from which an entry reads by how much its clock is advanced.
