test: workers that restart and are cut off while a start is on its way to them (failing)

The stand-in's workers lacked what the reproduction needs: they now cut a lease to max-hold-ms, their clock starts anew with each incarnation and lies behind the former one, and starts can be carried out late, without a response, by the incarnation that runs then. A start is sent, its worker restarts and is cut off, and the next incarnation, which nobody has asked, carries the start out with a deadline for the former clock, so that it holds the run for 10 s.

--- a/crates/standin/src/users/cloud.rs
+++ b/crates/standin/src/users/cloud.rs
@@ -191,6 +191,11 @@
         });
     }
 
+    /// Returns the worker that a VM has now.
+    pub fn worker(&self, name: &str) -> Option<Arc<Worker>> {
+        self.vms().get(name)?.worker.clone()
+    }
+
     /// Returns the faults of the link to the worker that a VM has now.
     pub fn link(&self, name: &str) -> Option<Arc<Faults>> {
         self.vms().get(name).map(|vm| Arc::clone(&vm.link))
--- a/crates/standin/src/users/worker.rs
+++ b/crates/standin/src/users/worker.rs
@@ -13,10 +13,11 @@
 use serde_json::{Value, json};
 use std::{
     collections::{BTreeMap, HashMap},
+    future::pending,
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard,
-        atomic::{AtomicBool, Ordering::Relaxed},
+        atomic::{AtomicBool, AtomicU64, Ordering::Relaxed},
     },
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
@@ -25,9 +26,16 @@
 /// The interval at which ended runs and the lease are checked.
 const CHECK_INTERVAL: Duration = Duration::from_millis(5);
 
-/// The worker's clock at the start of an incarnation, in milliseconds. It differs from every other
-/// clock.
-const CLOCK_START_MS: u64 = 100_000;
+/// The worker's clock at the start of its first incarnation, in milliseconds. It differs from every
+/// other clock.
+const CLOCK_START_MS: u64 = 100_000_000;
+
+/// The time by which the clock of each incarnation starts behind that of the one before. A deadline
+/// for the former clock is then far in the future of the next one.
+const CLOCK_STEP_MS: u64 = 100_000;
+
+/// The maximum duration of a lease in milliseconds; a longer one is cut to it.
+pub const MAX_HOLD_MS: u64 = 10_000;
 
 /// The number of tasks that fit on a worker, each of the size that the soak submits.
 const CAPACITY: usize = 8;
@@ -84,12 +92,23 @@
     outcome: &'static str,
 }
 
+/// How a worker handles requests to start a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StartMode {
+    /// They are carried out and answered at once.
+    Answered,
+    /// They are never answered, and carried out after this time by the incarnation that runs then.
+    Late(Duration),
+}
+
 /// The state of one incarnation of a worker.
 struct State {
     /// Start of this incarnation; it may lie in the future, and requests get no response before it.
     starts_at: Instant,
     /// The same start time in milliseconds since 1970.
     started_at_ms: u64,
+    /// The worker's clock at the start of this incarnation.
+    clock_start_ms: u64,
     fence: u64,
     deadline: u64,
     runs: BTreeMap<String, Run>,
@@ -102,10 +121,11 @@
 impl State {
     /// Returns the empty state of an incarnation that starts after `delay` and knows nothing of
     /// earlier ones.
-    fn starting_in(delay: Duration) -> Self {
+    fn starting_in(delay: Duration, clock_start_ms: u64) -> Self {
         State {
             starts_at: Instant::now() + delay,
             started_at_ms: unix_ms(SystemTime::now() + delay),
+            clock_start_ms,
             fence: 0,
             deadline: 0,
             runs: BTreeMap::new(),
@@ -117,7 +137,13 @@
 
     /// Returns the reading of the worker's clock in milliseconds.
     fn clock_ms(&self) -> u64 {
-        CLOCK_START_MS + self.starts_at.elapsed().as_millis() as u64
+        self.clock_start_ms + self.starts_at.elapsed().as_millis() as u64
+    }
+
+    /// Extends the lease to a deadline on the worker's clock.
+    fn extend_lease(&mut self, deadline: u64) {
+        let latest = self.clock_ms() + MAX_HOLD_MS;
+        self.deadline = self.deadline.max(deadline.min(latest));
     }
 
     /// Records the fencing token of a request; returns false if a higher one was seen before.
@@ -163,6 +189,9 @@
     /// Time after which the worker restarts under its id when a task ends it; `None` if it doesn't
     /// restart.
     restart_delay: Option<Duration>,
+    start_mode: Mutex<StartMode>,
+    /// Number of requests to start a run that have not been answered.
+    withheld_starts: AtomicU64,
     events: Events,
 }
 
@@ -181,10 +210,12 @@
             id,
             address: Mutex::new(None),
             killed: AtomicBool::new(false),
-            state: Mutex::new(State::starting_in(Duration::ZERO)),
+            state: Mutex::new(State::starting_in(Duration::ZERO, CLOCK_START_MS)),
             changed: Notify::new(),
             crashed: Notify::new(),
             restart_delay,
+            start_mode: Mutex::new(StartMode::Answered),
+            withheld_starts: AtomicU64::new(0),
             events,
         });
         let address = listen(&worker, Worker::handle).await?;
@@ -204,11 +235,35 @@
     pub fn restart(&self, delay: Duration) {
         let mut state = self.state();
         self.lose_runs(&mut state);
-        *state = State::starting_in(delay);
+        let clock_start_ms = state.clock_start_ms.saturating_sub(CLOCK_STEP_MS);
+        *state = State::starting_in(delay, clock_start_ms);
         drop(state);
         self.changed.notify_waiters();
     }
 
+    /// Sets how further requests to start a run are handled.
+    pub fn set_start_mode(&self, mode: StartMode) {
+        *self.start_mode.lock().expect("no thread panics here") = mode;
+    }
+
+    /// Returns the number of requests to start a run that were received without being answered.
+    pub fn withheld_starts(&self) -> u64 {
+        self.withheld_starts.load(Relaxed)
+    }
+
+    /// Carries a start out after a time, on the incarnation that runs then.
+    fn start_late(self: &Arc<Self>, body: Body, delay: Duration) {
+        self.withheld_starts.fetch_add(1, Relaxed);
+        let worker = Arc::clone(self);
+        tokio::spawn(async move {
+            time::sleep(delay).await;
+            if worker.incarnation().is_some() {
+                // Nobody reads the response.
+                drop(worker.start_run(&body));
+            }
+        });
+    }
+
     /// Returns when the current incarnation started, in milliseconds since 1970.
     pub fn started_at_ms(&self) -> u64 {
         self.state().started_at_ms
@@ -249,6 +304,11 @@
             return Some(build_response(421, "application/json", "{}"));
         }
         let body: Body = serde_json::from_slice(&request.body).unwrap_or_default();
+        let mode = *self.start_mode.lock().expect("no thread panics here");
+        if let ("/run-start", StartMode::Late(delay)) = (request.path.as_str(), mode) {
+            self.start_late(body, delay);
+            return pending().await;
+        }
         let response = match request.path.as_str() {
             "/run-start" => self.start_run(&body),
             "/run-stop" => self.stop_run(&body),
@@ -276,7 +336,7 @@
         if deadline < state.clock_ms() {
             return Self::build_reply(&state, 409, "late");
         }
-        state.deadline = state.deadline.max(deadline);
+        state.extend_lease(deadline);
         if state.has_run(&body.task, body.run) {
             return Self::build_reply(&state, 200, "");
         }
@@ -328,7 +388,7 @@
             if !state.observe_fence(body.fencing_token) {
                 return Self::build_reply(&state, 409, "fence");
             }
-            state.deadline = state.deadline.max(body.deadline_ms.unwrap_or(0));
+            state.extend_lease(body.deadline_ms.unwrap_or(0));
             self.acknowledge(&mut state, body.last_seen);
         }
         let wait = Duration::from_millis(body.wait_ms).min(MAX_WAIT);
