feat(entry): logs say how long earlier leases are waited for, and when a run goes on that was given up

Nothing told the hypotheses of docs/incidents/restarted-and-cut-off.md apart. 'owns the cell' now says for how long leases of earlier owners are waited for; 'worker lost' says whether the worker's lease was over as far as the owner knew, and whether this incarnation had ever answered; a run that a worker reports although a later run of its task has been placed elsewhere is logged and counted (havenladder_odd_ends, superseded).

In the failing test after a release the next owner waits for 3,757 ms and starts run 2 then, while run 1 holds for 10 s.

--- a/crates/havenladder/src/entry/ends.rs
+++ b/crates/havenladder/src/entry/ends.rs
@@ -1,7 +1,7 @@
 //! Logs and counts the ends of runs that workers report, and reports that contradict the known state.
 
 use super::{logs::kind, owner::Owner};
-use jobs::{EndRow, Report, RunId, RunOutcome, TaskId};
+use jobs::{EndRow, Report, RunId, RunOutcome, TaskId, TaskPhase};
 use tracing::{info, warn};
 
 /// Logs and counts the ends that a worker reports for the first time, and ends that are skipped. An end whose number
@@ -33,6 +33,24 @@
     }
 }
 
+/// Logs and counts runs that a worker reports although a later run of their task has been placed elsewhere.
+pub fn log_superseded(owner: &Owner, worker: &str, report: &Report) {
+    let cell = owner.cell.borrow();
+    for row in &report.running {
+        let (task, run) = (row.task, row.run);
+        let job = cell.jobs.get(&task.job);
+        let state = job.and_then(|job| job.task(task.round, task.step, task.index));
+        let Some(state) = state.filter(|state| state.run > run) else {
+            continue;
+        };
+        if let TaskPhase::Placed(elsewhere) = &state.phase {
+            let later = state.run;
+            warn!(%task, run, worker, later, %elsewhere, "run goes on beside a later one of its task");
+            owner.node.metrics.inconsistent_end("superseded");
+        }
+    }
+}
+
 /// Logs and counts runs that a worker had and now reports neither as running nor as ended.
 pub fn log_missing(owner: &Owner, worker: &str, runs: &[(TaskId, RunId)]) {
     for (task, run) in runs {
--- a/crates/havenladder/src/entry/losses.rs
+++ b/crates/havenladder/src/entry/losses.rs
@@ -42,12 +42,18 @@
         .take(MAX_NAMED_RUNS)
         .map(describe)
         .collect();
+    let contacts = owner.contacts.borrow();
+    let contact = contacts.get(id);
+    let lease_over = contact.map(|contact| contact.lease_until < Instant::now());
+    let contacted = contact.map(|contact| contact.last_answer.is_some());
     info!(
         target: kind::WORKER,
         worker = id,
         ending = ending_name(lost.ending),
         runs = lost.runs.len(),
         ?youngest,
+        lease_over,
+        contacted,
         "worker lost"
     );
     for task in &lost.failed {
--- a/crates/havenladder/src/entry/own_cell.rs
+++ b/crates/havenladder/src/entry/own_cell.rs
@@ -39,7 +39,8 @@
 pub fn start(node: &Rc<Node>, epoch: u64, before: Predecessor, since: Instant) -> Rc<Owner> {
     let owner = Rc::new(Owner::new(node, epoch, before, since, orders::send_all));
     node.metrics.ownership_changed("gained");
-    info!(epoch, ?before, "owns the cell");
+    let leases_ms = owner.inherited_leases_remaining().as_millis() as u64;
+    info!(epoch, ?before, leases_ms, "owns the cell");
     *node.owner.borrow_mut() = Some(Rc::clone(&owner));
     task::spawn_local(run(Rc::clone(&owner)));
     owner
--- a/crates/havenladder/src/entry/watch.rs
+++ b/crates/havenladder/src/entry/watch.rs
@@ -189,6 +189,7 @@
     let PollResponse { sent_at, response } = polled;
     record_response(owner, id, response.clock, now);
     ends::log_listed(owner, id, &response.value);
+    ends::log_superseded(owner, id, &response.value);
     let mut cell = owner.cell.borrow_mut();
     let missing = cell.apply_report(id, &response.value, *sent_at, now);
     let outlived = cell.outlived_incarnations(id, *sent_at);
--- a/crates/havenladder/tests/restarted_and_cut_off.rs
+++ b/crates/havenladder/tests/restarted_and_cut_off.rs
@@ -38,6 +38,9 @@
 /// Time within which the runs of a submitted job have begun and their workers have reported them.
 const REPORT_TIME: Duration = Duration::from_secs(1);
 
+/// Time within which a restarted worker has written its entry.
+const LISTING_TIME: Duration = Duration::from_millis(100);
+
 /// What happens to the owner whose start is carried out late.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum OwnerFate {
@@ -116,6 +119,8 @@
     site.cloud.link(&vm).expect("the VM is up").cut(true);
     site.cloud.restart(&vm, Duration::ZERO);
     set_start_modes(&site, StartMode::Answered);
+    // The next owner finds the entry of the new incarnation in the list.
+    time::sleep(LISTING_TIME).await;
     match fate {
         OwnerFate::Continues => {}
         OwnerFate::Stops => site.entries[owner].signal(Signal::TERM),
