fix(jobs): runs that no report has named are kept until no call to their worker can have any effect

What callers saw: a task started again while its former run went on, under one owner.

Cause: a start to the former incarnation of a worker that had restarted and was cut off was carried out by the next one, whose lease then lasted as long as a worker grants. The owner kept such a run for the longest lease from when that start was sent, as if the call had been carried out at once, and as if no later call to the worker extended the lease of all its runs. The class: a bound counted from when a call was sent, not from when its last effect is excluded.

Why the fix works: the time counts from the last call that can extend the worker's lease, with the longest delay of a call in addition; it ends earlier once any incarnation has reported its runs.

--- a/crates/havenladder/src/entry/orders.rs
+++ b/crates/havenladder/src/entry/orders.rs
@@ -65,6 +65,7 @@
     let (clock, read) = contact.clock?;
     let lease = WORKER_LEASE_DURATION.min(owner.node.settings.max_worker_lease);
     contact.lease_until = contact.lease_until.max(now + max_lease_duration(lease));
+    owner.cell.borrow_mut().record_lease_call(worker, now);
     Some(clock + (now - read + lease).as_millis() as ClockMs)
 }
 
--- a/crates/havenladder/src/entry/owner/mod.rs
+++ b/crates/havenladder/src/entry/owner/mod.rs
@@ -41,6 +41,10 @@
 
 /// Factor by which a lease may outlast its duration, since a worker's clock may run 2 % slow.
 const MAX_CLOCK_SLOWDOWN: f64 = 1.03;
+/// Maximum time after which a worker carries out a call that it has not answered. Where the incarnation that the call was
+/// meant for carries it out, its deadline excludes later effects; another incarnation may not refuse it.
+const MAX_CALL_DELAY: Duration = MAX_RENEWAL_AGE;
+
 
 /// Time by which a lease may outlast its duration in addition to that factor. The worker's clock was read up to a second before the
 /// lease was granted, and may have drifted by 20 ms since.
@@ -381,3 +385,4 @@
         ..Limits::default()
     }
 }
+        max_call_delay: MAX_CALL_DELAY,
--- a/crates/jobs/src/cell/limits.rs
+++ b/crates/jobs/src/cell/limits.rs
@@ -12,6 +12,8 @@
     /// The longest lease that a worker grants, whatever it is asked for, measured on a clock that is as slow
     /// as allowed.
     pub max_lease: Duration,
+    /// The longest time after which a worker carries out a call that it has not answered.
+    pub max_call_delay: Duration,
     /// The number of consecutive bad ends after which a worker is excluded from new runs.
     pub max_failures: u32,
     /// The time for which a worker is excluded.
@@ -29,6 +31,8 @@
             stall_timeout: Duration::from_millis(2_000),
             // The platform supplies this value. Without it, leases last as long as they are requested for.
             max_lease: Duration::ZERO,
+            // As above: without long leases, a start that is carried out late is refused for its deadline.
+            max_call_delay: Duration::ZERO,
             // One run in 500 fails by its own fault, so that three in a row do so once in 10^8.
             max_failures: 3,
             // Twice the mean duration of a run, so that a worker that has recovered is soon used again.
--- a/crates/jobs/src/cell/runs.rs
+++ b/crates/jobs/src/cell/runs.rs
@@ -32,6 +32,7 @@
             && state.phase == RunPhase::Ordered
         {
             state.sent_at.get_or_insert(now);
+            host.called_at = Some(now);
             return true;
         }
         host.remove(task, run);
--- a/crates/jobs/src/cell/workers.rs
+++ b/crates/jobs/src/cell/workers.rs
@@ -41,7 +41,7 @@
     }
 
     /// Returns whether an earlier owner had placed runs on a worker that no list has named since.
-    pub(crate) fn is_orphaned_worker(&self, id: &str) -> bool {
+    pub fn is_orphaned_worker(&self, id: &str) -> bool {
         self.orphans.contains_key(id)
     }
 
@@ -151,26 +151,44 @@
         })
     }
 
+    /// Records that a call that extends a worker's lease is sent.
+    pub fn record_lease_call(&mut self, id: &str, now: Instant) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.called_at = Some(now);
+        }
+    }
+
+    /// Returns until when runs that no report of this incarnation has named may exist at another one.
+    pub fn unreported_until(&self, id: &str) -> Option<Instant> {
+        let hold = self.limits.max_call_delay + self.limits.max_lease;
+        self.workers.get(id)?.unreported_until(hold)
+    }
+
     /// Handles the expiry of a worker's lease: its runs are lost. The worker may only be disconnected; if it
     /// proves to have ended, its end is attributed to the runs that are lost now. Returns `None` if no run is
     /// lost or the worker is unknown.
     ///
-    /// A run that no report of this incarnation has named is kept for the longest lease that a worker grants:
-    /// its start may have reached another incarnation, on whose clock the lease expires much later.
+    /// Runs that no report of this incarnation has named are kept until no call to it can have any effect: their
+    /// starts may have reached another incarnation, on whose clock the lease expires much later.
     pub fn expire_lease(&mut self, id: &str, now: Instant) -> Option<LostWorker> {
-        let max_lease = self.limits.max_lease;
+        let until = self.unreported_until(id);
         let worker = self.workers.get_mut(id)?;
-        let kept = worker.unreported(now, max_lease);
+        let kept: Vec<(TaskId, RunId)> = match until {
+            Some(until) if now < until => worker.unreported().collect(),
+            Some(_) | None => Vec::new(),
+        };
         if kept.len() == worker.runs.len() {
             return None;
         }
         let take = |key: (TaskId, RunId)| Some((key, worker.remove(key.0, key.1)?));
         let kept: Vec<_> = kept.into_iter().filter_map(take).collect();
         let info = WorkerInfo::clone(&worker.info);
+        let called_at = worker.called_at;
         let lost = self.abandon_worker(id, Loss::Lapsed, now);
         self.upsert_worker(info, now);
         if let (Some(worker), Some(lost)) = (self.workers.get_mut(id), &lost) {
             worker.lapsed.clone_from(&lost.runs);
+            worker.called_at = called_at;
             for ((task, run), state) in kept {
                 worker.add(task, run, state);
             }
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -210,6 +210,8 @@
     pub failures: u32,
     /// Until when it gets no new runs after failures or refusals.
     pub excluded_until: Option<Instant>,
+    /// When the latest call that extends its lease was sent.
+    pub called_at: Option<Instant>,
     /// When the latest poll that it has answered was sent. It was running at that time.
     pub last_seen: Option<Instant>,
     /// When it was first found to be silent after its last response.
@@ -246,6 +248,7 @@
             acknowledged: 0,
             failures: 0,
             excluded_until: None,
+            called_at: None,
             last_seen: None,
             silent_since: None,
             refused_at: None,
@@ -332,15 +335,19 @@
         }
     }
 
-    /// Returns the runs whose starts were sent within the last `hold`, the longest lease that a worker
-    /// grants, and that no report of this incarnation has listed. They may exist at another incarnation.
-    pub fn unreported(&self, now: Instant, hold: Duration) -> Vec<(TaskId, RunId)> {
-        let may_exist = |state: &RunState| {
-            let recent = state.sent_at.is_some_and(|sent| now < sent + hold);
-            recent && !state.reported
-        };
-        let runs = self.runs.iter().filter(|(_, state)| may_exist(state));
-        runs.map(|(key, _)| *key).collect()
+    /// Returns the runs whose starts were sent and that no report of this incarnation has listed. They may exist at
+    /// another incarnation.
+    pub fn unreported(&self) -> impl Iterator<Item = (TaskId, RunId)> {
+        let may_exist = |state: &RunState| state.sent_at.is_some() && !state.reported;
+        let runs = self.runs.iter().filter(move |(_, state)| may_exist(state));
+        runs.map(|(key, _)| *key)
+    }
+
+    /// Returns until when the unreported runs may exist, if a lease holds for `hold` after a call. Each call that
+    /// their incarnation accepts extends its lease for all of them. Returns `None` if there are none.
+    pub fn unreported_until(&self, hold: Duration) -> Option<Instant> {
+        self.unreported().next()?;
+        self.called_at.map(|at| at + hold)
     }
 
     /// Removes a run and releases its resources.
