fix(entry): the next owner waits for leases as long as workers may hold them

Cause: a worker whose new incarnation accepted a call with a deadline for the former clock holds its runs for as long as it grants (max-hold-ms: 6 or 10 s), not for the 3.6 s that the owner meant. Only the owner that saw the restart counted that, in memory. Its successor waited for 3.76 s after a release and for 9.76 s after the last renewal of an owner that was replaced. The class: what bounds the effects of an owner's calls is known to that owner alone, and its successor assumes what was intended.

Evidence: restarted_and_cut_off; after a release run 2 started 3.46 s after run 1, after a kill 7.07 s, and run 1 held for 10 s. 'owns the cell' said leases_ms 3,757.

Why the fix works: a release names each worker whose lease may hold longer than usual, by when its last call was sent and whether its runs have been reported, and the next owner waits for these that long. An owner that was replaced can say nothing; its successor counts the longest lease that a worker grants from the latest time at which such an owner gives any. Once a worker has answered, it refuses calls of earlier owners, so that a lease that they gave ends at the latest after the longest one from then.

--- a/crates/havenladder/src/entry/lease/mod.rs
+++ b/crates/havenladder/src/entry/lease/mod.rs
@@ -14,12 +14,13 @@
 use super::{
     node::{Lease, Node},
     outage, own_cell,
-    owner::{Owner, Predecessor},
+    owner::{Owner, Predecessor, PredecessorEnd},
     peer::{self, PeerRequest},
     suspension,
 };
 use clock::Instant;
 use fleet::{Claim, Election, Holder, StoreTrouble, UnrecordedRuns};
+use jobs::RemainingLeases;
 use log::{Log, RETRY_INTERVAL, ReadOutcome, WriteOutcome, write};
 use std::{convert::Infallible, rc::Rc, time::Duration};
 use tokio::{task, time};
@@ -56,8 +57,7 @@
         last_renewal: None,
         last_outage: None,
         predecessor: Predecessor {
-            renewed: None,
-            waits: Duration::ZERO,
+            end: PredecessorEnd::Nobody,
             trouble: StoreTrouble::None,
             orders: false,
         },
@@ -152,8 +152,8 @@
     });
 }
 
-/// Returns the record by which this entry claims, renews or releases the lease.
-fn record(node: &Node, released: Option<Duration>) -> Lease {
+/// Returns the record by which this entry claims or renews the lease.
+fn record(node: &Node) -> Lease {
     Lease {
         node: node.settings.node.clone(),
         incarnation: node.incarnation,
@@ -165,8 +165,26 @@
         unrecorded_orders: node
             .as_owner()
             .is_some_and(|owner| owner.may_have_unrecorded_orders()),
-        released: released.is_some(),
-        inherited_lease_ms: released.map_or(0, |waits| waits.as_millis() as u64),
+        released: false,
+        inherited_lease_ms: 0,
+        worker_leases: Vec::new(),
+    }
+}
+
+/// Returns the record by which an owner releases the lease.
+fn release_record(node: &Node, owner: &Owner) -> Lease {
+    let RemainingLeases { others, named } = owner.remaining_leases();
+    let named = named.into_iter();
+    Lease {
+        released: true,
+        inherited_lease_ms: others.as_millis() as u64,
+        worker_leases: named
+            .map(|(name, left)| (name, left.as_millis() as u64))
+            .collect(),
+        cpu: owner.successor.get().unwrap_or(node.settings.cpu_millis),
+        unrecorded: owner.has_unrecorded_runs(),
+        unrecorded_orders: owner.may_have_unrecorded_orders(),
+        ..record(node)
     }
 }
 
@@ -179,12 +197,16 @@
         Some(_) | None => UnrecordedRuns::NoneAtRenewal,
     };
     let trouble = fleet::store_trouble(announcement, log.last_outage, node.began, Instant::now());
+    // An owner that released the cell extends no more leases. An owner before it may be cut off and still do so, and
+    // the record of the release says for how long.
     let released = lease.as_ref().filter(|lease| lease.released);
+    let end = match (released, log.last_renewal) {
+        (Some(lease), _) => PredecessorEnd::Released(lease.remaining_leases()),
+        (None, Some(renewed)) => PredecessorEnd::Replaced(renewed),
+        (None, None) => PredecessorEnd::Nobody,
+    };
     Predecessor {
-        // An owner that released the cell extends no more leases. An owner before it may be cut off
-        // and still do so, and the record of the release says for how long.
-        renewed: log.last_renewal.filter(|_| released.is_none()),
-        waits: Duration::from_millis(released.map_or(0, |lease| lease.inherited_lease_ms)),
+        end,
         trouble,
         orders: lease.as_ref().is_some_and(|lease| lease.unrecorded_orders),
     }
@@ -197,7 +219,7 @@
     let lease = Lease {
         unrecorded: log.predecessor.trouble != StoreTrouble::None,
         unrecorded_orders: log.predecessor.orders,
-        ..record(node, None)
+        ..record(node)
     };
     match write(node, log, lease).await {
         WriteOutcome::Done | WriteOutcome::AlreadyWritten => {}
@@ -260,7 +282,7 @@
     // If it is not known since when others may have read the record, the start of the process counts
     // as the time of the last renewal, and the owner relies on the next one.
     let since = log.earliest_append().unwrap_or(node.began);
-    let owner = own_cell::start(node, log.end, log.predecessor, since);
+    let owner = own_cell::start(node, log.end, log.predecessor.clone(), since);
     loop {
         wait_until_step_due(node, &owner).await;
         suspension::check(node);
@@ -298,12 +320,7 @@
 async fn release(node: &Node, log: &mut Log, owner: &Owner, why: &str) {
     // The state of its runs is read before the owner ends, since an ended owner no longer keeps it up
     // to date.
-    let released = Lease {
-        cpu: owner.successor.get().unwrap_or(node.settings.cpu_millis),
-        unrecorded: owner.has_unrecorded_runs(),
-        unrecorded_orders: owner.may_have_unrecorded_orders(),
-        ..record(node, Some(owner.inherited_leases_remaining()))
-    };
+    let released = release_record(node, owner);
     owner.end(why);
     relay::release_through(node, &owner.relays.take(), &released).await;
     // Only this record informs the next owner of unrecorded runs and orders. If this process owned
@@ -325,7 +342,7 @@
 async fn renew(node: &Node, log: &mut Log, owner: &Owner) {
     let sent = Instant::now();
     owner.renewing.set(Some(sent));
-    let renewed = match write(node, log, record(node, None)).await {
+    let renewed = match write(node, log, record(node)).await {
         WriteOutcome::Done => Some(sent),
         WriteOutcome::AlreadyWritten => log.earliest_append(),
         WriteOutcome::Unconfirmed => None,
--- a/crates/havenladder/src/entry/lease_state.rs
+++ b/crates/havenladder/src/entry/lease_state.rs
@@ -1,7 +1,9 @@
 //! Content of a record of the lease.
 
 use fleet::MilliCpu;
+use jobs::{RemainingLeases, WorkerName};
 use serde::{Deserialize, Serialize};
+use std::time::Duration;
 
 /// Identifier of one incarnation of an entry's process.
 pub type IncarnationId = u64;
@@ -18,7 +20,8 @@
     pub address: String,
     /// Whether the owner has released the cell.
     pub released: bool,
-    /// In a release: time in ms for which leases of earlier owners may still hold.
+    /// In a release: time in ms for which leases of earlier owners may still hold, for workers without a time of their
+    /// own.
     #[serde(rename = "waits")]
     pub inherited_lease_ms: u64,
     /// Share of a CPU core that the owner has. In a release for a stronger entry, the share of that
@@ -31,9 +34,23 @@
     /// Whether the owner may have given orders about VMs that it has not recorded.
     #[serde(default, rename = "orders")]
     pub unrecorded_orders: bool,
+    /// In a release: times in ms for which leases may hold on workers where they may hold longer than usual.
+    #[serde(default)]
+    pub worker_leases: Vec<(WorkerName, u64)>,
 }
 
 impl Lease {
+    /// Returns for how long leases may hold after the release.
+    pub fn remaining_leases(&self) -> RemainingLeases {
+        let named = self.worker_leases.iter();
+        RemainingLeases {
+            others: Duration::from_millis(self.inherited_lease_ms),
+            named: named
+                .map(|(name, ms)| (name.clone(), Duration::from_millis(*ms)))
+                .collect(),
+        }
+    }
+
     /// Returns whether both records name the same incarnation as owner and agree on whether it has
     /// released the cell.
     pub fn has_same_owner(&self, other: &Lease) -> bool {
--- a/crates/havenladder/src/entry/own_cell.rs
+++ b/crates/havenladder/src/entry/own_cell.rs
@@ -37,9 +37,11 @@
 /// Starts to own the cell. `since` is the earliest time at which other entries may have read the
 /// record of this claim.
 pub fn start(node: &Rc<Node>, epoch: u64, before: Predecessor, since: Instant) -> Rc<Owner> {
-    let owner = Rc::new(Owner::new(node, epoch, before, since, orders::send_all));
+    let owner = Owner::new(node, epoch, &before, since, orders::send_all);
+    let owner = Rc::new(owner);
     node.metrics.ownership_changed("gained");
-    let leases_ms = owner.inherited_leases_remaining().as_millis() as u64;
+    let leases = owner.inherited_leases_until;
+    let leases_ms = leases.saturating_duration_since(owner.began).as_millis() as u64;
     info!(epoch, ?before, leases_ms, "owns the cell");
     *node.owner.borrow_mut() = Some(Rc::clone(&owner));
     task::spawn_local(run(Rc::clone(&owner)));
--- a/crates/havenladder/src/entry/owner/mod.rs
+++ b/crates/havenladder/src/entry/owner/mod.rs
@@ -17,7 +17,9 @@
 use append::SLOW_APPEND_THRESHOLD;
 use clock::Instant;
 use fleet::{MilliCpu, RateLimit, STORE_TROUBLE_AGE, Stall, StoreTrouble};
-use jobs::{Cell as JobCell, Limits, Order, WorkerId, WorkerName};
+use jobs::{
+    Cell as JobCell, InheritedLeases, Limits, Order, RemainingLeases, WorkerId, WorkerName,
+};
 use std::{
     cell::{Cell, RefCell},
     collections::{BTreeMap, HashMap, HashSet},
@@ -39,12 +41,12 @@
 /// this time when it waits for the worker's lease to expire.
 pub const MAX_RENEWAL_AGE: Duration = Duration::from_millis(6_000);
 
-/// Factor by which a lease may outlast its duration, since a worker's clock may run 2 % slow.
-const MAX_CLOCK_SLOWDOWN: f64 = 1.03;
 /// Maximum time after which a worker carries out a call that it has not answered. Where the incarnation that the call was
 /// meant for carries it out, its deadline excludes later effects; another incarnation may not refuse it.
 const MAX_CALL_DELAY: Duration = MAX_RENEWAL_AGE;
 
+/// Factor by which a lease may outlast its duration, since a worker's clock may run 2 % slow.
+const MAX_CLOCK_SLOWDOWN: f64 = 1.03;
 
 /// Time by which a lease may outlast its duration in addition to that factor. The worker's clock was read up to a second before the
 /// lease was granted, and may have drifted by 20 ms since.
@@ -107,14 +109,22 @@
 /// [`fleet::LEASE_TIMEOUT`] by the possible delay of clocks and responses.
 pub const CERTAIN_RENEWAL_AGE: Duration = Duration::from_millis(1_100);
 
+/// How the previous owner ended.
+#[derive(Clone, Debug)]
+pub enum PredecessorEnd {
+    /// There was no previous owner.
+    Nobody,
+    /// It released the cell, and leases may hold for these times.
+    Released(RemainingLeases),
+    /// It may still extend leases. Its last record was read at this time.
+    Replaced(Instant),
+}
+
 /// State of the previous owner, as far as it is known. The log shows the fields under their names.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Predecessor {
-    /// Time at which its last record was read. `None` if there was no previous owner, or it has
-    /// released the cell.
-    pub renewed: Option<Instant>,
-    /// Time for which leases of owners before it may still hold.
-    pub waits: Duration,
+    /// How it ended.
+    pub end: PredecessorEnd,
     /// Whether there was a store outage recently.
     pub trouble: StoreTrouble,
     /// Whether it may have given orders about VMs that it has not recorded.
@@ -139,7 +149,9 @@
     pub foreign: RefCell<HashSet<WorkerName>>,
     /// Incarnations at whose address another worker has answered, with that address.
     pub replaced: RefCell<HashMap<WorkerId, String>>,
-    /// Time until which leases of earlier owners may hold.
+    /// Until when leases of earlier owners may hold on each worker.
+    pub inherited_leases: InheritedLeases,
+    /// Until when leases of earlier owners may hold on any worker.
     pub inherited_leases_until: Instant,
     /// Whether there was a store outage when this owner started.
     pub trouble: StoreTrouble,
@@ -201,15 +213,16 @@
     pub fn new(
         node: &Rc<Node>,
         epoch: u64,
-        before: Predecessor,
+        before: &Predecessor,
         since: Instant,
         send: SendOrders,
     ) -> Self {
         let now = Instant::now();
-        let extended = match before.renewed {
-            Some(at) => at + MAX_RENEWAL_AGE,
-            None => now,
+        let renewed = match &before.end {
+            PredecessorEnd::Replaced(at) => Some(*at),
+            PredecessorEnd::Nobody | PredecessorEnd::Released(_) => None,
         };
+        let inherited_leases = inherited_leases(&node.settings, &before.end, now);
         let mut cell = JobCell::new(limits(&node.settings));
         if before.orders {
             cell.mark_all_vms_unconfirmed();
@@ -223,12 +236,12 @@
             foreign: RefCell::default(),
             replaced: RefCell::default(),
             last_renewal: Cell::new(since),
-            inherited_leases_until: (extended + max_lease_duration(WORKER_LEASE_DURATION))
-                .max(now + before.waits),
+            inherited_leases_until: inherited_leases.latest(),
+            inherited_leases,
             trouble: before.trouble,
             unrecorded_order_at: Cell::new(None),
             orders_announced: Cell::new(false),
-            inherited_orders_until: before.renewed.map_or(now, |at| at + CERTAIN_RENEWAL_AGE)
+            inherited_orders_until: renewed.map_or(now, |at| at + CERTAIN_RENEWAL_AGE)
                 + node.settings.order_lease,
             ended_owners: RefCell::default(),
             vm_rate: RefCell::new(RateLimit::new(node.settings.vm_order_rate, now)),
@@ -289,10 +302,18 @@
         self.is_alive() && self.last_renewal.get().elapsed() < CERTAIN_RENEWAL_AGE
     }
 
-    /// Returns the time for which leases of earlier owners may still hold.
-    pub fn inherited_leases_remaining(&self) -> Duration {
-        self.inherited_leases_until
-            .saturating_duration_since(Instant::now())
+    /// Returns for how long leases of this owner and of earlier ones hold if it ends now.
+    pub fn remaining_leases(&self) -> RemainingLeases {
+        let cell = self.cell.borrow();
+        let contacts = self.contacts.borrow();
+        let held = contacts.iter().map(|(id, contact)| {
+            let unreported = cell.unreported_until(id);
+            let until = unreported.map_or(contact.lease_until, |at| at.max(contact.lease_until));
+            (id.name().to_owned(), until)
+        });
+        let usual = max_lease_duration(WORKER_LEASE_DURATION);
+        self.inherited_leases
+            .at_release(held, usual, Instant::now())
     }
 
     /// Ends the owner, after which it neither decides nor gives orders.
@@ -375,14 +396,31 @@
     }
 }
 
+/// Returns until when leases of earlier owners may hold.
+///
+/// An owner that released the cell knew of each lease that may hold longer than it had intended. One that was replaced
+/// may have known as well, but nobody can ask it. All its calls, late ones included, count as carried out within
+/// [`MAX_RENEWAL_AGE`] of its last renewal, and any of them may have reached another incarnation than the intended one.
+fn inherited_leases(settings: &Settings, end: &PredecessorEnd, now: Instant) -> InheritedLeases {
+    let usual = max_lease_duration(WORKER_LEASE_DURATION);
+    match end {
+        PredecessorEnd::Nobody => InheritedLeases::until(now + usual),
+        PredecessorEnd::Released(leases) => InheritedLeases::remaining(leases, usual, now),
+        PredecessorEnd::Replaced(renewed) => {
+            let longest = max_lease_duration(settings.max_worker_lease).max(usual);
+            InheritedLeases::until(*renewed + MAX_RENEWAL_AGE + longest)
+        }
+    }
+}
+
 /// Returns the limits for the decisions of a cell: those that the platform sets, and the defaults
 /// for the others.
 fn limits(settings: &Settings) -> Limits {
     Limits {
         stop_timeout: settings.stop_timeout,
         max_lease: max_lease_duration(settings.max_worker_lease),
+        max_call_delay: MAX_CALL_DELAY,
         remote_slowdown: settings.remote_factor,
         ..Limits::default()
     }
 }
-        max_call_delay: MAX_CALL_DELAY,
--- a/crates/havenladder/src/entry/watch.rs
+++ b/crates/havenladder/src/entry/watch.rs
@@ -36,9 +36,15 @@
     }
 }
 
-/// Records that an incarnation of a worker has responded to a poll, and the time that its clock shows.
+/// Records that an incarnation of a worker has responded to a poll, and the time that its clock shows. From the first
+/// response on, the worker refuses calls of earlier owners, so that leases that they gave last no longer than any lease
+/// that begins now.
 fn record_response(owner: &Owner, id: &str, clock: ClockMs, now: Instant) {
+    let longest = max_lease_duration(owner.node.settings.max_worker_lease);
     if let Some(contact) = owner.contacts.borrow_mut().get_mut(id) {
+        if contact.last_answer.is_none() {
+            contact.lease_until = contact.lease_until.min(now + longest);
+        }
         contact.clock = Some((clock, now));
         contact.last_answer = Some(now);
     }
@@ -156,7 +162,7 @@
         }
         ResponseOutcome::Replaced { next, restarted } => {
             if !owner.contacts.borrow().contains_key(&next) {
-                contact_worker(owner, next.clone(), owner.inherited_leases_until);
+                contact_worker(owner, next.clone());
             }
             if restarted {
                 record_restart(owner, &next, now);
--- a/crates/havenladder/src/entry/worker_list.rs
+++ b/crates/havenladder/src/entry/worker_list.rs
@@ -96,14 +96,14 @@
         }
         Listing::Incarnation(incarnation) => {
             info!(target: kind::WORKER, worker = %incarnation, service, draining, "worker listed");
-            contact_worker(owner, incarnation, owner.inherited_leases_until);
+            contact_worker(owner, incarnation);
         }
     }
 }
 
-/// Starts to watch an incarnation of a worker whose lease may be held until `leased`.
-pub fn contact_worker(owner: &Rc<Owner>, incarnation: WorkerId, leased: Instant) {
-    let contact = Contact::new(leased);
+/// Starts to watch an incarnation of a worker.
+pub fn contact_worker(owner: &Rc<Owner>, incarnation: WorkerId) {
+    let contact = Contact::new(owner.inherited_leases.of(incarnation.name()));
     owner
         .contacts
         .borrow_mut()
@@ -161,10 +161,20 @@
 /// Abandons orphaned workers, which an earlier owner had used and which are no longer listed, once their leases have
 /// expired.
 async fn expire_orphans(owner: Rc<Owner>) {
-    timer::sleep_until(owner.inherited_leases_until).await;
-    let orphans = owner.cell.borrow().orphaned_workers();
-    for id in orphans {
-        abandon_worker(&owner, &id, Loss::Ended);
+    while owner.is_alive() {
+        let until = |id: &WorkerId| owner.inherited_leases.of(id.name());
+        let orphans = owner.cell.borrow().orphaned_workers();
+        let Some(next) = orphans.iter().map(until).min() else {
+            return;
+        };
+        timer::sleep_until(next).await;
+        let now = Instant::now();
+        for id in orphans.iter().filter(|id| until(id) <= now) {
+            // Its list entry may have been read in the meantime.
+            if owner.cell.borrow().is_orphaned_worker(id) {
+                abandon_worker(&owner, id, Loss::Ended);
+            }
+        }
+        owner.wake();
     }
-    owner.wake();
 }
