fix(entry): a worker whose entry expires keeps its unreported runs as long as others do

What callers saw: two runs of a task at once, under one owner, 2.7 s after the first began.

Cause: a silent worker that had left the list, as one does that is cut off for three heartbeats, was abandoned with all its runs once its usual lease had expired. The longer time for runs that no report has named was applied only to workers that are still listed. A release left the same runs out where the watch of their incarnation had ended.

Evidence: restarted_and_cut_off, while_its_entry_expires: run 1 began at 755.705 s, run 2 at 758.399 s, and run 1 held for 10 s.

Why the fix works: such a worker is abandoned only once none of its starts can have any effect; until then its reported runs are freed like those of any silent worker. Former incarnations of a worker are abandoned by the same rule. The release takes unreported runs from the cell's workers, with or without a watch.

--- a/crates/havenladder/src/entry/owner/mod.rs
+++ b/crates/havenladder/src/entry/owner/mod.rs
@@ -306,12 +306,15 @@
     pub fn remaining_leases(&self) -> RemainingLeases {
         let cell = self.cell.borrow();
         let contacts = self.contacts.borrow();
-        let held = contacts.iter().map(|(id, contact)| {
-            let unreported = cell.unreported_until(id);
-            let until = unreported.map_or(contact.lease_until, |at| at.max(contact.lease_until));
-            (id.name().to_owned(), until)
+        let leased = contacts
+            .iter()
+            .map(|(id, contact)| (id.name().to_owned(), contact.lease_until));
+        let unreported = cell.workers.keys().filter_map(|id| {
+            let until = cell.unreported_until(id)?;
+            Some((id.name().to_owned(), until))
         });
         let usual = max_lease_duration(WORKER_LEASE_DURATION);
+        let held = leased.chain(unreported);
         self.inherited_leases
             .at_release(held, usual, Instant::now())
     }
--- a/crates/havenladder/src/entry/watch.rs
+++ b/crates/havenladder/src/entry/watch.rs
@@ -286,17 +286,28 @@
     worker.is_some_and(|worker| !worker.runs.is_empty())
 }
 
+/// Returns whether runs that this incarnation was ordered to start may still begin or go on at another one.
+fn may_have_unreported(owner: &Owner, id: &str) -> bool {
+    let until = owner.cell.borrow().unreported_until(id);
+    until.is_some_and(|until| Instant::now() < until)
+}
+
 /// Frees the tasks of a worker whose lease has expired, since nothing can run there any more. Returns whether the
-/// worker is also draining or no longer known, so that it can be abandoned.
+/// worker can be abandoned: it is no longer known, or it is draining and its starts can have no effect any more.
 fn release_lapsed(owner: &Rc<Owner>, id: &str) -> bool {
-    if orders::find_worker(owner, id).is_none_or(|info| info.draining) {
+    let Some(info) = orders::find_worker(owner, id) else {
+        return true;
+    };
+    let unreported = may_have_unreported(owner, id);
+    if info.draining && !unreported {
         return true;
     }
     if has_runs(owner, id) {
         abandon_runs(owner, id);
     }
     // Runs sent to the earlier incarnations may have reached this one, where their leases have expired as well.
-    let former = owner.cell.borrow().former_incarnations(id);
+    let mut former = owner.cell.borrow().former_incarnations(id);
+    former.retain(|incarnation| !may_have_unreported(owner, incarnation));
     for incarnation in former {
         abandon_worker(owner, &incarnation, Loss::Ended);
     }
--- a/crates/havenladder/tests/restarted_and_cut_off.rs
+++ b/crates/havenladder/tests/restarted_and_cut_off.rs
@@ -41,11 +41,16 @@
 /// Time within which a restarted worker has written its entry.
 const LISTING_TIME: Duration = Duration::from_millis(100);
 
+/// Time after which the entry of a worker that does not reach the store is removed.
+const ENTRY_EXPIRY: Duration = Duration::from_millis(4_500);
+
 /// What happens to the owner whose start is carried out late.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum OwnerFate {
     /// It continues.
     Continues,
+    /// It continues, and the entry of the worker expires.
+    ContinuesWithoutEntry,
     /// It is told to stop and releases the cell.
     Stops,
     /// It is killed.
@@ -123,6 +128,11 @@
     time::sleep(LISTING_TIME).await;
     match fate {
         OwnerFate::Continues => {}
+        OwnerFate::ContinuesWithoutEntry => {
+            time::sleep(ENTRY_EXPIRY).await;
+            let worker = site.cloud.worker(&vm).expect("the VM is up");
+            site.log.put("keyed.servers", &worker.id, b"");
+        }
         OwnerFate::Stops => site.entries[owner].signal(Signal::TERM),
         OwnerFate::IsKilled => site.entries[owner].signal(Signal::KILL),
     }
@@ -137,6 +147,7 @@
 
 #[parameterized(
     while_the_owner_continues = { 9_310, Duration::from_millis(2_000), OwnerFate::Continues },
+    while_its_entry_expires = { 9_313, Duration::from_millis(2_000), OwnerFate::ContinuesWithoutEntry },
     after_its_owner_has_released_the_cell = { 9_311, Duration::from_millis(300), OwnerFate::Stops },
     after_its_owner_was_killed = { 9_312, Duration::from_millis(2_500), OwnerFate::IsKilled },
 )]
--- a/crates/jobs/src/cell/workers.rs
+++ b/crates/jobs/src/cell/workers.rs
@@ -183,12 +183,13 @@
         let take = |key: (TaskId, RunId)| Some((key, worker.remove(key.0, key.1)?));
         let kept: Vec<_> = kept.into_iter().filter_map(take).collect();
         let info = WorkerInfo::clone(&worker.info);
-        let called_at = worker.called_at;
+        let (called_at, unlisted_at) = (worker.called_at, worker.unlisted_at);
         let lost = self.abandon_worker(id, Loss::Lapsed, now);
         self.upsert_worker(info, now);
         if let (Some(worker), Some(lost)) = (self.workers.get_mut(id), &lost) {
             worker.lapsed.clone_from(&lost.runs);
             worker.called_at = called_at;
+            worker.unlisted_at = unlisted_at;
             for ((task, run), state) in kept {
                 worker.add(task, run, state);
             }
