fix(entry): an owner that claims the cell again waits for the leases that it gave before

What callers saw: two runs of a task at once, both started by one entry, after a change of owner from it to itself.

Cause: an owner that ends without a release, because a worker has seen a higher fencing token, claims the cell again if nobody else has. What it knew of its predecessor was the last record that it had read, and it reads none while it writes them itself: it waited as long as for an owner of long ago, or as if there had been none.

Evidence: restarted_and_cut_off, after_its_owner_has_claimed_the_cell_again, with the fixes before: 'owns the cell' with 'end: Nobody' and leases_ms 3,758, run 2 4.8 s after run 1, which held for 10 s.

Why the fix works: records that this entry has written count as renewals of its predecessor, who was itself.

--- a/crates/havenladder/src/entry/lease/log.rs
+++ b/crates/havenladder/src/entry/lease/log.rs
@@ -25,7 +25,7 @@
     pub(super) election: Election,
     /// Incarnation that wrote the newest record, and whether it released the cell with it.
     pub(super) holder: Option<(IncarnationId, bool)>,
-    /// Time at which a renewal of the current owner was last read.
+    /// Time at which a renewal of the current owner was last read or, if this entry is the owner, written.
     pub(super) last_renewal: Option<Instant>,
     /// Time at which the store last did not answer.
     pub(super) last_outage: Option<Instant>,
@@ -194,8 +194,10 @@
     log.first_sent = Some(FirstSent::record(log.first_sent, offset, Instant::now()));
     match append(node, offset, &lease).await {
         Some(AppendResponse::Done(end)) => {
+            let now = Instant::now();
             log.end = end;
-            apply_lease(node, log, lease, Instant::now());
+            log.last_renewal = Some(now);
+            apply_lease(node, log, lease, now);
             WriteOutcome::Done
         }
         Some(AppendResponse::Moved(_)) => {
--- a/crates/havenladder/tests/restarted_and_cut_off.rs
+++ b/crates/havenladder/tests/restarted_and_cut_off.rs
@@ -51,6 +51,8 @@
     Continues,
     /// It continues, and the entry of the worker expires.
     ContinuesWithoutEntry,
+    /// It ends without a release, since a worker has seen a higher fencing token, and claims the cell again.
+    ClaimsAgain,
     /// It is told to stop and releases the cell.
     Stops,
     /// It is killed.
@@ -108,12 +110,16 @@
 /// after `delay`.
 async fn start_on_the_next_incarnation(seed: u64, delay: Duration, fate: OwnerFate) {
     let name = "restarted-and-cut-off";
-    let mut site = entries::start(name, seed, 2).await;
+    let entries = match fate {
+        OwnerFate::ClaimsAgain => 1,
+        _ => 3,
+    };
+    let mut site = entries::start_with(name, seed, 2, entries).await;
     time::sleep(STARTUP_TIME).await;
     entries::submit(&site, 2, FILLER).await;
     time::sleep(REPORT_TIME).await;
     set_start_modes(&site, StartMode::Late(delay));
-    let owner = owner(name, seed, 3);
+    let owner = owner(name, seed, entries);
     let call = request("POST", 1, LONG_JOB);
     let job = format!("{:016x}.", 1);
     let (head, vm) = tokio::join!(
@@ -133,6 +139,12 @@
             let worker = site.cloud.worker(&vm).expect("the VM is up");
             site.log.put("keyed.servers", &worker.id, b"");
         }
+        OwnerFate::ClaimsAgain => {
+            let others = site.cloud.names().into_iter().filter(|name| *name != vm);
+            for worker in others.filter_map(|name| site.cloud.worker(&name)) {
+                worker.raise_fence(1);
+            }
+        }
         OwnerFate::Stops => site.entries[owner].signal(Signal::TERM),
         OwnerFate::IsKilled => site.entries[owner].signal(Signal::KILL),
     }
@@ -148,6 +160,7 @@
 #[parameterized(
     while_the_owner_continues = { 9_310, Duration::from_millis(2_000), OwnerFate::Continues },
     while_its_entry_expires = { 9_313, Duration::from_millis(2_000), OwnerFate::ContinuesWithoutEntry },
+    after_its_owner_has_claimed_the_cell_again = { 9_314, Duration::from_millis(300), OwnerFate::ClaimsAgain },
     after_its_owner_has_released_the_cell = { 9_311, Duration::from_millis(300), OwnerFate::Stops },
     after_its_owner_was_killed = { 9_312, Duration::from_millis(2_500), OwnerFate::IsKilled },
 )]
--- a/crates/standin/src/users/worker.rs
+++ b/crates/standin/src/users/worker.rs
@@ -241,6 +241,11 @@
         self.changed.notify_waiters();
     }
 
+    /// Raises the highest fencing token that the worker has seen, as a request of another owner does.
+    pub fn raise_fence(&self, by: u64) {
+        self.state().fence += by;
+    }
+
     /// Sets how further requests to start a run are handled.
     pub fn set_start_mode(&self, mode: StartMode) {
         *self.start_mode.lock().expect("no thread panics here") = mode;
