fix(entry): an owner that has released the cell, or has freed a run, does not resend its start

Why the fix works: the resend is left out unless the owner may still extend leases and the run is still ordered.

--- a/crates/havenladder/src/entry/starts.rs
+++ b/crates/havenladder/src/entry/starts.rs
@@ -15,7 +15,7 @@
     workers::{StartRequest, WorkerError, WorkerResponse},
 };
 use clock::Instant;
-use jobs::{Cell, Loss, Refusal, RunId, TaskId, WorkerId, WorkerInfo};
+use jobs::{Cell, Loss, Refusal, RunId, RunPhase, TaskId, WorkerId, WorkerInfo};
 use std::{pin::pin, rc::Rc, time::Duration};
 use tokio::{sync::OwnedSemaphorePermit, task, time};
 use tracing::info;
@@ -75,7 +75,7 @@
         ticket: &ticket,
     };
     admitted.sent();
-    let outcome = send_start(owner, &info, &order, start_permit).await;
+    let outcome = send_start(owner, &info, (task, run), &order, start_permit).await;
     owner.node.metrics.started(outcome_name(&outcome));
     match &outcome {
         Ok(_) => info!(target: kind::RUN, task = order.task, run, worker, deadline, "started"),
@@ -133,11 +133,19 @@
         .is_some_and(|worker| worker.responsive)
 }
 
+/// Returns whether a start that has no response may be resent: this owner still decides, and the run is still ordered.
+fn is_wanted(owner: &Owner, worker: &str, key: (TaskId, RunId)) -> bool {
+    let cell = owner.cell.borrow();
+    let state = cell.workers.get(worker).and_then(|w| w.runs.get(&key));
+    owner.may_hold() && state.is_some_and(|state| state.phase == RunPhase::Ordered)
+}
+
 /// Sends a start to a worker. If the response takes too long, the worker gets no further starts until it has
 /// responded to a poll, and the start's permit is released so that waiting starts need not wait for this response.
 async fn send_start(
     owner: &Rc<Owner>,
     info: &WorkerInfo,
+    key: (TaskId, RunId),
     order: &StartRequest<'_>,
     start_permit: Option<OwnedSemaphorePermit>,
 ) -> Result<WorkerResponse<()>, WorkerError> {
@@ -146,6 +154,11 @@
     if let Some(outcome) = unless_overdue(first.as_mut(), delay).await {
         return outcome;
     }
+    if !is_wanted(owner, &info.id, key) {
+        // The run may have been freed, and another call could begin it beside the next one of its task.
+        drop(start_permit);
+        return first.await;
+    }
     info!(
         target: kind::RUN,
         task = order.task,
--- a/crates/havenladder/tests/restarted_and_cut_off.rs
+++ b/crates/havenladder/tests/restarted_and_cut_off.rs
@@ -44,6 +44,9 @@
 /// Time after which the entry of a worker that does not reach the store is removed.
 const ENTRY_EXPIRY: Duration = Duration::from_millis(4_500);
 
+/// Time within which a start without a response is resent.
+const RESEND_TIME: Duration = Duration::from_secs(1);
+
 /// What happens to the owner whose start is carried out late.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum OwnerFate {
@@ -72,7 +75,7 @@
     let until = Instant::now() + START_TIMEOUT;
     let received = |name: &String| {
         let worker = site.cloud.worker(name);
-        worker.is_some_and(|worker| worker.withheld_starts() > 0)
+        worker.is_some_and(|worker| !worker.withheld_starts().is_empty())
     };
     loop {
         if let Some(name) = site.cloud.names().into_iter().find(received) {
@@ -106,6 +109,23 @@
     overlaps
 }
 
+/// Stops the owner while a start that it has sent has no response, and counts how often that start was sent.
+async fn stop_during_a_start(seed: u64) -> usize {
+    let name = "stopped-during-a-start";
+    let mut site = entries::start(name, seed, 2).await;
+    time::sleep(STARTUP_TIME).await;
+    set_start_modes(&site, StartMode::Late(OBSERVATION_TIME));
+    let owner = owner(name, seed, 3);
+    let (address, call) = (site.entries[owner].address, request("POST", 1, LONG_JOB));
+    tokio::spawn(async move { send_request(address, &call).await });
+    let vm = wait_for_start(&site).await;
+    site.entries[owner].signal(Signal::TERM);
+    time::sleep(RESEND_TIME).await;
+    let worker = site.cloud.worker(&vm).expect("the VM is up");
+    let starts = worker.withheld_starts();
+    starts.iter().filter(|(_, run)| *run == 1).count()
+}
+
 /// Lets a worker restart and be cut off while a start is on its way to it; the next incarnation carries the start out
 /// after `delay`.
 async fn start_on_the_next_incarnation(seed: u64, delay: Duration, fate: OwnerFate) {
@@ -171,3 +191,8 @@
 ) {
     block_on(start_on_the_next_incarnation(seed, delay, fate));
 }
+
+#[test]
+fn an_owner_that_has_released_the_cell_resends_no_start() {
+    block_on(async { assert_eq!(stop_during_a_start(9_315).await, 1) });
+}
--- a/crates/standin/src/users/worker.rs
+++ b/crates/standin/src/users/worker.rs
@@ -17,7 +17,7 @@
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard,
-        atomic::{AtomicBool, AtomicU64, Ordering::Relaxed},
+        atomic::{AtomicBool, Ordering::Relaxed},
     },
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
@@ -190,8 +190,8 @@
     /// restart.
     restart_delay: Option<Duration>,
     start_mode: Mutex<StartMode>,
-    /// Number of requests to start a run that have not been answered.
-    withheld_starts: AtomicU64,
+    /// Task and run of each request to start a run that has not been answered.
+    withheld_starts: Mutex<Vec<(String, u64)>>,
     events: Events,
 }
 
@@ -215,7 +215,7 @@
             crashed: Notify::new(),
             restart_delay,
             start_mode: Mutex::new(StartMode::Answered),
-            withheld_starts: AtomicU64::new(0),
+            withheld_starts: Mutex::default(),
             events,
         });
         let address = listen(&worker, Worker::handle).await?;
@@ -251,14 +251,17 @@
         *self.start_mode.lock().expect("no thread panics here") = mode;
     }
 
-    /// Returns the number of requests to start a run that were received without being answered.
-    pub fn withheld_starts(&self) -> u64 {
-        self.withheld_starts.load(Relaxed)
+    /// Returns the task and the run of each request to start a run that was received without being answered.
+    pub fn withheld_starts(&self) -> Vec<(String, u64)> {
+        let starts = self.withheld_starts.lock();
+        starts.expect("no thread panics here").clone()
     }
 
     /// Carries a start out after a time, on the incarnation that runs then.
     fn start_late(self: &Arc<Self>, body: Body, delay: Duration) {
-        self.withheld_starts.fetch_add(1, Relaxed);
+        let mut withheld = self.withheld_starts.lock().expect("no thread panics here");
+        withheld.push((body.task.clone(), body.run));
+        drop(withheld);
         let worker = Arc::clone(self);
         tokio::spawn(async move {
             time::sleep(delay).await;
