fix(entry): maintenance that an earlier owner ordered counts until it can no longer begin

An owner had ordered maintenance of one and was killed, the platform carried the order out 7 s later, and the next owner had taken another VM down meanwhile.

Cause: the next owner counted the VMs of its predecessor's orders for 4.1 s, the time in which two owners must not both give orders about a VM, and not for the 13 s in which an order may be carried out.

Why the fix works: VMs whose ordered maintenance has not been answered are recorded apart and count against the bound of their wave for as long as it may begin, under every later owner. The next owner takes them first; its own order replaces the earlier one.

--- a/crates/havenladder/src/entry/fleet.rs
+++ b/crates/havenladder/src/entry/fleet.rs
@@ -186,6 +186,9 @@
 /// Informs the cell which workers' VMs may still be taken down by an order of an earlier owner.
 fn mark_unconfirmed_workers(owner: &Owner, list: &VmList) {
     for vm in list.values() {
+        if vm.state == VmState::Upkeep {
+            owner.cell.borrow_mut().settle_maintenance(&vm.name);
+        }
         if let Some(worker) = &vm.worker {
             let unconfirmed = owner.has_unconfirmed_order(&vm.name);
             owner
--- a/crates/havenladder/src/entry/maintenance.rs
+++ b/crates/havenladder/src/entry/maintenance.rs
@@ -257,13 +257,17 @@
             && is_up(name)
     };
     let waiting = wave.vms.iter().filter(waits);
-    let mut next: Vec<(usize, &String)> = waiting
-        .map(|name| (weight(disruption(owner, &vms[name])), name))
+    // Maintenance that an earlier owner ordered may begin at any time, and an order of this owner replaces it.
+    let mut next: Vec<(bool, usize, &String)> = waiting
+        .map(|name| {
+            let weight = weight(disruption(owner, &vms[name]));
+            (!owner.has_pending_maintenance(name), weight, name)
+        })
         .collect();
     next.sort();
     // One VM beyond the bound is drained in advance.
     let wanted = (remaining + 1).saturating_sub(progress.draining.len());
-    for (_, name) in next.into_iter().take(wanted) {
+    for (.., name) in next.into_iter().take(wanted) {
         if let Some(id) = &vms[name].worker {
             let mut cell = owner.cell.borrow_mut();
             cell.set_closed(id, true);
@@ -294,17 +298,21 @@
 /// Orders maintenance for drained VMs whose runs may be interrupted now, as many as the bound and the order rate
 /// allow.
 async fn order_maintenance(owner: &Rc<Owner>, wave: &Wave, progress: &mut Progress, vms: &VmList) {
-    let max_orders =
-        remaining_disruptions(owner, wave, progress, vms).min(vm_orders::available(owner));
+    let mut remaining = remaining_disruptions(owner, wave, progress, vms);
+    let max_orders = vm_orders::available(owner);
     let draining: Vec<String> = progress.draining.keys().cloned().collect();
     let mut ready: Vec<&Vm> = Vec::new();
     for vm in draining.iter().filter_map(|name| vms.get(name)) {
-        if ready.len() < max_orders && may_take_down(owner, wave, progress, vm) {
+        // A VM whose maintenance may begin anyway is counted as unconfirmed already.
+        let counted = owner.has_pending_maintenance(&vm.name);
+        let allowed = (counted || remaining > 0) && ready.len() < max_orders;
+        if allowed && may_take_down(owner, wave, progress, vm) {
             ready.push(vm);
+            remaining -= usize::from(!counted);
         }
     }
     let names: Vec<&str> = ready.iter().map(|vm| vm.name.as_str()).collect();
-    if names.is_empty() || !owner.claim_vms(&names).await {
+    if names.is_empty() || !owner.claim_for_maintenance(&names).await {
         return;
     }
     // Runs may have changed while the record was being written, and each VM that goes down uses up disruption
@@ -313,6 +321,8 @@
     for vm in &ready {
         if disruption(owner, vm) != Disruption::Guarded {
             orders.push(begin_order(owner, wave, progress, vm));
+        } else {
+            owner.withdraw_maintenance(&[vm.name.as_str()]);
         }
     }
     ready.retain(|vm| progress.down.contains_key(&vm.name));
@@ -386,6 +396,10 @@
     vm: &Vm,
     outcome: Option<OrderOutcome>,
 ) {
+    if outcome.is_some_and(|outcome| outcome != OrderOutcome::Later) {
+        // The platform has seen this owner's fencing token, so that it refuses earlier orders as well.
+        owner.cell.borrow_mut().settle_maintenance(&vm.name);
+    }
     match outcome {
         Some(OrderOutcome::Done) => {
             progress.done.insert(vm.name.clone());
--- a/crates/havenladder/src/entry/own_cell.rs
+++ b/crates/havenladder/src/entry/own_cell.rs
@@ -2,7 +2,7 @@
 //! decides, records and acts in rounds, while background tasks watch the workers and manage the VMs.
 
 use super::{
-    fleet,
+    fleet::{self, ORDER_TIMEOUT},
     logs::kind,
     node::{Node, wall_ms},
     orders,
@@ -55,6 +55,10 @@
         return;
     }
     raise_takeover_barrier(&owner, started_at.elapsed());
+    owner
+        .cell
+        .borrow_mut()
+        .set_inherited_maintenance(owner.last_order + ORDER_TIMEOUT);
     owner.loaded.set(true);
     owner.state_changed.notify_waiters();
     task::spawn_local(worker_list::run(Rc::clone(&owner)));
--- a/crates/havenladder/src/entry/owner/mod.rs
+++ b/crates/havenladder/src/entry/owner/mod.rs
@@ -159,6 +159,8 @@
     unrecorded_order_at: Cell<Option<Instant>>,
     /// Whether the last renewal announced unrecorded orders about VMs.
     orders_announced: Cell<bool>,
+    /// Latest time at which the earlier owner may have given an order about a VM.
+    pub last_order: Instant,
     /// Time from which on this owner may give orders about VMs that the earlier owner may have
     /// given orders about. That owner did so for as long as its lease was certain, and two owners
     /// must not both give orders about a VM.
@@ -222,6 +224,7 @@
             PredecessorEnd::Replaced(at) => Some(*at),
             PredecessorEnd::Nobody | PredecessorEnd::Released(_) => None,
         };
+        let last_order = renewed.map_or(now, |at| at + CERTAIN_RENEWAL_AGE);
         let inherited_leases = inherited_leases(&node.settings, &before.end, now);
         let mut cell = JobCell::new(limits(&node.settings));
         if before.orders {
@@ -241,8 +244,8 @@
             trouble: before.trouble,
             unrecorded_order_at: Cell::new(None),
             orders_announced: Cell::new(false),
-            inherited_orders_until: renewed.map_or(now, |at| at + CERTAIN_RENEWAL_AGE)
-                + node.settings.order_lease,
+            inherited_orders_until: last_order + node.settings.order_lease,
+            last_order,
             ended_owners: RefCell::default(),
             vm_rate: RefCell::new(RateLimit::new(node.settings.vm_order_rate, now)),
             status_end: Cell::new(0),
--- a/crates/havenladder/src/entry/owner/vm_orders.rs
+++ b/crates/havenladder/src/entry/owner/vm_orders.rs
@@ -2,7 +2,10 @@
 //! previous owner must no longer be able to give orders about the same VM.
 
 use super::Owner;
-use crate::entry::peer::{self, PeerRequest, PeerResponse};
+use crate::entry::{
+    fleet::ORDER_TIMEOUT,
+    peer::{self, PeerRequest, PeerResponse},
+};
 use clock::{Instant, timer};
 use jobs::Holder;
 use std::{rc::Rc, time::Duration};
@@ -49,6 +52,25 @@
         self.wait_until(ANNOUNCEMENT_TIMEOUT, announced).await && self.is_certain()
     }
 
+    /// Waits until maintenance of these VMs may be ordered, and records that it may begin. Returns false if it may not
+    /// be ordered.
+    pub async fn claim_for_maintenance(self: &Rc<Self>, vms: &[&str]) -> bool {
+        let until = Instant::now() + ORDER_TIMEOUT;
+        let names = vms.iter().copied();
+        self.cell.borrow_mut().add_pending_maintenance(names, until);
+        let claimed = self.claim_vms(vms).await;
+        if !claimed {
+            self.withdraw_maintenance(vms);
+        }
+        claimed
+    }
+
+    /// Records that this owner does not order maintenance of these VMs after all.
+    pub fn withdraw_maintenance(&self, vms: &[&str]) {
+        let mut cell = self.cell.borrow_mut();
+        vms.iter().for_each(|vm| cell.withdraw_maintenance(vm));
+    }
+
     /// Waits until a condition is met. Returns false if it is not met in time, or if this owner is
     /// no longer certain of its lease.
     async fn wait_until(&self, within: Duration, is_met: impl Fn() -> bool) -> bool {
@@ -80,7 +102,16 @@
     /// Returns whether an order of an earlier owner about a VM may still be in progress, even if
     /// that owner's process has ended. Bounds and budgets count such a VM as one that is leaving.
     pub fn has_unconfirmed_order(&self, vm: &str) -> bool {
-        Instant::now() < self.inherited_orders_until && self.cell.borrow().may_be_ordered(vm)
+        let now = Instant::now();
+        let cell = self.cell.borrow();
+        now < self.inherited_orders_until && cell.may_be_ordered(vm)
+            || cell.has_pending_maintenance(vm, now)
+    }
+
+    /// Returns whether maintenance of a VM that was ordered may still begin.
+    pub fn has_pending_maintenance(&self, vm: &str) -> bool {
+        let cell = self.cell.borrow();
+        cell.has_pending_maintenance(vm, Instant::now())
     }
 
     /// Returns whether a VM has to be skipped because an earlier owner that may still run may have
--- a/crates/jobs/src/cell/durable.rs
+++ b/crates/jobs/src/cell/durable.rs
@@ -3,7 +3,8 @@
 use crate::{
     Batch, Cell, JobId, Order,
     record::{
-        encode_maintained, encode_state, encode_submission, encode_vm_orders, forget_submission,
+        encode_maintained, encode_pending_maintenance, encode_state, encode_submission,
+        encode_vm_orders, forget_submission,
     },
 };
 use std::collections::BTreeSet;
@@ -87,6 +88,8 @@
         }
         if let Some(vms) = self.vm_orders.take_change() {
             batch.entries.push(encode_vm_orders(&vms));
+            let pending = self.vm_orders.pending();
+            batch.entries.push(encode_pending_maintenance(&pending));
         }
         batch.vm_orders = self.vm_orders.batched;
         batch.starts = std::mem::take(&mut self.starts);
--- a/crates/jobs/src/cell/takeover.rs
+++ b/crates/jobs/src/cell/takeover.rs
@@ -27,6 +27,7 @@
                     states.insert(id, state);
                 }
                 Decoded::VmOrders(vms) => self.vm_orders.inherited = vms,
+                Decoded::PendingMaintenance(vms) => self.vm_orders.inherit_pending(vms),
                 Decoded::Maintained(wave, vms) => {
                     self.maintained_vms.insert(wave, vms);
                 }
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -41,6 +41,8 @@
     Maintained(u64, BTreeSet<String>),
     /// The VMs that an owner may have given orders about.
     VmOrders(BTreeMap<String, Holder>),
+    /// The VMs whose maintenance an owner has ordered and may still begin.
+    PendingMaintenance(BTreeSet<String>),
 }
 
 /// The state of a job as it is stored.
@@ -68,6 +70,9 @@
 /// The first letter of the key of the VM orders.
 const VM_ORDERS: char = 'o';
 
+/// The first letter of the key of the pending maintenance.
+const PENDING_MAINTENANCE: char = 'p';
+
 /// Returns the key of one kind of record.
 fn encode_key(kind: char, id: JobId) -> String {
     format!("{kind}{id:016x}")
@@ -119,6 +124,15 @@
     }
 }
 
+/// Returns the record of the VMs whose ordered maintenance may still begin.
+pub fn encode_pending_maintenance(vms: &BTreeSet<String>) -> Entry {
+    let value = rmp_serde::to_vec(vms).expect("plain data can be encoded as MessagePack");
+    Entry {
+        key: encode_key(PENDING_MAINTENANCE, 0),
+        value: Some(value),
+    }
+}
+
 /// Returns the record of the VMs that were maintained in a wave.
 pub fn encode_maintained(wave: u64, vms: &BTreeSet<String>) -> Entry {
     let value = rmp_serde::to_vec(vms).expect("plain data can be encoded as MessagePack");
@@ -157,6 +171,9 @@
         VM_ORDERS => Ok(Decoded::VmOrders(
             rmp_serde::from_slice(value).map_err(wrong)?,
         )),
+        PENDING_MAINTENANCE => Ok(Decoded::PendingMaintenance(
+            rmp_serde::from_slice(value).map_err(wrong)?,
+        )),
         _ => Err(unknown()),
     }
 }
--- a/crates/jobs/src/vm_orders.rs
+++ b/crates/jobs/src/vm_orders.rs
@@ -4,6 +4,9 @@
 //! An owner records the VMs that it is about to give orders about, and gives the orders once the record is
 //! durable. A new owner reads the record and leaves those VMs alone for a while, unless the process that gave
 //! the orders is known to have ended.
+//!
+//! An order for maintenance that the platform has not answered may be carried out seconds later, whatever has
+//! become of the owner that gave it. Such VMs are recorded apart, for as long as that may happen.
 
 use crate::Cell;
 use clock::Instant;
@@ -32,6 +35,12 @@
     pub(crate) inherited: BTreeMap<String, Holder>,
     /// Whether an earlier owner may have given orders about any VM without a record.
     unrecorded: bool,
+    /// The VMs whose maintenance this owner has ordered and may still begin, and until when.
+    pending: BTreeMap<String, Instant>,
+    /// The VMs whose maintenance earlier owners have ordered and may still begin.
+    inherited_pending: BTreeSet<String>,
+    /// Until when that maintenance may begin; `None` while it is not known.
+    inherited_until: Option<Instant>,
     /// The version of the record, raised at each change.
     pub(crate) version: u64,
     /// The version that was last put into a batch.
@@ -54,11 +63,29 @@
         Some(vms)
     }
 
+    /// Returns the VMs whose ordered maintenance may still begin.
+    pub(crate) fn pending(&self) -> BTreeSet<String> {
+        let own = self.pending.keys();
+        own.chain(&self.inherited_pending).cloned().collect()
+    }
+
+    /// Restores the VMs whose maintenance an earlier owner has ordered.
+    pub(crate) fn inherit_pending(&mut self, vms: BTreeSet<String>) {
+        self.inherited_pending = vms;
+    }
+
     /// Removes the orders that are no longer relevant, so that the next owner need not skip their VMs.
     pub(crate) fn forget_old(&mut self, now: Instant) {
-        let before = self.recent.len();
+        let count = |orders: &Self| {
+            orders.recent.len() + orders.pending.len() + orders.inherited_pending.len()
+        };
+        let before = count(self);
         self.recent.retain(|_, (_, until)| now < *until);
-        if self.recent.len() < before {
+        self.pending.retain(|_, until| now < *until);
+        if self.inherited_until.is_some_and(|until| now >= until) {
+            self.inherited_pending.clear();
+        }
+        if count(self) < before {
             self.version += 1;
         }
     }
@@ -127,6 +154,45 @@
         self.vm_orders.version
     }
 
+    /// Records that maintenance of these VMs is to be ordered, which may begin until `until` unless the platform
+    /// answers before. The record becomes durable with the next one of [`Cell::record_vm_orders`].
+    pub fn add_pending_maintenance<'a>(
+        &mut self,
+        vms: impl IntoIterator<Item = &'a str>,
+        until: Instant,
+    ) {
+        let vms = vms.into_iter().map(|vm| (vm.to_owned(), until));
+        self.vm_orders.pending.extend(vms);
+    }
+
+    /// Records that maintenance of a VM is not ordered by this owner after all.
+    pub fn withdraw_maintenance(&mut self, vm: &str) {
+        if self.vm_orders.pending.remove(vm).is_some() {
+            self.vm_orders.version += 1;
+        }
+    }
+
+    /// Records that maintenance of a VM has begun or that no order that was given for it can begin it any more.
+    pub fn settle_maintenance(&mut self, vm: &str) {
+        let own = self.vm_orders.pending.remove(vm).is_some();
+        let inherited = self.vm_orders.inherited_pending.remove(vm);
+        self.vm_orders.version += u64::from(own || inherited);
+    }
+
+    /// Sets until when maintenance that earlier owners have ordered may begin.
+    pub fn set_inherited_maintenance(&mut self, until: Instant) {
+        self.vm_orders.inherited_until = Some(until);
+    }
+
+    /// Returns whether ordered maintenance of a VM may still begin.
+    pub fn has_pending_maintenance(&self, vm: &str, now: Instant) -> bool {
+        let orders = &self.vm_orders;
+        let inherited = orders.inherited_until.is_none_or(|until| now < until)
+            && orders.inherited_pending.contains(vm);
+        let own = orders.pending.get(vm);
+        inherited || own.is_some_and(|until| now < *until)
+    }
+
     /// Returns whether the record is durable up to a version.
     pub fn are_vm_orders_durable(&self, version: u64) -> bool {
         self.vm_orders.durable >= version
--- a/crates/jobs/tests/vm_orders.rs
+++ b/crates/jobs/tests/vm_orders.rs
@@ -109,3 +109,35 @@
     assert!(!harness.cell.must_skip("vm-2", &HashSet::new()));
     assert!(!harness.cell.may_be_ordered("vm-2"));
 }
+
+#[test]
+fn maintenance_that_an_earlier_owner_ordered_may_begin_until_its_time_is_over() {
+    let mut harness = Harness::new(&["a1"]);
+    let order_validity = Duration::from_millis(3_000);
+    let until = harness.now + Duration::from_millis(13_000);
+    let vms = ["vm-1", "vm-2", "vm-3"];
+    harness.cell.add_pending_maintenance(vms, until);
+    harness
+        .cell
+        .record_vm_orders(vms, &holder(1), harness.now, order_validity);
+    harness.start_tasks();
+    harness.cell.settle_maintenance("vm-2");
+    harness.advance(5_000);
+    harness
+        .cell
+        .record_vm_orders(["vm-4"], &holder(1), harness.now, order_validity);
+    harness.start_tasks();
+    for _ in 0..2 {
+        harness.take_over();
+        let pending = |vm| harness.cell.has_pending_maintenance(vm, harness.now);
+        assert_eq!(
+            ["vm-1", "vm-2", "vm-3", "vm-4"].map(pending),
+            [true, false, true, false]
+        );
+        harness.cell.set_inherited_maintenance(until);
+    }
+    harness.cell.settle_maintenance("vm-3");
+    assert!(!harness.cell.has_pending_maintenance("vm-3", harness.now));
+    harness.advance(8_000);
+    assert!(!harness.cell.has_pending_maintenance("vm-1", harness.now));
+}
