fix(entry): the start of a run that a report has listed is resent

Since the resend was bound to runs that are still ordered, a start whose response was lost was not resent where a report had already listed the run: it ended without a response, and the owner stopped a run that worked.

Why the fix works: only a run that is being stopped is not wanted any more; a worker has a run once, however often it is ordered.

--- a/crates/havenladder/src/entry/starts.rs
+++ b/crates/havenladder/src/entry/starts.rs
@@ -133,11 +133,11 @@
         .is_some_and(|worker| worker.responsive)
 }
 
-/// Returns whether a start that has no response may be resent: this owner still decides, and the run is still ordered.
+/// Returns whether a start that has no response may be resent: this owner still decides, and the run is still wanted.
 fn is_wanted(owner: &Owner, worker: &str, key: (TaskId, RunId)) -> bool {
     let cell = owner.cell.borrow();
     let state = cell.workers.get(worker).and_then(|w| w.runs.get(&key));
-    owner.may_hold() && state.is_some_and(|state| state.phase == RunPhase::Ordered)
+    owner.may_hold() && state.is_some_and(|state| state.phase != RunPhase::Stopping)
 }
 
 /// Sends a start to a worker. If the response takes too long, the worker gets no further starts until it has
