--- /dev/null
+++ b/crates/havenladder/tests/odd_records.rs
@@ -0,0 +1,103 @@
+//! Others leave odd records where entries read: very deeply nested, with numbers too large, or under the key of another
+//! record.
+//!
+//! Guards against entries that end when they read such a record, against a list of VMs that is never read for one odd
+//! row, and against waves and configurations that an odd record hides.
+
+mod entries;
+
+use entries::{block_on, count_lines, submit};
+use havenladder_soak::site::Site;
+use havenladder_standin::users::{events::RunEvent, operator::write_wave};
+use std::{
+    collections::BTreeSet,
+    time::{Duration, Instant},
+};
+use tokio::time;
+use yare::parameterized;
+
+/// Name of the folders with the logs.
+const NAME: &str = "odd-records";
+
+/// Topic with the status of waves.
+const STATUS_TOPIC: &str = "keyed.status";
+
+/// Upper bound on the wait for a wave of the site's VMs; it takes some 6 s.
+const WAVE_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Upper bound on the wait for the tasks of a job.
+const JOB_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// A job that fills the site's workers.
+const JOB_BODY: &str =
+    r#"{"spec":"200","steps":[{"count":16,"cpu":1000,"mem-mb":10,"estimated-ms":200}]}"#;
+
+/// Returns an array nested so deeply that its decoder must not recurse.
+fn nested_arrays() -> String {
+    "[".repeat(100_000) + &"]".repeat(100_000)
+}
+
+/// Waits until a condition holds.
+async fn wait_until(what: &str, timeout: Duration, condition: impl Fn() -> bool) {
+    let until = Instant::now() + timeout;
+    while !condition() {
+        assert!(Instant::now() < until, "waited in vain for {what}");
+        time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+/// Submits a job and waits until each of its tasks has ended well, after one start.
+async fn run_job(site: &Site, id: u64) {
+    submit(site, id, JOB_BODY).await;
+    let job = format!("{id:016x}.");
+    let count = |kind: RunEvent| {
+        let events = site.events.all().into_iter();
+        let of_job = events.filter(|event| event.task.starts_with(&job) && event.kind == kind);
+        of_job.count()
+    };
+    wait_until("the tasks", JOB_TIMEOUT, || count(RunEvent::Done) == 16).await;
+    assert_eq!(count(RunEvent::Started), 16);
+}
+
+/// Waits until operators are told that a wave has succeeded.
+async fn wait_for_wave(site: &Site, wave: u64) {
+    let succeeded = || {
+        let status = site.log.get(STATUS_TOPIC, &format!("wave/{wave}"));
+        status.is_some_and(|status| String::from_utf8_lossy(&status).contains("succeeded"))
+    };
+    wait_until("the wave", WAVE_TIMEOUT, succeeded).await;
+    let ordered: BTreeSet<String> = site
+        .cloud
+        .orders()
+        .into_iter()
+        .map(|order| order.vm)
+        .collect();
+    assert_eq!(ordered, site.cloud.names().into_iter().collect());
+}
+
+/// Asserts that all entries are running, and that the cell has had one owner.
+fn assert_unharmed(site: &mut Site, seed: u64) {
+    for entry in &mut site.entries {
+        assert!(entry.is_running(), "a process has ended");
+    }
+    assert_eq!(count_lines(NAME, seed, "panicked"), 0);
+    assert_eq!(count_lines(NAME, seed, "\"owns the cell\""), 1);
+}
+
+/// Runs a wave on a site whose list of VMs holds an odd row.
+async fn add_odd_vm(seed: u64, row: String) {
+    let mut site = entries::start(NAME, seed, 2).await;
+    site.cloud.add_odd_row(&row);
+    run_job(&site, 1).await;
+    write_wave(&site.log, 1, &site.cloud.names());
+    wait_for_wave(&site, 1).await;
+    assert_unharmed(&mut site, seed);
+}
+
+#[parameterized(
+    deep_array = { 2211, nested_arrays() },
+    number_over_f64 = { 2212, r#"{"machine":"odd","capacity":{"cpu":1e400}}"#.to_owned() },
+)]
+fn an_odd_row_does_not_hide_the_list_of_vms(seed: u64, row: String) {
+    block_on(add_odd_vm(seed, row));
+}
--- a/crates/standin/src/users/cloud.rs
+++ b/crates/standin/src/users/cloud.rs
@@ -2,7 +2,7 @@
 
 use super::{events::Events, log::Log, worker::Worker};
 use crate::{
-    http::{HandlerResponse, HttpRequest, build_response, json},
+    http::{HandlerResponse, HttpRequest, build_response},
     proxy::{Faults, Proxy},
 };
 use serde_json::{Value, json as value};
@@ -67,6 +67,8 @@
     worker_vms: Arc<Mutex<Vec<String>>>,
     /// Accepted orders in the order in which they were received.
     orders: Arc<Mutex<Vec<VmOrder>>>,
+    /// Text of a row that the list of VMs holds before all others.
+    odd_row: Arc<Mutex<Option<String>>>,
 }
 
 impl Cloud {
@@ -79,9 +81,15 @@
             keeps_ids: Arc::default(),
             worker_vms: Arc::default(),
             orders: Arc::default(),
+            odd_row: Arc::default(),
         }
     }
 
+    /// Adds a row to the list of VMs, which need not describe one.
+    pub fn add_odd_row(&self, text: &str) {
+        *self.odd_row.lock().expect("no thread panics here") = Some(text.to_owned());
+    }
+
     /// Makes workers keep their ids across restarts, whether a task ended them or their VM was
     /// moved or maintained. Applies to workers that are added from now on.
     pub fn keep_ids(&self) {
@@ -211,7 +219,9 @@
             .and_then(|text| text.parse().ok())
             .unwrap_or(0);
         let status = match (request.method.as_str(), request.path.as_str()) {
-            ("GET", "/machines") => return Some(json(&self.list())),
+            ("GET", "/machines") => {
+                return Some(build_response(200, "application/json", self.list()));
+            }
             ("POST", "/machine-move") => {
                 self.move_to(name, body["pool"].as_str().unwrap_or_default(), fence)
             }
@@ -234,7 +244,7 @@
         self.vms.lock().expect("no thread panics here")
     }
 
-    fn list(&self) -> Value {
+    fn list(&self) -> String {
         let vms = self.vms();
         let row = |(name, vm): (&String, &Vm)| {
             value!({
@@ -247,8 +257,13 @@
                 "id": vm.worker.as_ref().map(|worker| worker.id.clone()),
             })
         };
-        let rows: Vec<Value> = vms.iter().map(row).collect();
-        value!({ "machines": rows, "next-page-token": null })
+        let odd_row = self.odd_row.lock().expect("no thread panics here").clone();
+        let rows: Vec<String> = vms.iter().map(|vm| row(vm).to_string()).collect();
+        let rows: Vec<String> = odd_row.into_iter().chain(rows).collect();
+        format!(
+            r#"{{"machines":[{}],"next-page-token":null}}"#,
+            rows.join(",")
+        )
     }
 
     fn move_to(&self, name: &str, pool: &str, fence: u64) -> Result<(), &'static str> {
