fix(entry): a wave whose bound is the largest number is carried out

A wave with an `upper-bound` of 2^64 - 1, which means no bound, never began, and stopped all other waves and moves of VMs with it: the owner adds one VM to those that may go down, which is drained in advance, and the sum overflowed. With overflow checks the loop that decides about VMs ended; without them the sum is 0, so that no VM of the wave was ever drained.

The addition now saturates.

--- a/crates/havenladder/src/entry/maintenance.rs
+++ b/crates/havenladder/src/entry/maintenance.rs
@@ -262,7 +262,9 @@
         .collect();
     next.sort();
     // One VM beyond the bound is drained in advance.
-    let wanted = (remaining + 1).saturating_sub(progress.draining.len());
+    let wanted = remaining
+        .saturating_add(1)
+        .saturating_sub(progress.draining.len());
     for (_, name) in next.into_iter().take(wanted) {
         if let Some(id) = &vms[name].worker {
             let mut cell = owner.cell.borrow_mut();
--- a/crates/havenladder/tests/odd_records.rs
+++ b/crates/havenladder/tests/odd_records.rs
@@ -19,6 +19,9 @@
 /// Name of the folders with the logs.
 const NAME: &str = "odd-records";
 
+/// Topic for operators' records.
+const OPERATOR_TOPIC: &str = "keyed.op";
+
 /// Topic with the status of waves.
 const STATUS_TOPIC: &str = "keyed.status";
 
@@ -101,3 +104,18 @@
 fn an_odd_row_does_not_hide_the_list_of_vms(seed: u64, row: String) {
     block_on(add_odd_vm(seed, row));
 }
+
+/// Requests a wave whose bound lets all VMs be down at once.
+async fn request_unbounded_wave(seed: u64) {
+    let mut site = entries::start(NAME, seed, 2).await;
+    run_job(&site, 1).await;
+    let wave = br#"{"wave":1,"machines":["vm-0","vm-1"],"duration-s":20,"upper-bound":18446744073709551615}"#;
+    site.log.put(OPERATOR_TOPIC, "wave/1", wave);
+    wait_for_wave(&site, 1).await;
+    assert_unharmed(&mut site, seed);
+}
+
+#[test]
+fn a_bound_at_the_end_of_its_range_does_not_stop_waves() {
+    block_on(request_unbounded_wave(2213));
+}
