fix(platform): a wave under the key of another one does not take its place

A record `op/wave/7` whose content says that it is wave 1 was taken for wave 1. Since a wave does not change once it is requested, the real wave 1 was then ignored: operators read `succeeded` under `status/wave/1` while none of its VMs had had its maintenance.

`read_wave` now takes the key as well and rejects a wave with the number of another one. The record is logged as any other that cannot be decoded and has no effect.

--- a/crates/havenladder/src/entry/in_force.rs
+++ b/crates/havenladder/src/entry/in_force.rs
@@ -249,7 +249,7 @@
 
     /// Adds a wave. A wave does not change once it has been requested.
     fn add_wave(&mut self, key: &str, value: &Bytes) {
-        match operator::read_wave(value) {
+        match operator::read_wave(key, value) {
             Ok(wave) => {
                 let (number, vms, most) = (wave.number, wave.vms.len(), wave.max_down);
                 info!(wave = number, vms, most, "wave requested");
--- a/crates/havenladder/tests/odd_records.rs
+++ b/crates/havenladder/tests/odd_records.rs
@@ -40,6 +40,11 @@
     "[".repeat(100_000) + &"]".repeat(100_000)
 }
 
+/// Returns a record of the lease or of a job, nested so deeply that its decoder must not recurse.
+fn deep_record() -> Vec<u8> {
+    vec![0x91; 200_000]
+}
+
 /// Waits until a condition holds.
 async fn wait_until(what: &str, timeout: Duration, condition: impl Fn() -> bool) {
     let until = Instant::now() + timeout;
@@ -87,6 +92,50 @@
     assert_eq!(count_lines(NAME, seed, "\"owns the cell\""), 1);
 }
 
+/// Writes the odd records that a run is about.
+fn put(site: &Site, records: &[(&str, &str, Vec<u8>)]) {
+    for (topic, key, value) in records {
+        site.log.put(topic, key, value);
+    }
+}
+
+/// Runs jobs and a wave on a site with odd records, which are written before an entry owns the cell and again later.
+async fn add_odd_records(seed: u64, records: Vec<(&'static str, &'static str, Vec<u8>)>) {
+    let mut site = entries::start(NAME, seed, 2).await;
+    put(&site, &records);
+    run_job(&site, 1).await;
+    put(&site, &records);
+    write_wave(&site.log, 1, &site.cloud.names());
+    wait_for_wave(&site, 1).await;
+    run_job(&site, 2).await;
+    assert_unharmed(&mut site, seed);
+}
+
+/// Returns a wave without VMs.
+fn wave(number: &str, duration: &str, bound: &str) -> Vec<u8> {
+    let text = format!(
+        r#"{{"wave":{number},"machines":["vm-9"],"duration-s":{duration},"upper-bound":{bound}}}"#
+    );
+    text.into()
+}
+
+#[parameterized(
+    deep_wave = { 2201, vec![(OPERATOR_TOPIC, "wave/7", nested_arrays().into())] },
+    wave_with_numbers_at_the_end_of_their_ranges = { 2202, vec![(OPERATOR_TOPIC, "wave/18446744073709551615", wave("18446744073709551615", "1e308", "18446744073709551615"))] },
+    wave_under_another_key_does_not_replace_the_one_requested = { 2203, vec![(OPERATOR_TOPIC, "wave/7", wave("1", "20", "1"))] },
+    deep_drain = { 2204, vec![(OPERATOR_TOPIC, "evacuate/a", nested_arrays().into())] },
+    drain_without_a_name = { 2205, vec![(OPERATOR_TOPIC, "evacuate/", b"{}".to_vec())] },
+    deep_job_records = { 2208, vec![("keyed.jobs", "g0000000000000009", deep_record()), ("keyed.jobs", "s0000000000000009", deep_record())] },
+    deep_lease_record = { 2210, vec![("owner", "", deep_record())] },
+    job_record_of_a_huge_length = { 2209, vec![("keyed.jobs", "g0000000000000009", vec![0x92, 0x01, 0xdd, 0xff, 0xff, 0xff, 0xff]), ("keyed.jobs", "w0000000000000009", vec![0xdd, 0xff, 0xff, 0xff, 0xff])] },
+)]
+fn an_odd_record_harms_no_entry_and_hides_no_other(
+    seed: u64,
+    records: Vec<(&'static str, &'static str, Vec<u8>)>,
+) {
+    block_on(add_odd_records(seed, records));
+}
+
 /// Runs a wave on a site whose list of VMs holds an odd row.
 async fn add_odd_vm(seed: u64, row: String) {
     let mut site = entries::start(NAME, seed, 2).await;
