fix(platform): one odd queue or service does not hide a configuration

A configuration with one row under `routes` or `services` that could not be decoded was rejected as a whole: entries kept the last one, and an entry that started with it had none and answered 503 to every call.

`configuration in force` shows as `odd_rows` how many were skipped. A configuration whose version, or list of rows, cannot be decoded is rejected as before, and the last one stays in force.

The forms of `an_invalid_configuration_leaves_the_last_one_in_force` held before. The time that a large configuration takes was not measured.

--- a/crates/havenladder/src/entry/in_force.rs
+++ b/crates/havenladder/src/entry/in_force.rs
@@ -240,6 +240,7 @@
             queues = config.queues.len(),
             workspaces = self.keyring.workspaces().count(),
             odd = ?workspaces.map(|workspaces| workspaces.odd).unwrap_or_default(),
+            odd_rows = config.odd_rows,
             shared_keys = self.keyring.shared_keys(),
             "configuration in force"
         );
--- a/crates/havenladder/tests/odd_records.rs
+++ b/crates/havenladder/tests/odd_records.rs
@@ -168,3 +168,51 @@
 fn a_bound_at_the_end_of_its_range_does_not_stop_waves() {
     block_on(request_unbounded_wave(2213));
 }
+
+/// Writes an invalid configuration while another one is in force.
+async fn write_invalid_configuration(seed: u64, value: Vec<u8>) {
+    let mut site = entries::start(NAME, seed, 2).await;
+    run_job(&site, 1).await;
+    site.log.put(OPERATOR_TOPIC, "config", &value);
+    let refusals = || count_lines(NAME, seed, "\"cannot decode a configuration");
+    wait_until("the entries", JOB_TIMEOUT, || refusals() == 3).await;
+    run_job(&site, 2).await;
+    site.configure();
+    let versions = || count_lines(NAME, seed, "\"configuration in force\"");
+    wait_until("the next one", JOB_TIMEOUT, || versions() == 6).await;
+    assert_unharmed(&mut site, seed);
+}
+
+#[parameterized(
+    deep_array = { 2221, nested_arrays().into() },
+    version_over_u64 = { 2222, br#"{"version":18446744073709551616,"routes":[]}"#.to_vec() },
+    invalid_utf8 = { 2223, b"{\"version\":9,\"routes\":[{\"name\":\"\xff\"}]}".to_vec() },
+)]
+fn an_invalid_configuration_leaves_the_last_one_in_force(seed: u64, value: Vec<u8>) {
+    block_on(write_invalid_configuration(seed, value));
+}
+
+/// Starts entries whose configuration holds an odd queue and an odd service.
+async fn add_odd_rows(seed: u64, row: String) {
+    let mut site = entries::start(NAME, seed, 2).await;
+    let config = site
+        .log
+        .get(OPERATOR_TOPIC, "config")
+        .expect("a configuration");
+    let mut text = String::from_utf8_lossy(&config).into_owned();
+    for rows in ["\"routes\":[", "\"services\":["] {
+        text = text.replacen(rows, &format!("{rows}{row},"), 1);
+    }
+    site.log.put(OPERATOR_TOPIC, "config", text.as_bytes());
+    run_job(&site, 1).await;
+    assert_eq!(count_lines(NAME, seed, "\"odd_rows\":2"), 3);
+    assert_unharmed(&mut site, seed);
+}
+
+#[parameterized(
+    deep_array = { 2231, nested_arrays() },
+    number_over_f64 = { 2232, r#"{"name":1e400}"#.to_owned() },
+)]
+fn an_odd_queue_or_service_does_not_hide_the_others(seed: u64, row: String) {
+    block_on(add_odd_rows(seed, row));
+}
