fix(jobs): a worker that has never answered does not count as the largest

A long-running task that is larger than every worker demands no VMs, since none of them would help. With an entry of another writer in the list that announced 10,000 cores, such a task counted as one that fits elsewhere, so that its pool asked for VMs in vain: 50 tasks of 5 cores on workers of 4 demanded 250 cores.

The largest capacity is now that of the workers that have answered. Until one has, any task counts as possible, as before. Nothing else counts the capacity of such an entry: starts, gangs, reservations and quarantine need a worker that responds, and forecasts and pools rest on the list of VMs.

--- a/crates/jobs/src/headroom.rs
+++ b/crates/jobs/src/headroom.rs
@@ -38,7 +38,8 @@
     all: Extent,
     /// The extent of the open workers with each label.
     by_label: HashMap<String, Extent>,
-    /// The largest amounts that any worker of any service has; VMs move between services.
+    /// The largest amounts that any worker of any service has; VMs move between services. A worker counts from its first
+    /// answer on, since the list may name workers that never existed.
     largest: Need,
 }
 
@@ -66,7 +67,8 @@
                 }
             }
         }
-        let capacities = all.map(|worker| worker.info.capacity);
+        let answered = all.filter(|worker| worker.last_seen.is_some());
+        let capacities = answered.map(|worker| worker.info.capacity);
         headroom.largest = capacities.fold(Need::default(), Need::max);
         headroom
     }
--- a/crates/jobs/tests/misfits.rs
+++ b/crates/jobs/tests/misfits.rs
@@ -8,7 +8,7 @@
 #[expect(dead_code, reason = "no owner is replaced here")]
 mod harness;
 
-use fixture::{job, step};
+use fixture::{job, step, worker};
 use harness::{Harness, task};
 use havenladder_jobs::{JobId, Need, RunOutcome, Step, Submission};
 use yare::parameterized;
@@ -233,6 +233,18 @@
     assert_eq!(harness.cell.demand("s").unschedulable.need, Need::default());
 }
 
+/// Another writer may list a worker of any size, and no VM is as large.
+#[test]
+fn a_worker_that_has_never_answered_does_not_count_as_the_largest() {
+    let mut harness = Harness::new(&["a1", "b1"]);
+    let mut odd = worker("i-odd");
+    odd.capacity.cpu = 10_000_000;
+    harness.cell.upsert_worker(odd, harness.now);
+    harness.cell.accept(job(1, vec![long_running(50, 5_000)]));
+    assert!(harness.start_tasks().is_empty());
+    assert_eq!(harness.cell.demand("s").unschedulable.need, Need::default());
+}
+
 /// All waiting tasks count, however many there are.
 #[test]
 fn every_unschedulable_task_demands_capacity() {
