fix(jobs): a job at the end of the order of arrival does not stop its owner

A recorded submission with the order 2^64 - 1 overflowed the next one. With overflow checks the owner ended as it took the cell over, and so did each one after it; without them the order began at 0 again, where the takeover barrier takes it that there was no earlier owner. Only another writer can leave such a record.

Both additions saturate. Tests of odd records beside it held before: arrays and maps 250,000 and 125,000 levels deep, and arrays, maps, texts, bytes and extensions that announce 4 GB, all of them decoded on a stack of 512 KB.

Evidence: `a_job_at_the_end_of_the_order_does_not_stop_later_ones` failed before with "attempt to add with overflow".

--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -198,7 +198,7 @@
             }
         }
         let job = Job::new(submission, self.next_order);
-        self.next_order += 1;
+        self.next_order = self.next_order.saturating_add(1);
         self.jobs.insert(id, job);
         self.open_account(id);
         self.assign_virtual_start(id);
--- a/crates/jobs/src/cell/takeover.rs
+++ b/crates/jobs/src/cell/takeover.rs
@@ -17,7 +17,7 @@
             match record {
                 Decoded::Submission(_, submission) if submission.spec.check().is_err() => {}
                 Decoded::Submission(order, submission) => {
-                    self.next_order = self.next_order.max(order + 1);
+                    self.next_order = self.next_order.max(order.saturating_add(1));
                     if !submission.spec.is_long_running() {
                         self.finite_services.insert(submission.service.clone());
                     }
--- a/crates/jobs/tests/decoders.rs
+++ b/crates/jobs/tests/decoders.rs
@@ -9,7 +9,11 @@
     Cell, Decoded, Job, Limits, Phase, Report, Round, State, Step, decode_entry,
 };
 use proptest::prelude::*;
-use std::time::Duration;
+use std::{thread, time::Duration};
+use yare::parameterized;
+
+/// Size of the stack on which records are decoded, a fraction of what a process has.
+const SMALL_STACK_BYTES: usize = 512 << 10;
 
 /// First letters of the keys of records: submissions, states of jobs, waves and VM orders; the last one is not used.
 const KINDS: [char; 5] = ['g', 's', 'w', 'o', 'x'];
@@ -51,6 +55,60 @@
     })
 }
 
+/// Returns bytes that begin a value of each kind of record and end in `rest`.
+fn begun(rest: &[u8]) -> [Vec<u8>; 4] {
+    let begin = |head: &[u8]| [head, rest].concat();
+    // A submission is a pair of its order and its content, a state is a list of its fields.
+    [
+        begin(&[0x92, 0x01]),
+        begin(&[0x93]),
+        begin(&[0xdc, 0x00, 0x01]),
+        begin(&[0x81]),
+    ]
+}
+
+#[parameterized(
+    deep_arrays = { vec![0x91; 250_000] },
+    deep_maps = { [0x81, 0x01].repeat(125_000) },
+    array_of_a_huge_length = { vec![0xdd, 0xff, 0xff, 0xff, 0xff] },
+    map_of_a_huge_length = { vec![0xdf, 0xff, 0xff, 0xff, 0xff] },
+    text_of_a_huge_length = { vec![0xdb, 0xff, 0xff, 0xff, 0xff, 0x61] },
+    bytes_of_a_huge_length = { vec![0xc6, 0xff, 0xff, 0xff, 0xff, 0x61] },
+    extension_of_a_huge_length = { vec![0xc9, 0xff, 0xff, 0xff, 0xff, 0x01] },
+)]
+fn an_odd_record_takes_neither_the_stack_nor_much_memory(rest: Vec<u8>) {
+    let decode = move || {
+        for value in begun(&rest).iter().chain([&rest]) {
+            for kind in KINDS {
+                assert!(decode_entry(&format!("{kind}0000000000000001"), value).is_err());
+            }
+        }
+    };
+    let thread = thread::Builder::new().stack_size(SMALL_STACK_BYTES);
+    let outcome = thread.spawn(decode).expect("a thread").join();
+    outcome.expect("the test holds");
+}
+
+/// A cell that has taken such a job over must accept others.
+#[test]
+fn a_job_at_the_end_of_the_order_does_not_stop_later_ones() {
+    let odd = Job::new(job(1, vec![step(1)]), u64::MAX);
+    let state = State {
+        phase: Phase::Pending,
+        rounds: odd.rounds,
+        workspace: None,
+    };
+    let mut cell = load_and_run(vec![
+        Decoded::Submission(u64::MAX, odd.submission),
+        Decoded::State(1, state),
+    ]);
+    for id in 2..4 {
+        cell.accept(job(id, vec![step(1)]));
+    }
+    cell.schedule(Instant::now());
+    assert_eq!(cell.jobs[&3].phase, Phase::Running);
+}
+
 proptest! {
     #[test]
     fn no_bytes_are_decoded_as_another_kind_of_record(kind in 0..KINDS.len(), id: u64, bytes in any::<Vec<u8>>()) {
