--- a/crates/havenladder/src/entry/in_force.rs
+++ b/crates/havenladder/src/entry/in_force.rs
@@ -240,6 +240,7 @@
             queues = config.queues.len(),
             workspaces = self.keyring.workspaces().count(),
             odd = ?workspaces.map(|workspaces| workspaces.odd).unwrap_or_default(),
+            odd_rows = config.odd_rows,
             shared_keys = self.keyring.shared_keys(),
             "configuration in force"
         );
@@ -249,7 +250,7 @@
 
     /// Adds a wave. A wave does not change once it has been requested.
     fn add_wave(&mut self, key: &str, value: &Bytes) {
-        match operator::read_wave(value) {
+        match operator::read_wave(key, value) {
             Ok(wave) => {
                 let (number, vms, most) = (wave.number, wave.vms.len(), wave.max_down);
                 info!(wave = number, vms, most, "wave requested");
