fix(jobs): a job whose state is larger than a record ends no owner

All tasks of a job were one record. As its tasks were placed, it outgrew `record_bytes`; the log refused the append, and each owner in turn gave the cell up.

The tasks of a job are now divided into parts by the largest size that their state can have, so that no part exceeds a record whatever happens to the tasks; only parts that have changed are written. Jobs of one part (82 tasks with three attempts) keep their record as it was, and records of earlier versions are read. A batch becomes durable in as many calls as `call_bytes` asks for; starts follow the last one, and a batch that is cut off leaves each task in its former or present state. A job whose records the bound does not admit is refused at once with 503. If the log refuses a record all the same, calls are halved until it is found, and its job alone is given up.

To make the bound one, saved progress above 1,024 bytes is not kept, nor more than 16 crashes against a task. Considered instead: a more compact or compressed state, which moves the limit and proves nothing, and a bound alone, which would refuse jobs of more than some 165 tasks.

--- a/crates/havenladder/src/entry/own_cell.rs
+++ b/crates/havenladder/src/entry/own_cell.rs
@@ -91,13 +91,11 @@
         let mut batch = decide(owner);
         loop_stats.record_round(owner, started_at.elapsed());
         owner.send_urgent();
-        if !batch.entries.is_empty() {
-            if !append(owner, &batch.entries, sequence, &mut batch.starts).await {
-                break;
-            }
-            sequence += 1;
+        let is_empty = batch.is_empty();
+        if !batch.entries.is_empty() && !append(owner, &mut batch, &mut sequence).await {
+            break;
         }
-        if !batch.is_empty() {
+        if !is_empty {
             carry_out(owner, batch);
         }
         let due = Instant::now() + MIN_ROUND_INTERVAL;
--- a/crates/havenladder/src/entry/owner/load.rs
+++ b/crates/havenladder/src/entry/owner/load.rs
@@ -2,7 +2,7 @@
 
 use super::{
     Owner,
-    append::{RETRY_INTERVAL, TOPIC, append},
+    append::{RETRY_INTERVAL, TOPIC, fence},
 };
 use crate::entry::store_calls;
 use adapter::store::KeyedRecord;
@@ -18,7 +18,7 @@
 /// off itself.
 pub async fn load(owner: &Rc<Owner>) -> bool {
     let began = Instant::now();
-    if !append(owner, &[], 0, &mut Vec::new()).await {
+    if !fence(owner).await {
         owner.end("a newer owner was first");
         return false;
     }
--- a/crates/havenladder/src/entry/owner/requests.rs
+++ b/crates/havenladder/src/entry/owner/requests.rs
@@ -104,6 +104,15 @@
         match self.admit(&submission) {
             Admission::Admitted => {}
             Admission::IdTaken => return PeerResponse::Refused,
+            Admission::Unstorable => {
+                info!(
+                    target: kind::JOB,
+                    job,
+                    tasks = submission.spec.task_count() * u64::from(submission.spec.rounds()),
+                    "rejected: the log may not accept the records of the job"
+                );
+                return PeerResponse::Refused;
+            }
             Admission::TooLarge => {
                 info!(
                     target: kind::JOB,
@@ -144,7 +153,7 @@
         }
     }
 
-    /// Returns whether a job may be accepted for its workspace.
+    /// Returns whether a job may be accepted, and for its workspace.
     fn admit(&self, submission: &Submission) -> Admission {
         self.update_workspaces();
         let cell = self.cell.borrow();
@@ -156,6 +165,10 @@
                 false => Admission::IdTaken,
             };
         }
+        let record_bytes = self.node.settings.append_limits.record_bytes;
+        if !submission.is_storable(record_bytes) {
+            return Admission::Unstorable;
+        }
         let steps = &submission.spec.steps;
         match &submission.workspace {
             Some(workspace) if cell.exceeds_bound(workspace, steps) => Admission::TooLarge,
@@ -274,6 +287,8 @@
     Admitted,
     /// The id belongs to a job of another workspace.
     IdTaken,
+    /// The log may not accept the records of the job.
+    Unstorable,
     /// The job needs more than its workspace may ever have running.
     TooLarge,
 }
--- a/crates/jobs/src/cell/crashes.rs
+++ b/crates/jobs/src/cell/crashes.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     Cell, CrashHistory, Involvement, JobId, LostRun, Phase, TaskId, TaskPhase,
+    parts::MAX_RECORDED_CRASHES,
     suspicion::{Crash, PROVEN_AGE, Standing},
 };
 use clock::Instant;
@@ -88,6 +89,7 @@
         let runtime = run.known_runtime.as_millis() as u64;
         for task in state.repeats_mut(step, index) {
             counts |= task.history.record_crash(crash, runtime);
+            limit_crashes(&mut task.history);
         }
         self.mark_dirty(job);
         counts
@@ -219,3 +221,13 @@
         .filter(|run| run.involvement != Involvement::Unsent && !is_old(run))
         .collect()
 }
+
+/// Limits the crashes against a task to what a record holds. Those that are dropped count for nothing beside the
+/// others: a task with more crashes that count would have failed.
+fn limit_crashes(history: &mut CrashHistory) {
+    let counts = |crash: &Crash| crash.fresh || crash.age_ms.is_some() || crash.alone;
+    while history.crashes.len() > MAX_RECORDED_CRASHES {
+        let uncounted = history.crashes.iter().position(|crash| !counts(crash));
+        history.crashes.remove(uncounted.unwrap_or(0));
+    }
+}
--- a/crates/jobs/src/cell/durable.rs
+++ b/crates/jobs/src/cell/durable.rs
@@ -1,9 +1,11 @@
 //! Collects what has to be recorded, the orders that wait for records, and the orders that need none.
 
 use crate::{
-    Batch, Cell, JobId, Order,
+    Batch, Cell, Entry, Job, JobId, Order, Phase,
+    parts::Parts,
     record::{
-        encode_maintained, encode_state, encode_submission, encode_vm_orders, forget_submission,
+        encode_maintained, encode_part, encode_state, encode_submission, encode_vm_orders,
+        forget_part, forget_submission,
     },
 };
 use std::collections::BTreeSet;
@@ -63,22 +65,25 @@
         durable
     }
 
-    /// Takes the records and starts that have accumulated since the last batch.
+    /// Takes the records and starts that have accumulated since the last batch. If only the first of the records
+    /// become durable, wherever that ends, the next owner restores each job in its present or its former state.
     pub fn take_batch(&mut self) -> Batch {
-        let mut batch = Batch::default();
+        let mut batch = Batch {
+            entries: std::mem::take(&mut self.obsolete),
+            ..Batch::default()
+        };
         let dirty: Vec<JobId> = self.dirty.drain().collect();
         for id in dirty {
-            let Some(job) = self.jobs.get(&id) else {
+            let Some(job) = self.jobs.get_mut(&id) else {
                 continue;
             };
             let is_new = self.new_jobs.remove(&id);
-            if is_new && !job.phase.is_over() {
-                batch.entries.push(encode_submission(job));
-            } else if !is_new && job.phase.is_over() {
-                batch.entries.push(forget_submission(id));
-            }
-            batch.entries.push(encode_state(job));
             batch.phases.push((id, job.phase));
+            if job.phase.is_over() {
+                push_end(job, is_new, &mut batch.entries);
+            } else {
+                push_state(job, is_new, &mut batch.entries);
+            }
         }
         for wave in std::mem::take(&mut self.unrecorded_waves) {
             batch
@@ -103,4 +108,42 @@
             }
         }
     }
+
+    /// Gives up a job one of whose records the log can never take. One that is durable has failed. Any other one is
+    /// withdrawn: without its state, the next owner does not restore it.
+    pub fn give_up(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get(&id).filter(|job| !job.phase.is_over()) else {
+            return;
+        };
+        if job.durable_phase.is_some() {
+            self.finish(id, Phase::Failed);
+        } else {
+            self.new_jobs.insert(id);
+            self.withdraw(id);
+            self.obsolete.push(forget_submission(id));
+        }
+    }
+}
+
+/// Adds the records of a job that is not over: its state follows the tasks that it refers to.
+fn push_state(job: &mut Job, is_new: bool, entries: &mut Vec<Entry>) {
+    if is_new {
+        entries.push(encode_submission(job));
+    }
+    let changed = job.parts.as_mut().map(Parts::take_changed);
+    let changed = changed.unwrap_or_default();
+    entries.extend(changed.into_iter().map(|first| encode_part(job, first)));
+    entries.push(encode_state(job));
+}
+
+/// Adds the records of a job that is over: its outcome precedes the removal of all else.
+fn push_end(job: &mut Job, is_new: bool, entries: &mut Vec<Entry>) {
+    let id = job.submission.id;
+    entries.push(encode_state(job));
+    if !is_new {
+        entries.push(forget_submission(id));
+    }
+    let recorded = job.parts.as_mut().map(Parts::take_recorded);
+    let recorded = recorded.unwrap_or_default();
+    entries.extend(recorded.into_iter().map(|first| forget_part(id, first)));
 }
--- a/crates/jobs/src/cell/ends.rs
+++ b/crates/jobs/src/cell/ends.rs
@@ -42,9 +42,7 @@
         }
         job.find_step(task)?;
         let state = job.task_mut(task.round, task.step, task.index)?;
-        if !saved.is_empty() {
-            state.saved = saved.to_owned();
-        }
+        state.save_progress(saved);
         // An earlier owner may have started the run without a record; run numbers must keep rising.
         state.max_reported_run = state.max_reported_run.max(run);
         job.find_step(task)
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -29,7 +29,7 @@
 pub use limits::Limits;
 
 use crate::{
-    Charge, HallId, HallStates, Job, JobId, Need, Order, Phase, QueueId, RunId, ServiceId,
+    Charge, Entry, HallId, HallStates, Job, JobId, Need, Order, Phase, QueueId, RunId, ServiceId,
     Submission, TaskId, TaskPhase, WorkerId, Workers,
     arrivals::Arrivals,
     hall_return::Returns,
@@ -119,6 +119,8 @@
     new_jobs: HashSet<JobId>,
     /// The jobs whose state has changed since the last batch of records.
     dirty: HashSet<JobId>,
+    /// Records to be removed that earlier owners have left of jobs that are over.
+    obsolete: Vec<Entry>,
     /// The highest end of each worker that has been processed since the last batch of records.
     acknowledged: BTreeMap<WorkerId, u64>,
     /// The starts that wait until the records of their tasks are durable.
--- a/crates/jobs/src/cell/takeover.rs
+++ b/crates/jobs/src/cell/takeover.rs
@@ -2,9 +2,12 @@
 
 use crate::{
     Cell, Job, JobId, JobSpec, QueueId, RunId, ServiceId, Submission, Task, TaskId, TaskPhase,
-    WorkerId, cell::Orphan, record::Decoded,
+    WorkerId,
+    cell::Orphan,
+    parts::Part,
+    record::{Decoded, State, forget_part, forget_submission},
 };
-use std::collections::HashMap;
+use std::collections::{HashMap, hash_map};
 
 impl Cell {
     /// Restores the jobs from the records of the log, which may come in any order. Tasks that an earlier
@@ -13,6 +16,8 @@
     /// following owner would fail on it as well.
     pub fn load_records(&mut self, records: Vec<Decoded>) -> Vec<JobId> {
         let mut states = HashMap::new();
+        let mut invalid = Vec::new();
+        let mut parts: HashMap<JobId, Vec<(usize, Part)>> = HashMap::new();
         for record in records {
             match record {
                 Decoded::Submission(_, submission) if submission.spec.check().is_err() => {}
@@ -26,6 +31,9 @@
                 Decoded::State(id, state) => {
                     states.insert(id, state);
                 }
+                Decoded::Part(id, first, part) => {
+                    parts.entry(id).or_default().push((first, part));
+                }
                 Decoded::VmOrders(vms) => self.vm_orders.inherited = vms,
                 Decoded::Maintained(wave, vms) => {
                     self.maintained_vms.insert(wave, vms);
@@ -33,35 +41,42 @@
             }
         }
         for (id, state) in states {
-            let job = self
-                .jobs
-                .entry(id)
-                .or_insert_with(|| Job::new(finished_submission(id), 0));
-            job.phase = state.phase;
-            job.durable_phase = Some(state.phase);
+            let parts = parts.remove(&id).unwrap_or_default();
             if state.phase.is_over() {
-                job.submission.workspace = state.workspace.or(job.submission.workspace.take());
-            }
-            if !state.phase.is_over() && job.fits(&state.rounds) {
-                job.rounds = state.rounds;
-            } else if !state.phase.is_over() {
-                job.durable_phase = None;
+                self.restore_outcome(id, state, &parts);
+            } else {
+                match self.jobs.get_mut(&id) {
+                    Some(job) => restore_state(job, state, parts),
+                    None => invalid.push(id),
+                }
             }
         }
-        // The submission and the state of a job are written in one call. If one of them is missing, a record
-        // was lost or the call was not completed; that must not stop the takeover.
-        let is_whole = |job: &Job| {
-            let known = job.phase.is_over() || !job.submission.spec.steps.is_empty();
-            job.durable_phase.is_some() && known
-        };
-        let invalid = self.jobs.extract_if(|_, job| !is_whole(job));
-        let invalid: Vec<JobId> = invalid.map(|(id, _)| id).collect();
+        // The state of a job follows its submission, perhaps in a later call. If one of them is missing, a record
+        // was lost or the calls were not completed; that must not stop the takeover.
+        let incomplete = self.jobs.extract_if(|_, job| job.durable_phase.is_none());
+        invalid.extend(incomplete.map(|(id, _)| id));
         self.assign_virtual_starts();
         let ids: Vec<JobId> = self.jobs.keys().copied().collect();
         ids.into_iter().for_each(|id| self.restore_job(id));
         invalid
     }
 
+    /// Restores a job that is over. The records that the earlier owner did not remove are removed with the next batch.
+    fn restore_outcome(&mut self, id: JobId, state: State, parts: &[(usize, Part)]) {
+        let job = match self.jobs.entry(id) {
+            hash_map::Entry::Occupied(job) => {
+                self.obsolete.push(forget_submission(id));
+                job.into_mut()
+            }
+            hash_map::Entry::Vacant(job) => job.insert(Job::new(finished_submission(id), 0)),
+        };
+        job.phase = state.phase;
+        job.durable_phase = Some(state.phase);
+        job.submission.workspace = state.workspace.or(job.submission.workspace.take());
+        let parts = parts.iter().map(|(first, _)| forget_part(id, *first));
+        self.obsolete.extend(parts);
+    }
+
     /// Restores the runs that an earlier owner placed for a job, and queues the job's waiting tasks.
     fn restore_job(&mut self, id: JobId) {
         let Some(job) = self.jobs.get(&id) else {
@@ -85,6 +100,18 @@
     }
 }
 
+/// Restores the state of a job that is not over. It does not become durable if its records are inconsistent.
+fn restore_state(job: &mut Job, state: State, parts: Vec<(usize, Part)>) {
+    job.phase = state.phase;
+    let is_consistent = if job.fits(&state.rounds) {
+        job.restore_rounds(state.rounds);
+        true
+    } else {
+        state.rounds.is_empty() && job.restore_parts(parts)
+    };
+    job.durable_phase = is_consistent.then_some(state.phase);
+}
+
 /// Returns an empty submission for a job that is over and of which only the outcome is kept.
 fn finished_submission(id: JobId) -> Submission {
     let spec = JobSpec {
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -1,6 +1,9 @@
 //! The state of a job: its rounds, steps and tasks.
 
-use crate::{Account, CrashHistory, RunId, Step, Submission, TaskId, WorkerId};
+use crate::{
+    Account, CrashHistory, RunId, Step, Submission, TaskId, WorkerId,
+    parts::{MAX_PROGRESS_BYTES, Parts},
+};
 use serde::{Deserialize, Serialize};
 use std::rc::Rc;
 
@@ -61,6 +64,13 @@
     pub fn next_run(&self) -> RunId {
         self.run.max(self.max_reported_run) + 1
     }
+
+    /// Keeps the latest saved progress of the current run, if there is any and a record can hold it.
+    pub(crate) fn save_progress(&mut self, saved: &str) {
+        if !saved.is_empty() && saved.len() <= MAX_PROGRESS_BYTES {
+            saved.clone_into(&mut self.saved);
+        }
+    }
 }
 
 /// One round (repeat) of a job.
@@ -100,6 +110,27 @@
         self.due && step.after.iter().all(ended)
     }
 
+    /// Counts the tasks of each step that have not succeeded. The tasks of a gang succeed together, although not all
+    /// of their records may have become durable.
+    pub(crate) fn recount(&mut self, steps: &[Step]) {
+        let open = |task: &&Task| task.phase != TaskPhase::Done;
+        for (_, tasks) in steps
+            .iter()
+            .zip(&mut self.steps)
+            .filter(|(step, _)| step.gang)
+        {
+            if !tasks.iter().all(|task| open(&task)) {
+                tasks
+                    .iter_mut()
+                    .for_each(|task| task.phase = TaskPhase::Done);
+            }
+        }
+        let counts = self.steps.iter();
+        self.unfinished = counts
+            .map(|tasks| tasks.iter().filter(open).count() as u32)
+            .collect();
+    }
+
     /// Returns the number of tasks that have not succeeded.
     pub fn unfinished_count(&self) -> u64 {
         self.unfinished.iter().map(|open| u64::from(*open)).sum()
@@ -135,6 +166,8 @@
     pub slack_ratio: Option<f64>,
     /// The account of its workspace; `None` if it belongs to no workspace.
     pub account: Option<Rc<Account>>,
+    /// The parts in which the tasks are recorded; `None` if they are in the record of the state.
+    pub(crate) parts: Option<Parts>,
 }
 
 impl Job {
@@ -143,6 +176,7 @@
         let fresh = Round::new(&submission.spec.steps);
         let rounds = vec![fresh; submission.spec.rounds() as usize];
         let critical_paths = critical_paths(&submission.spec.steps);
+        let parts = Parts::new(&submission.spec, submission.max_attempts);
         Job {
             submission,
             phase: Phase::Pending,
@@ -154,6 +188,7 @@
             over_share: false,
             slack_ratio: None,
             account: None,
+            parts,
         }
     }
 
@@ -205,8 +240,12 @@
             .get(index as usize)
     }
 
-    /// Returns the task with this step and index in each round.
+    /// Returns the task with this step and index in each round, for modification.
     pub(crate) fn repeats_mut(&mut self, step: u32, index: u32) -> impl Iterator<Item = &mut Task> {
+        if let Some(parts) = &mut self.parts {
+            let rounds = 0..self.rounds.len() as u32;
+            rounds.for_each(|round| parts.mark_changed(round, step, index));
+        }
         let tasks = self.rounds.iter_mut();
         tasks.filter_map(move |round| {
             let tasks = round.steps.get_mut(step as usize)?;
@@ -234,8 +273,12 @@
 
     /// Returns a task for modification, if the job has it.
     pub fn task_mut(&mut self, round: u32, step: u32, index: u32) -> Option<&mut Task> {
-        let round = self.rounds.get_mut(round as usize)?;
-        round.steps.get_mut(step as usize)?.get_mut(index as usize)
+        let state = self.rounds.get_mut(round as usize)?;
+        let tasks = state.steps.get_mut(step as usize)?;
+        if let Some(parts) = &mut self.parts {
+            parts.mark_changed(round, step, index);
+        }
+        tasks.get_mut(index as usize)
     }
 }
 
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod account;
 mod arrivals;
+mod calls;
 pub mod capacity;
 mod cell;
 mod disruption;
@@ -28,6 +29,7 @@
 mod need;
 mod observe;
 mod outbox;
+mod parts;
 mod pass;
 mod permit;
 mod place;
@@ -44,6 +46,7 @@
 mod workspace;
 
 pub use account::{Account, Charge};
+pub use calls::{AppendLimits, Calls, NextCall};
 pub use cell::{
     Accepted, BoundWait, Cancelled, Cell, Demand, Dispatch, Forecast, Limits, Unschedulable,
 };
@@ -60,6 +63,7 @@
 pub use loss::{Ending, Involvement, Loss, LostRun, LostWorker};
 pub use need::{Need, Resource};
 pub use outbox::{Batch, Order};
+pub use parts::Part;
 pub use pass::PassCounts;
 pub use permit::{Permit, StepId};
 pub use record::{Decoded, Entry, RecordError, State, decode_entry};
--- a/crates/jobs/src/observe.rs
+++ b/crates/jobs/src/observe.rs
@@ -198,7 +198,7 @@
             } = row.task;
             let job = self.jobs.get_mut(&row.task.job);
             if let Some(task) = job.and_then(|job| job.task_mut(round, step, index)) {
-                task.saved.clone_from(&row.saved);
+                task.save_progress(&row.saved);
             }
         }
     }
--- a/crates/jobs/src/outbox.rs
+++ b/crates/jobs/src/outbox.rs
@@ -59,6 +59,14 @@
 }
 
 impl Batch {
+    /// Removes the starts and the phase of a job that has been given up.
+    pub fn remove_job(&mut self, job: JobId) {
+        self.phases.retain(|(id, _)| *id != job);
+        let is_of_job =
+            |order: &Order| matches!(order, Order::Start { task, .. } if task.job == job);
+        self.starts.retain(|order| !is_of_job(order));
+    }
+
     /// Returns whether the batch contains nothing to store, start or acknowledge.
     pub fn is_empty(&self) -> bool {
         self.entries.is_empty() && self.starts.is_empty() && self.acknowledged.is_empty()
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -1,9 +1,12 @@
 //! The records of jobs in the log: for each job the submission, written once, and the state, written at each
-//! change.
+//! change. The tasks of a large job have records of their own.
 
-use crate::{Holder, Job, JobId, Phase, Round, Submission, WorkspaceId};
+use crate::{Holder, Job, JobId, Phase, Round, Submission, WorkspaceId, parts::Part};
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    io::{self, Write},
+};
 
 /// A record of the log by its key; without a value it removes the key's earlier records.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -14,6 +17,22 @@
     pub value: Option<Vec<u8>>,
 }
 
+impl Entry {
+    /// Returns the size of the key and the value, in bytes.
+    pub fn size(&self) -> usize {
+        self.key.len() + self.value.as_ref().map_or(0, Vec::len)
+    }
+
+    /// Returns the job that the record belongs to, if it belongs to one.
+    pub fn job(&self) -> Option<JobId> {
+        let kind = self.key.chars().next()?;
+        let id = self.key.get(1..KEY_BYTES)?;
+        [SUBMISSION, STATE, PART]
+            .contains(&kind)
+            .then(|| JobId::from_str_radix(id, 16).ok())?
+    }
+}
+
 /// The reason why a record cannot be read.
 #[derive(Debug, thiserror::Error)]
 pub enum RecordError {
@@ -37,6 +56,8 @@
     Submission(u64, Submission),
     /// The state of a job.
     State(JobId, State),
+    /// Some of the tasks of a job, with the position of the first of them.
+    Part(JobId, usize, Part),
     /// The VMs that were maintained in a wave.
     Maintained(u64, BTreeSet<String>),
     /// The VMs that an owner may have given orders about.
@@ -48,7 +69,7 @@
 pub struct State {
     /// The phase of the job.
     pub phase: Phase,
-    /// The rounds of the job; empty once the job is over.
+    /// The rounds of the job; empty once the job is over, or if its tasks have records of their own.
     pub rounds: Vec<Round>,
     /// The workspace that submitted the job, set once the job is over and the record of its submission is
     /// removed. Older records lack the field.
@@ -62,6 +83,12 @@
 /// The first letter of the key of a job's state.
 const STATE: char = 's';
 
+/// The first letter of the key of some of a job's tasks.
+const PART: char = 'p';
+
+/// The length of the first letter of a key and the id of a job.
+const KEY_BYTES: usize = 17;
+
 /// The first letter of the key of a wave's maintained VMs.
 const MAINTAINED: char = 'w';
 
@@ -73,6 +100,34 @@
     format!("{kind}{id:016x}")
 }
 
+/// Returns the key of the tasks of a job from a position on.
+fn encode_part_key(id: JobId, first: usize) -> String {
+    format!("{PART}{id:016x}{first:08x}")
+}
+
+/// A writer that counts the bytes that are written.
+#[derive(Default)]
+struct Counter(usize);
+
+impl Write for Counter {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0 += bytes.len();
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Returns the maximum size of the record of a submission, key and value together, in bytes.
+pub(crate) fn submission_bytes(submission: &Submission) -> usize {
+    let mut counter = Counter::default();
+    rmp_serde::encode::write(&mut counter, &(u64::MAX, submission))
+        .expect("plain data can be encoded as MessagePack");
+    KEY_BYTES + counter.0
+}
+
 /// Returns the record of a job's submission.
 pub fn encode_submission(job: &Job) -> Entry {
     let value = rmp_serde::to_vec(&(job.order, &job.submission))
@@ -91,10 +146,30 @@
     }
 }
 
-/// Returns the record of a job's state.
+/// Returns the record of the tasks of a job from a position on, as far as one part goes.
+pub fn encode_part(job: &Job, first: usize) -> Entry {
+    let value =
+        rmp_serde::to_vec(&job.part(first)).expect("plain data can be encoded as MessagePack");
+    Entry {
+        key: encode_part_key(job.submission.id, first),
+        value: Some(value),
+    }
+}
+
+/// Returns the record that removes the tasks of a job from a position on.
+pub fn forget_part(id: JobId, first: usize) -> Entry {
+    Entry {
+        key: encode_part_key(id, first),
+        value: None,
+    }
+}
+
+/// Returns the record of a job's state. It holds the tasks as well, unless they have records of their own.
 pub fn encode_state(job: &Job) -> Entry {
     let (rounds, workspace) = if job.phase.is_over() {
         (Vec::new(), job.submission.workspace.clone())
+    } else if job.parts.is_some() {
+        (Vec::new(), None)
     } else {
         (job.rounds.clone(), None)
     };
@@ -136,7 +211,7 @@
 pub fn decode_entry(key: &str, value: &[u8]) -> Result<Decoded, RecordError> {
     let unknown = || RecordError::Key(key.to_owned());
     let kind = key.chars().next().ok_or_else(unknown)?;
-    let id = JobId::from_str_radix(key.get(1..).ok_or_else(unknown)?, 16).map_err(|_| unknown())?;
+    let (id, first) = decode_key(key, kind).ok_or_else(unknown)?;
     let wrong = |source| RecordError::Value {
         key: key.to_owned(),
         source,
@@ -150,6 +225,11 @@
             id,
             rmp_serde::from_slice(value).map_err(wrong)?,
         )),
+        PART => Ok(Decoded::Part(
+            id,
+            first,
+            rmp_serde::from_slice(value).map_err(wrong)?,
+        )),
         MAINTAINED => Ok(Decoded::Maintained(
             id,
             rmp_serde::from_slice(value).map_err(wrong)?,
@@ -160,3 +240,13 @@
         _ => Err(unknown()),
     }
 }
+
+/// Returns the id in a key, and the position of the first task in the key of a part.
+fn decode_key(key: &str, kind: char) -> Option<(JobId, usize)> {
+    let (id, first) = match kind {
+        PART => (key.get(1..KEY_BYTES)?, key.get(KEY_BYTES..)?),
+        _ => (key.get(1..)?, "0"),
+    };
+    let id = JobId::from_str_radix(id, 16).ok()?;
+    Some((id, usize::from_str_radix(first, 16).ok()?))
+}
--- a/crates/jobs/src/spec.rs
+++ b/crates/jobs/src/spec.rs
@@ -8,7 +8,7 @@
 
 /// The maximum number of tasks of one job. It is far more than a pool could run, and keeps a caller's mistake
 /// from filling the owner's memory.
-const MAX_TASKS: u64 = 20_000;
+pub(crate) const MAX_TASKS: u64 = 20_000;
 
 /// The maximum number of repeats of one job.
 const MAX_REPEATS: u32 = 10_000;
--- a/crates/jobs/tests/decoders.rs
+++ b/crates/jobs/tests/decoders.rs
@@ -11,8 +11,9 @@
 use proptest::prelude::*;
 use std::time::Duration;
 
-/// First letters of the keys of records: submissions, states of jobs, waves and VM orders; the last one is not used.
-const KINDS: [char; 5] = ['g', 's', 'w', 'o', 'x'];
+/// First letters of the keys of records: submissions, states of jobs, tasks of large jobs, waves and VM orders; the last
+/// one is not used.
+const KINDS: [char; 6] = ['g', 's', 'p', 'w', 'o', 'x'];
 
 /// Loads the records into a cell with one worker, runs a few rounds and returns the cell.
 fn load_and_run(records: Vec<Decoded>) -> Cell {
@@ -54,12 +55,14 @@
 proptest! {
     #[test]
     fn no_bytes_are_decoded_as_another_kind_of_record(kind in 0..KINDS.len(), id: u64, bytes in any::<Vec<u8>>()) {
-        let key = format!("{}{id:016x}", KINDS[kind]);
+        let position = if KINDS[kind] == 'p' { "00000000" } else { "" };
+        let key = format!("{}{id:016x}{position}", KINDS[kind]);
         let decoded = decode_entry(&key, &bytes);
         let expected_kind = match (&decoded, KINDS[kind]) {
             (Err(_), _)
             | (Ok(Decoded::Submission(..)), 'g')
             | (Ok(Decoded::State(..)), 's')
+            | (Ok(Decoded::Part(..)), 'p')
             | (Ok(Decoded::Maintained(..)), 'w')
             | (Ok(Decoded::VmOrders(..)), 'o') => true,
             (Ok(_), _) => false
--- a/crates/standin/src/users/log.rs
+++ b/crates/standin/src/users/log.rs
@@ -29,6 +29,12 @@
 /// leaves at 0.
 const READ_HEADER_BYTES: usize = 16;
 
+/// The maximum size of a record, without its length.
+pub const RECORD_BYTES: usize = 262_144;
+
+/// The maximum size of the body of an append.
+pub const CALL_BYTES: usize = 2_097_152;
+
 /// The latest appends of a producer.
 #[derive(Debug, Default)]
 struct Producer {
@@ -60,6 +66,8 @@
     topics: Arc<Mutex<HashMap<String, Topic>>>,
     changed: Arc<Notify>,
     loss: Arc<Mutex<Option<Loss>>>,
+    /// Maximum size of a record while it is smaller than usual.
+    record_limit: Arc<Mutex<Option<usize>>>,
     /// Number of reads of each topic.
     reads: Arc<Mutex<BTreeMap<String, usize>>>,
 }
@@ -101,6 +109,11 @@
         *self.loss.lock().expect("no thread panics here") = loss;
     }
 
+    /// Refuses records of more than `bytes` from now on, although the settings of the entries name a higher limit.
+    pub fn limit_records(&self, bytes: usize) {
+        *self.record_limit.lock().expect("no thread panics here") = Some(bytes);
+    }
+
     /// Returns whether the next response to an append is lost.
     fn loses_response(&self) -> bool {
         let mut loss = self.loss.lock().expect("no thread panics here");
@@ -140,7 +153,9 @@
     }
 
     fn append(&self, name: &str, request: &HttpRequest) -> Response<Full<Bytes>> {
-        let outcome = self.with_topic(name, |topic| topic.append(name, request));
+        let limit = *self.record_limit.lock().expect("no thread panics here");
+        let limit = limit.unwrap_or(RECORD_BYTES);
+        let outcome = self.with_topic(name, |topic| topic.append(name, request, limit));
         self.changed.notify_waiters();
         let (status, body) = outcome;
         build_response(status, "application/json", body.to_string())
@@ -190,7 +205,7 @@
         self.records.push(record);
     }
 
-    fn append(&mut self, name: &str, request: &HttpRequest) -> (u16, Value) {
+    fn append(&mut self, name: &str, request: &HttpRequest, limit: usize) -> (u16, Value) {
         let end = self.records.len() as u64;
         if request.query_number("at").is_some_and(|at| at != end) {
             return (412, value!({ "end": end }));
@@ -198,12 +213,12 @@
         if let Some(refusal) = self.check_producer(request) {
             return refusal;
         }
-        let mut body = request.body.clone();
-        while body.len() >= 4 {
-            let length = body.get_u32() as usize;
-            let record = body.split_to(length.min(body.len()));
-            self.push(name, record);
-        }
+        let Some(records) = read_records(&request.body, limit) else {
+            return (400, value!({ "reason": "size" }));
+        };
+        records
+            .into_iter()
+            .for_each(|record| self.push(name, record));
         let end = self.records.len() as u64;
         self.record_append(request, end);
         (200, value!({ "end": end }))
@@ -269,3 +284,16 @@
     use base64::{Engine, engine::general_purpose::STANDARD};
     STANDARD.encode(bytes)
 }
+
+/// Returns the records of an append; none if the call or one of them, with more than `limit` bytes, is too large.
+fn read_records(body: &Bytes, limit: usize) -> Option<Vec<Bytes>> {
+    let mut rest = body.clone();
+    let mut records = Vec::new();
+    while rest.len() >= 4 {
+        let length = rest.get_u32() as usize;
+        records.push(rest.split_to(length.min(rest.len())));
+    }
+    let is_accepted =
+        body.len() <= CALL_BYTES && records.iter().all(|record| record.len() <= limit);
+    is_accepted.then_some(records)
+}
--- a/crates/standin/src/users/settings.rs
+++ b/crates/standin/src/users/settings.rs
@@ -1,6 +1,9 @@
 //! The settings file of an entry, as the users' machines give it to the process.
 
-use super::worker::MAX_HOLD_MS;
+use super::{
+    log::{CALL_BYTES, RECORD_BYTES},
+    worker::MAX_HOLD_MS,
+};
 use std::net::SocketAddr;
 
 /// The settings that differ between the entries of a site.
@@ -47,7 +50,7 @@
              seeds = [{}]\n[listen]\nfront = \"{ip}:{port}\"\nready = \"{ip}:{}\"\n\
              [limits]\ncpu-share = 0.25\n{link}\
              [bounds]\nstop_ms = 400\nmax-hold-ms = {MAX_HOLD_MS}\nlease-ms = 3000\ngrace-s = 6\nfar_x = 2\n\
-             [platform]\naddress = \"{log}\"\n[cloud]\naddress = \"{cloud}\"\nduty-per-s = 64.0\n",
+             [platform]\naddress = \"{log}\"\nrecord_bytes = {RECORD_BYTES}\ncall_bytes = {CALL_BYTES}\n[cloud]\naddress = \"{cloud}\"\nduty-per-s = 64.0\n",
             port + 4,
             port + 9,
             seeds.join(", "),
