perf(jobs): the leases of workers that answer the next owner count as known again

Cause: a release named every worker with a start that had not been reported yet, and for such a worker the next owner counted the longest lease even after it had answered.

Change: a release names the incarnation that the starts were sent to. If that one answers the next owner, it has lived all the time, so that no other one has accepted them, and the lease that the earlier owner knew counts. For workers that do not answer, or of which another incarnation answers, nothing changes.

--- a/crates/havenladder/src/entry/lease/mod.rs
+++ b/crates/havenladder/src/entry/lease/mod.rs
@@ -168,19 +168,27 @@
         released: false,
         inherited_lease_ms: 0,
         worker_leases: Vec::new(),
+        unasked_leases: Vec::new(),
     }
 }
 
 /// Returns the record by which an owner releases the lease.
 fn release_record(node: &Node, owner: &Owner) -> Lease {
-    let RemainingLeases { others, named } = owner.remaining_leases();
-    let named = named.into_iter();
+    let RemainingLeases {
+        others,
+        known,
+        unasked,
+    } = owner.remaining_leases();
+    let (known, unasked) = (known.into_iter(), unasked.into_iter());
     Lease {
         released: true,
         inherited_lease_ms: others.as_millis() as u64,
-        worker_leases: named
+        worker_leases: known
             .map(|(name, left)| (name, left.as_millis() as u64))
             .collect(),
+        unasked_leases: unasked
+            .map(|(id, left)| (id, left.as_millis() as u64))
+            .collect(),
         cpu: owner.successor.get().unwrap_or(node.settings.cpu_millis),
         unrecorded: owner.has_unrecorded_runs(),
         unrecorded_orders: owner.may_have_unrecorded_orders(),
--- a/crates/havenladder/src/entry/lease_state.rs
+++ b/crates/havenladder/src/entry/lease_state.rs
@@ -1,7 +1,7 @@
 //! Content of a record of the lease.
 
 use fleet::MilliCpu;
-use jobs::{RemainingLeases, WorkerName};
+use jobs::{RemainingLeases, WorkerId, WorkerName};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -37,17 +37,25 @@
     /// In a release: times in ms for which leases may hold on workers where they may hold longer than usual.
     #[serde(default)]
     pub worker_leases: Vec<(WorkerName, u64)>,
+    /// In a release: the incarnations that have not reported all starts that they were sent, with the times in ms for
+    /// which these runs may exist at another incarnation.
+    #[serde(default)]
+    pub unasked_leases: Vec<(WorkerId, u64)>,
 }
 
 impl Lease {
     /// Returns for how long leases may hold after the release.
     pub fn remaining_leases(&self) -> RemainingLeases {
-        let named = self.worker_leases.iter();
+        let known = self.worker_leases.iter();
+        let unasked = self.unasked_leases.iter();
         RemainingLeases {
             others: Duration::from_millis(self.inherited_lease_ms),
-            named: named
+            known: known
                 .map(|(name, ms)| (name.clone(), Duration::from_millis(*ms)))
                 .collect(),
+            unasked: unasked
+                .map(|(id, ms)| (id.clone(), Duration::from_millis(*ms)))
+                .collect(),
         }
     }
 
--- a/crates/havenladder/src/entry/owner/mod.rs
+++ b/crates/havenladder/src/entry/owner/mod.rs
@@ -18,7 +18,8 @@
 use clock::Instant;
 use fleet::{MilliCpu, RateLimit, STORE_TROUBLE_AGE, Stall, StoreTrouble};
 use jobs::{
-    Cell as JobCell, InheritedLeases, Limits, Order, RemainingLeases, WorkerId, WorkerName,
+    Cell as JobCell, HeldLeases, InheritedLeases, Limits, Order, RemainingLeases, WorkerId,
+    WorkerName,
 };
 use std::{
     cell::{Cell, RefCell},
@@ -309,15 +310,17 @@
     pub fn remaining_leases(&self) -> RemainingLeases {
         let cell = self.cell.borrow();
         let contacts = self.contacts.borrow();
-        let leased = contacts
-            .iter()
-            .map(|(id, contact)| (id.name().to_owned(), contact.lease_until));
-        let unreported = cell.workers.keys().filter_map(|id| {
-            let until = cell.unreported_until(id)?;
-            Some((id.name().to_owned(), until))
-        });
+        let leased = contacts.iter();
+        let unreported = cell.workers.keys();
+        let held = HeldLeases {
+            known: leased
+                .map(|(id, contact)| (id.clone(), contact.lease_until))
+                .collect(),
+            unasked: unreported
+                .filter_map(|id| Some((id.clone(), cell.unreported_until(id)?)))
+                .collect(),
+        };
         let usual = max_lease_duration(WORKER_LEASE_DURATION);
-        let held = leased.chain(unreported);
         self.inherited_leases
             .at_release(held, usual, Instant::now())
     }
--- a/crates/havenladder/src/entry/watch.rs
+++ b/crates/havenladder/src/entry/watch.rs
@@ -39,11 +39,13 @@
 /// Records that an incarnation of a worker has responded to a poll, and the time that its clock shows. From the first
 /// response on, the worker refuses calls of earlier owners, so that leases that they gave last no longer than any lease
 /// that begins now.
-fn record_response(owner: &Owner, id: &str, clock: ClockMs, now: Instant) {
-    let longest = max_lease_duration(owner.node.settings.max_worker_lease);
+fn record_response(owner: &Owner, id: &WorkerId, clock: ClockMs, now: Instant) {
+    let longest = now + max_lease_duration(owner.node.settings.max_worker_lease);
+    let known = owner.inherited_leases.of_known_answer(id);
+    let until = known.map_or(longest, |known| known.min(longest));
     if let Some(contact) = owner.contacts.borrow_mut().get_mut(id) {
         if contact.last_answer.is_none() {
-            contact.lease_until = contact.lease_until.min(now + longest);
+            contact.lease_until = contact.lease_until.min(until);
         }
         contact.clock = Some((clock, now));
         contact.last_answer = Some(now);
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -58,7 +58,7 @@
 pub use hall_runs::EarlierRuns;
 pub use hall_state::{HallChange, HallRuns, HallState, HallStates, HallStatus, MAX_RETURN_TIME};
 pub use incarnations::{Listing, ResponseOutcome};
-pub use inherited_leases::{InheritedLeases, RemainingLeases};
+pub use inherited_leases::{HeldLeases, InheritedLeases, RemainingLeases};
 pub use job::{Job, Phase, Round, Task, TaskPhase};
 pub use loss::{Ending, Involvement, Loss, LostRun, LostWorker};
 pub use need::{Need, Resource};
