--- a/crates/havenladder/tests/odd_records.rs
+++ b/crates/havenladder/tests/odd_records.rs
@@ -204,8 +204,10 @@
         text = text.replacen(rows, &format!("{rows}{row},"), 1);
     }
     site.log.put(OPERATOR_TOPIC, "config", text.as_bytes());
+    assert_eq!(site.log.reads(OPERATOR_TOPIC), 0, "no entry has read it");
     run_job(&site, 1).await;
-    assert_eq!(count_lines(NAME, seed, "\"odd_rows\":2"), 3);
+    let in_force = || count_lines(NAME, seed, "\"odd_rows\":2");
+    wait_until("the entries", JOB_TIMEOUT, || in_force() == 3).await;
     assert_unharmed(&mut site, seed);
 }
 
