fix(jobs): no start goes to a former incarnation once the next one has responded

Cause: where the next incarnation responds to a poll of its own, the former one stayed responsive until the report after that. A start that went to it meanwhile bore the raised fencing token, which counts by worker name. The next incarnation reported its runs, the former one was abandoned and its run freed, and the start was carried out then, since its token was not refused. The class: a fence that shuts out earlier calls does not shut out a call that is sent to a former holder after it was raised.

Evidence: seed 885 of the histories of unasked restarts: w002 restarts at 6,920 ms, its next incarnation responds at 6,960, a start goes to the former one at 6,980 with the raised token, the report of 7,280 does not list it, it is carried out at 7,320, and run 2 starts elsewhere at 7,380. Seed 1,790 is the same from 4,600 on.

Why the fix works: the first response of an incarnation marks all others of its worker as silent, so that no start is decided for them, and the entry withdraws starts to silent workers before it takes their token.

--- a/crates/jobs/src/cell/incarnations.rs
+++ b/crates/jobs/src/cell/incarnations.rs
@@ -42,13 +42,28 @@
         let outcome = self
             .incarnations
             .record_response(recipient, started_at, requested_at, now);
-        if let ResponseOutcome::Replaced { next, .. } = &outcome {
-            self.mark_silent(recipient, now);
-            self.add_successor(recipient, next, now);
+        match &outcome {
+            ResponseOutcome::Same { restarted: true } => self.silence_others(recipient, now),
+            ResponseOutcome::Replaced { next, .. } => {
+                self.mark_silent(recipient, now);
+                self.add_successor(recipient, next, now);
+                self.silence_others(next, now);
+            }
+            ResponseOutcome::Same { restarted: false } | ResponseOutcome::Outdated => {}
         }
         outcome
     }
 
+    /// Marks the other incarnations of a worker as silent. A start to one of them would bear the fencing token of the
+    /// incarnation that has responded, which could then carry it out after it has reported its runs.
+    fn silence_others(&mut self, incarnation: &WorkerId, now: Instant) {
+        for other in self.incarnations_of(incarnation.name()) {
+            if other != *incarnation {
+                self.mark_silent(&other, now);
+            }
+        }
+    }
+
     /// Adds an incarnation that responds in place of a former one. It gets no runs until its own entry has
     /// been read, since its labels and capacity may differ.
     fn add_successor(&mut self, former: &str, next: &WorkerId, now: Instant) {
--- a/crates/jobs/tests/histories.rs
+++ b/crates/jobs/tests/histories.rs
@@ -92,10 +92,13 @@
 }
 
 /// Guards against two runs of a task at once where a worker restarts, carries out calls that were meant for its former
-/// incarnation, and is cut off before anyone has asked it, while the owner changes.
+/// incarnation, and is cut off before anyone has asked it, while the owner changes. Seeds 885 and 1,790 guard against a
+/// start to the former incarnation that bears the fencing token of the next one, which carried it out after its report.
 #[parameterized(
     first = { 0..50 },
     second = { 50..100 },
+    starts_with_the_token_of_the_next_incarnation = { 885..886 },
+    starts_with_the_token_of_the_next_incarnation_again = { 1_790..1_791 },
 )]
 fn histories_with_unasked_restarts_keep_the_invariants(seeds: std::ops::Range<u64>) {
     seeds.for_each(play_unasked_restarts);
