test(standin): polls are carried out late, bytes lost one way, and calls recorded

A poll without a response extends the lease of the incarnation that runs when it is carried out, like a late start (HoldMode beside StartMode). Where another incarnation received it, ends that it acknowledges are lost without being recorded as acknowledged, since their owner has not seen them. A proxy loses requests or responses for good, where stall holds them back and delivers them. Workers record each call with its incarnation, token, lease and delay, and each run with the time at which its start was received, so that a violation can be traced.

--- a/crates/soak/tests/invariants.rs
+++ b/crates/soak/tests/invariants.rs
@@ -20,6 +20,7 @@
 fn events(from: Instant, rows: &[(&str, &str, u64, RunEvent)]) -> Vec<Event> {
     let event = |(second, (worker, task, run, kind)): (u64, &(&str, &str, u64, RunEvent))| Event {
         at: from + Duration::from_secs(second),
+        called_at: from + Duration::from_secs(second),
         worker: (*worker).to_owned(),
         task: format!("{ID:016x}.0.{task}"),
         run: *run,
--- a/crates/standin/src/proxy.rs
+++ b/crates/standin/src/proxy.rs
@@ -70,6 +70,8 @@
     duplicate: AtomicBool,
     stalled_requests: AtomicBool,
     stalled_responses: AtomicBool,
+    lost_request_bytes: AtomicBool,
+    lost_response_bytes: AtomicBool,
     silenced: AtomicU64,
     connections: AtomicU64,
     bytes: AtomicU64,
@@ -126,6 +128,13 @@
         self.stalled_responses.store(responses, Relaxed);
     }
 
+    /// Loses requests, responses or both, or stops doing so. Connections stay open; one that has lost bytes loses all
+    /// further ones in that direction.
+    pub fn lose_bytes(&self, requests: bool, responses: bool) {
+        self.lost_request_bytes.store(requests, Relaxed);
+        self.lost_response_bytes.store(responses, Relaxed);
+    }
+
     /// Drops all further responses on the connections that are open now, which stay open. New
     /// connections work.
     pub fn silence_connections(&self) {
@@ -235,8 +244,13 @@
     faults: &Faults,
 ) {
     let mut buffer = vec![0; BUFFER_BYTES];
+    let mut is_lost = false;
     while let Ok(read @ 1..) = from.read(&mut buffer).await {
         faults.bytes.fetch_add(read as u64, Relaxed);
+        is_lost |= faults.lost_request_bytes.load(Relaxed);
+        if is_lost {
+            continue;
+        }
         until_released(&faults.stalled_requests).await;
         let link = faults.link.lock().expect("no thread panics here").clone();
         if let Some(link) = link {
@@ -259,11 +273,13 @@
     number: u64,
 ) {
     let mut buffer = vec![0; BUFFER_BYTES];
+    let mut is_lost = false;
     while let Ok(read @ 1..) = from.read(&mut buffer).await {
         faults.bytes.fetch_add(read as u64, Relaxed);
         until_released(&faults.stalled_responses).await;
         wait_for_delay(faults).await;
-        if number < faults.silenced.load(Relaxed) {
+        is_lost |= faults.lost_response_bytes.load(Relaxed);
+        if is_lost || number < faults.silenced.load(Relaxed) {
             continue;
         }
         if Faults::use_up(&faults.lost_responses) {
--- a/crates/standin/src/users/worker.rs
+++ b/crates/standin/src/users/worker.rs
@@ -1,6 +1,12 @@
 //! A worker, which runs tasks under a lease, refuses fencing tokens lower than the highest one it
 //! has seen, and lists ended runs until they are acknowledged.
 
+mod late;
+mod state;
+
+pub use late::{HoldMode, StartMode};
+pub use state::MAX_HOLD_MS;
+
 use super::{
     events::{Events, RunEvent},
     listen,
@@ -11,15 +17,15 @@
 use hyper::Response;
 use serde::Deserialize;
 use serde_json::{Value, json};
+use state::{EndedRun, Run, State};
 use std::{
-    collections::{BTreeMap, HashMap},
     future::pending,
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard,
         atomic::{AtomicBool, AtomicU64, Ordering::Relaxed},
     },
-    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+    time::{Duration, Instant},
 };
 use tokio::{sync::Notify, time};
 
@@ -34,9 +40,6 @@
 /// for the former clock is then far in the future of the next one.
 const CLOCK_STEP_MS: u64 = 100_000;
 
-/// The maximum duration of a lease in milliseconds; a longer one is cut to it.
-pub const MAX_HOLD_MS: u64 = 10_000;
-
 /// The number of tasks that fit on a worker, each of the size that the soak submits.
 const CAPACITY: usize = 8;
 
@@ -73,106 +76,9 @@
     fencing_token: u64,
     last_seen: u64,
     wait_ms: u64,
-}
-
-struct Run {
-    number: u64,
-    began_at: Instant,
-    ends_at: Instant,
-    /// Whether the worker ends when the run does.
-    fatal: bool,
-    /// Whether its task is small.
-    small: bool,
-}
-
-struct EndedRun {
-    number: u64,
-    task: String,
-    run: u64,
-    outcome: &'static str,
-}
-
-/// How a worker handles requests to start a run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum StartMode {
-    /// They are carried out and answered at once.
-    Answered,
-    /// They are never answered, and carried out after this time by the incarnation that runs then.
-    Late(Duration),
-}
-
-/// The state of one incarnation of a worker.
-struct State {
-    /// Start of this incarnation; it may lie in the future, and requests get no response before it.
-    starts_at: Instant,
-    /// The same start time in milliseconds since 1970.
-    started_at_ms: u64,
-    /// The worker's clock at the start of this incarnation.
-    clock_start_ms: u64,
-    fence: u64,
-    deadline: u64,
-    runs: BTreeMap<String, Run>,
-    ended: Vec<EndedRun>,
-    last_end: u64,
-    /// Highest run of each task that was stopped or has ended.
-    closed: HashMap<String, u64>,
-}
-
-impl State {
-    /// Returns the empty state of an incarnation that starts after `delay` and knows nothing of
-    /// earlier ones.
-    fn starting_in(delay: Duration, clock_start_ms: u64) -> Self {
-        State {
-            starts_at: Instant::now() + delay,
-            started_at_ms: unix_ms(SystemTime::now() + delay),
-            clock_start_ms,
-            fence: 0,
-            deadline: 0,
-            runs: BTreeMap::new(),
-            ended: Vec::new(),
-            last_end: 0,
-            closed: HashMap::new(),
-        }
-    }
-
-    /// Returns the reading of the worker's clock in milliseconds.
-    fn clock_ms(&self) -> u64 {
-        self.clock_start_ms + self.starts_at.elapsed().as_millis() as u64
-    }
-
-    /// Extends the lease to a deadline on the worker's clock.
-    fn extend_lease(&mut self, deadline: u64) {
-        let latest = self.clock_ms() + MAX_HOLD_MS;
-        self.deadline = self.deadline.max(deadline.min(latest));
-    }
-
-    /// Records the fencing token of a request; returns false if a higher one was seen before.
-    fn observe_fence(&mut self, fence: u64) -> bool {
-        let admitted = fence >= self.fence;
-        self.fence = self.fence.max(fence);
-        admitted
-    }
-
-    /// Returns whether this run of the task is in progress here.
-    fn has_run(&self, task: &str, run: u64) -> bool {
-        self.runs.get(task).is_some_and(|known| known.number == run)
-    }
-
-    /// Returns the number of runs of small tasks, or of all others.
-    fn count_like(&self, small: bool) -> usize {
-        self.runs.values().filter(|run| run.small == small).count()
-    }
-
-    /// Returns whether this run of the task, or a higher one, was stopped or has ended.
-    fn has_closed(&self, task: &str, run: u64) -> bool {
-        self.closed.get(task).is_some_and(|highest| run <= *highest)
-    }
-
-    /// Records that the task's runs up to this one must not start again.
-    fn close(&mut self, task: &str, run: u64) {
-        let highest = self.closed.entry(task.to_owned()).or_insert(0);
-        *highest = (*highest).max(run);
-    }
+    /// When the worker received the request, and the start of the incarnation that did.
+    #[serde(skip)]
+    received: Option<(Instant, u64)>,
 }
 
 /// A worker, which may restart under the same id.
@@ -190,6 +96,7 @@
     /// restart.
     restart_delay: Option<Duration>,
     start_mode: Mutex<StartMode>,
+    hold_mode: Mutex<HoldMode>,
     /// Number of requests to start a run that have not been answered.
     withheld_starts: AtomicU64,
     events: Events,
@@ -215,6 +122,7 @@
             crashed: Notify::new(),
             restart_delay,
             start_mode: Mutex::new(StartMode::Answered),
+            hold_mode: Mutex::new(HoldMode::Answered),
             withheld_starts: AtomicU64::new(0),
             events,
         });
@@ -241,29 +149,6 @@
         self.changed.notify_waiters();
     }
 
-    /// Sets how further requests to start a run are handled.
-    pub fn set_start_mode(&self, mode: StartMode) {
-        *self.start_mode.lock().expect("no thread panics here") = mode;
-    }
-
-    /// Returns the number of requests to start a run that were received without being answered.
-    pub fn withheld_starts(&self) -> u64 {
-        self.withheld_starts.load(Relaxed)
-    }
-
-    /// Carries a start out after a time, on the incarnation that runs then.
-    fn start_late(self: &Arc<Self>, body: Body, delay: Duration) {
-        self.withheld_starts.fetch_add(1, Relaxed);
-        let worker = Arc::clone(self);
-        tokio::spawn(async move {
-            time::sleep(delay).await;
-            if worker.incarnation().is_some() {
-                // Nobody reads the response.
-                drop(worker.start_run(&body));
-            }
-        });
-    }
-
     /// Returns when the current incarnation started, in milliseconds since 1970.
     pub fn started_at_ms(&self) -> u64 {
         self.state().started_at_ms
@@ -303,10 +188,13 @@
         {
             return Some(build_response(421, "application/json", "{}"));
         }
-        let body: Body = serde_json::from_slice(&request.body).unwrap_or_default();
-        let mode = *self.start_mode.lock().expect("no thread panics here");
-        if let ("/run-start", StartMode::Late(delay)) = (request.path.as_str(), mode) {
-            self.start_late(body, delay);
+        let mut body: Body = serde_json::from_slice(&request.body).unwrap_or_default();
+        body.received = Some((Instant::now(), incarnation));
+        if let Some(delay) = self.delay_of(&request.path) {
+            if request.path == "/run-start" {
+                self.withheld_starts.fetch_add(1, Relaxed);
+            }
+            self.carry_out_late(request.path, body, delay);
             return pending().await;
         }
         let response = match request.path.as_str() {
@@ -315,6 +203,7 @@
             "/hold" => self.hold(&body).await,
             _ => build_response(400, "application/json", "{}"),
         };
+        self.record_call(&request.path, &body, &response, None);
         // Requests that were waiting when an incarnation ended get no response.
         (self.incarnation() == Some(incarnation)).then_some(response)
     }
@@ -361,8 +250,10 @@
             small,
         };
         state.runs.insert(body.task.clone(), run);
+        let called_at = body.received.map_or_else(Instant::now, |(at, _)| at);
+        let task = (body.task.as_str(), body.run);
         self.events
-            .record(&self.id, &body.task, body.run, RunEvent::Started);
+            .record_called(called_at, &self.id, task, RunEvent::Started);
         Self::build_reply(&state, 200, "")
     }
 
@@ -383,19 +274,25 @@
     }
 
     async fn hold(&self, body: &Body) -> Response<Full<Bytes>> {
-        {
-            let mut state = self.state();
-            if !state.observe_fence(body.fencing_token) {
-                return Self::build_reply(&state, 409, "fence");
-            }
-            state.extend_lease(body.deadline_ms.unwrap_or(0));
-            self.acknowledge(&mut state, body.last_seen);
+        if let Some(refusal) = self.extend(body) {
+            return refusal;
         }
         let wait = Duration::from_millis(body.wait_ms).min(MAX_WAIT);
         self.wait_for_ends(time::Instant::now() + wait).await;
         self.report()
     }
 
+    /// Extends the lease and removes the acknowledged ends. Returns the response if the request is refused.
+    fn extend(&self, body: &Body) -> Option<Response<Full<Bytes>>> {
+        let mut state = self.state();
+        if !state.observe_fence(body.fencing_token) {
+            return Some(Self::build_reply(&state, 409, "fence"));
+        }
+        state.extend_lease(body.deadline_ms.unwrap_or(0));
+        self.acknowledge(&mut state, body);
+        None
+    }
+
     /// Waits until there is an ended run that is not acknowledged, the incarnation has ended, or
     /// the time is up.
     async fn wait_for_ends(&self, until: time::Instant) {
@@ -432,17 +329,17 @@
         build_response(200, "application/json", body.to_string())
     }
 
-    /// Removes the ended runs up to a number, which the owner has acknowledged as durable.
-    fn acknowledge(&self, state: &mut State, last_seen: u64) {
-        for end in state
-            .ended
-            .iter()
-            .filter(|end| end.number <= last_seen && end.outcome == "done")
-        {
+    /// Removes the ended runs up to a number, which the owner has acknowledged as durable. Where a late request was
+    /// received by another incarnation, the owner has not seen these ends: they are lost without being acknowledged.
+    fn acknowledge(&self, state: &mut State, body: &Body) {
+        let started_at_ms = state.started_at_ms;
+        let is_own = body.received.is_none_or(|(_, by)| by == started_at_ms);
+        let seen = |end: &&EndedRun| end.number <= body.last_seen && end.outcome == "done";
+        for end in state.ended.iter().filter(|end| is_own && seen(end)) {
             self.events
                 .record(&self.id, &end.task, end.run, RunEvent::Acknowledged);
         }
-        state.ended.retain(|end| end.number > last_seen);
+        state.ended.retain(|end| end.number > body.last_seen);
     }
 
     fn end(&self, state: &mut State, task: &str, outcome: &'static str) {
@@ -467,12 +364,6 @@
     }
 }
 
-/// Returns a time of day in milliseconds since 1970.
-fn unix_ms(at: SystemTime) -> u64 {
-    let since = at.duration_since(UNIX_EPOCH);
-    since.map_or(0, |since| since.as_millis() as u64)
-}
-
 /// Returns how much of the run is done, in percent.
 fn progress(run: &Run) -> u128 {
     let all = run.ends_at.duration_since(run.began_at).as_millis();
