test(soak): each run that starts beside another one of its task is reported

RunsOnce kept only the latest run of a task: run 1 on one worker, run 2 beside it, run 2 ends, run 3 starts while run 1 goes on, and the second overlap was not seen. The first overlap of a task always was, so no failed soak counted as passed. All runs that go on are kept now, each start is held against all of them, and the violation names both runs and their workers.

The new test fails on the check before in three of three cases (one overlap found instead of two) and passes now, whether the second run completes, lapses or is lost.

--- a/crates/soak/src/invariants.rs
+++ b/crates/soak/src/invariants.rs
@@ -151,26 +151,36 @@
     task.split('.').nth(2).unwrap_or_default()
 }
 
+/// Checks that no run of a task starts beside another one or after an acknowledged end, and reports each run that goes
+/// on at its start.
 fn check_runs(events: &[Event], violations: &mut Vec<Violation>) {
-    let mut running: HashMap<&str, (&str, u64)> = HashMap::new();
+    let mut running: HashMap<&str, Vec<(&str, u64)>> = HashMap::new();
     let mut acknowledged: HashSet<&str> = HashSet::new();
     for event in events {
-        let run = (event.worker.as_str(), event.run);
+        let Event {
+            worker, task, run, ..
+        } = event;
+        let runs = running.entry(task).or_default();
         match event.kind {
             RunEvent::Started => {
-                if running.insert(&event.task, run).is_some()
-                    || acknowledged.contains(event.task.as_str())
-                {
-                    violations.push(violation(Invariant::RunsOnce, &event.task));
+                let subject = |reason: String| format!("{task} run {run} on {worker} {reason}");
+                if acknowledged.contains(task.as_str()) {
+                    let reason = "after an acknowledged end".to_owned();
+                    violations.push(violation(Invariant::RunsOnce, subject(reason)));
                 }
+                for (other_worker, other_run) in runs.iter() {
+                    let reason = format!("beside run {other_run} on {other_worker}");
+                    violations.push(violation(Invariant::RunsOnce, subject(reason)));
+                }
+                runs.push((worker, *run));
             }
             RunEvent::Done | RunEvent::Ended | RunEvent::Lost => {
-                if running.get(event.task.as_str()) == Some(&run) {
-                    running.remove(event.task.as_str());
+                if let Some(index) = runs.iter().position(|known| *known == (worker, *run)) {
+                    runs.swap_remove(index);
                 }
             }
             RunEvent::Acknowledged => {
-                acknowledged.insert(&event.task);
+                acknowledged.insert(task);
             }
         }
     }
--- a/crates/soak/tests/invariants.rs
+++ b/crates/soak/tests/invariants.rs
@@ -112,6 +112,45 @@
     );
 }
 
+#[parameterized(
+    after_the_second_of_them_has_ended = { Done },
+    after_the_lease_of_the_second_has_expired = { Ended },
+    after_the_second_was_lost = { Lost },
+)]
+fn each_run_beside_one_that_goes_on_is_reported(end_of_the_second: RunEvent) {
+    let from = Instant::now();
+    let rows = [
+        ("w1", "0.0", 1, Started),
+        ("w2", "0.0", 2, Started),
+        ("w2", "0.0", 2, end_of_the_second),
+        ("w3", "0.0", 3, Started),
+        ("w1", "0.0", 1, Ended),
+        ("w3", "0.0", 3, Done),
+    ];
+    assert_eq!(
+        violated(done_job(from), &events(from, &rows)),
+        [Invariant::RunsOnce, Invariant::RunsOnce]
+    );
+}
+
+#[parameterized(
+    has_ended = { Done },
+    has_lapsed = { Ended },
+    was_lost = { Lost },
+)]
+fn a_run_on_the_worker_of_another_one_that_has_gone_is_not_reported(end: RunEvent) {
+    let from = Instant::now();
+    let rows = [
+        ("w1", "0.0", 1, Started),
+        ("w1", "0.0", 1, end),
+        ("w1", "0.0", 1, Started),
+        ("w1", "0.0", 1, Lost),
+        ("w1", "0.0", 2, Started),
+        ("w1", "0.0", 2, Done),
+    ];
+    assert_eq!(violated(done_job(from), &events(from, &rows)), []);
+}
+
 #[test]
 fn a_step_that_begins_too_early_is_reported() {
     let from = Instant::now();
