test(soak): a start after a cancellation counts from when its worker received it

NoStartAfterCancel allows 3 s for a start that was already sent. The time of its call counts instead, which is exact: the 3 s stay, and a start that is received later is reported however soon it runs.

The case of a late start fails on the check before and passes now.

--- a/crates/soak/src/invariants.rs
+++ b/crates/soak/src/invariants.rs
@@ -8,8 +8,8 @@
     time::{Duration, Instant},
 };
 
-/// The time after a confirmed cancellation in which a task may still start, since its start may
-/// already have been sent.
+/// The time after a confirmed cancellation in which a worker may still receive the start of a task,
+/// since it may already have been sent.
 const CANCEL_GRACE: Duration = Duration::from_millis(3_000);
 
 /// The time for which an owner that is isolated from the log may apply an old bound: the 6 s for
@@ -223,7 +223,8 @@
         violations.push(violation(Invariant::CrashesAreBounded, &name));
     }
     if let Some(cancelled_at) = job.cancelled {
-        let late = |event: &&Event| started(event) && event.at > cancelled_at + CANCEL_GRACE;
+        let latest = cancelled_at + CANCEL_GRACE;
+        let late = |event: &&Event| started(event) && event.called_at > latest;
         violations.extend(
             own()
                 .find(late)
--- a/crates/soak/tests/invariants.rs
+++ b/crates/soak/tests/invariants.rs
@@ -223,6 +223,24 @@
     );
 }
 
+#[parameterized(
+    whose_call_came_before_the_end_of_the_grace = { 2, &[] },
+    whose_call_came_after_it = { 4, &[Invariant::NoStartAfterCancel] },
+)]
+fn a_late_start_after_a_cancellation_counts_from_its_call(second: u64, found: &[Invariant]) {
+    let from = Instant::now();
+    let job = Job {
+        accepted: Some(from),
+        cancel_sent: Some(from),
+        cancelled: Some(from),
+        ..Job::default()
+    };
+    let mut events = events(from, &[("w1", "0.0", 1, Started)]);
+    events[0].at = from + Duration::from_secs(6);
+    events[0].called_at = from + Duration::from_secs(second);
+    assert_eq!(violated(job, &events), found);
+}
+
 #[parameterized(
     nothing_ran = { &[] },
     one_still_runs = { &[("w1", "0.0", 1, Started), ("w1", "0.0", 1, Done), ("w1", "0.1", 1, Started)] },
