test(soak): from seed 13,000 on workers restart under their ids and are cut off while owners change

From seed 13,000 on groups of workers (all, one data centre's or a random share) restart, mostly 0.3 to 1.2 s after the others, whose tasks are then on their way to the group. They are down for up to 0.7 s and cut off up to 2.6 s later for 1 to 11 s, in both directions or one. Around that moment starts and polls are carried out 0.1 to 4 s late without a response, and responses are lost. Within 3 s the entry whose log last says that it owns the cell is told to stop, killed, paused or isolated from the log. A third of the jobs have tasks of 5 to 20 s, and the time for jobs to end is longer by the longest lease and the longest task. Earlier seeds keep their faults and jobs.

--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -2,22 +2,22 @@
 //! record of the responses.
 
 use crate::{
+    cut_off::CUT_OFF_FROM_SEED,
     faults::{BURSTS_FROM_SEED, HARMFUL_FROM_SEED, has_workspaces},
     site::{self, HOST, PREFIX, Site, WORKSPACES},
+    specs,
 };
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::{Method, Request, client::conn::http1};
 use hyper_util::rt::TokioIo;
 use rand::{Rng, SeedableRng, rngs::StdRng};
-use serde_json::{Value, json};
-use standin::users::{
-    self,
-    worker::{ENDS_WORKER, SMALL},
-};
+use serde_json::Value;
+use standin::users;
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
+    ops::Range,
     sync::{
         Arc, Mutex,
         atomic::{AtomicBool, Ordering::Relaxed},
@@ -46,14 +46,14 @@
 /// The ratio of jobs with many small tasks: one in this many.
 const BURST_RATIO: u32 = 100;
 
-/// The number of tasks of such a job. They fit on one worker, which lists 500 of their ends at once.
-const BURST_TASKS: u32 = 700;
+/// The ratio of jobs with long tasks: one in this many.
+const LONG_RATIO: u32 = 3;
 
-/// The number of long-running tasks that require a label which no worker has.
-const MISFIT_TASKS: u32 = 40;
+/// The minimum and maximum pause between two jobs of a caller, in ms.
+const PAUSE_MS: Range<u64> = 20..120;
 
-/// The run time of a small task, in ms: long enough for a fault to fall between the first start and the last end.
-const BURST_RUN_MS: u64 = 3_000;
+/// The same where jobs have long tasks. Half of 8 workers then have room for the tasks of the other half.
+const LONG_PAUSE_MS: Range<u64> = 200..800;
 
 /// The number of attempts after which a caller stops submitting a job.
 const MAX_SUBMIT_ATTEMPTS: usize = 5;
@@ -138,6 +138,8 @@
 pub fn start(site: &Site, ledger: &Ledger, seed: u64) -> Callers {
     let stop = Arc::new(AtomicBool::new(false));
     let entries: Vec<SocketAddr> = site.entries.iter().map(|entry| entry.address).collect();
+    let has_bursts = (BURSTS_FROM_SEED..CUT_OFF_FROM_SEED).contains(&seed);
+    let has_long_tasks = seed >= CUT_OFF_FROM_SEED;
     for number in 0..CALLERS {
         let caller = Caller {
             rng: StdRng::seed_from_u64(seed * CALLERS + number),
@@ -150,11 +152,17 @@
             connections: entries.iter().map(|at| Connection::new(*at)).collect(),
             ledger: ledger.clone(),
             has_workspaces: has_workspaces(seed),
-            has_bursts: seed >= BURSTS_FROM_SEED,
+            has_bursts,
+            has_long_tasks,
+            pause_ms: if has_long_tasks {
+                LONG_PAUSE_MS
+            } else {
+                PAUSE_MS
+            },
         };
         tokio::spawn(run_caller(caller, Arc::clone(&stop)));
     }
-    if seed >= BURSTS_FROM_SEED {
+    if has_bursts {
         tokio::spawn(submit_misfits(entries, seed));
     }
     Callers(stop)
@@ -162,10 +170,7 @@
 
 /// Submits a job that fits nowhere until an entry accepts it. It waits until the end and must keep no other job waiting.
 async fn submit_misfits(entries: Vec<SocketAddr>, id: u64) {
-    let step = json!({
-        "count": MISFIT_TASKS, "cpu": 1_000, "mem-mb": 100, "long-running": true, "requirements": "none",
-    });
-    let body = json!({ "spec": "misfits", "steps": [step] }).to_string();
+    let body = specs::misfit_job();
     for address in entries.into_iter().cycle() {
         let mut connection = Connection::new(address);
         let response = connection.send(Method::POST, id, &body, None).await;
@@ -201,6 +206,9 @@
     has_workspaces: bool,
     /// Whether some jobs have many small tasks.
     has_bursts: bool,
+    /// Whether some jobs have long tasks.
+    has_long_tasks: bool,
+    pause_ms: Range<u64>,
 }
 
 /// Submits and polls jobs until `stop` is set.
@@ -213,11 +221,14 @@
             && caller.rng.random_ratio(1, share)
         {
             caller.ledger.update(id, |job| job.fatal = true);
-            caller.submit(id, &fatal_job()).await;
+            caller.submit(id, &specs::fatal_job()).await;
         } else if caller.has_bursts && caller.rng.random_ratio(1, BURST_RATIO) {
-            caller.submit(id, &burst_job()).await;
+            caller.submit(id, &specs::burst_job()).await;
+        } else if caller.has_long_tasks && caller.rng.random_ratio(1, LONG_RATIO) {
+            let body = specs::long_job(&mut caller.rng);
+            caller.submit(id, &body).await;
         } else {
-            let body = caller.two_step_job();
+            let body = specs::two_step_job(&mut caller.rng);
             caller.submit(id, &body).await;
         }
         known.push(id);
@@ -235,7 +246,7 @@
         if caller.has_workspaces && caller.rng.random_bool(0.1) {
             caller.try_wrong_keys(polled).await;
         }
-        let pause = caller.rng.random_range(20..120);
+        let pause = caller.rng.random_range(caller.pause_ms.clone());
         time::sleep(Duration::from_millis(pause)).await;
     }
 }
@@ -272,17 +283,6 @@
         self.rng.random_range(0..self.connections.len())
     }
 
-    /// Returns a job of two steps with 1 to 3 tasks each.
-    fn two_step_job(&mut self) -> String {
-        let (first, mut second) = (
-            step(self.rng.random_range(1..4)),
-            step(self.rng.random_range(1..4)),
-        );
-        second["after"] = json!([0]);
-        let run_time = self.rng.random_range(20..600).to_string();
-        json!({ "spec": run_time, "steps": [first, second] }).to_string()
-    }
-
     /// Submits a job until it is accepted, or until [`MAX_SUBMIT_ATTEMPTS`] attempts have failed.
     async fn submit(&mut self, id: u64, body: &str) {
         let key = self.ledger.key(id);
@@ -322,25 +322,6 @@
     }
 }
 
-/// Returns a step of `count` tasks.
-fn step(count: u32) -> Value {
-    json!({ "count": count, "cpu": 1_000, "mem-mb": 100, "estimated-ms": 200 })
-}
-
-/// Returns a job of one task that ends each worker that starts it.
-fn fatal_job() -> String {
-    json!({ "spec": ENDS_WORKER, "steps": [step(1)] }).to_string()
-}
-
-/// Returns a job of many small tasks that end at about the same time.
-fn burst_job() -> String {
-    let spec = format!("{SMALL}{BURST_RUN_MS}");
-    let step = json!({
-        "count": BURST_TASKS, "cpu": 10, "mem-mb": 10, "estimated-ms": BURST_RUN_MS,
-    });
-    json!({ "spec": spec, "steps": [step] }).to_string()
-}
-
 /// Polls the state of a job and records the response.
 async fn poll_job(connection: &mut Connection, ledger: &Ledger, id: u64) {
     let sent_at = Instant::now();
--- a/crates/soak/src/entries.rs
+++ b/crates/soak/src/entries.rs
@@ -2,6 +2,7 @@
 
 use crate::Plan;
 use rustix::process::{Pid, Signal, kill_process};
+use serde_json::Value;
 use standin::users::settings::Settings;
 use std::{
     env,
@@ -46,6 +47,9 @@
 /// Environment variable with the third byte of the entries' loopback addresses, 0 by default.
 const NET_VARIABLE: &str = "HAVENLADDER_SOAK_NET";
 
+/// What the log of an entry says when it becomes the owner of the cell.
+const CLAIM: &str = "\"owns the cell\"";
+
 /// An entry that runs as a process.
 pub struct Entry {
     /// Address on which callers reach the entry.
@@ -94,6 +98,19 @@
         self.child.id()
     }
 
+    /// Returns the epoch in which the entry last became the owner of the cell, according to its log.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the log cannot be read.
+    pub fn last_epoch(&self) -> io::Result<Option<u64>> {
+        let log = fs::read(&self.log)?;
+        let text = String::from_utf8_lossy(&log);
+        let claim = text.lines().rfind(|line| line.contains(CLAIM));
+        let row = claim.and_then(|line| serde_json::from_str::<Value>(line).ok());
+        Ok(row.and_then(|row| row["epoch"].as_u64()))
+    }
+
     /// Sends a signal to the process if it is running.
     pub fn signal(&mut self, signal: Signal) {
         if self.is_running()
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -152,7 +152,8 @@
 pub const LARGE_FROM_SEED: u64 = 11_000;
 
 /// The first seed with jobs of many small tasks, whose ends do not fit into one response of their worker, and with
-/// long-running tasks that fit nowhere. There are no workspaces and no tasks that end their workers.
+/// long-running tasks that fit nowhere. There are no workspaces and no tasks that end their workers. Seeds from
+/// [`crate::cut_off::CUT_OFF_FROM_SEED`] on have neither, and faults of their own.
 pub const BURSTS_FROM_SEED: u64 = 12_000;
 
 /// Returns whether the callers of a seed belong to workspaces.
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -11,17 +11,23 @@
 )]
 
 pub mod caller;
+pub mod cut_off;
 pub mod entries;
 pub mod faults;
 pub mod invariants;
+pub mod journal;
 pub mod prober;
 pub mod site;
+pub mod specs;
 
 use caller::Ledger;
+use cut_off::CUT_OFF_FROM_SEED;
 use invariants::Violation;
 use prober::Prober;
 use rand::{SeedableRng, rngs::StdRng};
 use site::Site;
+use specs::LONG_RUN_MS;
+use standin::users::worker::MAX_HOLD_MS;
 use std::{
     io,
     path::PathBuf,
@@ -37,6 +43,14 @@
 /// was waiting.
 const SETTLE_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// The same for soaks with long tasks. One that was lost waits for the longest lease in addition, and takes its time.
+const LONG_SETTLE_TIMEOUT: Duration = SETTLE_TIMEOUT
+    .saturating_add(Duration::from_millis(MAX_HOLD_MS))
+    .saturating_add(Duration::from_millis(*LONG_RUN_MS.end()));
+
+/// The name of the file with what the workers recorded.
+const JOURNAL: &str = "workers.log";
+
 /// The settings of one run of the soak.
 #[derive(Clone, Debug)]
 pub struct Plan {
@@ -83,13 +97,23 @@
     let ledger = Ledger::default();
     let callers = caller::start(&site, &ledger, plan.seed);
     let prober = Prober::start(&site, plan.seed);
-    let faults = faults::inject(&mut site, plan.seed, &mut rng, plan.span).await?;
+    let (faults, settle_timeout) = match plan.seed {
+        ..CUT_OFF_FROM_SEED => {
+            let faults = faults::inject(&mut site, plan.seed, &mut rng, plan.span).await?;
+            (faults, SETTLE_TIMEOUT)
+        }
+        CUT_OFF_FROM_SEED.. => {
+            let faults = cut_off::inject(&mut site, &mut rng, plan.span).await?;
+            (faults, LONG_SETTLE_TIMEOUT)
+        }
+    };
     callers.stop();
     let faults_ended = Instant::now();
-    wait_for_jobs(&mut site, &ledger, faults_ended + SETTLE_TIMEOUT).await?;
+    wait_for_jobs(&mut site, &ledger, faults_ended + settle_timeout).await?;
     let rejections = prober.stop();
     let violations =
         invariants::check(&ledger.all(), &site.events.all(), &site.bounds, &rejections);
+    journal::write(&plan.logs.join(JOURNAL), &site.events)?;
     Ok(Report {
         jobs: ledger.all().len(),
         accepted: ledger.count(|job| job.accepted.is_some()),
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -29,6 +29,9 @@
     /// are removed.
     #[arg(long, default_value = "target/soak")]
     logs: PathBuf,
+    /// Keeps the logs and prints the faults of seeds that pass as well.
+    #[arg(long)]
+    keep: bool,
 }
 
 fn main() -> io::Result<ExitCode> {
@@ -40,11 +43,11 @@
     for seed in args.first..args.first + args.seeds {
         let plan = plan(&args, seed);
         let report = runtime.block_on(run(&plan))?;
-        print_report(seed, &report);
-        if report.violations.is_empty() {
-            fs::remove_dir_all(&plan.logs)?;
-        } else {
+        print_report(seed, &report, args.keep);
+        if !report.violations.is_empty() {
             failed_seeds += 1;
+        } else if !args.keep {
+            fs::remove_dir_all(&plan.logs)?;
         }
     }
     Ok(if failed_seeds == 0 {
@@ -67,8 +70,8 @@
     }
 }
 
-/// Prints a summary of a run, and its faults if an invariant was violated.
-fn print_report(seed: u64, report: &Report) {
+/// Prints a summary of a run, and its faults if an invariant was violated or `with_faults` is set.
+fn print_report(seed: u64, report: &Report, with_faults: bool) {
     println!(
         "seed {seed}: {} jobs, {} accepted, {} succeeded, {} faults, {} invariants violated",
         report.jobs,
@@ -77,7 +80,7 @@
         report.faults.len(),
         report.violations.len()
     );
-    if report.violations.is_empty() {
+    if report.violations.is_empty() && !with_faults {
         return;
     }
     for violation in &report.violations {
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -13,6 +13,7 @@
         listen,
         log::Log,
         operator::{self, Config, Workspace},
+        worker::{HoldMode, StartMode},
     },
 };
 use std::{
@@ -223,6 +224,11 @@
             if let Some(link) = self.cloud.link(&name) {
                 link.cut(false);
                 link.stall(false, false);
+                link.lose_bytes(false, false);
+            }
+            if let Some(worker) = self.cloud.worker(&name) {
+                worker.set_start_mode(StartMode::Answered);
+                worker.set_hold_mode(HoldMode::Answered);
             }
         }
         self.entries.iter_mut().try_for_each(Entry::ensure_running)
