--- a/crates/soak/tests/invariants.rs
+++ b/crates/soak/tests/invariants.rs
@@ -20,6 +20,7 @@
 fn events(from: Instant, rows: &[(&str, &str, u64, RunEvent)]) -> Vec<Event> {
     let event = |(second, (worker, task, run, kind)): (u64, &(&str, &str, u64, RunEvent))| Event {
         at: from + Duration::from_secs(second),
+        called_at: from + Duration::from_secs(second),
         worker: (*worker).to_owned(),
         task: format!("{ID:016x}.0.{task}"),
         run: *run,
@@ -111,6 +112,45 @@
     );
 }
 
+#[parameterized(
+    after_the_second_of_them_has_ended = { Done },
+    after_the_lease_of_the_second_has_expired = { Ended },
+    after_the_second_was_lost = { Lost },
+)]
+fn each_run_beside_one_that_goes_on_is_reported(end_of_the_second: RunEvent) {
+    let from = Instant::now();
+    let rows = [
+        ("w1", "0.0", 1, Started),
+        ("w2", "0.0", 2, Started),
+        ("w2", "0.0", 2, end_of_the_second),
+        ("w3", "0.0", 3, Started),
+        ("w1", "0.0", 1, Ended),
+        ("w3", "0.0", 3, Done),
+    ];
+    assert_eq!(
+        violated(done_job(from), &events(from, &rows)),
+        [Invariant::RunsOnce, Invariant::RunsOnce]
+    );
+}
+
+#[parameterized(
+    has_ended = { Done },
+    has_lapsed = { Ended },
+    was_lost = { Lost },
+)]
+fn a_run_on_the_worker_of_another_one_that_has_gone_is_not_reported(end: RunEvent) {
+    let from = Instant::now();
+    let rows = [
+        ("w1", "0.0", 1, Started),
+        ("w1", "0.0", 1, end),
+        ("w1", "0.0", 1, Started),
+        ("w1", "0.0", 1, Lost),
+        ("w1", "0.0", 2, Started),
+        ("w1", "0.0", 2, Done),
+    ];
+    assert_eq!(violated(done_job(from), &events(from, &rows)), []);
+}
+
 #[test]
 fn a_step_that_begins_too_early_is_reported() {
     let from = Instant::now();
@@ -183,6 +223,24 @@
     );
 }
 
+#[parameterized(
+    whose_call_came_before_the_end_of_the_grace = { 2, &[] },
+    whose_call_came_after_it = { 4, &[Invariant::NoStartAfterCancel] },
+)]
+fn a_late_start_after_a_cancellation_counts_from_its_call(second: u64, found: &[Invariant]) {
+    let from = Instant::now();
+    let job = Job {
+        accepted: Some(from),
+        cancel_sent: Some(from),
+        cancelled: Some(from),
+        ..Job::default()
+    };
+    let mut events = events(from, &[("w1", "0.0", 1, Started)]);
+    events[0].at = from + Duration::from_secs(6);
+    events[0].called_at = from + Duration::from_secs(second);
+    assert_eq!(violated(job, &events), found);
+}
+
 #[parameterized(
     nothing_ran = { &[] },
     one_still_runs = { &[("w1", "0.0", 1, Started), ("w1", "0.0", 1, Done), ("w1", "0.1", 1, Started)] },
