test(jobs): the simulated owner tells its successor of runs without a record, as the entry does

The simulated owner forgot it in the step after the outage, and read no list of VMs, so that it did not wait for a worker that had been unlisted. It now tells of such runs for 3 s and until the leases of earlier owners have expired, and the next owner reads the list of VMs.

--- a/crates/jobs/tests/history/owners.rs
+++ b/crates/jobs/tests/history/owners.rs
@@ -8,6 +8,9 @@
 use rand::Rng;
 use std::time::Duration;
 
+/// Time after an outage of the log for which the next owner is told that runs may have no record, in ms.
+const UNRECORDED_AGE_MS: u64 = 3_000;
+
 /// The next owner and how its predecessor ended.
 pub(super) struct NextOwner {
     at: u64,
@@ -105,11 +108,22 @@
             .collect();
         self.cell = Cell::new(self.cell.limits.clone());
         self.cell.load_records(decoded);
-        if self.unasked().unrecorded {
-            self.cell.raise_takeover_barrier(inherited.latest(), false);
+        let leases = inherited.latest();
+        if self.now < self.unasked().unrecorded_until {
+            self.cell.raise_takeover_barrier(leases, true);
+            // These runs may go on until the leases have expired.
+            let until = leases.saturating_duration_since(self.start).as_millis() as u64;
+            let unrecorded_until = &mut self.unasked().unrecorded_until;
+            *unrecorded_until = until.max(*unrecorded_until);
         }
         self.unasked().inherited = inherited;
         self.list_workers();
+        // The list of VMs names the workers that the other list lacks.
+        let names = self.names().into_iter();
+        let vms: Vec<_> = names
+            .map(|name| (name.clone(), self.entry(&name).service))
+            .collect();
+        self.cell.expect_workers(vms);
     }
 
     /// Reads the list of workers for the first time.
@@ -142,11 +156,7 @@
         self.send_stops();
         if now < self.log_unavailable_until {
             // Durable jobs start tasks now.
-            self.unasked().unrecorded = true;
-        } else if self.instant() > self.unasked().inherited.latest()
-            && self.owner_since + 5_000 < now
-        {
-            self.unasked().unrecorded = false;
+            self.unasked().unrecorded_until = now + UNRECORDED_AGE_MS;
         }
         self.schedule();
     }
--- a/crates/jobs/tests/history/unasked.rs
+++ b/crates/jobs/tests/history/unasked.rs
@@ -92,8 +92,8 @@
     pub(super) inherited: InheritedLeases,
     /// Set while nobody owns the cell.
     pub(super) next_owner: Option<NextOwner>,
-    /// Whether runs may have been started without a record.
-    pub(super) unrecorded: bool,
+    /// Time until which runs without a record may exist.
+    pub(super) unrecorded_until: u64,
     /// Since when the log has been unavailable.
     pub(super) outage_since: Option<u64>,
 }
@@ -137,7 +137,7 @@
             stops: Vec::new(),
             inherited: InheritedLeases::until(self.instant()),
             next_owner: None,
-            unrecorded: false,
+            unrecorded_until: 0,
             outage_since: None,
         });
         self.list_workers();
