fix(jobs): hundreds of suspects start in groups, on half of the workers at most

All tasks of the worker are suspected; they started one at a time on a worker, before all others and on all idle workers, and a pass sorted all of them once for each of them.

While others wait, half of the open workers at most are in quarantine. Where single quarantines would take too many rounds, as many suspects as the square root of their number start together on a worker; if they outlive the quarantine, all are cleared, and if not, only they stay suspected and start alone. A task with three crashes joins no group, so that four known crashes still make it fail. Halving would need nine crashes among 500.

--- a/crates/jobs/src/cell/crashes.rs
+++ b/crates/jobs/src/cell/crashes.rs
@@ -24,7 +24,8 @@
         runs: &[LostRun],
         now: Instant,
     ) -> Vec<TaskId> {
-        let suspects = suspects(runs);
+        let group = self.suspicions.groups.remove(worker).unwrap_or_default();
+        let suspects = suspects(runs, &group);
         let ages = suspects.iter().map(|run| run.age);
         self.suspicions.record_ages(ages, now);
         let fresh = suspects
@@ -108,6 +109,12 @@
         history.map_or(Standing::Clear, |history| history.standing(accidents))
     }
 
+    /// Returns how many crashes count against a task whose job is not over.
+    pub(crate) fn crash_count(&self, task: TaskId) -> usize {
+        let history = self.crash_history(task);
+        history.map_or(0, |history| history.crashes.len())
+    }
+
     /// Returns the crash history of a task whose job is not over.
     fn crash_history(&self, task: TaskId) -> Option<&CrashHistory> {
         let job = self
@@ -202,13 +209,19 @@
     }
 }
 
-/// Returns the runs of a worker that may have crashed it: the one in quarantine there, or else all whose
-/// starts were sent. Older runs are included, since a task may crash its worker some time after its start.
-fn suspects(runs: &[LostRun]) -> Vec<&LostRun> {
-    let quarantined: Vec<&LostRun> = runs
-        .iter()
-        .filter(|run| run.involvement == Involvement::Quarantined)
-        .collect();
+/// Returns the runs of a worker that may have crashed it: those in quarantine there, alone or in a group, or else all
+/// whose starts were sent. Older runs are included, since a task may crash its worker some time after its start.
+fn suspects(runs: &[LostRun], group: &BTreeSet<TaskId>) -> Vec<LostRun> {
+    let in_quarantine = |run: &&LostRun| match run.involvement {
+        Involvement::Unsent => false,
+        Involvement::Quarantined => true,
+        Involvement::Older | Involvement::Fresh => group.contains(&run.task),
+    };
+    let quarantined = runs.iter().filter(in_quarantine).map(|run| LostRun {
+        involvement: Involvement::Quarantined,
+        ..*run
+    });
+    let quarantined: Vec<LostRun> = quarantined.collect();
     if !quarantined.is_empty() {
         return quarantined;
     }
@@ -217,5 +230,6 @@
     let is_old = |run: &LostRun| run.age.is_none() && run.known_runtime >= PROVEN_AGE;
     runs.iter()
         .filter(|run| run.involvement != Involvement::Unsent && !is_old(run))
+        .copied()
         .collect()
 }
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -36,6 +36,7 @@
 mod record;
 mod report;
 mod spec;
+mod suspect_group;
 mod suspicion;
 mod vm_orders;
 mod worker;
--- a/crates/jobs/src/loss.rs
+++ b/crates/jobs/src/loss.rs
@@ -53,7 +53,7 @@
     Older,
     /// The run had just begun.
     Fresh,
-    /// The run was in quarantine, beside none that had just begun.
+    /// The run was in quarantine, beside none that had just begun but those of its group.
     Quarantined,
 }
 
--- a/crates/jobs/src/pass.rs
+++ b/crates/jobs/src/pass.rs
@@ -144,6 +144,7 @@
         self.vm_orders.forget_old(now);
         self.release_unrecorded_charges(now);
         self.unblock_tasks();
+        self.renew_groups(now);
         let mut services: Vec<_> = self.waiting.keys().cloned().collect();
         let mut budget = self.dispatch.budget();
         if budget.is_finite() {
--- a/crates/jobs/src/suspicion.rs
+++ b/crates/jobs/src/suspicion.rs
@@ -4,7 +4,7 @@
 //! ends, so each crash counts against the tasks that may be its cause, first of all those that had just
 //! begun. These are started again in quarantine: one at a time on a worker with little to lose, until the run
 //! has outlived the age at which the worker crashed. The next crash then identifies one task, and all others
-//! are cleared.
+//! are cleared. Many suspects start in groups first (`suspect_group.rs`).
 
 use crate::{JobId, TaskId, WorkerId};
 use clock::Instant;
@@ -195,6 +195,8 @@
     pub(crate) tasks: BTreeSet<TaskId>,
     /// The tasks that may have crashed each worker.
     by_worker: BTreeMap<WorkerId, BTreeSet<TaskId>>,
+    /// The tasks that started together in quarantine on each worker and have not been cleared.
+    pub(crate) groups: BTreeMap<WorkerId, BTreeSet<TaskId>>,
     /// When crashes were found to have been caused by no task.
     accidents: Recent,
     /// When workers crashed on which no run had just begun.
@@ -234,6 +236,9 @@
     /// Clears a task of suspicion. A crash for which no suspect is left was an accident.
     pub(crate) fn clear(&mut self, task: TaskId, now: Instant) {
         self.tasks.remove(&task);
+        for group in self.groups.values_mut() {
+            group.remove(&task);
+        }
         let mut accidents = 0;
         self.by_worker.retain(|_, tasks| {
             accidents += usize::from(tasks.remove(&task) && tasks.is_empty());
