fix(entry): calls to former incarnations bound the lease of the next one

A silent worker that has left the list was abandoned once its own starts could have no effect, although starts to its former incarnation could. And where a new incarnation had answered once and was cut off before the poll that raises its token, its lease was counted from the answer, although a call to the former one could still extend it.

Change: both take the last calls to the former incarnations into account. Once a poll has raised the token, the lease is counted from then, which is shorter than before. A start that is resent counts as a call. Maintenance that an earlier owner ordered is settled by an answer that says that it was carried out, and by no other.

The histories follow the same rules.

--- a/crates/havenladder/src/entry/maintenance.rs
+++ b/crates/havenladder/src/entry/maintenance.rs
@@ -398,9 +398,10 @@
     vm: &Vm,
     outcome: Option<OrderOutcome>,
 ) {
-    if outcome.is_some_and(|outcome| outcome != OrderOutcome::Later) {
-        // The platform has seen this owner's fencing token, so that it refuses earlier orders as well.
-        owner.cell.borrow_mut().settle_maintenance(&vm.name);
+    match outcome {
+        Some(OrderOutcome::Done) => owner.cell.borrow_mut().settle_maintenance(&vm.name),
+        Some(_) => owner.withdraw_maintenance(&[vm.name.as_str()]),
+        None => {}
     }
     match outcome {
         Some(OrderOutcome::Done) => {
--- a/crates/havenladder/src/entry/starts.rs
+++ b/crates/havenladder/src/entry/starts.rs
@@ -166,6 +166,10 @@
         worker = %info.id,
         "start resent"
     );
+    owner
+        .cell
+        .borrow_mut()
+        .record_lease_call(&info.id, Instant::now());
     let second = timed_start(owner, info, order, Connection::New);
     let mut both = pin!(first_decisive(first, second));
     if let Ok(outcome) = time::timeout(RESENT_START_TIMEOUT, both.as_mut()).await {
--- a/crates/havenladder/src/entry/watch.rs
+++ b/crates/havenladder/src/entry/watch.rs
@@ -15,7 +15,7 @@
 };
 use clock::Instant;
 use jobs::{Loss, Refusal, Report, ResponseOutcome, WorkerId};
-use std::{rc::Rc, time::Duration};
+use std::{iter, rc::Rc, time::Duration};
 use tokio::{task, time};
 use tracing::info;
 
@@ -182,12 +182,22 @@
     extend_to_max_lease(owner, id, now);
 }
 
-/// Records that an incarnation may have accepted calls until now whose deadlines were computed for another one's clock,
-/// so that its lease may last as long as any lease can.
+/// Records that an incarnation may still accept calls to the earlier ones, whose deadlines were computed for another
+/// clock, so that its lease may last as long as any lease can.
 fn extend_to_max_lease(owner: &Owner, id: &WorkerId, now: Instant) {
     let leased = now + max_lease_duration(owner.node.settings.max_worker_lease);
+    let former = owner.cell.borrow().last_effect_of_others(id);
     if let Some(contact) = owner.contacts.borrow_mut().get_mut(id) {
-        contact.lease_until = contact.lease_until.max(leased);
+        contact.lease_until = contact.lease_until.max(leased).max(former.unwrap_or(now));
+    }
+}
+
+/// Records that an incarnation refuses calls to the earlier ones from now on. Leases that it has accepted last no longer
+/// than the longest one.
+fn limit_to_max_lease(owner: &Owner, id: &str, now: Instant) {
+    let leased = now + max_lease_duration(owner.node.settings.max_worker_lease);
+    if let Some(contact) = owner.contacts.borrow_mut().get_mut(id) {
+        contact.lease_until = leased;
     }
 }
 
@@ -204,8 +214,7 @@
     drop(cell);
     ends::log_missing(owner, id, &missing);
     if !outlived.is_empty() {
-        // Only from this poll on does the worker refuse calls that were meant for them.
-        extend_to_max_lease(owner, id, now);
+        limit_to_max_lease(owner, id, now);
     }
     for incarnation in outlived {
         abandon_worker(owner, &incarnation, Loss::Ended);
@@ -300,15 +309,18 @@
     let Some(info) = orders::find_worker(owner, id) else {
         return true;
     };
-    let unreported = may_have_unreported(owner, id);
-    if info.draining && !unreported {
+    // Runs sent to the earlier incarnations may have reached this one, where their leases have expired as well.
+    let mut former = owner.cell.borrow().former_incarnations(id);
+    let unreported = iter::once(id).chain(former.iter().map(|former| &**former));
+    let unreported = unreported
+        .filter(|id| may_have_unreported(owner, id))
+        .count();
+    if info.draining && unreported == 0 {
         return true;
     }
     if has_runs(owner, id) {
         abandon_runs(owner, id);
     }
-    // Runs sent to the earlier incarnations may have reached this one, where their leases have expired as well.
-    let mut former = owner.cell.borrow().former_incarnations(id);
     former.retain(|incarnation| !may_have_unreported(owner, incarnation));
     for incarnation in former {
         abandon_worker(owner, &incarnation, Loss::Ended);
--- a/crates/jobs/src/cell/workers.rs
+++ b/crates/jobs/src/cell/workers.rs
@@ -164,6 +164,15 @@
         self.workers.get(id)?.unreported_until(hold)
     }
 
+    /// Returns until when calls to the other incarnations of a worker may have effects on this one.
+    pub fn last_effect_of_others(&self, id: &WorkerId) -> Option<Instant> {
+        let hold = self.limits.max_call_delay + self.limits.max_lease;
+        let others = self.incarnations.of(id.name()).filter(|other| *other != id);
+        let workers = others.filter_map(|other| self.workers.get(other));
+        let called_at = workers.filter_map(|worker| worker.called_at).max();
+        called_at.map(|at| at + hold)
+    }
+
     /// Handles the expiry of a worker's lease: its runs are lost. The worker may only be disconnected; if it
     /// proves to have ended, its end is attributed to the runs that are lost now. Returns `None` if no run is
     /// lost or the worker is unknown.
--- a/crates/jobs/tests/history/watch.rs
+++ b/crates/jobs/tests/history/watch.rs
@@ -158,8 +158,12 @@
     /// Records that an incarnation may have accepted calls until now whose deadlines were meant for another clock.
     fn extend_to_max_lease(&mut self, id: &WorkerId) {
         let leased = self.instant() + longest_lease();
+        let former = self.cell.last_effect_of_others(id);
         let contact = self.contact(id);
-        contact.lease_until = contact.lease_until.max(leased);
+        contact.lease_until = contact
+            .lease_until
+            .max(leased)
+            .max(former.unwrap_or(leased));
     }
 
     fn apply_response(&mut self, id: &WorkerId, sent_at: u64, by: Option<StartedAtMs>) {
@@ -208,7 +212,7 @@
         self.cell.apply_report(id, &report, sent, now);
         let outlived = self.cell.outlived_incarnations(id, sent);
         if !outlived.is_empty() {
-            self.extend_to_max_lease(id);
+            self.contact(id).lease_until = now + longest_lease();
         }
         for ended in outlived {
             self.cell.abandon_worker(&ended, Loss::Ended, now);
@@ -235,8 +239,12 @@
     /// still begin a run at another incarnation.
     fn release_lapsed(&mut self, id: &WorkerId) {
         let now = self.instant();
-        let unreported = self.cell.unreported_until(id);
-        let may_begin = unreported.is_some_and(|until| now < until);
+        let former = self.cell.former_incarnations(id);
+        let mut incarnations = former.iter().chain([id]);
+        let may_begin = incarnations.any(|incarnation| {
+            let unreported = self.cell.unreported_until(incarnation);
+            unreported.is_some_and(|until| now < until)
+        });
         let worker = self.cell.workers.get(id);
         if !may_begin && worker.is_none_or(|worker| worker.info.draining) {
             self.abandon(id, Loss::Lapsed);
