fix(jobs): a task that waits again does not put its whole step into the queue

`requeue` walked all tasks of the step and put each waiting one into the queue, once for each task that was to wait again.

Only the task itself is put into the queue now; the others of its step are there already, or run, or wait for their workspace's bound. A gang is queued as a whole as before.

--- a/crates/jobs/src/cell/queue.rs
+++ b/crates/jobs/src/cell/queue.rs
@@ -47,7 +47,7 @@
         }
         state.phase = TaskPhase::Waiting;
         self.mark_dirty(task.job);
-        self.enqueue_step(task.job, task.round, task.step);
+        self.enqueue_task(task);
     }
 
     /// Sets timers for the rounds of a job that are due later, and marks the others as due.
@@ -80,6 +80,25 @@
         (0..steps).for_each(|step| self.enqueue_step(id, round, step));
     }
 
+    /// Queues a task that waits, or its whole gang, if its step is ready.
+    fn enqueue_task(&mut self, task: TaskId) {
+        let Some(job) = self.jobs.get(&task.job) else {
+            return;
+        };
+        let Some(round) = job.rounds.get(task.round as usize) else {
+            return;
+        };
+        let step = job.step(task.step);
+        if step.gang {
+            return self.enqueue_step(task.job, task.round, task.step);
+        }
+        if round.is_ready(step) {
+            let rank = Rank::new(task, step.long_running, job);
+            let service = job.submission.service.clone();
+            self.waiting.entry(service).or_default().insert(rank);
+        }
+    }
+
     /// Queues the tasks of a step if the step is ready. A gang is queued as one, and only once none of its
     /// members may still run.
     fn enqueue_step(&mut self, id: JobId, round: u32, step: u32) {
--- a/crates/jobs/tests/large_jobs.rs
+++ b/crates/jobs/tests/large_jobs.rs
@@ -15,11 +15,20 @@
     Submission, Task, TaskId, TaskPhase, WorkerId, WorkerInfo, decode_entry,
 };
 use proptest::prelude::*;
-use std::collections::BTreeMap;
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
 
 /// What the users' log takes as one record, less the length of the key.
 const RECORD_BYTES: usize = 262_143;
 
+/// The workers, with names as long as those of the users.
+const WORKERS: [&str; 2] = ["w-0123456789abcdef", "w-fedcba9876543210"];
+
+/// The maximum time for which reports of two workers may occupy an owner on a busy machine.
+const MAX_REPORT_TIME: Duration = Duration::from_secs(2);
+
 /// Records by key.
 type Log = BTreeMap<String, Vec<u8>>;
 
@@ -31,9 +40,9 @@
     }
 }
 
-/// Returns a harness with workers whose names are as long as those of the users.
+/// Returns a harness with the workers.
 fn harness() -> Harness {
-    Harness::new(&["w-0123456789abcdef", "w-fedcba9876543210"])
+    Harness::new(&WORKERS)
 }
 
 /// Adds records to a log.
@@ -193,6 +202,22 @@
     }
 }
 
+#[test]
+fn a_worker_that_has_none_of_15_000_runs_does_not_occupy_the_owner_for_seconds() {
+    let mut harness = harness();
+    harness.cell.accept(job(1, vec![small(15_000)]));
+    harness.start_tasks();
+    harness.take_over();
+    harness.cell.mark_listed();
+    let began = Instant::now();
+    for id in WORKERS {
+        harness.add_worker(id);
+    }
+    let took = began.elapsed();
+    assert!(took < MAX_REPORT_TIME, "{took:?}");
+    assert_eq!(harness.start_tasks().len(), 15_000);
+}
+
 /// Returns the records that an earlier version kept of a job: its submission, and one record of its state.
 fn earlier_records(cell: &Cell, id: JobId) -> Log {
     let job = &cell.jobs[&id];
