--- a/crates/havenladder/src/entry/owner/append.rs
+++ b/crates/havenladder/src/entry/owner/append.rs
@@ -39,7 +39,7 @@
 }
 
 /// Makes the records of a batch durable, in as many calls as the limits of the store require, and retrying as often as
-/// needed. A job one of whose records the store never accepts is given up and removed from the batch. Returns false if
+/// needed. A job with a record that the store never accepts is abandoned and removed from the batch. Returns false if
 /// the owner has ended. Work that needs no records is done in the meantime. `sequence` is the number of the next call.
 pub async fn append(owner: &Rc<Owner>, batch: &mut Batch, sequence: &mut u64) -> bool {
     timed(owner, append_in_calls(owner, batch, sequence)).await
--- a/crates/havenladder/tests/odd_entries.rs
+++ b/crates/havenladder/tests/odd_entries.rs
@@ -295,9 +295,6 @@
     where_nothing_listens = { 2131, Dead::Refuses },
     where_nothing_answers = { 2132, Dead::IsSilent },
 )]
-fn a_large_worker_at_a_dead_address_gets_no_tasks_and_holds_back_no_takeover(
-    seed: u64,
-    dead: Dead,
-) {
+fn a_worker_at_a_dead_address_holds_back_no_takeover(seed: u64, dead: Dead) {
     block_on(list_dead_worker(seed, dead));
 }
--- a/crates/havenladder/tests/restarted_and_cut_off.rs
+++ b/crates/havenladder/tests/restarted_and_cut_off.rs
@@ -56,7 +56,7 @@
     ContinuesWithoutEntry,
     /// It ends without a release, since a worker has seen a higher fencing token, and claims the cell again.
     ClaimsAgain,
-    /// It is told to stop and releases the cell.
+    /// It receives SIGTERM and releases the cell.
     Stops,
     /// It is killed.
     IsKilled,
@@ -184,7 +184,7 @@
     after_its_owner_has_released_the_cell = { 9_311, Duration::from_millis(300), OwnerFate::Stops },
     after_its_owner_was_killed = { 9_312, Duration::from_millis(2_500), OwnerFate::IsKilled },
 )]
-fn a_task_does_not_start_again_while_the_next_incarnation_of_its_worker_may_run_it(
+fn a_task_runs_once_where_the_next_incarnation_may_have_it(
     seed: u64,
     delay: Duration,
     fate: OwnerFate,
--- a/crates/jobs/src/calls.rs
+++ b/crates/jobs/src/calls.rs
@@ -21,7 +21,7 @@
     Append(Vec<&'e Entry>),
     /// The log does not accept this one.
     GiveUp(&'e Entry),
-    /// All records are durable or given up.
+    /// No record is left.
     Done,
 }
 
--- a/crates/jobs/tests/inherited_leases.rs
+++ b/crates/jobs/tests/inherited_leases.rs
@@ -32,7 +32,7 @@
 }
 
 #[test]
-fn a_release_names_the_workers_whose_leases_hold_longer_than_usual() {
+fn a_release_names_workers_whose_leases_hold_longer() {
     let now = Instant::now();
     let owner = InheritedLeases::until(now);
     let held = held(now, &[("a@1", 3_000), ("b@1", 9_000)], &[]);
@@ -57,7 +57,7 @@
 }
 
 #[test]
-fn unreported_starts_count_until_the_incarnation_that_they_were_sent_to_answers() {
+fn unreported_starts_count_until_their_incarnation_answers() {
     let now = Instant::now();
     let owner = InheritedLeases::until(now);
     let next = next_owner(
