test(havenladder): crowds of clients that do not behave, failing on today's code

What callers saw: with such clients at an entry, the process ran out of memory or no ordinary caller could connect.

The soak gets crowds (bodies, heads and trailers that never end, chunks and packets of one byte, silence, responses that are not read, jobs of many steps) and reads what a process uses. Tests with real processes let a small crowd come to one entry whose settings name a machine of 64 MB and 300 descriptors, and check that the process lives, that its memory, with what has arrived unread, stays below the machine's, that its sockets stay below the descriptors that are not reserved for files, and that an ordinary job is accepted and done. No times and no shares. One such test runs at a time.

--- a/crates/havenladder/tests/entries/mod.rs
+++ b/crates/havenladder/tests/entries/mod.rs
@@ -6,6 +6,7 @@
     Plan,
     site::{HOST, PREFIX, Site},
 };
+use havenladder_standin::users::settings::Resources;
 use std::{
     fs, io,
     net::SocketAddr,
@@ -61,6 +62,20 @@
     start_plan(name, plan).await
 }
 
+/// Starts a site with three entries whose machines have these resources.
+#[allow(
+    dead_code,
+    clippy::allow_attributes,
+    reason = "not every test limits resources"
+)]
+pub async fn start_with_resources(name: &str, seed: u64, vms: usize, resources: Resources) -> Site {
+    let plan = Plan {
+        resources: Some(resources),
+        ..plan(name, seed, vms, 3)
+    };
+    start_plan(name, plan).await
+}
+
 /// Returns the plan of a site without faults.
 fn plan(name: &str, seed: u64, vms: usize, entries: usize) -> Plan {
     Plan {
@@ -71,6 +86,7 @@
         vms,
         logs: log_dir(name, seed),
         link_mbps: None,
+        resources: None,
     }
 }
 
--- a/crates/havenladder/tests/site/config.rs
+++ b/crates/havenladder/tests/site/config.rs
@@ -41,7 +41,14 @@
 impl Site {
     /// Starts the proxies between one entry and its peers and the platform, and writes the configuration file of the
     /// entry with the addresses of these proxies.
-    pub(super) fn configure(&mut self, timing: Timing, index: usize, hall: &str, halls: &[&str]) {
+    pub(super) fn configure(
+        &mut self,
+        timing: Timing,
+        limits: &Value,
+        index: usize,
+        hall: &str,
+        halls: &[&str],
+    ) {
         let log = self.start_proxy(self.platform);
         self.log_links.push(log.faults);
         let mut neighbours = Vec::new();
@@ -78,6 +85,11 @@
         if timing == Timing::Fast {
             shorten_intervals(&mut config);
         }
+        for (section, values) in limits.as_object().unwrap() {
+            for (key, value) in values.as_object().unwrap() {
+                config[section][key] = value.clone();
+            }
+        }
         fs::write(&entry.config, config.to_string()).unwrap();
     }
 }
--- a/crates/havenladder/tests/site/mod.rs
+++ b/crates/havenladder/tests/site/mod.rs
@@ -94,7 +94,18 @@
 
     /// Does the same as `start` for entries with the given timing.
     pub fn start_with_timing(timing: Timing, plan: Plan, halls: &[&str], settings: &str) -> Self {
-        let mut site = Self::prepare(timing, plan, halls);
+        Self::start_with_limits(timing, &serde_json::json!({}), plan, halls, settings)
+    }
+
+    /// Does the same for entries whose configuration files also contain the values of `limits`, by their sections.
+    pub fn start_with_limits(
+        timing: Timing,
+        limits: &Value,
+        plan: Plan,
+        halls: &[&str],
+        settings: &str,
+    ) -> Self {
+        let mut site = Self::prepare(timing, limits, plan, halls);
         for index in 0..halls.len() {
             site.spawn(index);
         }
@@ -105,7 +116,7 @@
     }
 
     /// Starts the platform and the proxies and writes the configuration files, but starts no entry.
-    fn prepare(timing: Timing, plan: Plan, halls: &[&str]) -> Self {
+    fn prepare(timing: Timing, limits: &Value, plan: Plan, halls: &[&str]) -> Self {
         let (handle, platform) = platform::start(plan);
         let folder = std::env::temp_dir().join(format!("havenladder-{}", ulid::Ulid::new()));
         fs::create_dir_all(&folder).unwrap();
@@ -132,7 +143,7 @@
             setup_events: 0,
         };
         for (index, hall) in halls.iter().enumerate() {
-            site.configure(timing, index, hall, halls);
+            site.configure(timing, limits, index, hall, halls);
         }
         site
     }
@@ -361,6 +372,11 @@
         Duration::from_secs_f64(ticks / TICKS_PER_SECOND)
     }
 
+    /// Returns the id of the process of an entry.
+    pub fn process(&self, index: usize) -> u32 {
+        self.entries[index].child.as_ref().unwrap().id()
+    }
+
     /// Returns the resident memory of an entry in bytes.
     pub fn memory_bytes(&self, index: usize) -> u64 {
         let id = self.entries[index].child.as_ref().unwrap().id();
--- a/crates/havenladder/tests/soak.rs
+++ b/crates/havenladder/tests/soak.rs
@@ -29,6 +29,7 @@
         vms,
         logs: PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{seed}")),
         link_mbps: None,
+        resources: None,
     };
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
--- a/crates/soak/benches/owner.rs
+++ b/crates/soak/benches/owner.rs
@@ -156,6 +156,7 @@
         vms,
         logs: folder,
         link_mbps: None,
+        resources: None,
     };
     let entry = Entry::start(&plan, 0, &Ports::for_seed(plan.seed), store, list).unwrap();
     time::sleep(STARTUP_TIME).await;
--- a/crates/soak/src/entries.rs
+++ b/crates/soak/src/entries.rs
@@ -1,9 +1,9 @@
 //! Entries as separate processes, each on its own loopback address.
 
 use crate::Plan;
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::{Pid, Resource, Rlimit, Signal, kill_process, prlimit};
 use serde_json::Value;
-use standin::users::settings::Settings;
+use standin::users::settings::{Resources, Settings};
 use std::{
     env,
     fs::{self, File, OpenOptions},
@@ -58,6 +58,7 @@
     settings: PathBuf,
     log: PathBuf,
     child: Child,
+    resources: Option<Resources>,
     /// Total time for which the entry's machine has been suspended.
     total_suspension: Duration,
 }
@@ -82,13 +83,14 @@
         let log = plan.logs.join(format!("entry-{number}.log"));
         let address = format!("{}:{}", ip(number), ports.0);
         fs::write(clock_file(&path), "0")?;
-        let child = spawn(&plan.program, &path, &log)?;
+        let child = spawn(&plan.program, &path, &log, plan.resources)?;
         Ok(Entry {
             address: address.parse().expect("a valid loopback address"),
             program: plan.program.clone(),
             settings: path,
             log,
             child,
+            resources: plan.resources,
             total_suspension: Duration::ZERO,
         })
     }
@@ -142,7 +144,7 @@
     pub fn ensure_running(&mut self) -> io::Result<()> {
         self.signal(Signal::CONT);
         if !self.is_running() {
-            self.child = spawn(&self.program, &self.settings, &self.log)?;
+            self.child = spawn(&self.program, &self.settings, &self.log, self.resources)?;
         }
         Ok(())
     }
@@ -174,16 +176,30 @@
     settings.with_extension("clock")
 }
 
-fn spawn(program: &PathBuf, settings: &PathBuf, log: &PathBuf) -> io::Result<Child> {
+/// Starts a process. It cannot open more descriptors than its machine has.
+fn spawn(
+    program: &PathBuf,
+    settings: &PathBuf,
+    log: &PathBuf,
+    resources: Option<Resources>,
+) -> io::Result<Child> {
     let out: File = OpenOptions::new().create(true).append(true).open(log)?;
-    Command::new(program)
+    let child = Command::new(program)
         .arg("entry")
         .env("HAVENLADDER_NODE_FILE", settings)
         .env("HAVENLADDER_CLOCK_FILE", clock_file(settings))
         .stdin(Stdio::null())
         .stdout(out.try_clone()?)
         .stderr(out)
-        .spawn()
+        .spawn()?;
+    if let Some(Resources { descriptors, .. }) = resources {
+        let limit = Rlimit {
+            current: Some(descriptors),
+            maximum: Some(descriptors),
+        };
+        prlimit(Pid::from_raw(child.id() as i32), Resource::Nofile, limit)?;
+    }
+    Ok(child)
 }
 
 fn settings(
@@ -202,5 +218,6 @@
         log,
         cloud,
         link_mbps: plan.link_mbps,
+        resources: plan.resources,
     }
 }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -11,6 +11,7 @@
 )]
 
 pub mod caller;
+pub mod crowd;
 pub mod cut_off;
 pub mod entries;
 pub mod faults;
@@ -19,6 +20,7 @@
 pub mod prober;
 pub mod site;
 pub mod specs;
+pub mod usage;
 
 use caller::Ledger;
 use cut_off::CUT_OFF_FROM_SEED;
@@ -27,7 +29,7 @@
 use rand::{SeedableRng, rngs::StdRng};
 use site::Site;
 use specs::LONG_RUN_MS;
-use standin::users::worker::MAX_HOLD_MS;
+use standin::users::{settings::Resources, worker::MAX_HOLD_MS};
 use std::{
     io,
     path::PathBuf,
@@ -68,6 +70,9 @@
     pub logs: PathBuf,
     /// Bandwidth of each entry's link according to its settings, in Mbit/s; `None` leaves it out.
     pub link_mbps: Option<f64>,
+    /// Memory and descriptors of each entry's machine. The processes cannot open more descriptors; `None` leaves the
+    /// machine without stated limits.
+    pub resources: Option<Resources>,
 }
 
 /// The results of one run of the soak.
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -67,6 +67,7 @@
         vms: args.vms,
         logs: args.logs.join(seed.to_string()),
         link_mbps: None,
+        resources: None,
     }
 }
 
