fix(entry): what clients leave unfinished is bounded, on every listener

Callers saw no answer, or an entry that had run out of memory, once some hundred clients had sent parts of requests or had only connected.

Cause: nothing bounded the sum of what connections hold. The list of a body's pieces kept 32 bytes and more for a byte of payload, or the read buffer of each piece; heads of 400 KB were read for 30 s; bodies had no deadline; connections had no bound, so that the process had no descriptor left for anybody; the listeners for readiness checks, metrics and other entries had no limits at all.

Each listener now has a budget of connections and of bytes, shares of the machine's memory and descriptors by its settings file, and the limits of a call come from the operators' configuration. When a budget is used up, what has waited longest without being whole goes, and never a request that is whole; what is refused has not run and is told so (503, Retry-After). The receive buffer is fixed, since unread bytes count as the machine's memory. A request whose caller disconnects no longer counts as in flight for good.

--- a/crates/havenladder/src/entry/callers/call.rs
+++ b/crates/havenladder/src/entry/callers/call.rs
@@ -3,12 +3,13 @@
 //! newer one.
 
 use super::{
+    close,
     owner_request::{OwnerReply, request_owner},
     reply,
 };
 use crate::entry::{
+    gates::CALLER_RECEIVE_BUFFER,
     in_force::{Caller, Unauthorized},
-    listen::Reply,
     logs::kind,
     node::{Node, wall_ms},
     peer::{self, CallerOperation},
@@ -22,19 +23,20 @@
 };
 use bytes::Bytes;
 use clock::Instant;
-use http_body_util::{BodyExt, Limited};
 use hyper::{
     Method, Request, StatusCode,
     body::Incoming,
     header::{self, HeaderMap, HeaderValue},
 };
+use ingress::{Exchange, Reply, Unreceived};
 use jobs::{JobId, JobSpec, Submission};
 use std::{rc::Rc, time::Duration};
 use tracing::info;
 use workspaces::{Authorization, read_authorization};
 
-/// Maximum size of a job's body. The platform's documentation specifies 262,144 bytes.
-const MAX_BODY_BYTES: usize = 262_144;
+/// Number of copies of a job that an entry has at a time: the one that it keeps for another attempt, the one that it
+/// sends or gives to the owner, and the bytes that are sent.
+const JOB_COPIES: usize = 3;
 
 /// Time for which a caller waits if it does not specify any.
 const DEFAULT_TIMEOUT: Duration = Duration::from_millis(3_000);
@@ -105,11 +107,18 @@
 }
 
 /// Handles a request according to its queue, caller, method and job.
-pub(super) async fn handle(node: &Rc<Node>, request: Request<Incoming>) -> Reply {
+pub(super) async fn handle(
+    node: &Rc<Node>,
+    request: Request<Incoming>,
+    exchange: &Exchange,
+) -> Reply {
     let head = RequestHead::read(&request);
     if stop::is_answer_due(node) {
         return reply(StatusCode::SERVICE_UNAVAILABLE, "");
     }
+    if exchange.hold(CALLER_RECEIVE_BUFFER).is_err() {
+        return reply(StatusCode::SERVICE_UNAVAILABLE, "");
+    }
     if !ensure_fresh(node, FreshnessRequirement::Newest).await {
         return refuse_unconfirmed(&head);
     }
@@ -117,7 +126,11 @@
         Ok(admitted) => admitted,
         Err(reply) => return reply,
     };
-    let operation = match read_operation(node, &head, &admitted, request.into_body()).await {
+    let body = RequestBody {
+        body: request.into_body(),
+        exchange,
+    };
+    let operation = match read_operation(node, &head, &admitted, body).await {
         Ok(operation) => operation,
         Err(reply) => return reply,
     };
@@ -256,7 +269,7 @@
     node: &Node,
     head: &RequestHead,
     admitted: &Admitted,
-    body: Incoming,
+    body: RequestBody<'_>,
 ) -> Result<Operation, Reply> {
     if head.method == Method::GET && admitted.rest.is_empty() {
         return Ok(Operation::Pending);
@@ -272,25 +285,53 @@
     match head.method {
         Method::GET => Ok(Operation::State(id)),
         Method::DELETE => Ok(Operation::Cancel(id)),
-        Method::POST => Ok(Operation::Submit(id, read_spec(id, body).await?)),
+        Method::POST => Ok(Operation::Submit(id, body.read_spec(node, head, id).await?)),
         _ => Err(reply(StatusCode::METHOD_NOT_ALLOWED, "")),
     }
 }
 
-/// Reads the specification of a job.
-///
-/// # Errors
-///
-/// Fails with the response to the caller if the body is too large or not valid.
-async fn read_spec(id: JobId, body: Incoming) -> Result<JobSpec, Reply> {
-    let Ok(body) = Limited::new(body, MAX_BODY_BYTES).collect().await else {
-        return Err(reply(StatusCode::PAYLOAD_TOO_LARGE, ""));
+/// Body of a request that has not been received yet.
+struct RequestBody<'e> {
+    body: Incoming,
+    exchange: &'e Exchange,
+}
+
+impl RequestBody<'_> {
+    /// Reads the specification of a job.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the response to the caller if the body is too large, not valid or not complete in time, or if other
+    /// requests hold too much.
+    async fn read_spec(self, node: &Node, head: &RequestHead, id: JobId) -> Result<JobSpec, Reply> {
+        let limits = node.config().unwrap_or_default().limits;
+        let body = self
+            .exchange
+            .receive(self.body, limits.max_body, head.deadline);
+        let body = body.await.map_err(refuse_unreceived)?;
+        let spec = decode_spec(&body).map_err(|why| {
+            info!(target: kind::REQUEST, job = format!("{id:016x}"), why, "the job is not valid");
+            let body = serde_json::json!({ "error": why }).to_string();
+            reply(StatusCode::BAD_REQUEST, body)
+        })?;
+        let held = spec.memory_bytes() * JOB_COPIES + CALLER_RECEIVE_BUFFER;
+        match self.exchange.hold(held) {
+            Ok(()) => Ok(spec),
+            Err(_) => Err(reply(StatusCode::SERVICE_UNAVAILABLE, "")),
+        }
+    }
+}
+
+/// Creates the response to a request whose body was not received. Nothing of it has been carried out.
+fn refuse_unreceived(why: Unreceived) -> Reply {
+    let status = match why {
+        Unreceived::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        Unreceived::Broken => StatusCode::BAD_REQUEST,
+        Unreceived::Late | Unreceived::Overload | Unreceived::Stop => {
+            StatusCode::SERVICE_UNAVAILABLE
+        }
     };
-    decode_spec(&body.to_bytes()).map_err(|why| {
-        info!(target: kind::REQUEST, job = format!("{id:016x}"), why, "the job is not valid");
-        let body = serde_json::json!({ "error": why }).to_string();
-        reply(StatusCode::BAD_REQUEST, body)
-    })
+    close(reply(status, ""))
 }
 
 /// Decodes the specification of a job.
--- a/crates/havenladder/src/entry/callers/mod.rs
+++ b/crates/havenladder/src/entry/callers/mod.rs
@@ -3,73 +3,80 @@
 mod call;
 mod owner_request;
 
-use super::{
-    listen::{self, Reply, accept_each},
-    node::Node,
-};
+use super::{gates::caller_limits, node::Node};
 use adapter::traffic::Party;
 use bytes::Bytes;
 use call::handle;
 use clock::Instant;
 use http_body_util::Full;
-use hyper::{
-    Request, Response, StatusCode, body::Incoming, header, server::conn::http1, service::service_fn,
-};
-use hyper_util::rt::{TokioIo, TokioTimer};
-use std::{convert::Infallible, pin::pin, rc::Rc};
-use tokio::net::{TcpListener, TcpStream};
-use tracing::warn;
+use hyper::{Request, Response, StatusCode, body::Incoming, header};
+use ingress::{Exchange, Reply};
+use std::{net::TcpListener, rc::Rc};
+use tracing::error;
 
 /// Time in s after which a refused caller should retry. A new owner is found within 3 s.
 const RETRY_AFTER: &str = "1";
 
-/// Serves the connections of callers.
+/// Serves the connections of callers. Once the process has received the signal to stop, the request in progress of
+/// each is the last one.
 pub async fn listen(node: Rc<Node>, listener: TcpListener) {
-    let failed = |error| warn!(%error, "cannot accept a connection of a caller");
-    accept_each(listener, failed, |stream| serve(Rc::clone(&node), stream)).await;
+    let gate = Rc::clone(&node.gates.callers);
+    let caller = Rc::clone(&node);
+    let prepare = move |stream| {
+        update_limits(&caller);
+        caller.client.traffic().meter(Party::Caller, stream)
+    };
+    let respond = move |request, exchange| serve_request(Rc::clone(&node), request, exchange);
+    if let Err(error) = ingress::serve(gate, listener, prepare, respond).await {
+        error!(%error, "callers are not served");
+    }
+}
+
+/// Takes over the limits of the configuration in force.
+fn update_limits(node: &Node) {
+    if let Some(config) = node.config() {
+        let limits = caller_limits(&node.settings, config.limits);
+        node.gates.callers.set_limits(limits);
+    }
 }
 
-/// Serves the connection of a caller. Once the process has received the signal to stop, the
-/// request in progress is the last one.
-async fn serve(node: Rc<Node>, stream: TcpStream) {
-    // An error is ignored, since it only makes responses slower.
-    let _ = stream.set_nodelay(true);
-    let stream = node.client.traffic().meter(Party::Caller, stream);
-    let service = service_fn(|request| serve_request(Rc::clone(&node), request));
-    let builder = http1::Builder::new().timer(TokioTimer::new()).clone();
-    let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
-    tokio::select! {
-        // A broken connection needs no handling here, since the request of the caller ends with it.
-        _ = connection.as_mut() => return,
-        () = node.stop.notified() => {}
+/// Request that is counted as in progress until this is dropped, also if its caller disconnects before.
+struct InFlight(Rc<Node>);
+
+impl InFlight {
+    fn new(node: &Rc<Node>) -> Self {
+        node.in_flight.set(node.in_flight.get() + 1);
+        InFlight(Rc::clone(node))
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.in_flight.set(self.0.in_flight.get() - 1);
     }
-    connection.as_mut().graceful_shutdown();
-    let _ = connection.await;
 }
 
 /// Answers a request and counts it.
-async fn serve_request(node: Rc<Node>, request: Request<Incoming>) -> Result<Reply, Infallible> {
-    node.in_flight.set(node.in_flight.get() + 1);
+async fn serve_request(node: Rc<Node>, request: Request<Incoming>, exchange: Exchange) -> Reply {
+    let _in_flight = InFlight::new(&node);
     let began = Instant::now();
     let method = request.method().clone();
-    let mut reply = handle(&node, request).await;
+    let mut reply = handle(&node, request, &exchange).await;
     if node.is_stopping() {
         reply = close(reply);
     }
     node.metrics
         .answered(method.as_str(), reply.status().as_u16(), began.elapsed());
-    node.in_flight.set(node.in_flight.get() - 1);
-    Ok(reply)
+    reply
 }
 
 /// Serves the readiness checks.
 pub async fn listen_ready(node: Rc<Node>, listener: TcpListener) {
-    let serve = |stream| {
-        let node = Rc::clone(&node);
-        listen::serve(stream, move |_| ready(Rc::clone(&node)))
-    };
-    // A failed accept needs no log line, since the balancer asks again every second.
-    accept_each(listener, drop, serve).await;
+    let gate = Rc::clone(&node.gates.readiness);
+    let respond = move |_, _| ready(Rc::clone(&node));
+    if let Err(error) = ingress::serve(gate, listener, |stream| stream, respond).await {
+        error!(%error, "readiness checks are not served");
+    }
 }
 
 /// Responds whether the entry serves callers: it has a configuration, is not cut off and is not
--- a/crates/havenladder/src/entry/callers/owner_request.rs
+++ b/crates/havenladder/src/entry/callers/owner_request.rs
@@ -3,7 +3,6 @@
 
 use super::{close, reply};
 use crate::entry::{
-    listen::Reply,
     logs::kind,
     node::{IncarnationId, Node},
     peer::{self, CallerRequest, PeerRequest, PeerResponse},
@@ -16,6 +15,7 @@
 };
 use clock::{Instant, timer};
 use hyper::{StatusCode, header};
+use ingress::Reply;
 use std::{cell::Cell, rc::Rc, time::Duration};
 use tokio::time;
 use tracing::info;
--- a/crates/havenladder/src/entry/metrics.rs
+++ b/crates/havenladder/src/entry/metrics.rs
@@ -1,14 +1,16 @@
 //! Counters and latencies of an entry on the users' machines, in the text format of Prometheus.
 
 use super::{
+    gates::Gates,
     hall_metrics::{self, HallMetrics},
-    listen::{self, Reply, accept_each},
     logs::{self, queue::LogQueue},
+    node::Node,
     traffic,
 };
 use adapter::traffic::Traffic;
 use http_body_util::Full;
 use hyper::Response;
+use ingress::Reply;
 use jobs::{HallId, HallStatus};
 use opentelemetry::{
     KeyValue,
@@ -16,9 +18,8 @@
 };
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
-use std::{collections::BTreeMap, rc::Rc, time::Duration};
-use tokio::net::TcpListener;
-use tracing::warn;
+use std::{collections::BTreeMap, net::TcpListener, rc::Rc, time::Duration};
+use tracing::{error, warn};
 
 /// The port of the metrics, as configured in deploy/system.toml.
 pub const PORT: u16 = 9_460;
@@ -59,7 +60,7 @@
 impl Metrics {
     /// Creates the metrics of this process. If the exporter cannot be registered, a warning is logged and the metrics
     /// stay empty.
-    pub fn new(counters: &Traffic, queue: &LogQueue) -> Self {
+    pub fn new(counters: &Traffic, queue: &LogQueue, gates: &Gates) -> Self {
         let registry = Registry::new();
         let exporter = opentelemetry_prometheus::exporter()
             .with_registry(registry.clone())
@@ -73,6 +74,7 @@
         let meter = provider.meter("havenladder");
         traffic::export(&meter, counters);
         logs::export::export(&meter, queue);
+        gates.export(&meter);
         let halls = HallMetrics::default();
         hall_metrics::export(&meter, &halls);
         let seconds = |name: &'static str| {
@@ -243,16 +245,15 @@
 }
 
 /// Serves the metrics over HTTP.
-pub async fn listen(metrics: Rc<Metrics>, listener: TcpListener) {
-    let serve = |stream| {
-        let metrics = Rc::clone(&metrics);
-        listen::serve(stream, move |_| respond(Rc::clone(&metrics)))
-    };
-    // A scraper whose connection fails tries again.
-    accept_each(listener, drop, serve).await;
+pub async fn listen(node: Rc<Node>, listener: TcpListener) {
+    let gate = Rc::clone(&node.gates.metrics);
+    let respond = move |_, _| respond(Rc::clone(&node));
+    if let Err(error) = ingress::serve(gate, listener, |stream| stream, respond).await {
+        error!(%error, "metrics are not served");
+    }
 }
 
 /// Returns an HTTP response with the metrics.
-async fn respond(metrics: Rc<Metrics>) -> Reply {
-    Response::new(Full::new(metrics.text().into()))
+async fn respond(node: Rc<Node>) -> Reply {
+    Response::new(Full::new(node.metrics.text().into()))
 }
--- a/crates/havenladder/src/entry/mod.rs
+++ b/crates/havenladder/src/entry/mod.rs
@@ -7,13 +7,13 @@
 mod callers;
 mod ends;
 mod fleet;
+mod gates;
 mod hall_metrics;
 mod in_force;
 mod lease;
 mod lease_record;
 mod lease_state;
 mod link;
-mod listen;
 mod logs;
 mod losses;
 mod maintenance;
@@ -45,9 +45,10 @@
 mod worker_list;
 
 use adapter::settings;
+use gates::{CALLER_RECEIVE_BUFFER, INTERNAL_RECEIVE_BUFFER};
 use node::Node;
-use std::{io, process::ExitCode, rc::Rc};
-use tokio::{net::TcpListener, runtime, task::LocalSet};
+use std::{io, net::TcpListener, process::ExitCode, rc::Rc};
+use tokio::{runtime, task::LocalSet};
 use tracing::{error, info, warn};
 
 /// Runs the entry until it receives the signal to stop.
@@ -77,6 +78,18 @@
     }
 }
 
+/// Opens a listener at an IP address with a port.
+///
+/// # Errors
+///
+/// Fails if the address is malformed or not free.
+fn bind(address: &str, receive_buffer: usize) -> io::Result<TcpListener> {
+    let address = address
+        .parse()
+        .map_err(|error| io::Error::new(io::ErrorKind::InvalidInput, error))?;
+    ingress::bind(address, receive_buffer)
+}
+
 /// Starts the background tasks and waits until the entry receives the signal to stop.
 ///
 /// # Errors
@@ -84,9 +97,9 @@
 /// Fails if the port for callers, for readiness checks or for other entries cannot be bound.
 async fn serve(node: Rc<Node>) -> io::Result<()> {
     let settings = &node.settings;
-    let callers = TcpListener::bind(&settings.callers_address).await?;
-    let ready = TcpListener::bind(&settings.ready_address).await?;
-    let peers = TcpListener::bind((settings.ip.as_str(), settings.peer_port)).await?;
+    let callers = bind(&settings.callers_address, CALLER_RECEIVE_BUFFER)?;
+    let ready = bind(&settings.ready_address, INTERNAL_RECEIVE_BUFFER)?;
+    let peers = bind(&node.peer_address(), INTERNAL_RECEIVE_BUFFER)?;
     info!(
         node = settings.node,
         hall = settings.hall,
@@ -101,12 +114,15 @@
     tokio::task::spawn_local(callers::listen(Rc::clone(&node), callers));
     tokio::task::spawn_local(callers::listen_ready(Rc::clone(&node), ready));
     tokio::task::spawn_local(peer::listen(Rc::clone(&node), peers));
-    match TcpListener::bind((settings.ip.as_str(), metrics::PORT)).await {
+    let metrics_address = format!("{}:{}", settings.ip, metrics::PORT);
+    match bind(&metrics_address, INTERNAL_RECEIVE_BUFFER) {
         Ok(listener) => {
-            tokio::task::spawn_local(metrics::listen(Rc::clone(&node.metrics), listener));
+            tokio::task::spawn_local(metrics::listen(Rc::clone(&node), listener));
         }
         Err(error) => warn!(%error, port = metrics::PORT, "metrics are not served"),
     }
+    let gates = node.gates.all();
+    tokio::task::spawn_local(async move { ingress::sweep(&gates).await });
     stop::wait(&node).await;
     info!(node = settings.node, "entry stops");
     Ok(())
--- a/crates/havenladder/src/entry/node.rs
+++ b/crates/havenladder/src/entry/node.rs
@@ -3,8 +3,8 @@
 pub use super::lease_state::{IncarnationId, Lease};
 
 use super::{
-    in_force::InForce, link::Link, logs::queue::LogQueue, metrics::Metrics, owner::Owner,
-    reach::Directory, replication::Replication,
+    gates::Gates, in_force::InForce, link::Link, logs::queue::LogQueue, metrics::Metrics,
+    owner::Owner, reach::Directory, replication::Replication,
 };
 use adapter::{
     advice::AdviceClient, cloud::Cloud, http::Client, operator::Config, settings::Settings,
@@ -30,7 +30,9 @@
     /// Time at which the process started.
     pub began: Instant,
     /// Metrics of the entry.
-    pub metrics: Rc<Metrics>,
+    pub metrics: Metrics,
+    /// What the connections and requests of each listener may hold.
+    pub gates: Gates,
     /// HTTP client for all outgoing calls.
     pub client: Client,
     /// The platform's store.
@@ -95,12 +97,14 @@
     /// Creates the state of an entry that has just started.
     pub fn new(settings: Settings, logs: &LogQueue) -> Rc<Self> {
         let client = Client::default();
+        let gates = Gates::new(&settings);
         let max_config_age = settings.max_config_age;
         let in_force = RefCell::new(InForce::new(settings.halls.clone()));
         Rc::new(Node {
             incarnation: rand::random(),
             began: Instant::now(),
-            metrics: Rc::new(Metrics::new(client.traffic(), logs)),
+            metrics: Metrics::new(client.traffic(), logs, &gates),
+            gates,
             store: Store::new(client.clone(), &settings.store_address),
             store_times: Cell::default(),
             workers: WorkerClient::new(client.clone()),
--- a/crates/havenladder/src/entry/peer.rs
+++ b/crates/havenladder/src/entry/peer.rs
@@ -4,7 +4,6 @@
 use super::{
     in_force::Caller,
     lease_record::append_release,
-    listen::{self, Reply, accept_each},
     node::{Lease, Node},
     outage,
     reach::{self, Presence},
@@ -18,13 +17,13 @@
 };
 use clock::Instant;
 use fleet::{FollowerInfo, MilliCpu, Source};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::{Method, Response, StatusCode, body::Incoming};
-use jobs::{HallDrains, JobId, Phase, QueueId, Submission};
+use ingress::{Exchange, Reply};
+use jobs::{HallDrains, JobId, Phase, QueueId, Step, Submission};
 use serde::{Deserialize, Serialize};
-use std::{fmt, rc::Rc, time::Duration};
-use tokio::net::{TcpListener, TcpStream};
-use tracing::warn;
+use std::{fmt, net::TcpListener, rc::Rc, time::Duration};
+use tracing::{error, warn};
 
 /// Path of a request to another entry.
 const PATH: &str = "/ask";
@@ -33,6 +32,12 @@
 /// bytes.
 const MAX_REQUEST_BYTES: usize = 1 << 20;
 
+/// Maximum time for which a request is received. The gate has a shorter one.
+const MAX_RECEIVE_TIME: Duration = Duration::from_secs(60);
+
+/// Maximum ratio of the memory of a decoded request to its bytes: an encoded step of a job has 20 bytes or more.
+const MAX_DECODED_RATIO: usize = size_of::<Step>() / 20;
+
 /// Operation that a caller requests.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum CallerOperation {
@@ -214,29 +219,41 @@
 
 /// Serves the requests of other entries.
 pub async fn listen(node: Rc<Node>, listener: TcpListener) {
-    let failed = |error| warn!(%error, "cannot accept a connection of an entry");
-    let serve = |stream: TcpStream| {
-        // An error is ignored, since it only makes responses slower.
-        let _ = stream.set_nodelay(true);
-        let stream = node.client.traffic().meter(Party::Peer, stream);
-        let node = Rc::clone(&node);
-        listen::serve(stream, move |request| respond(Rc::clone(&node), request))
-    };
-    accept_each(listener, failed, serve).await;
+    let gate = Rc::clone(&node.gates.peers);
+    let peer = Rc::clone(&node);
+    let prepare = move |stream| peer.client.traffic().meter(Party::Peer, stream);
+    let respond = move |request, exchange| respond(Rc::clone(&node), request, exchange);
+    if let Err(error) = ingress::serve(gate, listener, prepare, respond).await {
+        error!(%error, "other entries are not served");
+    }
+}
+
+/// Receives and decodes a request of another entry.
+///
+/// # Errors
+///
+/// Fails with the status of the response if it is not complete or malformed, or if other requests hold too much.
+async fn receive(
+    request: hyper::Request<Incoming>,
+    exchange: &Exchange,
+) -> Result<PeerRequest, StatusCode> {
+    let by = Instant::now() + MAX_RECEIVE_TIME;
+    let body = exchange.receive(request.into_body(), MAX_REQUEST_BYTES, by);
+    let body = body.await.map_err(|_| StatusCode::BAD_REQUEST)?;
+    let held = exchange.hold(body.len() * MAX_DECODED_RATIO);
+    held.map_err(|_| StatusCode::SERVICE_UNAVAILABLE)?;
+    rmp_serde::from_slice(&body).map_err(|_| StatusCode::BAD_REQUEST)
 }
 
-/// Decodes a request of another entry and responds to it.
-async fn respond(node: Rc<Node>, request: hyper::Request<Incoming>) -> Reply {
-    let body = Limited::new(request.into_body(), MAX_REQUEST_BYTES)
-        .collect()
-        .await;
-    let request = body
-        .ok()
-        .and_then(|body| rmp_serde::from_slice::<PeerRequest>(&body.to_bytes()).ok());
-    let Some(request) = request else {
-        let mut response = Response::new(Full::default());
-        *response.status_mut() = StatusCode::BAD_REQUEST;
-        return response;
+/// Receives a request of another entry and responds to it.
+async fn respond(node: Rc<Node>, request: hyper::Request<Incoming>, exchange: Exchange) -> Reply {
+    let request = match receive(request, &exchange).await {
+        Ok(request) => request,
+        Err(status) => {
+            let mut response = Response::new(Full::default());
+            *response.status_mut() = status;
+            return response;
+        }
     };
     let response = match (request, node.as_owner()) {
         (PeerRequest::Update { version, end }, _) => {
--- a/crates/havenladder/src/entry/stop.rs
+++ b/crates/havenladder/src/entry/stop.rs
@@ -48,6 +48,7 @@
     let exit_at = Instant::now() + grace;
     node.answer_by.set(Some(exit_at - ANSWER_RESERVE));
     node.stop.notify_waiters();
+    node.gates.callers.drain();
     time::sleep(CONNECT_GRACE).await;
     while node.in_flight.get() > 0 && Instant::now() < exit_at {
         time::sleep(POLL_INTERVAL).await;
--- a/crates/havenladder/src/main.rs
+++ b/crates/havenladder/src/main.rs
@@ -5,6 +5,7 @@
 mod commands;
 mod configs;
 mod context;
+mod ended_clients;
 mod entry;
 mod explain;
 mod fleet_cell;
--- a/crates/jobs/src/spec.rs
+++ b/crates/jobs/src/spec.rs
@@ -8,7 +8,7 @@
 
 /// The maximum number of tasks of one job. It is far more than a pool could run, and keeps a caller's mistake
 /// from filling the owner's memory.
-pub(crate) const MAX_TASKS: u64 = 20_000;
+pub const MAX_TASKS: u64 = 20_000;
 
 /// The maximum number of repeats of one job.
 const MAX_REPEATS: u32 = 10_000;
@@ -171,6 +171,17 @@
         }
     }
 
+    /// Returns about how much memory the specification takes, in bytes.
+    pub fn memory_bytes(&self) -> usize {
+        let texts = |step: &Step| {
+            let texts = [&step.label, &step.data_rack, &step.image];
+            let bytes: usize = texts.into_iter().flatten().map(String::len).sum();
+            bytes + step.after.len() * size_of::<u32>()
+        };
+        let steps: usize = self.steps.iter().map(texts).sum();
+        self.text.len() + steps + self.steps.len() * size_of::<Step>()
+    }
+
     /// Returns the number of tasks of a round.
     pub fn task_count(&self) -> u64 {
         self.steps.iter().map(|step| u64::from(step.count)).sum()
