--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -69,7 +69,7 @@
 pub use permit::{Permit, StepId};
 pub use record::{Decoded, Entry, RecordError, State, decode_entry};
 pub use report::{EndRow, Refusal, Report, RunOutcome, RunRow};
-pub use spec::{JobSpec, Schedule, SpecError, Step, Submission};
+pub use spec::{JobSpec, MAX_TASKS, Schedule, SpecError, Step, Submission};
 pub use suspicion::{Crash, CrashHistory};
 pub use vm_orders::Holder;
 pub use worker::{RunPhase, Worker, WorkerInfo};
