fix(entry): a stopping entry refuses requests that are not whole

A stop waited until the end of its grace period for bodies that never came, and their clients saw the connection break: 20 of 20 without a response. Once callers may no longer connect, requests that are not whole are now refused with 503, which is true since nothing of them was passed on; those that are whole are answered as before. The test failed before.

--- a/crates/havenladder/src/entry/stop.rs
+++ b/crates/havenladder/src/entry/stop.rs
@@ -50,6 +50,7 @@
     node.stop.notify_waiters();
     node.gates.callers.drain();
     time::sleep(CONNECT_GRACE).await;
+    node.gates.callers.refuse_unfinished();
     while node.in_flight.get() > 0 && Instant::now() < exit_at {
         time::sleep(POLL_INTERVAL).await;
     }
