fix(serve): callers, peers and operators have the same bounds

serve ended with code 70 when 400 clients connected to its listener for operators or peers: the library panics when it cannot duplicate a descriptor. A header line of 40 MB was read into memory before any key was checked, each connection took a thread and none was ever ended. On the listener for callers, packets of one byte kept a read buffer each, connections beyond the limit waited in the kernel's queue behind a crowd, an announced length took its share of placement.bytes although nothing was sent, and a stop never ended while bodies came again.

All three listeners use the gate now. The key is checked before a body is received, requests are handled by at most 4 and 12 threads, placement.bytes counts what has arrived, and only whole requests count as in progress.

--- a/crates/havenladder/src/commands/serve.rs
+++ b/crates/havenladder/src/commands/serve.rs
@@ -15,8 +15,9 @@
         claims::{ClaimMessage, ClaimsSender, claims},
         editors::editors,
         follow::follow,
-        operators::{self, operators},
-        peers::{self, poll_peers, serve_peers},
+        listen::{CALLER_RECEIVE_BUFFER, INTERNAL_RECEIVE_BUFFER},
+        operators::operators,
+        peers::{poll_peers, serve_peers},
         placement::{Message, PlacementSender, placement},
         snapshots::snapshots,
         steward::steward,
@@ -26,6 +27,7 @@
     },
 };
 use crossbeam_channel::Receiver;
+use ingress::Counters;
 use platform::HttpPlatform;
 use std::{
     io,
@@ -35,7 +37,6 @@
     sync::Arc,
     time::SystemTime,
 };
-use tiny_http::Server;
 use tokio::sync::mpsc;
 
 /// Exit code of a process in which a thread panicked.
@@ -50,8 +51,8 @@
 /// Listening sockets of the entry. All of them are open before any request is served.
 struct Listeners {
     editors: TcpListener,
-    peers: Arc<Server>,
-    operators: Arc<Server>,
+    peers: TcpListener,
+    operators: TcpListener,
 }
 
 /// Runs an entry until it is signalled to stop.
@@ -82,25 +83,26 @@
 }
 
 fn listen(config: &Config) -> Result<Listeners, CommandError> {
-    let failed = |addr: SocketAddr, error| CommandError::Io(addr.to_string(), error);
-    let editors = TcpListener::bind(config.editors.listen)
-        .and_then(|listener| listener.set_nonblocking(true).map(|()| listener))
-        .map_err(|error| failed(config.editors.listen, error))?;
-    let server = |addr: SocketAddr| {
-        Server::http(addr)
-            .map(Arc::new)
-            .map_err(|error| failed(addr, io::Error::other(error.to_string())))
+    let listen = |addr: SocketAddr, receive_buffer| {
+        ingress::bind(addr, receive_buffer)
+            .map_err(|error| CommandError::Io(addr.to_string(), error))
     };
     Ok(Listeners {
-        editors,
-        peers: server(config.peers.listen)?,
-        operators: server(config.operators.listen)?,
+        editors: listen(config.editors.listen, CALLER_RECEIVE_BUFFER)?,
+        peers: listen(config.peers.listen, INTERNAL_RECEIVE_BUFFER)?,
+        operators: listen(config.operators.listen, INTERNAL_RECEIVE_BUFFER)?,
     })
 }
 
 fn make_context(config: Config) -> Result<(Arc<Context>, Receivers), CommandError> {
     let (placement, placement_receiver) = PlacementSender::new(config.placement.requests);
     let (claims, claims_receivers) = ClaimsSender::new(config.placement.requests);
+    let [caller_endings, operator_endings, peer_endings] = [(); 3].map(|()| Counters::default());
+    let listeners = vec![
+        ("callers", caller_endings.clone()),
+        ("operators", operator_endings.clone()),
+        ("peers", peer_endings.clone()),
+    ];
     let ctx = Context {
         platform: HttpPlatform::new(&config.platform.address.to_string()),
         fleet: FleetCell::default(),
@@ -114,9 +116,11 @@
         recent: RecentRequests::default(),
         burn: Default::default(),
         started_at: SystemTime::now(),
-        metrics: Metrics::new().map_err(CommandError::Start)?,
+        metrics: Metrics::new(listeners).map_err(CommandError::Start)?,
         in_progress: Default::default(),
-        in_progress_bytes: Default::default(),
+        caller_endings,
+        operator_endings,
+        peer_endings,
         unsettled: Default::default(),
         reaches_log: Default::default(),
         leaving: Default::default(),
@@ -145,13 +149,11 @@
     threads::spawn("steward", ctx, steward)?;
     threads::spawn("snapshots", ctx, snapshots)?;
     threads::spawn("ask-peers", ctx, poll_peers)?;
-    for _ in 0..peers::LISTENER_THREADS {
-        let server = Arc::clone(&listeners.peers);
-        threads::spawn("answer-peers", ctx, move |ctx| serve_peers(ctx, &server))?;
-    }
-    for _ in 0..operators::LISTENER_THREADS {
-        let server = Arc::clone(&listeners.operators);
-        threads::spawn("operators", ctx, move |ctx| operators(ctx, &server))?;
-    }
+    threads::spawn("answer-peers", ctx, move |ctx| {
+        serve_peers(ctx, listeners.peers);
+    })?;
+    threads::spawn("operators", ctx, move |ctx| {
+        operators(ctx, listeners.operators);
+    })?;
     threads::spawn("editors", ctx, move |ctx| editors(ctx, listeners.editors))
 }
--- a/crates/havenladder/src/configs/peers.rs
+++ b/crates/havenladder/src/configs/peers.rs
@@ -1,6 +1,6 @@
 //! Settings of the listener for peers, and the addresses of the peers.
 
-use super::{address, entry::required, millis};
+use super::{address, count, entry::required, millis};
 use protocol::{EntryId, HallId};
 use serde::{Serialize, Serializer};
 use settings::Fields;
@@ -14,6 +14,8 @@
 pub struct PeersConfig {
     /// Address of the listener.
     pub listen: SocketAddr,
+    /// Maximum number of open connections. Beyond it, the one that has waited longest for its client is closed.
+    pub connections: usize,
     /// Key that all entries share; it has no default.
     #[serde(serialize_with = "hidden")]
     pub key: String,
@@ -42,6 +44,7 @@
     fn default() -> Self {
         Self {
             listen: SocketAddr::from(([127, 0, 0, 1], 7200)),
+            connections: 256,
             key: String::new(),
             interval: Duration::from_secs(1),
             patience: Duration::from_secs(3),
@@ -56,6 +59,7 @@
         let default = Self::default();
         Self {
             listen: address(fields, "listen", default.listen),
+            connections: count(fields, "connections", 10_000, default.connections),
             key: read_key(fields),
             interval: millis(fields, "interval_ms", default.interval),
             patience: millis(fields, "patience_ms", default.patience),
--- a/crates/havenladder/src/configs/placement.rs
+++ b/crates/havenladder/src/configs/placement.rs
@@ -9,7 +9,8 @@
 pub struct PlacementConfig {
     /// Maximum number of requests without an outcome; further ones are refused at once.
     pub requests: usize,
-    /// Maximum total size of their bodies in bytes; requests beyond it are refused at once.
+    /// Maximum number of bytes that callers' requests hold, whole or not. Beyond it, those that are not whole are refused,
+    /// the one that has waited longest first.
     pub bytes: usize,
     /// Seed of the random choices; 0 takes a seed from the system.
     pub seed: u64,
--- a/crates/havenladder/src/context.rs
+++ b/crates/havenladder/src/context.rs
@@ -11,6 +11,7 @@
     threads::{claims::ClaimsSender, placement::PlacementSender},
 };
 use arc_swap::ArcSwap;
+use ingress::Counters;
 use platform::{HttpPlatform, VmInfo};
 use protocol::{Capacity, PeerStatus, ServiceId};
 use serving::Burn;
@@ -54,10 +55,14 @@
     pub started_at: SystemTime,
     /// Metrics of this process.
     pub metrics: Metrics,
-    /// Number of requests without an outcome.
+    /// Number of whole requests without an outcome.
     pub in_progress: AtomicUsize,
-    /// Total size of the bodies of these requests, in bytes.
-    pub in_progress_bytes: AtomicUsize,
+    /// Counts of the connections and requests of callers that were ended.
+    pub caller_endings: Counters,
+    /// The same of operators.
+    pub operator_endings: Counters,
+    /// The same of peers.
+    pub peer_endings: Counters,
     /// Number of settlements of claims that are not in the log yet.
     pub unsettled: AtomicUsize,
     /// Whether the last attempt to reach the log succeeded.
--- a/crates/havenladder/src/metrics.rs
+++ b/crates/havenladder/src/metrics.rs
@@ -1,5 +1,7 @@
 //! Metrics recorded with `opentelemetry` and exported in the text format of Prometheus.
 
+use crate::ended_clients;
+use ingress::Counters;
 use opentelemetry::{
     KeyValue,
     metrics::{Counter, Gauge, Histogram, MeterProvider},
@@ -22,12 +24,12 @@
 }
 
 impl Metrics {
-    /// Creates the metrics of this process.
+    /// Creates the metrics of this process, with the counters of its listeners by their names.
     ///
     /// # Errors
     ///
     /// Returns an error when the exporter cannot be registered.
-    pub fn new() -> Result<Self, String> {
+    pub fn new(listeners: Vec<(&'static str, Counters)>) -> Result<Self, String> {
         let registry = Registry::new();
         let exporter = opentelemetry_prometheus::exporter()
             .with_registry(registry.clone())
@@ -35,6 +37,7 @@
             .map_err(|error| error.to_string())?;
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
         let meter = provider.meter("havenladder");
+        ended_clients::export(&meter, listeners);
         Ok(Self {
             requests: meter.u64_counter("havenladder_requests").build(),
             latency: meter
--- a/crates/havenladder/src/threads/editors.rs
+++ b/crates/havenladder/src/threads/editors.rs
@@ -13,36 +13,30 @@
     recent::Trace,
     sync::lock,
     threads::{
+        listen::{self, request_limits},
         placement::{Arrival, Message, Reply, TaskResponse},
         runtime,
     },
 };
 use bytes::Bytes;
 use check::{CheckedRequest, check};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::{
     Request, Response, StatusCode,
     body::Incoming,
     header::{CONTENT_TYPE, HeaderValue},
-    server::conn::http1,
-    service::service_fn,
 };
-use hyper_util::rt::{TokioIo, TokioTimer};
+use ingress::{Budget, Exchange, Gate, Reply as HttpResponse, Unreceived};
 use serving::{Event, NotRun, NotRunReason, Outcome, RequestId};
 use std::{
-    convert::Infallible,
-    net::TcpListener as StdListener,
+    net::TcpListener,
     sync::{
         Arc,
         atomic::{AtomicU64, Ordering},
     },
     time::{Duration, Instant, SystemTime},
 };
-use tokio::{
-    net::{TcpListener, TcpStream},
-    sync::{Semaphore, oneshot},
-    time::{sleep, timeout},
-};
+use tokio::{sync::oneshot, task::LocalSet};
 
 /// Path at which the load balancer checks whether the process is alive.
 const LIVE: &str = "/live";
@@ -50,17 +44,9 @@
 /// Path at which the load balancer checks whether the process accepts requests.
 const READY: &str = "/ready";
 
-/// Maximum size in bytes of the header buffer of one connection.
-const MAX_HEADER_BYTES: usize = 16 << 10;
-
-/// Delay before connections are accepted again after an error, such as a lack of file descriptors.
-const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(50);
-
 /// Time after which a caller may retry when the entry is overloaded.
 const OVERLOAD_RETRY_AFTER: Duration = Duration::from_secs(1);
 
-type HttpResponse = Response<Full<Bytes>>;
-
 /// Counter for the IDs of this entry's requests.
 static NEXT_REQUEST_ID: AtomicU64 = AtomicU64::new(1);
 
@@ -69,58 +55,26 @@
 /// # Panics
 ///
 /// Panics when the system provides no event queue, without which the process cannot work.
-pub fn editors(ctx: &Arc<Context>, listener: StdListener) {
+pub fn editors(ctx: &Arc<Context>, listener: TcpListener) {
     let runtime = runtime().expect("the system provides an event queue");
-    runtime.block_on(accept_all(ctx, listener));
-}
-
-async fn accept_all(ctx: &Arc<Context>, listener: StdListener) {
-    let listener = TcpListener::from_std(listener).expect("the listener is open");
-    let permits = Arc::new(Semaphore::new(ctx.config.editors.connections));
-    loop {
-        let Ok(permit) = Arc::clone(&permits).acquire_owned().await else {
-            return;
-        };
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let ctx = Arc::clone(ctx);
-                tokio::spawn(async move {
-                    serve_connection(&ctx, stream).await;
-                    drop(permit);
-                });
-            }
-            Err(error) => {
-                tracing::warn!(%error, "could not accept a connection");
-                sleep(ACCEPT_RETRY_INTERVAL).await;
-            }
-        }
-    }
-}
-
-async fn serve_connection(ctx: &Arc<Context>, stream: TcpStream) {
-    let _ = stream.set_nodelay(true);
-    let served = Arc::clone(ctx);
-    let service = service_fn(move |request| {
-        let ctx = Arc::clone(&served);
-        async move { Ok::<_, Infallible>(handle(&ctx, request).await) }
-    });
-    let served = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(ctx.config.editors.header_time)
-        .max_buf_size(MAX_HEADER_BYTES)
-        .serve_connection(TokioIo::new(stream), service)
-        .await;
-    if let Err(error) = served {
-        tracing::debug!(%error, "a connection was closed early");
-    }
+    let budget = Budget {
+        connections: ctx.config.editors.connections,
+        bytes: ctx.config.placement.bytes,
+    };
+    let limits = request_limits(&ctx.config.editors);
+    let gate = Gate::new("callers", budget, limits, ctx.caller_endings.clone());
+    let ctx = Arc::clone(ctx);
+    let respond = move |request, exchange| handle(Arc::clone(&ctx), request, exchange);
+    let served = LocalSet::new().block_on(&runtime, listen::serve(gate, listener, respond));
+    served.expect("the listener is open");
 }
 
-async fn handle(ctx: &Arc<Context>, request: Request<Incoming>) -> HttpResponse {
+async fn handle(ctx: Arc<Context>, request: Request<Incoming>, exchange: Exchange) -> HttpResponse {
     match request.uri().path() {
         LIVE => text(StatusCode::OK, "live\n"),
         READY if ctx.is_ready() => text(StatusCode::OK, "ready\n"),
         READY => text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
-        _ => serve(ctx, request).await,
+        _ => serve(&ctx, request, &exchange).await,
     }
 }
 
@@ -130,30 +84,21 @@
     response
 }
 
-/// Guard that counts a request and its body as in progress until it is dropped.
-struct InProgress<'c> {
-    ctx: &'c Context,
-    bytes: usize,
-}
+/// Guard that counts a whole request as in progress until it is dropped.
+struct InProgress<'c>(&'c Context);
 
 impl<'c> InProgress<'c> {
-    /// Counts a request with a body of `bytes` as in progress. Returns `None` if that exceeds a
-    /// limit.
-    fn take(ctx: &'c Context, bytes: usize) -> Option<Self> {
-        let requests_before = ctx.in_progress.fetch_add(1, Ordering::Relaxed);
-        let bytes_before = ctx.in_progress_bytes.fetch_add(bytes, Ordering::Relaxed);
-        let guard = Self { ctx, bytes };
-        let limits = &ctx.config.placement;
-        (requests_before < limits.requests && bytes_before + bytes <= limits.bytes).then_some(guard)
+    /// Counts a request as in progress. Returns `None` if that exceeds the limit.
+    fn take(ctx: &'c Context) -> Option<Self> {
+        let before = ctx.in_progress.fetch_add(1, Ordering::Relaxed);
+        let guard = Self(ctx);
+        (before < ctx.config.placement.requests).then_some(guard)
     }
 }
 
 impl Drop for InProgress<'_> {
     fn drop(&mut self) {
-        self.ctx.in_progress.fetch_sub(1, Ordering::Relaxed);
-        self.ctx
-            .in_progress_bytes
-            .fetch_sub(self.bytes, Ordering::Relaxed);
+        self.0.in_progress.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
@@ -173,11 +118,14 @@
     }
 }
 
-async fn serve(ctx: &Arc<Context>, request: Request<Incoming>) -> HttpResponse {
+async fn serve(ctx: &Context, request: Request<Incoming>, exchange: &Exchange) -> HttpResponse {
     let started = Instant::now();
     let name = request_name(&request);
     let mut response = match check(ctx, &request) {
-        Ok(checked) => place(ctx, request, checked, &name, started).await,
+        Ok(checked) => {
+            let request = Unread { request, exchange };
+            place(ctx, request, checked, &name, started).await
+        }
         Err(problem) => refuse(ctx, &name, &problem),
     };
     if let Ok(value) = HeaderValue::from_str(&name) {
@@ -209,7 +157,7 @@
 
 async fn place(
     ctx: &Context,
-    request: Request<Incoming>,
+    request: Unread<'_>,
     checked: CheckedRequest,
     name: &str,
     started: Instant,
@@ -217,23 +165,24 @@
     let service = checked.service.clone();
     let forwarded = checked.forwarded;
     let deadline = checked.deadline;
-    let Some(_in_progress) = InProgress::take(ctx, checked.length) else {
+    let refuse_overload = || {
         let retry_at = started + OVERLOAD_RETRY_AFTER;
         let reason = NotRunReason::Overload;
         let outcome = Outcome::NotRun(NotRun { reason, retry_at });
-        return respond(
-            ctx,
-            name,
-            &service,
-            Reply {
-                outcome,
-                response: None,
-            },
-        );
+        let response = None;
+        respond(ctx, name, &service, Reply { outcome, response })
     };
-    let body = match read_body(ctx, request, &checked).await {
+    // A request that would be refused anyway is refused before its body is received.
+    if ctx.in_progress.load(Ordering::Relaxed) >= ctx.config.placement.requests {
+        return refuse_overload();
+    }
+    let body = match request.receive(&checked).await {
         Ok(body) => body,
-        Err(problem) => return refuse(ctx, name, &problem),
+        Err(Unreceived::Overload | Unreceived::Stop) => return refuse_overload(),
+        Err(why) => return refuse(ctx, name, &unreceived_problem(why)),
+    };
+    let Some(_in_progress) = InProgress::take(ctx) else {
+        return refuse_overload();
     };
     let id = NEXT_REQUEST_ID.fetch_add(1, Ordering::Relaxed);
     let (arrival, reply_receiver) = arrival(id, checked, name, body);
@@ -285,25 +234,36 @@
     (arrival, reply_receiver)
 }
 
-async fn read_body(
-    ctx: &Context,
+/// Request whose body has not been received yet.
+struct Unread<'e> {
     request: Request<Incoming>,
-    checked: &CheckedRequest,
-) -> Result<Bytes, Problem> {
-    let body = Limited::new(request.into_body(), checked.length).collect();
-    match timeout(ctx.config.editors.body_time, body).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(_)) => Err(Problem::bad(
+    exchange: &'e Exchange,
+}
+
+impl Unread<'_> {
+    /// Receives the body of the announced length, as long as the request can be answered in time.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the reason if it is not received.
+    async fn receive(self, checked: &CheckedRequest) -> Result<Bytes, Unreceived> {
+        let left = checked.deadline.saturating_duration_since(Instant::now());
+        let by = clock::Instant::now() + left;
+        let body = self.request.into_body();
+        self.exchange.receive(body, checked.length, by).await
+    }
+}
+
+/// Returns the problem of a request whose body was not received.
+fn unreceived_problem(why: Unreceived) -> Problem {
+    let (status, detail) = match why {
+        Unreceived::Late => (StatusCode::REQUEST_TIMEOUT, "the body did not come in time"),
+        _ => (
             StatusCode::BAD_REQUEST,
-            "body",
             "the body is shorter than its announced length",
-        )),
-        Err(_) => Err(Problem::bad(
-            StatusCode::REQUEST_TIMEOUT,
-            "body",
-            "the body did not come in time",
-        )),
-    }
+        ),
+    };
+    Problem::bad(status, "body", detail)
 }
 
 fn respond(ctx: &Context, name: &str, service: &str, reply: Reply) -> HttpResponse {
--- a/crates/havenladder/src/threads/mod.rs
+++ b/crates/havenladder/src/threads/mod.rs
@@ -3,6 +3,7 @@
 pub mod claims;
 pub mod editors;
 pub mod follow;
+pub mod listen;
 pub mod operators;
 pub mod peers;
 pub mod placement;
--- a/crates/havenladder/src/threads/operators.rs
+++ b/crates/havenladder/src/threads/operators.rs
@@ -7,89 +7,86 @@
     explain::{explain, suggestion},
     operate::{MemberReply, Order, Receipt, StateReply, WaveReply},
     propose::propose,
-    threads::peers::has_key,
+    threads::listen::{HandlerResponse, Service, WholeRequest, request_limits, serve_blocking},
 };
 use fleet::{Change, Fleet, GrantRequest, View, Wave, progress};
+use hyper::StatusCode;
+use ingress::{Budget, Gate};
 use serde::Serialize;
 use std::{
-    io::Read,
+    net::TcpListener,
     sync::Arc,
     time::{Duration, SystemTime},
 };
-use tiny_http::{Header, Method, Request, Response, Server};
 
-/// Number of threads that serve operators.
-pub const LISTENER_THREADS: usize = 4;
+/// Number of requests of operators that are handled at a time. Each of them may wait for the log.
+const HANDLERS: usize = 4;
 
 /// Maximum size of an order, in bytes.
-const MAX_ORDER_BYTES: u64 = 8 << 20;
-
-/// Response to an operator.
-struct OperatorResponse {
-    status: u16,
-    content_type: &'static str,
-    body: Vec<u8>,
-}
-
-impl OperatorResponse {
-    fn json(value: &impl Serialize) -> Self {
-        match serde_json::to_vec(value) {
-            Ok(body) => Self {
-                status: 200,
-                content_type: "application/json",
-                body,
-            },
-            Err(error) => Self::problem(500, &error.to_string()),
-        }
-    }
-
-    fn problem(status: u16, detail: &str) -> Self {
-        let body = serde_json::json!({ "status": status, "detail": detail });
-        Self {
-            status,
-            content_type: "application/problem+json",
-            body: body.to_string().into_bytes(),
-        }
+const MAX_ORDER_BYTES: usize = 8 << 20;
+
+/// Maximum number of bytes that requests of operators hold together.
+const MAX_REQUEST_BYTES: usize = 2 * MAX_ORDER_BYTES;
+
+/// Creates a response in JSON.
+fn json(value: &impl Serialize) -> HandlerResponse {
+    match serde_json::to_vec(value) {
+        Ok(body) => HandlerResponse {
+            status: StatusCode::OK,
+            content_type: "application/json",
+            body,
+        },
+        Err(error) => problem(StatusCode::INTERNAL_SERVER_ERROR, &error.to_string()),
     }
 }
 
-/// Serves operators until the process ends.
-pub fn operators(ctx: &Arc<Context>, server: &Server) {
-    while let Ok(mut request) = server.recv() {
-        let response = if has_key(&request, &ctx.config.operators.key) {
-            handle(ctx, &mut request)
-        } else {
-            OperatorResponse::problem(401, "the operators' key is missing or wrong")
-        };
-        respond(request, response);
+/// Creates the response to a request that failed.
+fn problem(status: StatusCode, detail: &str) -> HandlerResponse {
+    let body = serde_json::json!({ "status": status.as_u16(), "detail": detail });
+    HandlerResponse {
+        status,
+        content_type: "application/problem+json",
+        body: body.to_string().into_bytes(),
     }
 }
 
-fn respond(request: Request, response: OperatorResponse) {
-    let mut http_response = Response::from_data(response.body).with_status_code(response.status);
-    if let Ok(content_type) = Header::from_bytes("content-type", response.content_type) {
-        http_response.add_header(content_type);
-    }
-    // An operator that has disconnected sends the request again.
-    let _ = request.respond(http_response);
+/// Serves operators until the process ends.
+///
+/// # Panics
+///
+/// Panics when the system provides no event queue, without which the process cannot work.
+pub fn operators(ctx: &Arc<Context>, listener: TcpListener) {
+    let budget = Budget {
+        connections: ctx.config.operators.connections,
+        bytes: MAX_REQUEST_BYTES,
+    };
+    let limits = request_limits(&ctx.config.editors);
+    let gate = Gate::new("operators", budget, limits, ctx.operator_endings.clone());
+    let service = Service {
+        handlers: HANDLERS,
+        max_body: MAX_ORDER_BYTES,
+        key: |ctx| &ctx.config.operators.key,
+        handle,
+        refuse: problem,
+    };
+    serve_blocking(ctx, gate, listener, service);
 }
 
-fn handle(ctx: &Context, request: &mut Request) -> OperatorResponse {
-    let url = request.url().to_owned();
-    let (path, query) = url.split_once('?').unwrap_or((&url, ""));
-    match (request.method(), path) {
-        (Method::Get, "/metrics") => OperatorResponse {
-            status: 200,
+fn handle(ctx: &Context, request: &WholeRequest) -> HandlerResponse {
+    let uri = &request.head.uri;
+    match (request.head.method.as_str(), uri.path()) {
+        ("GET", "/metrics") => HandlerResponse {
+            status: StatusCode::OK,
             content_type: "text/plain; version=0.0.4",
             body: ctx.metrics.text().into_bytes(),
         },
-        (Method::Get, "/state") => OperatorResponse::json(&state(ctx)),
-        (Method::Get, "/members") => OperatorResponse::json(&members(ctx)),
-        (Method::Get, "/burn") => OperatorResponse::json(&burn::report(ctx)),
-        (Method::Get, "/config") => OperatorResponse::json(&ctx.config),
-        (Method::Get, "/explain") => explanation(ctx, query),
-        (Method::Post, "/orders") => handle_order(ctx, request),
-        _ => OperatorResponse::problem(404, "no such path"),
+        ("GET", "/state") => json(&state(ctx)),
+        ("GET", "/members") => json(&members(ctx)),
+        ("GET", "/burn") => json(&burn::report(ctx)),
+        ("GET", "/config") => json(&ctx.config),
+        ("GET", "/explain") => explanation(ctx, uri.query().unwrap_or_default()),
+        ("POST", "/orders") => handle_order(ctx, &request.body),
+        _ => problem(StatusCode::NOT_FOUND, "no such path"),
     }
 }
 
@@ -153,49 +150,46 @@
     members
 }
 
-fn explanation(ctx: &Context, query: &str) -> OperatorResponse {
+fn explanation(ctx: &Context, query: &str) -> HandlerResponse {
     let subject = query.strip_prefix("subject=").unwrap_or_default();
     match explain(ctx, subject) {
-        Some(explanation) => OperatorResponse::json(&explanation),
+        Some(explanation) => json(&explanation),
         None => {
             let hint = suggestion(ctx, subject).map(|name| format!("; did you mean `{name}`?"));
             let hint = hint.unwrap_or_default();
             let detail = format!("no VM, level or recent request `{subject}`{hint}");
-            OperatorResponse::problem(404, &detail)
+            problem(StatusCode::NOT_FOUND, &detail)
         }
     }
 }
 
-fn handle_order(ctx: &Context, request: &mut Request) -> OperatorResponse {
-    let mut body = Vec::new();
-    let read = request
-        .as_reader()
-        .take(MAX_ORDER_BYTES)
-        .read_to_end(&mut body);
-    if let Err(error) = read {
-        return OperatorResponse::problem(400, &error.to_string());
-    }
-    let order: Order = match serde_json::from_slice(&body) {
+fn handle_order(ctx: &Context, body: &[u8]) -> HandlerResponse {
+    let order: Order = match serde_json::from_slice(body) {
         Ok(order) => order,
-        Err(error) => return OperatorResponse::problem(400, &format!("not an order: {error}")),
+        Err(error) => {
+            return problem(StatusCode::BAD_REQUEST, &format!("not an order: {error}"));
+        }
     };
     tracing::info!(?order, "received an operator's order");
     match change_for(ctx, order) {
         Ok(change) => propose_change(ctx, change),
-        Err(detail) => OperatorResponse::problem(404, &detail),
+        Err(detail) => problem(StatusCode::NOT_FOUND, &detail),
     }
 }
 
-fn propose_change(ctx: &Context, change: Change) -> OperatorResponse {
+fn propose_change(ctx: &Context, change: Change) -> HandlerResponse {
     match propose(ctx, vec![change]) {
         Ok(decided) => match decided.outcomes.into_iter().next() {
-            Some(outcome) => OperatorResponse::json(&Receipt {
+            Some(outcome) => json(&Receipt {
                 offset: decided.offset,
                 outcome,
             }),
-            None => OperatorResponse::problem(500, "the record held no change"),
+            None => problem(
+                StatusCode::INTERNAL_SERVER_ERROR,
+                "the record held no change",
+            ),
         },
-        Err(error) => OperatorResponse::problem(503, &error.to_string()),
+        Err(error) => problem(StatusCode::SERVICE_UNAVAILABLE, &error.to_string()),
     }
 }
 
--- a/crates/havenladder/src/threads/peers.rs
+++ b/crates/havenladder/src/threads/peers.rs
@@ -3,49 +3,77 @@
 use crate::{
     client::{MAX_RELAY_WAIT, PeerClient},
     context::Context,
-    key::is_key,
     peer_table::status_expiry,
     sync::lock,
-    threads::placement::Message,
+    threads::{
+        listen::{HandlerResponse, Service, WholeRequest, request_limits, serve_blocking},
+        placement::Message,
+    },
 };
 use fleet::encode_snapshot;
-use protocol::{BurnReply, HEADER_KEY, SnapshotReply, encode};
+use hyper::StatusCode;
+use ingress::{Budget, Gate};
+use protocol::{BurnReply, SnapshotReply, encode};
 use serde::Serialize;
 use serving::{Event, Peer};
 use std::{
+    net::TcpListener,
     sync::Arc,
     thread::sleep,
     time::{Duration, SystemTime},
 };
-use tiny_http::{Header, Request, Response, Server};
 
-/// Number of threads that serve peers. Each of them may be blocked by one request for records.
-pub const LISTENER_THREADS: usize = 12;
+/// Number of requests of peers that are handled at a time. Each of them may wait for records.
+const HANDLERS: usize = 12;
+
+/// Maximum number of bytes that requests of peers hold. They have no bodies.
+const MAX_REQUEST_BYTES: usize = 1 << 20;
+
+/// Type of the responses to peers.
+const CONTENT_TYPE: &str = "application/msgpack";
 
 /// Serves peers until the process ends.
-pub fn serve_peers(ctx: &Arc<Context>, server: &Server) {
-    while let Ok(request) = server.recv() {
-        handle(ctx, request);
-    }
+///
+/// # Panics
+///
+/// Panics when the system provides no event queue, without which the process cannot work.
+pub fn serve_peers(ctx: &Arc<Context>, listener: TcpListener) {
+    let budget = Budget {
+        connections: ctx.config.peers.connections,
+        bytes: MAX_REQUEST_BYTES,
+    };
+    let limits = request_limits(&ctx.config.editors);
+    let gate = Gate::new("peers", budget, limits, ctx.peer_endings.clone());
+    let service = Service {
+        handlers: HANDLERS,
+        max_body: 0,
+        key: |ctx| &ctx.config.peers.key,
+        handle,
+        refuse: |status, _| response(status, Vec::new()),
+    };
+    serve_blocking(ctx, gate, listener, service);
 }
 
-fn handle(ctx: &Context, request: Request) {
-    if !has_key(&request, &ctx.config.peers.key) {
-        respond(request, 401, Vec::new());
-        return;
-    }
-    let url = request.url().to_owned();
-    let (path, query) = url.split_once('?').unwrap_or((&url, ""));
-    let body = match path {
+fn handle(ctx: &Context, request: &WholeRequest) -> HandlerResponse {
+    let uri = &request.head.uri;
+    let body = match uri.path() {
         "/status" => encode_body(&ctx.status()),
-        "/relay" => encode_body(&relay(ctx, query)),
+        "/relay" => encode_body(&relay(ctx, uri.query().unwrap_or_default())),
         "/snapshot" => snapshot(ctx),
         "/burn" => encode_body(&burn(ctx)),
         _ => None,
     };
     match body {
-        Some(body) => respond(request, 200, body),
-        None => respond(request, 404, Vec::new()),
+        Some(body) => response(StatusCode::OK, body),
+        None => response(StatusCode::NOT_FOUND, Vec::new()),
+    }
+}
+
+fn response(status: StatusCode, body: Vec<u8>) -> HandlerResponse {
+    HandlerResponse {
+        status,
+        content_type: CONTENT_TYPE,
+        body,
     }
 }
 
@@ -80,29 +108,6 @@
     encode(message).ok()
 }
 
-/// Returns whether a request carries the key, either in its own header or as a bearer token.
-pub fn has_key(request: &Request, key: &str) -> bool {
-    request.headers().iter().any(|header| {
-        let value = header.value.as_str();
-        if header.field.equiv(HEADER_KEY) {
-            return is_key(value, key);
-        }
-        header.field.equiv("authorization")
-            && value
-                .strip_prefix("Bearer ")
-                .is_some_and(|token| is_key(token, key))
-    })
-}
-
-fn respond(request: Request, status: u16, body: Vec<u8>) {
-    let mut response = Response::from_data(body).with_status_code(status);
-    if let Ok(content_type) = Header::from_bytes("content-type", "application/msgpack") {
-        response.add_header(content_type);
-    }
-    // A peer that has disconnected sends the request again.
-    let _ = request.respond(response);
-}
-
 /// Polls the status of every peer until the process ends.
 pub fn poll_peers(ctx: &Arc<Context>) {
     let client = PeerClient::new(&ctx.config.peers.key);
--- a/crates/havenladder/src/threads/watch.rs
+++ b/crates/havenladder/src/threads/watch.rs
@@ -12,7 +12,7 @@
 };
 use bytes::Bytes;
 use fleet::{Change, Vm};
-use http_body_util::{BodyExt, Empty, Limited};
+use http_body_util::Empty;
 use hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
     rt::TokioExecutor,
@@ -184,11 +184,9 @@
 
 async fn poll_usage(client: &ProbeClient, addr: &str) -> Option<Usage> {
     let uri = format!("http://{addr}{USAGE}").parse().ok()?;
-    let response = client.get(uri).await.ok()?;
-    let body = Limited::new(response.into_body(), MAX_USAGE_BYTES)
-        .collect()
-        .await;
-    serde_json::from_slice(&body.ok()?.to_bytes()).ok()
+    let mut response = client.get(uri).await.ok()?;
+    let body = ingress::collect(response.body_mut(), MAX_USAGE_BYTES).await;
+    serde_json::from_slice(&body.ok()?).ok()
 }
 
 fn record_leaving(ctx: &Context, listed: &[VmInfo]) {
--- a/crates/havenladder/src/threads/workers.rs
+++ b/crates/havenladder/src/threads/workers.rs
@@ -14,7 +14,7 @@
     },
 };
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::{
     Method, Request, Response, StatusCode,
     body::{Body, Incoming},
@@ -323,15 +323,11 @@
     let status = response.status().as_u16();
     let content_type = response.headers().get(CONTENT_TYPE).cloned();
     let chunked = response.headers().contains_key("transfer-encoding");
-    let body = response.into_body();
+    let mut body = response.into_body();
     if body.size_hint().exact().is_none() && !chunked {
         return None;
     }
-    let body = Limited::new(body, max_bytes)
-        .collect()
-        .await
-        .ok()?
-        .to_bytes();
+    let body = ingress::collect(&mut body, max_bytes).await.ok()?;
     Some(TaskResponse {
         status,
         content_type,
--- a/crates/havenladder/tests/misbehaving_clients_of_serve.rs
+++ b/crates/havenladder/tests/misbehaving_clients_of_serve.rs
@@ -35,6 +35,9 @@
 /// Number of callers' connections according to the settings.
 const CONNECTIONS: u64 = 60;
 
+/// Number of operators' connections, and of peers', according to the settings.
+const INTERNAL_CONNECTIONS: u64 = 40;
+
 /// Number of bytes of callers' requests according to the settings.
 const REQUEST_BYTES: u64 = 4 << 20;
 
@@ -51,6 +54,8 @@
     let limits = json!({
         "editors": { "connections": CONNECTIONS },
         "placement": { "bytes": REQUEST_BYTES },
+        "operators": { "connections": INTERNAL_CONNECTIONS },
+        "peers": { "connections": INTERNAL_CONNECTIONS },
     });
     let site = Site::start_with_limits(timing, &limits, plan(1, 2), &["hall-1"], SETTINGS);
     let limit = Rlimit {
