test(soak): crowds of misbehaving clients beside all other faults, from seed 14,000 on

Crowds of 5 to 150 clients come to random listeners of random entries, overlap, stay for 0.3 to 6 s and come again or not, while entries are killed, paused and suspended, links to the log and to workers fail and workers restart. The machines' memory (96 MB) and descriptors are stated in the settings, the processes cannot open more, and a new invariant holds that no entry uses more.

--- a/crates/havenladder/tests/soak.rs
+++ b/crates/havenladder/tests/soak.rs
@@ -19,6 +19,7 @@
     workspaces_with_keys_and_bounds = { 10_000, 12, 3, 8 },
     large_configurations_on_narrow_links = { 11_000, 20, 4, 8 },
     workers_that_restart_and_are_cut_off = { 13_111, 6, 3, 6 },
+    crowds_of_misbehaving_clients = { 14_000, 12, 3, 6 },
 )]
 fn a_soak_breaks_no_guarantee(seed: u64, seconds: u64, entries: usize, vms: usize) {
     let plan = Plan {
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -2,6 +2,7 @@
 //! record of the responses.
 
 use crate::{
+    crowd_faults::CROWDS_FROM_SEED,
     cut_off::CUT_OFF_FROM_SEED,
     faults::{BURSTS_FROM_SEED, HARMFUL_FROM_SEED, has_workspaces},
     site::{self, HOST, PREFIX, Site, WORKSPACES},
@@ -139,7 +140,7 @@
     let stop = Arc::new(AtomicBool::new(false));
     let entries: Vec<SocketAddr> = site.entries.iter().map(|entry| entry.address).collect();
     let has_bursts = (BURSTS_FROM_SEED..CUT_OFF_FROM_SEED).contains(&seed);
-    let has_long_tasks = seed >= CUT_OFF_FROM_SEED;
+    let has_long_tasks = (CUT_OFF_FROM_SEED..CROWDS_FROM_SEED).contains(&seed);
     for number in 0..CALLERS {
         let caller = Caller {
             rng: StdRng::seed_from_u64(seed * CALLERS + number),
--- a/crates/soak/src/entries.rs
+++ b/crates/soak/src/entries.rs
@@ -11,6 +11,10 @@
     net::SocketAddr,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering::Relaxed},
+    },
     time::Duration,
 };
 
@@ -58,6 +62,8 @@
     settings: PathBuf,
     log: PathBuf,
     child: Child,
+    /// Id of the process, which changes when it is restarted.
+    process: Arc<AtomicU32>,
     resources: Option<Resources>,
     /// Total time for which the entry's machine has been suspended.
     total_suspension: Duration,
@@ -89,6 +95,7 @@
             program: plan.program.clone(),
             settings: path,
             log,
+            process: Arc::new(AtomicU32::new(child.id())),
             child,
             resources: plan.resources,
             total_suspension: Duration::ZERO,
@@ -100,6 +107,11 @@
         self.child.id()
     }
 
+    /// Returns the id of the process, which is updated whenever the process is restarted.
+    pub fn process(&self) -> Arc<AtomicU32> {
+        Arc::clone(&self.process)
+    }
+
     /// Returns the epoch in which the entry last became the owner of the cell, according to its log.
     ///
     /// # Errors
@@ -145,6 +157,7 @@
         self.signal(Signal::CONT);
         if !self.is_running() {
             self.child = spawn(&self.program, &self.settings, &self.log, self.resources)?;
+            self.process.store(self.child.id(), Relaxed);
         }
         Ok(())
     }
--- a/crates/soak/src/invariants.rs
+++ b/crates/soak/src/invariants.rs
@@ -54,6 +54,8 @@
     KeysAreEnforced,
     /// A route that must be in force is not reported as missing, nor a valid key as unknown.
     ChangesAreInForce,
+    /// An entry never uses more memory or sockets than its machine has.
+    WithinMachine,
 }
 
 impl fmt::Display for Violation {
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -12,6 +12,7 @@
 
 pub mod caller;
 pub mod crowd;
+pub mod crowd_faults;
 pub mod cut_off;
 pub mod entries;
 pub mod faults;
@@ -23,6 +24,7 @@
 pub mod usage;
 
 use caller::Ledger;
+use crowd_faults::{CROWDS_FROM_SEED, Crowds};
 use cut_off::CUT_OFF_FROM_SEED;
 use invariants::Violation;
 use prober::Prober;
@@ -102,22 +104,28 @@
     let ledger = Ledger::default();
     let callers = caller::start(&site, &ledger, plan.seed);
     let prober = Prober::start(&site, plan.seed);
+    let crowds = Crowds::start(&site, plan.seed);
     let (faults, settle_timeout) = match plan.seed {
-        ..CUT_OFF_FROM_SEED => {
+        ..CUT_OFF_FROM_SEED | CROWDS_FROM_SEED.. => {
             let faults = faults::inject(&mut site, plan.seed, &mut rng, plan.span).await?;
             (faults, SETTLE_TIMEOUT)
         }
-        CUT_OFF_FROM_SEED.. => {
+        CUT_OFF_FROM_SEED..CROWDS_FROM_SEED => {
             let faults = cut_off::inject(&mut site, &mut rng, plan.span).await?;
             (faults, LONG_SETTLE_TIMEOUT)
         }
     };
     callers.stop();
+    let mut violations = crowds.stop();
     let faults_ended = Instant::now();
     wait_for_jobs(&mut site, &ledger, faults_ended + settle_timeout).await?;
     let rejections = prober.stop();
-    let violations =
-        invariants::check(&ledger.all(), &site.events.all(), &site.bounds, &rejections);
+    violations.extend(invariants::check(
+        &ledger.all(),
+        &site.events.all(),
+        &site.bounds,
+        &rejections,
+    ));
     journal::write(&plan.logs.join(JOURNAL), &site.events)?;
     Ok(Report {
         jobs: ledger.all().len(),
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     Plan,
+    crowd_faults::{CROWDS_FROM_SEED, resources},
     entries::{Entry, Ports},
     faults::{RESTARTS_FROM_SEED, has_workspaces},
 };
@@ -143,6 +144,11 @@
             site.workspaces = Some(WORKSPACES.map(initial_workspace).into());
         }
         site.configure();
+        let stated = (plan.seed >= CROWDS_FROM_SEED).then(|| resources(plan.entries, plan.vms));
+        let plan = &Plan {
+            resources: plan.resources.or(stated),
+            ..plan.clone()
+        };
         let ports = Ports::for_seed(plan.seed);
         for number in 0..plan.entries {
             let proxy = Proxy::start(log_address).await?;
