--- a/crates/havenladder/tests/misbehaving_clients.rs
+++ b/crates/havenladder/tests/misbehaving_clients.rs
@@ -9,7 +9,7 @@
 mod entries;
 
 use crowd_checks::{Monitor, WAIT_TIMEOUT, run_alone, wait_until_read};
-use entries::{block_on, owner, request, send_request, submit};
+use entries::{block_on, count_lines, owner, request, send_request, submit};
 use havenladder_soak::{
     crowd::{Crowd, Return, Shape, Target},
     site::{HOST, PREFIX, Site},
@@ -114,6 +114,13 @@
     let site = entries::start_with_resources(NAME, seed, VMS, RESOURCES).await;
     submit(&site, FIRST_JOB, JOB_BODY).await;
     within_limit("the first job", wait_until_done(&site, FIRST_JOB)).await;
+    // An entry writes its log a little later than it acts.
+    let owned = async {
+        while count_lines(NAME, seed, "\"owns the cell\"") == 0 {
+            time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    within_limit("an owner's log line", owned).await;
     site
 }
 
