--- a/crates/ingress/src/counters.rs
+++ b/crates/ingress/src/counters.rs
@@ -20,7 +20,7 @@
     Connections,
     /// The request was not complete when others needed its bytes.
     Bytes,
-    /// The connection waited longest when the process had no descriptor left.
+    /// The process had no descriptor left, and the connection waited longest, if any did.
     Descriptors,
     /// The budget was used up by connections whose requests are being answered.
     Full,
--- a/crates/ingress/src/gate.rs
+++ b/crates/ingress/src/gate.rs
@@ -150,15 +150,20 @@
         }
     }
 
-    /// Closes the connection that has waited longest, if no connection could be accepted for lack of descriptors.
+    /// Closes the connection that has waited longest, if no connection could be accepted for lack of descriptors. The
+    /// log reports how often, once a second.
     pub(crate) fn accept_failed(&self, error: &io::Error) {
         let lacks_descriptors = error
             .raw_os_error()
             .is_some_and(|code| NO_DESCRIPTOR.contains(&code));
+        if !lacks_descriptors {
+            warn!(listener = self.name, %error, "cannot accept a connection");
+            return;
+        }
         let longest = self.ledger.borrow().longest_waiting();
         match longest {
-            Some(id) if lacks_descriptors => self.end(id, Ending::Descriptors),
-            _ => warn!(listener = self.name, %error, "cannot accept a connection"),
+            Some(id) => self.end(id, Ending::Descriptors),
+            None => self.counters.count(Ending::Descriptors),
         }
     }
 
