fix(entry): fewer descriptors than the settings say do not keep an entry from its own calls

Callers saw no answer within 60 s, where the system let the process open 300 descriptors and its settings file named 4,100: the budgets followed from the file alone, so that a crowd took all descriptors and the owner could not open its connections to the store and to workers again.

The number of sockets is now that of the file or of the system, whichever is less. If a connection cannot be accepted for lack of descriptors all the same (a limit that was lowered later, or more calls than expected), the listener allows three quarters of what it has and gets its budget back by a 64th a second. serve keeps to shares of what the system allows.

--- a/crates/havenladder/src/threads/editors.rs
+++ b/crates/havenladder/src/threads/editors.rs
@@ -13,7 +13,7 @@
     recent::Trace,
     sync::lock,
     threads::{
-        listen::{self, request_limits},
+        listen::{self, allowed_connections, request_limits},
         placement::{Arrival, Message, Reply, TaskResponse},
         runtime,
     },
@@ -44,6 +44,9 @@
 /// Path at which the load balancer checks whether the process accepts requests.
 const READY: &str = "/ready";
 
+/// Part of the process's descriptors that connections of callers may take: one in this many.
+const DESCRIPTOR_SHARE: usize = 2;
+
 /// Time after which a caller may retry when the entry is overloaded.
 const OVERLOAD_RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -58,7 +61,11 @@
 pub fn editors(ctx: &Arc<Context>, listener: TcpListener) {
     let runtime = runtime().expect("the system provides an event queue");
     let budget = Budget {
-        connections: ctx.config.editors.connections,
+        connections: allowed_connections(
+            "callers",
+            ctx.config.editors.connections,
+            DESCRIPTOR_SHARE,
+        ),
         bytes: ctx.config.placement.bytes,
     };
     let limits = request_limits(&ctx.config.editors);
--- a/crates/havenladder/src/threads/listen.rs
+++ b/crates/havenladder/src/threads/listen.rs
@@ -12,11 +12,13 @@
 };
 use ingress::{Exchange, Gate, Reply, RequestLimits, Unreceived};
 use protocol::HEADER_KEY;
+use rustix::process::{Resource, getrlimit};
 use std::{io, net::TcpListener, rc::Rc, sync::Arc};
 use tokio::{
     runtime::Builder,
     task::{LocalSet, spawn_blocking, spawn_local},
 };
+use tracing::warn;
 
 /// Bytes of a caller that the kernel keeps unread at most.
 pub const CALLER_RECEIVE_BUFFER: usize = 64 << 10;
@@ -27,6 +29,24 @@
 /// Maximum size of a head in bytes.
 const MAX_HEAD_BYTES: usize = 16 << 10;
 
+/// Descriptors that are kept for files, workers, the platform and calls to peers.
+const OWN_DESCRIPTORS: usize = 128;
+
+/// Returns how many connections a listener may have: as many as the settings say, but no more than a share of the
+/// descriptors that the system lets the process open.
+pub fn allowed_connections(listener: &'static str, set: usize, share: usize) -> usize {
+    let limit = getrlimit(Resource::Nofile).current;
+    let limit = limit.map_or(usize::MAX, |limit| limit as usize);
+    let allowed = limit.saturating_sub(OWN_DESCRIPTORS) / share;
+    if set > allowed {
+        warn!(
+            listener,
+            set, allowed, "the process can open too few descriptors for all connections"
+        );
+    }
+    set.min(allowed.max(1))
+}
+
 /// Request that has been received.
 pub struct WholeRequest {
     /// Its method, path and headers.
--- a/crates/havenladder/src/threads/operators.rs
+++ b/crates/havenladder/src/threads/operators.rs
@@ -7,7 +7,9 @@
     explain::{explain, suggestion},
     operate::{MemberReply, Order, Receipt, StateReply, WaveReply},
     propose::propose,
-    threads::listen::{HandlerResponse, Service, WholeRequest, request_limits, serve_blocking},
+    threads::listen::{
+        HandlerResponse, Service, WholeRequest, allowed_connections, request_limits, serve_blocking,
+    },
 };
 use fleet::{Change, Fleet, GrantRequest, View, Wave, progress};
 use hyper::StatusCode;
@@ -22,6 +24,9 @@
 /// Number of requests of operators that are handled at a time. Each of them may wait for the log.
 const HANDLERS: usize = 4;
 
+/// Part of the process's descriptors that connections of operators may take: one in this many.
+const DESCRIPTOR_SHARE: usize = 8;
+
 /// Maximum size of an order, in bytes.
 const MAX_ORDER_BYTES: usize = 8 << 20;
 
@@ -57,7 +62,11 @@
 /// Panics when the system provides no event queue, without which the process cannot work.
 pub fn operators(ctx: &Arc<Context>, listener: TcpListener) {
     let budget = Budget {
-        connections: ctx.config.operators.connections,
+        connections: allowed_connections(
+            "operators",
+            ctx.config.operators.connections,
+            DESCRIPTOR_SHARE,
+        ),
         bytes: MAX_REQUEST_BYTES,
     };
     let limits = request_limits(&ctx.config.editors);
--- a/crates/havenladder/src/threads/peers.rs
+++ b/crates/havenladder/src/threads/peers.rs
@@ -6,7 +6,10 @@
     peer_table::status_expiry,
     sync::lock,
     threads::{
-        listen::{HandlerResponse, Service, WholeRequest, request_limits, serve_blocking},
+        listen::{
+            HandlerResponse, Service, WholeRequest, allowed_connections, request_limits,
+            serve_blocking,
+        },
         placement::Message,
     },
 };
@@ -26,6 +29,9 @@
 /// Number of requests of peers that are handled at a time. Each of them may wait for records.
 const HANDLERS: usize = 12;
 
+/// Part of the process's descriptors that connections of peers may take: one in this many.
+const DESCRIPTOR_SHARE: usize = 4;
+
 /// Maximum number of bytes that requests of peers hold. They have no bodies.
 const MAX_REQUEST_BYTES: usize = 1 << 20;
 
@@ -39,7 +45,7 @@
 /// Panics when the system provides no event queue, without which the process cannot work.
 pub fn serve_peers(ctx: &Arc<Context>, listener: TcpListener) {
     let budget = Budget {
-        connections: ctx.config.peers.connections,
+        connections: allowed_connections("peers", ctx.config.peers.connections, DESCRIPTOR_SHARE),
         bytes: MAX_REQUEST_BYTES,
     };
     let limits = request_limits(&ctx.config.editors);
--- a/crates/havenladder/tests/misbehaving_clients.rs
+++ b/crates/havenladder/tests/misbehaving_clients.rs
@@ -18,6 +18,7 @@
 use rustix::process::Signal;
 use std::{
     net::SocketAddr,
+    sync::Arc,
     time::{Duration, Instant},
 };
 use tokio::time;
@@ -112,8 +113,14 @@
 /// Starts a site whose entries have small machines, and waits until it has done a job.
 async fn start(seed: u64) -> Site {
     let site = entries::start_with_resources(NAME, seed, VMS, RESOURCES).await;
-    submit(&site, FIRST_JOB, JOB_BODY).await;
-    within_limit("the first job", wait_until_done(&site, FIRST_JOB)).await;
+    wait_for_first_job(&site, seed).await;
+    site
+}
+
+/// Waits until a site has done a job and the log says which entry owns the cell.
+async fn wait_for_first_job(site: &Site, seed: u64) {
+    submit(site, FIRST_JOB, JOB_BODY).await;
+    within_limit("the first job", wait_until_done(site, FIRST_JOB)).await;
     // An entry writes its log a little later than it acts.
     let owned = async {
         while count_lines(NAME, seed, "\"owns the cell\"") == 0 {
@@ -121,7 +128,6 @@
         }
     };
     within_limit("an owner's log line", owned).await;
-    site
 }
 
 /// Submits a job to an entry until it accepts it, as an ordinary caller does that is told to come back.
@@ -335,6 +341,41 @@
     block_on(come_and_go());
 }
 
+/// The system may let a process open fewer descriptors than its settings file says, also later.
+async fn lower_the_limit_of_descriptors() {
+    let seed = 6_827;
+    let mut site = entries::start(NAME, seed, VMS).await;
+    wait_for_first_job(&site, seed).await;
+    let crowded = owner(NAME, seed, site.entries.len());
+    let address = site.entries[crowded].address;
+    site.entries[crowded]
+        .limit_descriptors(RESOURCES.descriptors)
+        .expect("the process runs");
+    let target = Listener::Callers.target(address);
+    let shape = Shape::Chunks {
+        bytes: 1_000,
+        chunk: 100,
+    };
+    let crowd = Crowd::gather(&target, shape, 400, Return::Always);
+    within_limit("the crowd", crowd.wait_settled()).await;
+    // The entry needs descriptors for its own calls, since all of its connections break.
+    let names = site.cloud.names();
+    let workers = names.iter().filter_map(|name| site.cloud.link(name));
+    let links: Vec<_> = workers.chain([Arc::clone(&site.links[crowded])]).collect();
+    links.iter().for_each(|link| link.cut(true));
+    time::sleep(Duration::from_millis(200)).await;
+    links.iter().for_each(|link| link.cut(false));
+    within_limit("an ordinary job", submit_to(address, JOB)).await;
+    within_limit("its task", wait_until_done(&site, JOB)).await;
+    assert!(site.entries[crowded].is_running(), "the process has ended");
+}
+
+#[test]
+fn an_entry_with_fewer_descriptors_than_its_settings_say_serves_others() {
+    let _alone = run_alone();
+    block_on(lower_the_limit_of_descriptors());
+}
+
 /// A client that has sent a part of a body when the signal comes is told that its request has not run.
 async fn stop_with_unended_bodies() {
     const CLIENTS: usize = 20;
--- a/crates/ingress/src/gate.rs
+++ b/crates/ingress/src/gate.rs
@@ -150,8 +150,8 @@
         }
     }
 
-    /// Closes the connection that has waited longest, if no connection could be accepted for lack of descriptors. The
-    /// log reports how often, once a second.
+    /// Makes room for other connections of the process, if none could be accepted for lack of descriptors. The log
+    /// reports how often, once a second.
     pub(crate) fn accept_failed(&self, error: &io::Error) {
         let lacks_descriptors = error
             .raw_os_error()
@@ -160,10 +160,12 @@
             warn!(listener = self.name, %error, "cannot accept a connection");
             return;
         }
-        let longest = self.ledger.borrow().longest_waiting();
-        match longest {
-            Some(id) => self.end(id, Ending::Descriptors),
-            None => self.counters.count(Ending::Descriptors),
+        let surplus = self.ledger.borrow_mut().shrink();
+        if surplus.is_empty() {
+            self.counters.count(Ending::Descriptors);
+        }
+        for id in surplus {
+            self.end(id, Ending::Descriptors);
         }
     }
 
@@ -192,6 +194,7 @@
         if !late.is_zero() {
             self.ledger.borrow_mut().postpone(late);
         }
+        self.ledger.borrow_mut().recover();
         let overdue = self.ledger.borrow().overdue(now);
         for (id, phase) in overdue {
             let ending = match phase {
--- a/crates/ingress/src/ledger.rs
+++ b/crates/ingress/src/ledger.rs
@@ -8,6 +8,12 @@
     time::Duration,
 };
 
+/// Minimum number of connections that a listener is left with.
+const MIN_CONNECTIONS: usize = 8;
+
+/// Number of steps in which a listener gets its whole budget back after a lack of descriptors.
+const RECOVERY_STEPS: usize = 64;
+
 /// Number of a connection; it is never reused.
 pub type ConnectionId = u64;
 
@@ -83,6 +89,8 @@
 #[derive(Debug)]
 pub struct Ledger {
     budget: Budget,
+    /// Number of connections that the budget allows while the process has descriptors.
+    max_connections: usize,
     connections: HashMap<ConnectionId, Connection>,
     /// Connections that wait for their clients, by the time since when.
     waiting: BTreeSet<(Instant, ConnectionId)>,
@@ -95,6 +103,7 @@
     pub fn new(budget: Budget) -> Self {
         Ledger {
             budget,
+            max_connections: budget.connections,
             connections: HashMap::new(),
             waiting: BTreeSet::new(),
             bytes: 0,
@@ -150,6 +159,23 @@
         }
     }
 
+    /// Allows fewer connections from now on, because the process has no descriptor left: three quarters of those that are
+    /// open, the last of which could not be accepted. Returns the waiting ones to close for that, oldest first.
+    pub fn shrink(&mut self) -> Vec<ConnectionId> {
+        let open = self.connections.len();
+        let allowed = (open * 3 / 4).max(MIN_CONNECTIONS);
+        self.budget.connections = self.budget.connections.min(allowed);
+        let surplus = open.saturating_sub(allowed);
+        let waiting = self.waiting.iter().take(surplus);
+        waiting.map(|(_, id)| *id).collect()
+    }
+
+    /// Allows a few more connections again, as long as that does not exceed the original budget.
+    pub fn recover(&mut self) {
+        let more = self.budget.connections + self.max_connections.div_ceil(RECOVERY_STEPS);
+        self.budget.connections = more.min(self.max_connections);
+    }
+
     /// Returns the connection that has waited longest for its client.
     pub fn longest_waiting(&self) -> Option<ConnectionId> {
         self.waiting.first().map(|(_, id)| *id)
--- a/crates/ingress/tests/ledger.rs
+++ b/crates/ingress/tests/ledger.rs
@@ -144,6 +144,40 @@
     assert_eq!(site.ledger.hold(other, 10), Hold::InPlaceOf(vec![only]));
 }
 
+#[test]
+fn a_lack_of_descriptors_lowers_the_budget() {
+    let budget = Budget {
+        connections: 100,
+        bytes: 1_000,
+    };
+    let mut ledger = Ledger::new(budget);
+    let now = Instant::now();
+    let open = |ledger: &mut Ledger, after: u32| {
+        let at = now + SECOND * after;
+        ledger.open(at + SECOND, at)
+    };
+    let admitted = (1..=40).map(|after| open(&mut ledger, after));
+    assert!(
+        admitted
+            .into_iter()
+            .all(|a| matches!(a, Admission::Admitted(_)))
+    );
+    let closed = ledger.shrink();
+    assert_eq!(closed, (1..=10).collect::<Vec<ConnectionId>>());
+    closed.iter().for_each(|id| ledger.close(*id));
+    assert!(!ledger.is_over());
+    assert!(matches!(open(&mut ledger, 41), Admission::InPlaceOf { .. }));
+    (0..35).for_each(|_| ledger.recover());
+    let admitted = (42..=71).map(|after| open(&mut ledger, after));
+    assert!(
+        admitted
+            .into_iter()
+            .all(|a| matches!(a, Admission::Admitted(_)))
+    );
+    let none = Ledger::new(budget).shrink();
+    assert_eq!(none, Vec::<ConnectionId>::new());
+}
+
 #[test]
 fn a_connection_that_becomes_idle_holds_nothing() {
     let mut site = Site::new();
--- a/crates/soak/src/entries.rs
+++ b/crates/soak/src/entries.rs
@@ -107,6 +107,15 @@
         self.child.id()
     }
 
+    /// Lets the process open no more descriptors than this.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the process has ended.
+    pub fn limit_descriptors(&self, descriptors: u64) -> io::Result<()> {
+        limit_descriptors(self.child.id(), descriptors)
+    }
+
     /// Returns the id of the process, which is updated whenever the process is restarted.
     pub fn process(&self) -> Arc<AtomicU32> {
         Arc::clone(&self.process)
@@ -206,15 +215,21 @@
         .stderr(out)
         .spawn()?;
     if let Some(Resources { descriptors, .. }) = resources {
-        let limit = Rlimit {
-            current: Some(descriptors),
-            maximum: Some(descriptors),
-        };
-        prlimit(Pid::from_raw(child.id() as i32), Resource::Nofile, limit)?;
+        limit_descriptors(child.id(), descriptors)?;
     }
     Ok(child)
 }
 
+/// Lets a process open no more descriptors than this.
+fn limit_descriptors(process: u32, descriptors: u64) -> io::Result<()> {
+    let limit = Rlimit {
+        current: Some(descriptors),
+        maximum: Some(descriptors),
+    };
+    prlimit(Pid::from_raw(process as i32), Resource::Nofile, limit)?;
+    Ok(())
+}
+
 fn settings(
     plan: &Plan,
     number: usize,
