fix(entry): words of callers leave nothing behind in metrics, and little in the log

Callers' service ended where somebody called with methods of his own: 20 clients with 100 calls each, 8,000 bytes a method, took an entry to 560 MB of 64 MiB, for good. The method of each call was a label of two metrics, and the library keeps an entry for each new label (2,000 of them, each with the word and the bounds of a histogram). A body that is not valid was quoted whole in the error: a log line and a response of 262,319 bytes, 200 of which may be queued.

Methods other than GET, POST and DELETE now count as "other". Paths, hosts, methods and reasons in log lines, and the reason in a response, have the first and last 120 bytes of a long text.

Found by looking for what follows from one request within the limits.

--- a/crates/havenladder/src/entry/callers/call.rs
+++ b/crates/havenladder/src/entry/callers/call.rs
@@ -30,7 +30,7 @@
 };
 use ingress::{Exchange, Reply, Unreceived};
 use jobs::{JobId, JobSpec, Submission};
-use std::{rc::Rc, time::Duration};
+use std::{borrow::Cow, rc::Rc, time::Duration};
 use tracing::info;
 use workspaces::{Authorization, read_authorization};
 
@@ -41,6 +41,9 @@
 /// Time for which a caller waits if it does not specify any.
 const DEFAULT_TIMEOUT: Duration = Duration::from_millis(3_000);
 
+/// Length of each of the two excerpts of a long text, in bytes. The error about a body may quote all of it.
+const MAX_EXCERPT_BYTES: usize = 120;
+
 /// Content of a request before its body is read.
 struct RequestHead {
     method: Method,
@@ -91,6 +94,16 @@
     }
 }
 
+/// Returns a text of a caller for a log line or a response: if it is long, only its beginning and its end.
+fn shorten(text: &str) -> Cow<'_, str> {
+    if text.len() <= 2 * MAX_EXCERPT_BYTES {
+        return text.into();
+    }
+    let begin = &text[..text.floor_char_boundary(MAX_EXCERPT_BYTES)];
+    let end = &text[text.ceil_char_boundary(text.len() - MAX_EXCERPT_BYTES)..];
+    format!("{begin} … {end}").into()
+}
+
 /// Returns the text of a header, or an empty one if there is none.
 fn text<'h>(headers: &'h HeaderMap, name: &str) -> &'h str {
     let value = headers.get(name).and_then(|value| value.to_str().ok());
@@ -208,8 +221,8 @@
 /// Creates the response to a call that this entry can neither admit nor reject, since it cannot confirm that its
 /// configuration is the newest one. Nothing of the call has been carried out, and another entry may know more.
 fn refuse_unconfirmed(head: &RequestHead) -> Reply {
-    let path = &head.path;
-    info!(target: kind::REQUEST, path, "refused: the configuration may be too old");
+    let path = shorten(&head.path);
+    info!(target: kind::REQUEST, path = &*path, "refused: the configuration may be too old");
     reply(StatusCode::SERVICE_UNAVAILABLE, "")
 }
 
@@ -217,7 +230,8 @@
 fn reject_unknown_queue(node: &Node, head: &RequestHead) -> Reply {
     let version = node.in_force.borrow().version();
     let age = node.freshness.get().age(Instant::now()).as_millis() as u64;
-    info!(target: kind::REQUEST, host = head.host, path = head.path, version, age, "no such queue");
+    let (host, path) = (shorten(&head.host), shorten(&head.path));
+    info!(target: kind::REQUEST, host = &*host, path = &*path, version, age, "no such queue");
     reply(StatusCode::NOT_FOUND, "")
 }
 
@@ -227,7 +241,8 @@
     let reason = unauthorized.reason();
     let version = node.in_force.borrow().version();
     node.metrics.unauthorized(reason);
-    info!(target: kind::REQUEST, method = %head.method, path = head.path, reason, version, "caller is not authorized");
+    let (method, path) = (shorten(head.method.as_str()), shorten(&head.path));
+    info!(target: kind::REQUEST, method = &*method, path = &*path, reason, version, "caller is not authorized");
     let body = serde_json::json!({ "error": reason }).to_string();
     let mut reply = reply(StatusCode::UNAUTHORIZED, body);
     let scheme = HeaderValue::from_static(AUTH_SCHEME);
@@ -310,6 +325,7 @@
             .receive(self.body, limits.max_body, head.deadline);
         let body = body.await.map_err(refuse_unreceived)?;
         let spec = decode_spec(&body).map_err(|why| {
+            let why = &*shorten(&why);
             info!(target: kind::REQUEST, job = format!("{id:016x}"), why, "the job is not valid");
             let body = serde_json::json!({ "error": why }).to_string();
             reply(StatusCode::BAD_REQUEST, body)
--- a/crates/havenladder/src/entry/callers/mod.rs
+++ b/crates/havenladder/src/entry/callers/mod.rs
@@ -9,7 +9,7 @@
 use call::handle;
 use clock::Instant;
 use http_body_util::Full;
-use hyper::{Request, Response, StatusCode, body::Incoming, header};
+use hyper::{Method, Request, Response, StatusCode, body::Incoming, header};
 use ingress::{Exchange, Reply};
 use std::{net::TcpListener, rc::Rc};
 use tracing::error;
@@ -56,17 +56,27 @@
     }
 }
 
+/// Returns the name of a method in metrics, which keep an entry for each name for good. Callers may send any word.
+fn method_label(method: &Method) -> &'static str {
+    match *method {
+        Method::GET => "GET",
+        Method::POST => "POST",
+        Method::DELETE => "DELETE",
+        _ => "other",
+    }
+}
+
 /// Answers a request and counts it.
 async fn serve_request(node: Rc<Node>, request: Request<Incoming>, exchange: Exchange) -> Reply {
     let _in_flight = InFlight::new(&node);
     let began = Instant::now();
-    let method = request.method().clone();
+    let method = method_label(request.method());
     let mut reply = handle(&node, request, &exchange).await;
     if node.is_stopping() {
         reply = close(reply);
     }
     node.metrics
-        .answered(method.as_str(), reply.status().as_u16(), began.elapsed());
+        .answered(method, reply.status().as_u16(), began.elapsed());
     reply
 }
 
--- a/crates/havenladder/src/entry/metrics.rs
+++ b/crates/havenladder/src/entry/metrics.rs
@@ -115,8 +115,8 @@
     }
 
     /// Counts a response to a caller and records its latency.
-    pub fn answered(&self, method: &str, status: u16, took: Duration) {
-        let method = KeyValue::new("method", method.to_owned());
+    pub fn answered(&self, method: &'static str, status: u16, took: Duration) {
+        let method = KeyValue::new("method", method);
         self.answer_time
             .record(took.as_secs_f64(), std::slice::from_ref(&method));
         self.answers
--- a/crates/havenladder/tests/misbehaving_clients.rs
+++ b/crates/havenladder/tests/misbehaving_clients.rs
@@ -9,7 +9,7 @@
 mod entries;
 
 use crowd_checks::{Monitor, WAIT_TIMEOUT, run_alone, wait_until_read};
-use entries::{block_on, count_lines, owner, request, send_request, submit};
+use entries::{block_on, count_lines, log_dir, owner, request, send_request, submit};
 use havenladder_soak::{
     crowd::{Crowd, Return, Shape, Target},
     site::{HOST, PREFIX, Site},
@@ -17,6 +17,7 @@
 use havenladder_standin::users::{events::RunEvent, settings::Resources};
 use rustix::process::Signal;
 use std::{
+    fs,
     net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
@@ -282,11 +283,97 @@
     withstand_alone(seed, callers(20, shape));
 }
 
+#[test]
+fn methods_that_nobody_knows_leave_nothing_behind() {
+    withstand_alone(6_828, callers(20, Shape::Methods(100)));
+}
+
+/// Maximum length of a log line about a request, in bytes.
+const MAX_LINE_BYTES: usize = 1_024;
+
+async fn send_long_words() {
+    let seed = 6_829;
+    let site = start(seed).await;
+    let address = site.entries[0].address;
+    let word = "a".repeat(8_000);
+    let text = format!(r#"{{"steps":"{}"}}"#, "a".repeat(BODY_BYTES - 20));
+    let unknown = format!("GET /{word} HTTP/1.1\r\nhost: {word}\r\nconnection: close\r\n\r\n");
+    for (call, status) in [(request("POST", JOB, &text), 400), (unknown, 404)] {
+        let response = send_request(address, &call).await;
+        assert!(
+            response.starts_with(&format!("HTTP/1.1 {status}")),
+            "{response}"
+        );
+    }
+    let log = log_dir(NAME, seed).join("entry-0.log");
+    for message in ["the job is not valid", "no such queue"] {
+        let line = async {
+            loop {
+                let text = fs::read_to_string(&log).unwrap_or_default();
+                let line = text.lines().find(|line| line.contains(message));
+                if let Some(line) = line {
+                    break line.len();
+                }
+                time::sleep(Duration::from_millis(20)).await;
+            }
+        };
+        let length = within_limit("a log line", line).await;
+        assert!(length <= MAX_LINE_BYTES, "{message}: {length} bytes");
+    }
+}
+
+#[test]
+fn log_lines_repeat_little_of_what_callers_send() {
+    let _alone = run_alone();
+    block_on(send_long_words());
+}
+
 #[test]
 fn requests_whose_responses_are_not_read_stay_within_memory() {
     withstand_alone(6_822, callers(60, Shape::Pipeline(4_000_000)));
 }
 
+/// What a single client may send within the limits of a call, on a machine as small as in the other tests.
+async fn serve_the_largest_requests() {
+    let seed = 6_831;
+    let site = start(seed).await;
+    let address = site.entries[owner(NAME, seed, site.entries.len())].address;
+    let line = |id: u64| {
+        format!("POST {PREFIX}{id:016x} HTTP/1.1\r\nhost: {HOST}\r\nconnection: close\r\n")
+    };
+    let padded = format!("{JOB_BODY}{}", " ".repeat(BODY_BYTES - JOB_BODY.len()));
+    let chunks: String = padded
+        .chars()
+        .map(|byte| format!("1\r\n{byte}\r\n"))
+        .chain(["0\r\n\r\n".to_owned()])
+        .collect();
+    let plain = format!("{}content-length: {BODY_BYTES}\r\n", line(10));
+    let chunked = format!("{}transfer-encoding: chunked\r\n", line(11));
+    let long = format!(
+        "{}content-length: {}\r\nx-long: {}\r\n",
+        line(12),
+        JOB_BODY.len(),
+        "a".repeat(16_000)
+    );
+    for (head, body) in [
+        (plain, &padded),
+        (chunked, &chunks),
+        (long, &JOB_BODY.to_owned()),
+    ] {
+        let response = send_request(address, &format!("{head}\r\n{body}")).await;
+        assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+    }
+    for job in 10..13 {
+        within_limit("the job", wait_until_done(&site, job)).await;
+    }
+}
+
+#[test]
+fn one_request_within_the_limits_is_served() {
+    let _alone = run_alone();
+    block_on(serve_the_largest_requests());
+}
+
 #[test]
 fn crowds_of_several_kinds_are_withstood_together() {
     let _alone = run_alone();
--- a/crates/soak/src/crowd.rs
+++ b/crates/soak/src/crowd.rs
@@ -63,8 +63,13 @@
     EmptySteps(usize),
     /// A whole job of this many steps of one task each.
     SmallSteps(usize),
+    /// Whole requests, this many one after the other, each with a method of its own of 8,000 bytes.
+    Methods(usize),
 }
 
+/// The length of the methods of [`Shape::Methods`].
+const METHOD_BYTES: usize = 8_000;
+
 /// The pause between two packets of [`Shape::Drip`], so that each of them is read by itself.
 const DRIP_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -215,6 +220,23 @@
         }
     }
 
+    /// Sends whole requests with methods of their own, and waits for the response to each.
+    async fn call_by_methods(&self, stream: &mut TcpStream, count: usize) -> io::Result<()> {
+        let host = &self.target.host;
+        let mut buffer = [0; 4_096];
+        for number in 0..count {
+            let unique = format!("{}X{number}X", self.number);
+            let method = format!("{unique}{}", "A".repeat(METHOD_BYTES - unique.len()));
+            let call = format!("{method} /x HTTP/1.1\r\nhost: {host}\r\n\r\n");
+            stream.write_all(call.as_bytes()).await?;
+            // The response is small.
+            if stream.read(&mut buffer).await? == 0 {
+                return Ok(());
+            }
+        }
+        Ok(())
+    }
+
     /// Returns the first lines of a request with an id of its own, without the empty line that ends its head.
     fn head(&self, round: usize) -> String {
         let Target { host, path, .. } = &self.target;
@@ -263,6 +285,7 @@
                 write(stream, &request, &request, bytes / request.len()).await
             }
             Shape::EmptySteps(steps) => write_job(stream, &head, "{}", steps).await,
+            Shape::Methods(count) => self.call_by_methods(stream, count).await,
             Shape::SmallSteps(steps) => write_job(stream, &head, r#"{"count":1}"#, steps).await,
         }
     }
