--- a/crates/havenladder/tests/misbehaving_clients.rs
+++ b/crates/havenladder/tests/misbehaving_clients.rs
@@ -7,81 +7,19 @@
 
 mod crowd_checks;
 mod entries;
-
-use crowd_checks::{Monitor, WAIT_TIMEOUT, run_alone, wait_until_read};
-use entries::{block_on, count_lines, log_dir, owner, request, send_request, submit};
-use havenladder_soak::{
-    crowd::{Crowd, Return, Shape, Target},
-    site::{HOST, PREFIX, Site},
-};
-use havenladder_standin::users::{events::RunEvent, settings::Resources};
-use rustix::process::Signal;
-use std::{
-    fs,
-    net::SocketAddr,
-    sync::Arc,
-    time::{Duration, Instant},
+mod small_site;
+
+use crowd_checks::{Monitor, run_alone, wait_until_read};
+use entries::{block_on, owner, send_request};
+use havenladder_soak::crowd::{Crowd, Return, Shape, Target};
+use small_site::{
+    BODY_BYTES, FILE_DESCRIPTORS, JOB, Listener, MEMORY_BYTES, NAME, RESOURCES, start, submit_to,
+    wait_until_done, within_limit,
 };
+use std::{net::SocketAddr, time::Duration};
 use tokio::time;
 use yare::parameterized;
 
-/// Name of the folder with the logs.
-const NAME: &str = "misbehaving";
-
-/// Memory and descriptors of each entry's machine. An entry without callers uses 24 MB.
-const RESOURCES: Resources = Resources {
-    memory_mb: 64,
-    descriptors: 300,
-};
-
-/// Memory of the machine in bytes.
-const MEMORY_BYTES: u64 = RESOURCES.memory_mb << 20;
-
-/// Number of descriptors that are reserved for files; sockets share the others.
-const FILE_DESCRIPTORS: u64 = 200;
-
-/// Number of VMs.
-const VMS: usize = 2;
-
-/// Largest body of a job.
-const BODY_BYTES: usize = 262_144;
-
-/// Id of the job that is done before the crowd comes.
-const FIRST_JOB: u64 = 1;
-
-/// Id of the job that an ordinary caller submits beside the crowd.
-const JOB: u64 = 2;
-
-/// Body of a job of one short task.
-const JOB_BODY: &str =
-    r#"{"spec":"50","steps":[{"count":1,"cpu":1000,"mem-mb":10,"estimated-ms":50}]}"#;
-
-/// A listener of an entry.
-#[derive(Clone, Copy, Debug)]
-enum Listener {
-    Callers,
-    Readiness,
-    Peers,
-    Metrics,
-}
-
-impl Listener {
-    /// Returns the listener of an entry whose callers connect to `callers`.
-    fn target(self, callers: SocketAddr) -> Target {
-        let (port, path) = match self {
-            Listener::Callers => (callers.port(), format!("POST {PREFIX}")),
-            Listener::Readiness => (callers.port() + 1, "GET /readiness/".into()),
-            Listener::Peers => (callers.port() + 4, "POST /ask/".into()),
-            Listener::Metrics => (9_460, "GET /metrics/".into()),
-        };
-        Target {
-            address: SocketAddr::new(callers.ip(), port),
-            host: HOST.into(),
-            path,
-        }
-    }
-}
-
 /// One of the crowds of a test.
 #[derive(Clone, Copy, Debug)]
 struct Part {
@@ -91,57 +29,6 @@
     comes_again: Return,
 }
 
-/// Waits for a future within the generous limit.
-async fn within_limit<T>(what: &str, future: impl Future<Output = T>) -> T {
-    let outcome = time::timeout(WAIT_TIMEOUT, future).await;
-    outcome.unwrap_or_else(|_| panic!("{what}: not within {WAIT_TIMEOUT:?}"))
-}
-
-/// Waits until the task of a job is done.
-async fn wait_until_done(site: &Site, job: u64) {
-    let prefix = format!("{job:016x}.");
-    let is_done = || {
-        let events = site.events.all();
-        events
-            .iter()
-            .any(|event| event.kind == RunEvent::Done && event.task.starts_with(&prefix))
-    };
-    while !is_done() {
-        time::sleep(Duration::from_millis(50)).await;
-    }
-}
-
-/// Starts a site whose entries have small machines, and waits until it has done a job.
-async fn start(seed: u64) -> Site {
-    let site = entries::start_with_resources(NAME, seed, VMS, RESOURCES).await;
-    wait_for_first_job(&site, seed).await;
-    site
-}
-
-/// Waits until a site has done a job and the log says which entry owns the cell.
-async fn wait_for_first_job(site: &Site, seed: u64) {
-    submit(site, FIRST_JOB, JOB_BODY).await;
-    within_limit("the first job", wait_until_done(site, FIRST_JOB)).await;
-    // An entry writes its log a little later than it acts.
-    let owned = async {
-        while count_lines(NAME, seed, "\"owns the cell\"") == 0 {
-            time::sleep(Duration::from_millis(20)).await;
-        }
-    };
-    within_limit("an owner's log line", owned).await;
-}
-
-/// Submits a job to an entry until it accepts it, as an ordinary caller does that is told to come back.
-async fn submit_to(address: SocketAddr, job: u64) {
-    let submission = request("POST", job, JOB_BODY);
-    while !send_request(address, &submission)
-        .await
-        .starts_with("HTTP/1.1 200")
-    {
-        time::sleep(Duration::from_millis(100)).await;
-    }
-}
-
 /// Asks an entry's readiness listener and its metrics once, as the platform does.
 async fn probe(callers: SocketAddr) {
     for listener in [Listener::Readiness, Listener::Metrics] {
@@ -288,92 +175,11 @@
     withstand_alone(6_828, callers(20, Shape::Methods(100)));
 }
 
-/// Maximum length of a log line about a request, in bytes.
-const MAX_LINE_BYTES: usize = 1_024;
-
-async fn send_long_words() {
-    let seed = 6_829;
-    let site = start(seed).await;
-    let address = site.entries[0].address;
-    let word = "a".repeat(8_000);
-    let text = format!(r#"{{"steps":"{}"}}"#, "a".repeat(BODY_BYTES - 20));
-    let unknown = format!("GET /{word} HTTP/1.1\r\nhost: {word}\r\nconnection: close\r\n\r\n");
-    for (call, status) in [(request("POST", JOB, &text), 400), (unknown, 404)] {
-        let response = send_request(address, &call).await;
-        assert!(
-            response.starts_with(&format!("HTTP/1.1 {status}")),
-            "{response}"
-        );
-    }
-    let log = log_dir(NAME, seed).join("entry-0.log");
-    for message in ["the job is not valid", "no such queue"] {
-        let line = async {
-            loop {
-                let text = fs::read_to_string(&log).unwrap_or_default();
-                let line = text.lines().find(|line| line.contains(message));
-                if let Some(line) = line {
-                    break line.len();
-                }
-                time::sleep(Duration::from_millis(20)).await;
-            }
-        };
-        let length = within_limit("a log line", line).await;
-        assert!(length <= MAX_LINE_BYTES, "{message}: {length} bytes");
-    }
-}
-
-#[test]
-fn log_lines_repeat_little_of_what_callers_send() {
-    let _alone = run_alone();
-    block_on(send_long_words());
-}
-
 #[test]
 fn requests_whose_responses_are_not_read_stay_within_memory() {
     withstand_alone(6_822, callers(60, Shape::Pipeline(4_000_000)));
 }
 
-/// What a single client may send within the limits of a call, on a machine as small as in the other tests.
-async fn serve_the_largest_requests() {
-    let seed = 6_831;
-    let site = start(seed).await;
-    let address = site.entries[owner(NAME, seed, site.entries.len())].address;
-    let line = |id: u64| {
-        format!("POST {PREFIX}{id:016x} HTTP/1.1\r\nhost: {HOST}\r\nconnection: close\r\n")
-    };
-    let padded = format!("{JOB_BODY}{}", " ".repeat(BODY_BYTES - JOB_BODY.len()));
-    let chunks: String = padded
-        .chars()
-        .map(|byte| format!("1\r\n{byte}\r\n"))
-        .chain(["0\r\n\r\n".to_owned()])
-        .collect();
-    let plain = format!("{}content-length: {BODY_BYTES}\r\n", line(10));
-    let chunked = format!("{}transfer-encoding: chunked\r\n", line(11));
-    let long = format!(
-        "{}content-length: {}\r\nx-long: {}\r\n",
-        line(12),
-        JOB_BODY.len(),
-        "a".repeat(16_000)
-    );
-    for (head, body) in [
-        (plain, &padded),
-        (chunked, &chunks),
-        (long, &JOB_BODY.to_owned()),
-    ] {
-        let response = send_request(address, &format!("{head}\r\n{body}")).await;
-        assert!(response.starts_with("HTTP/1.1 200"), "{response}");
-    }
-    for job in 10..13 {
-        within_limit("the job", wait_until_done(&site, job)).await;
-    }
-}
-
-#[test]
-fn one_request_within_the_limits_is_served() {
-    let _alone = run_alone();
-    block_on(serve_the_largest_requests());
-}
-
 #[test]
 fn crowds_of_several_kinds_are_withstood_together() {
     let _alone = run_alone();
@@ -427,70 +233,3 @@
     let _alone = run_alone();
     block_on(come_and_go());
 }
-
-/// The system may let a process open fewer descriptors than its settings file says, also later.
-async fn lower_the_limit_of_descriptors() {
-    let seed = 6_827;
-    let mut site = entries::start(NAME, seed, VMS).await;
-    wait_for_first_job(&site, seed).await;
-    let crowded = owner(NAME, seed, site.entries.len());
-    let address = site.entries[crowded].address;
-    site.entries[crowded]
-        .limit_descriptors(RESOURCES.descriptors)
-        .expect("the process runs");
-    let target = Listener::Callers.target(address);
-    let shape = Shape::Chunks {
-        bytes: 1_000,
-        chunk: 100,
-    };
-    let crowd = Crowd::gather(&target, shape, 400, Return::Always);
-    within_limit("the crowd", crowd.wait_settled()).await;
-    // The entry needs descriptors for its own calls, since all of its connections break.
-    let names = site.cloud.names();
-    let workers = names.iter().filter_map(|name| site.cloud.link(name));
-    let links: Vec<_> = workers.chain([Arc::clone(&site.links[crowded])]).collect();
-    links.iter().for_each(|link| link.cut(true));
-    time::sleep(Duration::from_millis(200)).await;
-    links.iter().for_each(|link| link.cut(false));
-    within_limit("an ordinary job", submit_to(address, JOB)).await;
-    within_limit("its task", wait_until_done(&site, JOB)).await;
-    assert!(site.entries[crowded].is_running(), "the process has ended");
-}
-
-#[test]
-fn an_entry_with_fewer_descriptors_than_its_settings_say_serves_others() {
-    let _alone = run_alone();
-    block_on(lower_the_limit_of_descriptors());
-}
-
-/// A client that has sent a part of a body when the signal comes is told that its request has not run.
-async fn stop_with_unended_bodies() {
-    const CLIENTS: usize = 20;
-    let seed = 6_825;
-    let mut site = start(seed).await;
-    let target = Listener::Callers.target(site.entries[0].address);
-    let shape = Shape::Chunks {
-        bytes: 1_000,
-        chunk: 100,
-    };
-    let mut crowd = Crowd::gather(&target, shape, CLIENTS, Return::Never);
-    within_limit("the crowd", crowd.wait_settled()).await;
-    site.entries[0].signal(Signal::TERM);
-    within_limit("the end of the connections", crowd.wait_closed()).await;
-    let limit = Instant::now() + WAIT_TIMEOUT;
-    while site.entries[0].is_running() {
-        assert!(Instant::now() < limit, "the process does not end");
-        time::sleep(Duration::from_millis(50)).await;
-    }
-    let responses = crowd.responses();
-    let refusals = responses
-        .iter()
-        .filter(|response| response.starts_with("HTTP/1.1 503"));
-    assert_eq!(refusals.count(), CLIENTS, "{responses:?}");
-}
-
-#[test]
-fn a_stopping_entry_refuses_requests_that_are_not_whole() {
-    let _alone = run_alone();
-    block_on(stop_with_unended_bodies());
-}
