fix(ingress): a request that is refused for its bytes is told so

Its connection was closed without a response, although docs/design/misbehaving-clients.md promises a 503: the ledger had already taken the request for one that is being answered when the gate asked what it was doing. Found by reading the change again. Giving a connection up no longer changes its phase. The test fails without the fix (no response) and passes with it; the other three tests of requests over a gate hold before as well.

--- a/crates/ingress/src/ledger.rs
+++ b/crates/ingress/src/ledger.rs
@@ -266,11 +266,8 @@
     /// Records that a connection is about to be ended: it holds no bytes and does not wait any more.
     pub fn give_up(&mut self, id: ConnectionId) {
         self.set_bytes(id, 0);
-        if let Some(known) = self.connections.get_mut(&id) {
+        if let Some(known) = self.connections.get(&id) {
             self.waiting.remove(&(known.since, id));
-            if known.phase.is_waiting() {
-                known.phase = Phase::Response;
-            }
         }
     }
 
