refactor(ingress): buffers, the system's limit and the deadline of a body have one place

Cause: the sizes of receive buffers and the reading of the system's limit of descriptors stood twice (entry and serve), and a body's deadline had to be passed where there is none beside the gate's own, so that one caller made up 60 s and another repeated the gate's time. Errors of the system have their names in place of 23 and 24. Conclusion: less to keep equal; no check, bound or test's assertion changes.

--- a/crates/havenladder/src/commands/serve.rs
+++ b/crates/havenladder/src/commands/serve.rs
@@ -15,7 +15,6 @@
         claims::{ClaimMessage, ClaimsSender, claims},
         editors::editors,
         follow::follow,
-        listen::{CALLER_RECEIVE_BUFFER, INTERNAL_RECEIVE_BUFFER},
         operators::operators,
         peers::{poll_peers, serve_peers},
         placement::{Message, PlacementSender, placement},
@@ -27,7 +26,7 @@
     },
 };
 use crossbeam_channel::Receiver;
-use ingress::Counters;
+use ingress::{CALLER_RECEIVE_BUFFER, Counters, INTERNAL_RECEIVE_BUFFER};
 use platform::HttpPlatform;
 use std::{
     io,
--- a/crates/havenladder/src/entry/callers/call.rs
+++ b/crates/havenladder/src/entry/callers/call.rs
@@ -8,7 +8,6 @@
     reply,
 };
 use crate::entry::{
-    gates::CALLER_RECEIVE_BUFFER,
     in_force::{Caller, Unauthorized},
     logs::kind,
     node::{Node, wall_ms},
@@ -28,7 +27,7 @@
     body::Incoming,
     header::{self, HeaderMap, HeaderValue},
 };
-use ingress::{Exchange, Reply, Unreceived};
+use ingress::{CALLER_RECEIVE_BUFFER, Exchange, Reply, Unreceived};
 use jobs::{JobId, JobSpec, Submission};
 use std::{borrow::Cow, rc::Rc, time::Duration};
 use tracing::info;
@@ -322,7 +321,7 @@
         let limits = node.config().unwrap_or_default().limits;
         let body = self
             .exchange
-            .receive(self.body, limits.max_body, head.deadline);
+            .receive(self.body, limits.max_body, Some(head.deadline));
         let body = body.await.map_err(refuse_unreceived)?;
         let spec = decode_spec(&body).map_err(|why| {
             let why = &*shorten(&why);
--- a/crates/havenladder/src/entry/gates.rs
+++ b/crates/havenladder/src/entry/gates.rs
@@ -7,15 +7,9 @@
 use opentelemetry::metrics::Meter;
 use std::{num::NonZeroU32, rc::Rc, time::Duration};
 
-/// Memory that an open connection takes, in bytes; 19 to 25 KB were measured.
+/// Memory that an open connection takes, in bytes.
 const CONNECTION_BYTES: usize = 24 << 10;
 
-/// Bytes of a caller that the kernel keeps unread at most.
-pub const CALLER_RECEIVE_BUFFER: usize = 64 << 10;
-
-/// Bytes of another entry, or of a prober, that the kernel keeps unread at most.
-pub const INTERNAL_RECEIVE_BUFFER: usize = 32 << 10;
-
 /// Maximum number of connections for readiness checks, and of those for metrics.
 const MAX_PROBE_CONNECTIONS: usize = 64;
 
--- a/crates/havenladder/src/entry/mod.rs
+++ b/crates/havenladder/src/entry/mod.rs
@@ -45,7 +45,7 @@
 mod worker_list;
 
 use adapter::settings;
-use gates::{CALLER_RECEIVE_BUFFER, INTERNAL_RECEIVE_BUFFER};
+use ingress::{CALLER_RECEIVE_BUFFER, INTERNAL_RECEIVE_BUFFER};
 use node::Node;
 use std::{io, net::TcpListener, process::ExitCode, rc::Rc};
 use tokio::{runtime, task::LocalSet};
--- a/crates/havenladder/src/entry/peer.rs
+++ b/crates/havenladder/src/entry/peer.rs
@@ -32,9 +32,6 @@
 /// bytes.
 const MAX_REQUEST_BYTES: usize = 1 << 20;
 
-/// Maximum time for which a request is received. The gate has a shorter one.
-const MAX_RECEIVE_TIME: Duration = Duration::from_secs(60);
-
 /// Maximum ratio of the memory of a decoded request to its bytes: an encoded step of a job has 20 bytes or more.
 const MAX_DECODED_RATIO: usize = size_of::<Step>() / 20;
 
@@ -237,8 +234,7 @@
     request: hyper::Request<Incoming>,
     exchange: &Exchange,
 ) -> Result<PeerRequest, StatusCode> {
-    let by = Instant::now() + MAX_RECEIVE_TIME;
-    let body = exchange.receive(request.into_body(), MAX_REQUEST_BYTES, by);
+    let body = exchange.receive(request.into_body(), MAX_REQUEST_BYTES, None);
     let body = body.await.map_err(|_| StatusCode::BAD_REQUEST)?;
     let held = exchange.hold(body.len() * MAX_DECODED_RATIO);
     held.map_err(|_| StatusCode::SERVICE_UNAVAILABLE)?;
--- a/crates/havenladder/src/threads/editors.rs
+++ b/crates/havenladder/src/threads/editors.rs
@@ -257,7 +257,7 @@
         let left = checked.deadline.saturating_duration_since(Instant::now());
         let by = clock::Instant::now() + left;
         let body = self.request.into_body();
-        self.exchange.receive(body, checked.length, by).await
+        self.exchange.receive(body, checked.length, Some(by)).await
     }
 }
 
--- a/crates/havenladder/src/threads/listen.rs
+++ b/crates/havenladder/src/threads/listen.rs
@@ -2,7 +2,6 @@
 
 use crate::{configs::EditorsConfig, context::Context, key::is_key, threads::STACK_BYTES};
 use bytes::Bytes;
-use clock::Instant;
 use http_body_util::Full;
 use hyper::{
     HeaderMap, Request, Response, StatusCode,
@@ -12,7 +11,6 @@
 };
 use ingress::{Exchange, Gate, Reply, RequestLimits, Unreceived};
 use protocol::HEADER_KEY;
-use rustix::process::{Resource, getrlimit};
 use std::{io, net::TcpListener, rc::Rc, sync::Arc};
 use tokio::{
     runtime::Builder,
@@ -20,12 +18,6 @@
 };
 use tracing::warn;
 
-/// Bytes of a caller that the kernel keeps unread at most.
-pub const CALLER_RECEIVE_BUFFER: usize = 64 << 10;
-
-/// Bytes of a peer or an operator that the kernel keeps unread at most.
-pub const INTERNAL_RECEIVE_BUFFER: usize = 32 << 10;
-
 /// Maximum size of a head in bytes.
 const MAX_HEAD_BYTES: usize = 16 << 10;
 
@@ -35,9 +27,7 @@
 /// Returns how many connections a listener may have: as many as the settings say, but no more than a share of the
 /// descriptors that the system lets the process open.
 pub fn allowed_connections(listener: &'static str, set: usize, share: usize) -> usize {
-    let limit = getrlimit(Resource::Nofile).current;
-    let limit = limit.map_or(usize::MAX, |limit| limit as usize);
-    let allowed = limit.saturating_sub(OWN_DESCRIPTORS) / share;
+    let allowed = ingress::descriptor_limit().saturating_sub(OWN_DESCRIPTORS) / share;
     if set > allowed {
         warn!(
             listener,
@@ -158,8 +148,7 @@
         return Err((service.refuse)(StatusCode::UNAUTHORIZED, detail));
     }
     let (head, body) = request.into_parts();
-    let by = Instant::now() + ctx.config.editors.body_time;
-    let body = exchange.receive(body, service.max_body, by).await;
+    let body = exchange.receive(body, service.max_body, None).await;
     let refuse = |why: Unreceived| {
         let (status, detail) = match why {
             Unreceived::TooLarge => (StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"),
--- a/crates/ingress/src/gate.rs
+++ b/crates/ingress/src/gate.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use clock::Instant;
 use hyper::body::{Body, Incoming};
+use rustix::io::Errno;
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
@@ -19,8 +20,8 @@
 use tokio::sync::Notify;
 use tracing::warn;
 
-/// Errors of the system for a process or machine without free descriptors.
-const NO_DESCRIPTOR: [i32; 2] = [23, 24];
+/// Errors of the system for a machine or process without free descriptors.
+const NO_DESCRIPTOR: [Errno; 2] = [Errno::NFILE, Errno::MFILE];
 
 /// The connections of a listener, with their limits.
 pub struct Gate {
@@ -153,9 +154,8 @@
     /// Makes room for other connections of the process, if none could be accepted for lack of descriptors. The log
     /// reports how often, once a second.
     pub(crate) fn accept_failed(&self, error: &io::Error) {
-        let lacks_descriptors = error
-            .raw_os_error()
-            .is_some_and(|code| NO_DESCRIPTOR.contains(&code));
+        let lacks_descriptors =
+            Errno::from_io_error(error).is_some_and(|error| NO_DESCRIPTOR.contains(&error));
         if !lacks_descriptors {
             warn!(listener = self.name, %error, "cannot accept a connection");
             return;
@@ -401,7 +401,7 @@
         self.watched.enter(Phase::Response, Some(timeout));
     }
 
-    /// Receives a body of at most `max` bytes, until `by` or for as long as a body may take.
+    /// Receives a body of at most `max` bytes for as long as a body may take, or until `by` if that is sooner.
     ///
     /// # Errors
     ///
@@ -410,15 +410,15 @@
         &self,
         mut body: Incoming,
         max: usize,
-        by: Instant,
+        by: Option<Instant>,
     ) -> Result<Bytes, Unreceived> {
         if body.size_hint().lower() > max as u64 {
             return Err(Unreceived::TooLarge);
         }
         let watched = &self.watched;
-        let now = Instant::now();
-        let deadline = by.min(now + watched.gate.limits.get().body_timeout);
-        watched.enter(Phase::Body, Some(deadline - now));
+        let left = by.map_or(Duration::MAX, |by| by - Instant::now());
+        let timeout = watched.gate.limits.get().body_timeout.min(left);
+        watched.enter(Phase::Body, Some(timeout));
         let received = self.receive_all(&mut body, max).await;
         let body = watched.received.take();
         received?;
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -15,5 +15,7 @@
 pub use counters::{Counters, Ending};
 pub use gate::{Exchange, Gate, Overloaded, Unreceived};
 pub use ledger::{Admission, ConnectionId, Hold, Ledger, Phase};
-pub use limits::{Budget, RequestLimits};
+pub use limits::{
+    Budget, CALLER_RECEIVE_BUFFER, INTERNAL_RECEIVE_BUFFER, RequestLimits, descriptor_limit,
+};
 pub use listen::{Reply, bind, serve, sweep};
--- a/crates/ingress/src/limits.rs
+++ b/crates/ingress/src/limits.rs
@@ -1,7 +1,20 @@
 //! Limits of a listener.
 
+use rustix::process::{Resource, getrlimit};
 use std::time::Duration;
 
+/// Bytes of a caller that the kernel keeps unread at most.
+pub const CALLER_RECEIVE_BUFFER: usize = 64 << 10;
+
+/// Bytes of another entry, an operator or a prober that the kernel keeps unread at most.
+pub const INTERNAL_RECEIVE_BUFFER: usize = 32 << 10;
+
+/// Returns how many descriptors the system lets this process open.
+pub fn descriptor_limit() -> usize {
+    let limit = getrlimit(Resource::Nofile).current;
+    limit.map_or(usize::MAX, |limit| limit as usize)
+}
+
 /// What the connections of a listener may hold together.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Budget {
--- a/crates/ingress/tests/serve.rs
+++ b/crates/ingress/tests/serve.rs
@@ -2,7 +2,6 @@
 //!
 //! Guards against refusals that their clients do not learn of, and against the end of a request that is whole.
 
-use clock::Instant;
 use havenladder_ingress::{
     Budget, Counters, Ending, Exchange, Gate, Reply, RequestLimits, bind, serve, sweep,
 };
@@ -37,8 +36,7 @@
 /// Receives the body and answers, after a while if the path says so.
 async fn respond(request: Request<Incoming>, exchange: Exchange) -> Reply {
     let is_slow = request.uri().path() == "/slow";
-    let by = Instant::now() + LONG;
-    let body = exchange.receive(request.into_body(), MAX_BODY, by).await;
+    let body = exchange.receive(request.into_body(), MAX_BODY, None).await;
     if is_slow {
         time::sleep(Duration::from_millis(2_000)).await;
     }
