test: shorter names, and the usual words in comments

Cause: four names of tests had over 60 characters and told the story instead of the failure; four comments had turns of phrase of our own.

--- a/crates/havenladder/tests/client_limits.rs
+++ b/crates/havenladder/tests/client_limits.rs
@@ -133,12 +133,12 @@
 }
 
 #[test]
-fn an_entry_with_fewer_descriptors_than_its_settings_say_serves_others() {
+fn a_low_system_limit_of_descriptors_leaves_some_for_calls() {
     let _alone = run_alone();
     block_on(lower_the_limit_of_descriptors());
 }
 
-/// A client that has sent a part of a body when the signal comes is told that its request has not run.
+/// Stops an entry while clients have sent a part of a body each: each gets a 503.
 async fn stop_with_unended_bodies() {
     const CLIENTS: usize = 20;
     let seed = 6_825;
--- a/crates/havenladder/tests/crowd_checks/mod.rs
+++ b/crates/havenladder/tests/crowd_checks/mod.rs
@@ -110,8 +110,8 @@
 }
 
 impl CrowdThread {
-    /// Lets a crowd come, and returns once it stands still and all that it has sent has been read. Clients that cannot
-    /// even connect are waited for only so long.
+    /// Starts a crowd, and returns once all that it sends has been sent and read. Clients that cannot connect are waited
+    /// for [`READ_TIME`].
     pub fn gather(target: Target, shape: Shape, clients: usize, comes_again: Return) -> Self {
         let (dismiss, dismissed) = oneshot::channel();
         let (settled, is_settled) = mpsc::channel();
--- a/crates/havenladder/tests/misbehaving_clients_of_serve.rs
+++ b/crates/havenladder/tests/misbehaving_clients_of_serve.rs
@@ -81,7 +81,7 @@
     }
 }
 
-/// Sends a request until it is done, as an ordinary caller does that is told to come back.
+/// Sends a request until it is done, as a caller that obeys `Retry-After` does.
 fn serve_one(site: &Site) {
     let limit = Instant::now() + WAIT_TIMEOUT;
     while site.post(0, SERVICE, "run=1", &[]).status != 200 {
--- a/crates/havenladder/tests/small_site/mod.rs
+++ b/crates/havenladder/tests/small_site/mod.rs
@@ -115,7 +115,7 @@
     within_limit("an owner's log line", owned).await;
 }
 
-/// Submits a job to an entry until it accepts it, as an ordinary caller does that is told to come back.
+/// Submits a job to an entry until it accepts it, as a caller that obeys `Retry-After` does.
 pub async fn submit_to(address: SocketAddr, job: u64) {
     let submission = request("POST", job, JOB_BODY);
     while !send_request(address, &submission)
--- a/crates/ingress/tests/ledger.rs
+++ b/crates/ingress/tests/ledger.rs
@@ -63,7 +63,7 @@
     head = { Phase::Head },
     body = { Phase::Body },
 )]
-fn a_new_connection_takes_the_place_of_the_one_that_has_waited_longest(phase: Phase) {
+fn a_new_connection_replaces_the_one_that_waits_longest(phase: Phase) {
     let mut site = Site::new();
     let ids = [site.admit(), site.admit(), site.admit()];
     // Each begins a request, so that the second has waited longest.
@@ -90,7 +90,7 @@
     service = { Phase::Service },
     response = { Phase::Response },
 )]
-fn a_connection_whose_request_is_whole_is_never_closed_for_another(phase: Phase) {
+fn a_connection_with_a_whole_request_is_not_replaced(phase: Phase) {
     let mut site = Site::new();
     for _ in 0..BUDGET.connections {
         let id = site.admit();
@@ -111,7 +111,7 @@
 }
 
 #[test]
-fn the_request_that_has_waited_longest_is_refused_even_if_it_is_the_one_that_wants_more() {
+fn the_oldest_request_is_refused_even_if_it_is_the_one_to_grow() {
     let mut site = Site::new();
     let old = site.admit_body(500);
     let new = site.admit_body(450);
